--- /dev/null
+++ b/waxwingrack/__init__.py
@@ -0,0 +1,1 @@
+"""Router fleet that shares capacity fairly between workspaces."""
--- /dev/null
+++ b/waxwingrack/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- /dev/null
+++ b/waxwingrack/core/commands.py
@@ -0,0 +1,154 @@
+"""Commands of the replicated log.
+
+The state machine in `operations.replicated` applies them in log order.
+"""
+
+import dataclasses
+
+from waxwingrack.core import codec
+from waxwingrack.core import data
+from waxwingrack.core import registry
+
+COMMANDS: registry.Registry[str, type] = registry.Registry("command")
+CODEC = codec.Codec(COMMANDS)
+
+
+@COMMANDS.register("apply_environment")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplyEnvironment:
+    """Replaces the environment document.
+
+    Attributes:
+      operation: Operation id; a resend with the same id gets the first outcome.
+      operator: Name of the operator.
+      expected: Environment number that the operator saw.
+      environment: New document.
+    """
+
+    operation: str
+    operator: str
+    expected: int
+    environment: data.Environment
+
+
+@COMMANDS.register("set_data_centre")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetDataCentre:
+    """Drains or restores a data centre.
+
+    Attributes:
+      operation: Operation id.
+      operator: Name of the operator.
+      expected: Environment number that the operator saw; None accepts any.
+      data_centre: Data centre.
+      state: New state.
+    """
+
+    operation: str
+    operator: str
+    expected: int | None
+    data_centre: str
+    state: data.DataCentreState
+
+
+@COMMANDS.register("start_rollout")
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRollout:
+    """Starts a rollout."""
+
+    operation: str
+    operator: str
+    expected: int | None
+    plan: data.RolloutPlan
+
+
+@COMMANDS.register("take_back_rollout")
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeBackRollout:
+    """Takes an unfinished rollout back on an operator's order."""
+
+    operation: str
+    operator: str
+    expected: int | None
+    rollout: str
+
+
+@COMMANDS.register("move_rollout")
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveRollout:
+    """Moves a rollout to another phase or share, decided by the leader.
+
+    Attributes:
+      rollout: Id of the rollout.
+      phase: New phase.
+      share: New share of the new version.
+      reason: Why.
+    """
+
+    rollout: str
+    phase: data.RolloutPhase
+    share: float
+    reason: str
+
+
+@COMMANDS.register("claim_key")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Records an idempotency key before dispatch.
+
+    Attributes:
+      workspace: Workspace of the caller.
+      key: Idempotency key.
+      digest: Digest of the request.
+      owner: Router incarnation that dispatches the request.
+    """
+
+    workspace: str
+    key: str
+    digest: str
+    owner: str
+
+
+@COMMANDS.register("record_key_outcome")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordKeyOutcome:
+    """Records the end of a claimed request; no answer means unknown."""
+
+    workspace: str
+    key: str
+    owner: str
+    answer: data.StoredAnswer | None
+
+
+@COMMANDS.register("release_key")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseKey:
+    """Removes a claim whose request was not dispatched."""
+
+    workspace: str
+    key: str
+    owner: str
+
+
+@COMMANDS.register("refuse_digest")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseDigest:
+    """Refuses a request digest from now on."""
+
+    digest: str
+
+
+@COMMANDS.register("checkpoint")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """Saves the leader's counters and advances the leader-counted clock.
+
+    Attributes:
+      seconds: Time since the last checkpoint or since the election.
+      counters: Fairness counters that changed.
+      routers: Incarnations of the routers connected to the leader.
+    """
+
+    seconds: float
+    counters: tuple[data.CounterRow, ...]
+    routers: tuple[str, ...]
--- /dev/null
+++ b/waxwingrack/core/data.py
@@ -0,0 +1,684 @@
+"""Record types shared by all stages.
+
+Every type is a frozen data class, so a record can be handed between systems
+and daemons without copies. Times are milliseconds of a monotonic clock unless
+a name says otherwise.
+"""
+
+import dataclasses
+import enum
+
+import immutables
+
+# ---------------------------------------------------------------------------
+# Environment document
+# ---------------------------------------------------------------------------
+
+
+class DataCentreState(enum.StrEnum):
+    """Whether a data centre may receive new work."""
+
+    IN_SERVICE = "in_service"
+    DRAINED = "drained"
+
+
+class CostMeter(enum.StrEnum):
+    """How the cost of a request is measured."""
+
+    SLOT_MS = "slot_ms"
+    TOKENS = "tokens"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer that shares the capacity of services.
+
+    Attributes:
+      id: Unique name.
+      weight: Share relative to other workspaces, greater than zero.
+      token_digests: SHA-256 digests (hex) of the callers' bearer tokens.
+      max_queue: Most requests waiting at one router.
+      max_connections: Most requests open at one router.
+    """
+
+    id: str
+    weight: float
+    token_digests: tuple[str, ...]
+    max_queue: int = 256
+    max_connections: int = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A set of requests of a service that are treated alike.
+
+    Attributes:
+      id: Name, unique within the service.
+      path: Path prefix, matched by whole segments; the longest match wins.
+      methods: HTTP methods; empty means every method.
+      idempotent: Whether a request may be repeated. A request on a route that
+        is not idempotent needs an `Idempotency-Key`.
+    """
+
+    id: str
+    path: str
+    methods: tuple[str, ...] = ()
+    idempotent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A pool of backend servers that run the same program.
+
+    Attributes:
+      id: Unique name.
+      routes: Routes that lead to the service.
+      version: Version that receives traffic when no rollout is under way.
+      cost_meter: How cost is measured.
+      queue_timeout_s: Longest wait for a grant, in seconds.
+      answer_timeout_s: Longest wait for the first answer byte, in seconds.
+      idle_timeout_s: Longest pause within an answer, in seconds.
+    """
+
+    id: str
+    routes: tuple[Route, ...]
+    version: str
+    cost_meter: CostMeter = CostMeter.SLOT_MS
+    queue_timeout_s: float = 30.0
+    answer_timeout_s: float = 60.0
+    idle_timeout_s: float = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentre:
+    """A data centre.
+
+    Attributes:
+      id: Unique name.
+      region: Region that it belongs to.
+      state: State to set when the document is applied; None keeps the state.
+    """
+
+    id: str
+    region: str
+    state: DataCentreState | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutPlan:
+    """A declared move of a service to another version.
+
+    Attributes:
+      id: Unique name of the rollout.
+      service: Service whose traffic moves.
+      version: Version to move to.
+      deadline_s: Time from the start until it must be done or taken back.
+      watch_s: Time at full share before the rollout is done.
+    """
+
+    id: str
+    service: str
+    version: str
+    deadline_s: float = 600.0
+    watch_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Environment:
+    """The operators' document for one environment.
+
+    Attributes:
+      name: Name of the environment, for example `trial` or `production`.
+      workspaces: Workspaces by declaration order.
+      services: Services by declaration order.
+      data_centres: Data centres by declaration order.
+      rollouts: Declared rollouts; one whose id is new starts when applied.
+      announce_token_digests: SHA-256 digests (hex) of the tokens with which
+        backend servers announce themselves.
+      key_retention_s: Shortest life of an idempotency record, in seconds.
+    """
+
+    name: str
+    workspaces: tuple[Workspace, ...]
+    services: tuple[Service, ...]
+    data_centres: tuple[DataCentre, ...]
+    rollouts: tuple[RolloutPlan, ...] = ()
+    announce_token_digests: tuple[str, ...] = ()
+    key_retention_s: float = 86_400.0
+
+
+# ---------------------------------------------------------------------------
+# Process settings
+# ---------------------------------------------------------------------------
+
+
+class Role(enum.StrEnum):
+    """Role of a process."""
+
+    ROUTER = "router"
+    CONTROLLER = "controller"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """A TCP address by IP number."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """A controller as other processes reach it.
+
+    Attributes:
+      id: Node id of the controller.
+      control: Address of its websocket for processes of the system.
+      operators: Address of its operators' HTTP API.
+    """
+
+    id: str
+    control: Address
+    operators: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """PEM files for mutual TLS between processes of the system."""
+
+    certificate: str
+    private_key: str
+    authority: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one process.
+
+    Attributes:
+      role: Role of the process.
+      node_id: Unique id of the process within the deployment.
+      data_centre: Data centre that the process runs in.
+      operators: Address of the operators' port (metrics, health and, at a
+        controller, the operators' API).
+      controllers: All controllers of the deployment.
+      callers: Address of the callers' HTTP port; routers only.
+      control: Address of the websocket port; controllers only.
+      data_folder: Folder for durable state; controllers only.
+      tls: Files for mutual TLS; None allows only loopback addresses.
+      shared_key_file: File with the key that authenticates processes on
+        loopback.
+      operator_token_file: File with the operators' bearer token; controllers
+        only.
+      shutdown_delay_s: Time between SIGTERM and closing the callers' port.
+      shutdown_timeout_s: Longest wait for running requests after that.
+      max_body_bytes: Largest request body.
+      max_header_bytes: Largest request header block.
+      body_timeout_s: Longest time to receive a request body.
+      max_open_connections: Most open caller connections.
+      log_level: Level of the log.
+    """
+
+    role: Role
+    node_id: str
+    data_centre: str
+    operators: Address
+    controllers: tuple[Peer, ...]
+    callers: Address | None = None
+    control: Address | None = None
+    data_folder: str | None = None
+    tls: TlsFiles | None = None
+    shared_key_file: str | None = None
+    operator_token_file: str | None = None
+    shutdown_delay_s: float = 2.0
+    shutdown_timeout_s: float = 120.0
+    max_body_bytes: int = 1_048_576
+    max_header_bytes: int = 16_384
+    body_timeout_s: float = 20.0
+    max_open_connections: int = 4_096
+    log_level: str = "INFO"
+
+
+# ---------------------------------------------------------------------------
+# Backend servers and grants
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One change of a model engine's prefix cache.
+
+    Attributes:
+      sequence: Number of the event at its engine; a gap means lost events.
+      prefix: Digest of the prompt prefix.
+      stored: True when stored, False when evicted.
+    """
+
+    sequence: int
+    prefix: str
+    stored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a backend server says about itself, once a second.
+
+    Attributes:
+      server_id: Unique id of the backend server.
+      incarnation: Changes with each start of the backend server.
+      address: Where it takes requests.
+      service: Service that it runs.
+      version: Version that it runs.
+      data_centre: Data centre that it runs in.
+      slots: Most requests that it runs at once when warm.
+      in_flight: Requests running at it when the load was sampled.
+      load: Utilisation from 0 to 1, reported with a lag.
+      checks_fencing: Whether it refuses an order with an old fencing number.
+      departing: Whether it is about to leave.
+      cache_events: Changes of its prefix cache since the last announcement.
+    """
+
+    server_id: str
+    incarnation: str
+    address: Address
+    service: str
+    version: str
+    data_centre: str
+    slots: int
+    in_flight: int = 0
+    load: float = 0.0
+    checks_fencing: bool = False
+    departing: bool = False
+    cache_events: tuple[CacheEvent, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """A queued request that needs a grant.
+
+    Attributes:
+      sequence: Number of the request at its router incarnation.
+      workspace: Workspace of the caller.
+      service: Service that the request is for.
+      route: Route of the service.
+      digest: SHA-256 digest (hex) of workspace, method, path and body.
+      prefix: Digest of the prompt prefix, empty if there is none.
+      hint: Expected cost as the caller sees it, 0 if there is none.
+      avoid: Backend servers on which an earlier try failed.
+    """
+
+    sequence: int
+    workspace: str
+    service: str
+    route: str
+    digest: str = ""
+    prefix: str = ""
+    hint: float = 0.0
+    avoid: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Permission to send one queued request to one backend server.
+
+    Attributes:
+      id: Unique number within the leader's term; unique with `term`.
+      term: Term of the leader that issued it.
+      want: Sequence of the want at the router.
+      server_id: Backend server to send to.
+      incarnation: Incarnation of the backend server.
+      address: Address of the backend server.
+      version: Version of the backend server.
+    """
+
+    id: int
+    term: int
+    want: int
+    server_id: str
+    incarnation: str
+    address: Address
+    version: str
+
+
+class Outcome(enum.StrEnum):
+    """How a granted request ended, seen from its router."""
+
+    COMPLETED = "completed"
+    SERVER_ERROR = "server_error"
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+    NOT_DISPATCHED = "not_dispatched"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """End of a granted request.
+
+    Attributes:
+      term: Term of the grant.
+      grant: Id of the grant.
+      outcome: How it ended. NOT_DISPATCHED returns the grant unused.
+      first_byte_ms: Time from dispatch to the first answer byte.
+      duration_ms: Time from dispatch to the end.
+      cost: Cost in the unit of the service's cost meter.
+    """
+
+    term: int
+    grant: int
+    outcome: Outcome
+    first_byte_ms: float
+    duration_ms: float
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Cost so far of a granted request that is still running."""
+
+    term: int
+    grant: int
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A granted request in use, as a router reports it after connecting."""
+
+    term: int
+    grant: int
+    server_id: str
+    incarnation: str
+    version: str
+    workspace: str
+    service: str
+    route: str
+    digest: str
+    cost: float
+
+
+# ---------------------------------------------------------------------------
+# Idempotency records
+# ---------------------------------------------------------------------------
+
+
+class KeyState(enum.StrEnum):
+    """What is known of a request with an idempotency key."""
+
+    ABSENT = "absent"
+    CLAIMED = "claimed"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    MAY_HAVE_RUN = "may_have_run"
+    MISMATCH = "mismatch"
+    EXPIRED = "expired"
+    STORE_FULL = "store_full"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """An answer kept for resends of a request.
+
+    Attributes:
+      status: HTTP status.
+      headers: Header names and values.
+      body: Whole body.
+      truncated: True when the body was too large to keep.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    truncated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """Durable record of a request with an idempotency key.
+
+    Attributes:
+      workspace: Workspace of the caller.
+      key: Idempotency key.
+      digest: Digest of the request.
+      owner: Router incarnation that claimed the key.
+      state: CLAIMED, ANSWERED or MAY_HAVE_RUN.
+      answer: Stored answer, if ANSWERED.
+      claimed_s: Leader-counted clock at the claim, in seconds.
+    """
+
+    workspace: str
+    key: str
+    digest: str
+    owner: str
+    state: KeyState
+    answer: StoredAnswer | None
+    claimed_s: float
+
+
+# ---------------------------------------------------------------------------
+# Replicated state
+# ---------------------------------------------------------------------------
+
+
+class RolloutPhase(enum.StrEnum):
+    """Phase of a rollout."""
+
+    TRIAL = "trial"
+    RAMPING = "ramping"
+    WATCHING = "watching"
+    DONE = "done"
+    TAKEN_BACK = "taken_back"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollout:
+    """State of a rollout.
+
+    Attributes:
+      plan: What was declared.
+      old_version: Version that had the traffic at the start.
+      phase: Phase.
+      share: Share of traffic for the new version, from 0 to 1.
+      elapsed_s: Leader-counted time since the start.
+      phase_elapsed_s: Leader-counted time in the phase.
+      reason: Why the last transition happened.
+    """
+
+    plan: RolloutPlan
+    old_version: str
+    phase: RolloutPhase
+    share: float
+    elapsed_s: float = 0.0
+    phase_elapsed_s: float = 0.0
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationOutcome:
+    """Answer to an operator's command, kept for resends.
+
+    Attributes:
+      operation: Operation id chosen by the operator's program.
+      accepted: Whether the command took effect.
+      number: Environment number after the command, or the current one.
+      winner: Operator whose command took the expected number, if rejected.
+      message: Text for the operator.
+    """
+
+    operation: str
+    accepted: bool
+    number: int
+    winner: str = ""
+    message: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CounterRow:
+    """Fairness counter of a workspace at a service, in cost per weight."""
+
+    service: str
+    workspace: str
+    value: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicatedState:
+    """State that every controller derives from the committed log.
+
+    Attributes:
+      number: Number of the environment; grows by one with each accepted change.
+      operator: Operator who made the last accepted change.
+      environment: Environment document; None before the first one.
+      drained: Ids of drained data centres.
+      rollouts: Rollouts by id, at most one unfinished per service.
+      versions: Version with the traffic, by service id.
+      keys: Idempotency records by (workspace, key).
+      key_floors: Highest date of a dropped key, in Unix seconds as written by
+        the caller, by workspace.
+      outcomes: Operators' outcomes by operation id, in order of arrival.
+      refused_digests: Digests refused by the crash guard.
+      counters: Fairness counters by (service, workspace).
+      routers: Router incarnations at the last checkpoint.
+      clock_s: Leader-counted clock at the last checkpoint, in seconds.
+    """
+
+    number: int = 0
+    operator: str = ""
+    environment: Environment | None = None
+    drained: frozenset[str] = frozenset()
+    rollouts: immutables.Map = immutables.Map()
+    versions: immutables.Map = immutables.Map()
+    keys: immutables.Map = immutables.Map()
+    key_floors: immutables.Map = immutables.Map()
+    outcomes: immutables.Map = immutables.Map()
+    refused_digests: frozenset[str] = frozenset()
+    counters: immutables.Map = immutables.Map()
+    routers: frozenset[str] = frozenset()
+    clock_s: float = 0.0
+
+
+# ---------------------------------------------------------------------------
+# Consensus
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One entry of the replicated log.
+
+    Attributes:
+      index: Position, from 1.
+      term: Term of the leader that created it.
+      command: Encoded command; empty for a leader's first entry.
+      members: Node ids in force from this entry on, if it changes them.
+    """
+
+    index: int
+    term: int
+    command: bytes
+    members: tuple[str, ...] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """State up to and including one log entry.
+
+    Attributes:
+      index: Index of the last entry included.
+      term: Term of that entry.
+      members: Node ids in force at that entry.
+      state: Encoded replicated state.
+    """
+
+    index: int
+    term: int
+    members: tuple[str, ...]
+    state: bytes
+
+
+# ---------------------------------------------------------------------------
+# Scheduler
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterRef:
+    """A router incarnation that is connected to the leader."""
+
+    node_id: str
+    incarnation: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionShare:
+    """How the traffic of a service is divided between two versions.
+
+    Attributes:
+      current: Version that gets the rest of the traffic.
+      candidate: Version under trial; empty if there is none.
+      share: Share of the candidate, from 0 to 1.
+    """
+
+    current: str
+    candidate: str = ""
+    share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """What the scheduler has to respect, derived from the replicated state.
+
+    Attributes:
+      environment: Environment in force.
+      drained: Drained data centres.
+      shares: Division of traffic by service id.
+      refused_digests: Request digests that are refused.
+    """
+
+    environment: Environment
+    drained: frozenset[str] = frozenset()
+    shares: immutables.Map = immutables.Map()
+    refused_digests: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """How one granted request ended, as the rollout judges see it.
+
+    Attributes:
+      service: Service.
+      route: Route.
+      data_centre: Data centre of the backend server.
+      version: Version of the backend server.
+      server_id: Backend server.
+      outcome: How the request ended.
+      first_byte_ms: Time from dispatch to the first answer byte.
+      duration_ms: Time from dispatch to the end.
+      at_ms: Leader's monotonic clock.
+    """
+
+    service: str
+    route: str
+    data_centre: str
+    version: str
+    server_id: str
+    outcome: Outcome
+    first_byte_ms: float
+    duration_ms: float
+    at_ms: int
+
+
+# ---------------------------------------------------------------------------
+# Rollout judges
+# ---------------------------------------------------------------------------
+
+
+# ---------------------------------------------------------------------------
+# Router queues
+# ---------------------------------------------------------------------------
--- /dev/null
+++ b/waxwingrack/core/logs.py
@@ -0,0 +1,90 @@
+"""Structured log lines on the standard `logging` library.
+
+Each line is one JSON object with the time, the level, the event's name and the
+event's fields. Decisions of routing and placement carry their reason.
+"""
+
+import json
+import logging
+import sys
+import time
+from typing import Any
+
+_LOGGER = logging.getLogger("waxwingrack")
+
+
+class _JsonFormatter(logging.Formatter):
+    """Formats a record as one line of JSON."""
+
+    def __init__(self, node_id: str):
+        super().__init__()
+        self._node_id = node_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        line = {
+            "time": f"{stamp}.{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "node": self._node_id,
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str, separators=(",", ":"))
+
+
+def configure(node_id: str, level: str = "INFO") -> None:
+    """Sends log lines of this process to the standard error stream.
+
+    Args:
+      node_id: Node id that each line carries.
+      level: Name of the lowest level to log.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_JsonFormatter(node_id))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+
+
+def decision(name: str, reason: str, **fields: Any) -> None:
+    """Logs a routing or placement decision.
+
+    Args:
+      name: Name of the decision, for example `grant`.
+      reason: Why it was made.
+      **fields: Subjects of the decision.
+    """
+    if _LOGGER.isEnabledFor(logging.INFO):
+        _LOGGER.info(
+            name,
+            extra={"fields": {"kind": "decision", "reason": reason, **fields}},
+        )
+
+
+def event(name: str, level: int = logging.INFO, **fields: Any) -> None:
+    """Logs something that happened.
+
+    Args:
+      name: Name of the event.
+      level: Level of `logging`.
+      **fields: Details.
+    """
+    if _LOGGER.isEnabledFor(level):
+        _LOGGER.log(level, name, extra={"fields": fields})
+
+
+def failure(name: str, exc: BaseException, **fields: Any) -> None:
+    """Logs an unexpected exception with its traceback.
+
+    Args:
+      name: Name of the event.
+      exc: The exception.
+      **fields: Details.
+    """
+    _LOGGER.error(
+        name,
+        exc_info=(type(exc), exc, exc.__traceback__),
+        extra={"fields": fields},
+    )
--- /dev/null
+++ b/waxwingrack/core/messages.py
@@ -0,0 +1,320 @@
+"""Messages between the processes of the system."""
+
+import dataclasses
+
+from waxwingrack.core import codec
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.core import registry
+
+# Processes with different protocol versions do not talk to each other.
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Longest interval between two reports of a router, in milliseconds.
+HEARTBEAT_MS = 250
+# Life of a grant until dispatch, in milliseconds.
+GRANT_LIFETIME_MS = 1_000
+# Silence after which a router considers control lost, in milliseconds.
+CONTROL_TIMEOUT_MS = 2_000
+# Most wants of one workspace and service that a router reports at a time.
+MAX_WANTS = 32
+
+MESSAGES: registry.Registry[str, type] = registry.Registry("message")
+CODEC = codec.Codec(MESSAGES)
+
+
+# ---------------------------------------------------------------------------
+# Connection set-up
+# ---------------------------------------------------------------------------
+
+
+@MESSAGES.register("hello")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message of each side.
+
+    Attributes:
+      protocol: Protocol version.
+      role: Role of the sender.
+      node_id: Node id of the sender.
+      incarnation: Changes with each start of the sender.
+      nonce: Random bytes that the peer's proof must cover.
+      proof: HMAC over both nonces with the shared key; empty with mutual TLS.
+    """
+
+    protocol: int
+    role: data.Role
+    node_id: str
+    incarnation: str
+    nonce: bytes = b""
+    proof: bytes = b""
+
+
+@MESSAGES.register("not_leader")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotLeader:
+    """The receiver asked a controller that does not lead.
+
+    Attributes:
+      leader: Node id of the leader, empty if unknown.
+    """
+
+    leader: str
+
+
+# ---------------------------------------------------------------------------
+# Router and leader
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashSuspect:
+    """A request whose connection to a backend server broke."""
+
+    digest: str
+    server_id: str
+    incarnation: str
+
+
+@MESSAGES.register("report")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterReport:
+    """What changed at a router since its last report.
+
+    Attributes:
+      sent_ms: Router's monotonic clock at sending.
+      environment_number: Number of the environment in force at the router.
+      first: True in the first report on a connection; `running` is then the
+        whole list of grants in use and `wants` the whole list of wants.
+      wants: New wants.
+      withdrawn: Sequences of wants that need no grant any more.
+      running: Grants in use.
+      finished: Ended grants.
+      progress: Costs so far.
+      announcements: Announcements of backend servers received.
+      crash_suspects: Requests whose connection broke.
+      draining: True once the router shuts down.
+    """
+
+    sent_ms: int
+    environment_number: int
+    first: bool = False
+    wants: tuple[data.Want, ...] = ()
+    withdrawn: tuple[int, ...] = ()
+    running: tuple[data.Running, ...] = ()
+    finished: tuple[data.Finished, ...] = ()
+    progress: tuple[data.Progress, ...] = ()
+    announcements: tuple[data.Announcement, ...] = ()
+    crash_suspects: tuple[CrashSuspect, ...] = ()
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """The leader refuses a want.
+
+    Attributes:
+      want: Sequence of the want.
+      kind: Error kind.
+    """
+
+    want: int
+    kind: errors.ErrorKind
+
+
+@MESSAGES.register("update")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControllerUpdate:
+    """What a router has to know.
+
+    Attributes:
+      echo_ms: `sent_ms` of the last report that the leader received.
+      term: Term of the leader.
+      grants: New grants.
+      refusals: Refused wants.
+    """
+
+    echo_ms: int
+    term: int
+    grants: tuple[data.Grant, ...] = ()
+    refusals: tuple[Refusal, ...] = ()
+
+
+@MESSAGES.register("environment")
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnvironmentPush:
+    """The environment in force, sent when the router's is older.
+
+    Attributes:
+      number: Number of the environment.
+      environment: Document.
+      drained: Drained data centres.
+      refused_digests: Digests refused by the crash guard.
+    """
+
+    number: int
+    environment: data.Environment
+    drained: tuple[str, ...] = ()
+    refused_digests: tuple[str, ...] = ()
+
+
+@MESSAGES.register("key_lookup")
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyLookup:
+    """Asks for the record of an idempotency key.
+
+    Attributes:
+      call: Number that the answer repeats.
+      workspace: Workspace of the caller.
+      key: Idempotency key.
+      digest: Digest of the request.
+    """
+
+    call: int
+    workspace: str
+    key: str
+    digest: str
+
+
+@MESSAGES.register("key_claim")
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyClaim:
+    """Asks to record a key before the request is dispatched."""
+
+    call: int
+    workspace: str
+    key: str
+    digest: str
+
+
+@MESSAGES.register("key_outcome")
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyOutcome:
+    """Records how a claimed request ended.
+
+    Attributes:
+      call: Number that the answer repeats.
+      workspace: Workspace of the caller.
+      key: Idempotency key.
+      answer: Whole answer; None if the outcome is unknown.
+    """
+
+    call: int
+    workspace: str
+    key: str
+    answer: data.StoredAnswer | None
+
+
+@MESSAGES.register("key_release")
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRelease:
+    """Removes a claim of this router whose request was not dispatched."""
+
+    call: int
+    workspace: str
+    key: str
+
+
+@MESSAGES.register("key_answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyAnswer:
+    """Answer to a key message.
+
+    Attributes:
+      call: Number of the message answered.
+      state: For a lookup: ABSENT, RUNNING, ANSWERED, MAY_HAVE_RUN, MISMATCH or
+        EXPIRED.
+        For a claim: CLAIMED if this router may dispatch, else as for a lookup,
+        or STORE_FULL. For an outcome or release: ANSWERED, MAY_HAVE_RUN or
+        ABSENT once committed. UNAVAILABLE if the leader could not commit.
+      answer: Stored answer, if ANSWERED.
+    """
+
+    call: int
+    state: data.KeyState
+    answer: data.StoredAnswer | None = None
+
+
+# ---------------------------------------------------------------------------
+# Between controllers
+# ---------------------------------------------------------------------------
+
+
+@MESSAGES.register("vote_request")
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Asks for a vote.
+
+    Attributes:
+      term: Term that the candidate would lead.
+      last_index: Index of the candidate's last entry.
+      last_term: Term of the candidate's last entry.
+      pre_vote: True for a trial vote, which changes no state at the voter.
+    """
+
+    term: int
+    last_index: int
+    last_term: int
+    pre_vote: bool
+
+
+@MESSAGES.register("vote_reply")
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answer to a vote request."""
+
+    term: int
+    granted: bool
+    pre_vote: bool
+
+
+@MESSAGES.register("append")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Append:
+    """Entries from the leader, or a heartbeat if there are none.
+
+    Attributes:
+      term: Leader's term.
+      previous_index: Index of the entry before `entries`.
+      previous_term: Term of that entry.
+      entries: Entries to add.
+      commit: Leader's commit index.
+      round: Number of the heartbeat round, repeated in the reply, so that the
+        leader's lease counts from its own send time.
+    """
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[data.LogEntry, ...]
+    commit: int
+    round: int
+
+
+@MESSAGES.register("append_reply")
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendReply:
+    """Answer to `Append` or `InstallSnapshot`.
+
+    Attributes:
+      term: Follower's term.
+      success: Whether the entries were stored and synced.
+      match: If successful, last index known to equal the leader's log;
+        otherwise a hint where to go on.
+      round: Round of the request.
+    """
+
+    term: int
+    success: bool
+    match: int
+    round: int
+
+
+@MESSAGES.register("install_snapshot")
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstallSnapshot:
+    """Whole snapshot for a follower that lags behind the leader's log."""
+
+    term: int
+    snapshot: data.Snapshot
+    round: int
--- /dev/null
+++ b/waxwingrack/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Processes: sockets, files and timers around the decision systems."""
--- /dev/null
+++ b/waxwingrack/daemons/transport.py
@@ -0,0 +1,408 @@
+"""Connections between the processes of the system.
+
+Messages travel as CBOR in binary websocket frames. Both ends authenticate by
+mutual TLS or, on loopback only, by an HMAC with a shared key. Heartbeats are
+the business of the callers of this module; websocket pings are off.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+import dataclasses
+import hmac
+import ipaddress
+import secrets
+import ssl
+from typing import Any
+from typing import Protocol
+
+from returns import result
+from websockets import exceptions
+from websockets.asyncio import client
+from websockets.asyncio import connection as ws_connection
+from websockets.asyncio import server as ws_server
+
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.core import messages
+
+# Longest time for the hello exchange, in seconds.
+HELLO_TIMEOUT_S = 2.0
+# Unsent bytes after which a connection to a slow peer is closed.
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+NONCE_BYTES = 16
+
+
+class HandshakeError(Exception):
+    """The peer did not authenticate or speaks another protocol version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """How this process presents itself.
+
+    Attributes:
+      role: Role of the process.
+      node_id: Node id of the process.
+      incarnation: Changes with each start of the process.
+      shared_key: Key for the HMAC; empty with mutual TLS.
+      tls: Files for mutual TLS; None allows only loopback addresses.
+    """
+
+    role: data.Role
+    node_id: str
+    incarnation: str
+    shared_key: bytes = b""
+    tls: data.TlsFiles | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """Traffic of a process, counted since its start.
+
+    Attributes:
+      bytes_sent: Bytes of sent frames, without frame headers.
+      bytes_received: Bytes of received frames, without frame headers.
+      messages_sent: Sent messages.
+      messages_received: Received messages.
+      malformed: Frames that could not be decoded.
+    """
+
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    messages_sent: int = 0
+    messages_received: int = 0
+    malformed: int = 0
+
+
+class Listener(Protocol):
+    """Receives the events of connections."""
+
+    def connected(self, conn: "Connection") -> None:
+        """Called once the peer has authenticated."""
+
+    def received(self, conn: "Connection", message: Any) -> None:
+        """Called for each well-formed message."""
+
+    def disconnected(self, conn: "Connection") -> None:
+        """Called once after the connection has ended."""
+
+
+class Connection:
+    """An authenticated connection to another process.
+
+    Attributes:
+      peer: Hello of the peer.
+      remote: Address of the peer as text.
+    """
+
+    def __init__(
+        self,
+        socket: ws_connection.Connection,
+        peer: messages.Hello,
+        counts: Counts,
+    ):
+        self.peer = peer
+        self.remote = str(socket.remote_address)
+        self._socket = socket
+        self._counts = counts
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self._unsent_bytes = 0
+        self._wake = asyncio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended or is being closed."""
+        return self._closed
+
+    def send(self, message: Any) -> bool:
+        """Queues a message.
+
+        Args:
+          message: A registered message.
+
+        Returns:
+          False if the connection is closed or was closed now because the peer
+          reads too slowly.
+        """
+        if self._closed:
+            return False
+        frame = messages.CODEC.encode(message)
+        if self._unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
+            logs.event("peer_too_slow", peer=self.peer.node_id)
+            self.close()
+            return False
+        self._unsent.append(frame)
+        self._unsent_bytes += len(frame)
+        self._wake.set()
+        return True
+
+    def close(self) -> None:
+        """Closes the connection at once; unsent messages are dropped."""
+        if not self._closed:
+            self._closed = True
+            self._wake.set()
+            self._socket.transport.abort()
+
+    async def run(self, listener: Listener) -> None:
+        """Sends and receives until the connection ends.
+
+        Args:
+          listener: Receives the events.
+        """
+        listener.connected(self)
+        writer = asyncio.ensure_future(self._write())
+        try:
+            await self._read(listener)
+        except (exceptions.ConnectionClosed, OSError):
+            pass
+        finally:
+            self.close()
+            await asyncio.gather(writer, return_exceptions=True)
+            listener.disconnected(self)
+
+    async def _read(self, listener: Listener) -> None:
+        async for frame in self._socket:
+            blob = frame.encode() if isinstance(frame, str) else frame
+            self._counts.bytes_received += len(blob)
+            match messages.CODEC.decode(blob):
+                case result.Success(message):
+                    self._counts.messages_received += 1
+                    listener.received(self, message)
+                case result.Failure(error):
+                    self._counts.malformed += 1
+                    logs.event(
+                        "malformed_message",
+                        peer=self.peer.node_id,
+                        reason=error.reason,
+                    )
+
+    async def _write(self) -> None:
+        while not self._closed:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._unsent and not self._closed:
+                frame = self._unsent.popleft()
+                self._unsent_bytes -= len(frame)
+                try:
+                    await self._socket.send(frame)
+                except (exceptions.ConnectionClosed, OSError):
+                    self.close()
+                    return
+                self._counts.bytes_sent += len(frame)
+                self._counts.messages_sent += 1
+
+
+async def serve(
+    address: data.Address,
+    identity: Identity,
+    listener: Listener,
+    counts: Counts,
+) -> ws_server.Server:
+    """Accepts connections of other processes.
+
+    Args:
+      address: Address to listen on; port 0 chooses a free port.
+      identity: Identity of this process.
+      listener: Receives the events of every connection.
+      counts: Counters to add to.
+
+    Returns:
+      The server; its `close` method ends it.
+
+    Raises:
+      OSError: The address cannot be used.
+      HandshakeError: The address is not loopback and no TLS files are set.
+    """
+    require_protection(address, identity)
+
+    async def handle(socket: ws_server.ServerConnection) -> None:
+        peer = await _handshake(
+            _accept_hello(socket, identity), socket, "accept"
+        )
+        if peer is not None:
+            await Connection(socket, peer, counts).run(listener)
+
+    return await ws_server.serve(
+        handle,
+        address.host,
+        address.port,
+        ssl=_tls_context(identity, ssl.Purpose.CLIENT_AUTH),
+        compression=None,
+        max_size=messages.MAX_FRAME_BYTES,
+        ping_interval=None,
+        open_timeout=HELLO_TIMEOUT_S,
+        close_timeout=HELLO_TIMEOUT_S,
+    )
+
+
+async def connect(
+    address: data.Address,
+    identity: Identity,
+    counts: Counts,
+) -> Connection | None:
+    """Connects to another process.
+
+    Args:
+      address: Address of the process.
+      identity: Identity of this process.
+      counts: Counters to add to.
+
+    Returns:
+      The connection, whose `run` method the caller must await, or None if the
+      peer cannot be reached or does not authenticate.
+
+    Raises:
+      HandshakeError: The address is not loopback and no TLS files are set.
+    """
+    require_protection(address, identity)
+    tls = _tls_context(identity, ssl.Purpose.SERVER_AUTH)
+    scheme = "wss" if tls else "ws"
+    try:
+        socket = await client.connect(
+            f"{scheme}://{address.host}:{address.port}/",
+            ssl=tls,
+            proxy=None,
+            compression=None,
+            max_size=messages.MAX_FRAME_BYTES,
+            ping_interval=None,
+            open_timeout=HELLO_TIMEOUT_S,
+            close_timeout=HELLO_TIMEOUT_S,
+        )
+    except (OSError, TimeoutError, exceptions.WebSocketException):
+        return None
+    peer = await _handshake(_send_hello(socket, identity), socket, "connect")
+    return None if peer is None else Connection(socket, peer, counts)
+
+
+def require_protection(address: data.Address, identity: Identity) -> None:
+    """Refuses addresses on which the shared key alone does not protect.
+
+    Args:
+      address: Address to listen on or to connect to.
+      identity: Identity of this process.
+
+    Raises:
+      HandshakeError: The address is not loopback and no TLS files are set.
+    """
+    if (
+        identity.tls is None
+        and not ipaddress.ip_address(address.host).is_loopback
+    ):
+        raise HandshakeError(f"{address} needs TLS files: not loopback")
+
+
+def _tls_context(
+    identity: Identity, purpose: ssl.Purpose
+) -> ssl.SSLContext | None:
+    files = identity.tls
+    if files is None:
+        return None
+    context = ssl.create_default_context(purpose, cafile=files.authority)
+    context.load_cert_chain(files.certificate, files.private_key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    return context
+
+
+async def _handshake(
+    exchange: Awaitable[messages.Hello],
+    socket: ws_connection.Connection,
+    side: str,
+) -> messages.Hello | None:
+    try:
+        return await asyncio.wait_for(exchange, HELLO_TIMEOUT_S)
+    except (
+        HandshakeError,
+        TimeoutError,
+        OSError,
+        exceptions.ConnectionClosed,
+    ) as exc:
+        logs.event(
+            "handshake_failed",
+            side=side,
+            remote=str(socket.remote_address),
+            reason=str(exc) or type(exc).__name__,
+        )
+        socket.transport.abort()
+        return None
+
+
+async def _send_hello(
+    socket: ws_connection.Connection, identity: Identity
+) -> messages.Hello:
+    own = _hello(identity)
+    await socket.send(messages.CODEC.encode(own))
+    peer = await _receive_hello(socket)
+    _check_proof(identity, b"server", own.nonce, peer)
+    answer = dataclasses.replace(
+        own, proof=_proof(identity, b"client", peer.nonce, own)
+    )
+    await socket.send(messages.CODEC.encode(answer))
+    return peer
+
+
+async def _accept_hello(
+    socket: ws_connection.Connection, identity: Identity
+) -> messages.Hello:
+    first = await _receive_hello(socket)
+    own = _hello(identity)
+    own = dataclasses.replace(
+        own, proof=_proof(identity, b"server", first.nonce, own)
+    )
+    await socket.send(messages.CODEC.encode(own))
+    peer = await _receive_hello(socket)
+    if dataclasses.replace(peer, proof=b"") != first:
+        raise HandshakeError("the peer changed its hello")
+    _check_proof(identity, b"client", own.nonce, peer)
+    return peer
+
+
+def _hello(identity: Identity) -> messages.Hello:
+    return messages.Hello(
+        protocol=messages.PROTOCOL_VERSION,
+        role=identity.role,
+        node_id=identity.node_id,
+        incarnation=identity.incarnation,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+    )
+
+
+async def _receive_hello(socket: ws_connection.Connection) -> messages.Hello:
+    frame = await socket.recv()
+    match messages.CODEC.decode(
+        frame.encode() if isinstance(frame, str) else frame
+    ):
+        case result.Success(messages.Hello() as hello):
+            if hello.protocol != messages.PROTOCOL_VERSION:
+                raise HandshakeError(
+                    f"protocol version {hello.protocol}, "
+                    f"expected {messages.PROTOCOL_VERSION}"
+                )
+            return hello
+        case _:
+            raise HandshakeError("the first message is not a hello")
+
+
+def _proof(
+    identity: Identity, side: bytes, nonce: bytes, hello: messages.Hello
+) -> bytes:
+    if not identity.shared_key:
+        return b""
+    text = "\0".join((hello.role, hello.node_id, hello.incarnation)).encode()
+    return hmac.digest(
+        identity.shared_key,
+        b"\0".join((side, nonce, hello.nonce, text)),
+        "sha256",
+    )
+
+
+def _check_proof(
+    identity: Identity, side: bytes, nonce: bytes, hello: messages.Hello
+) -> None:
+    expected = _proof(identity, side, nonce, hello)
+    if not hmac.compare_digest(expected, hello.proof):
+        raise HandshakeError(f"{hello.node_id} has another shared key")
+    if not expected and identity.tls is None:
+        raise HandshakeError("neither TLS files nor a shared key are set")
--- /dev/null
+++ b/waxwingrack/load/__init__.py
@@ -0,0 +1,1 @@
+"""Loading and checking of settings documents."""
--- /dev/null
+++ b/waxwingrack/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Decision systems: pure functions over tables of records."""
