Decide version moves by judges, share steps and a deadline

Cause: a service's traffic must move to a new version by a set time, or be taken back soon after a fault shows. Ruled out: the old version's observed error rate as the reference (one good version in 40 was taken back by chance); fast share steps (a fault that appeared after 45 s of 120 s came after the rollout had ended as done). Conclusion: decisions are proved on simulated traffic, not yet in processes.

--- /dev/null
+++ b/features/rollout_decisions.feature
@@ -0,0 +1,71 @@
+Feature: Version moves end on time as done or taken back
+
+  A bad version must not keep traffic after its fault shows, and a good version
+  must not be taken back because of a slow data centre, a cold start or chance.
+
+  Scenario Outline: a rollout of a <kind> version at <rate> requests per second
+    Given a simulated rollout with deadline 120 s and watch period 20 s
+    And the simulated traffic is <rate> requests per second with seed <seed>
+    And the simulated new version is <kind>
+    When the simulated rollout runs to its end
+    Then the simulated rollout ends as <end> within 120 s
+    And the simulated reason contains "<reason>"
+
+    Examples: good versions
+      | kind                   | rate | seed | end  | reason   |
+      | good                   | 50   | 1    | done | no fault |
+      | good                   | 5    | 2    | done | no fault |
+      | good                   | 1    | 3    | done | no fault |
+      | good                   | 200  | 4    | done | no fault |
+      | good_in_slow_centre    | 50   | 5    | done | no fault |
+      | good_in_broken_centre  | 50   | 6    | done | no fault |
+      | good_mostly_in_slow_centre   | 50 | 24 | done | no fault |
+      | good_mostly_in_broken_centre | 50 | 25 | done | no fault |
+      | cold_at_start          | 50   | 7    | done | no fault |
+      | hit_by_one_crash       | 50   | 8    | done | no fault |
+      | as_faulty_as_old       | 50   | 9    | done | no fault |
+
+    Examples: bad versions
+      | kind                   | rate | seed | end        | reason   |
+      | failing                | 50   | 11   | taken_back | errors   |
+      | failing                | 1    | 12   | taken_back | errors   |
+      | failing_a_third        | 50   | 13   | taken_back | errors   |
+      | failing_late           | 50   | 14   | taken_back | errors   |
+      | failing_under_load     | 50   | 15   | taken_back | errors   |
+      | failing_on_one_route   | 50   | 16   | taken_back | errors   |
+      | slow                   | 50   | 17   | taken_back | latency  |
+      | slow_late              | 50   | 18   | taken_back | latency  |
+      | slow_on_one_route      | 50   | 19   | taken_back | latency  |
+      | absent                 | 50   | 20   | taken_back | deadline |
+
+  Scenario Outline: little traffic reaches a version that is bad from the start
+    Given a simulated rollout with deadline 120 s and watch period 20 s
+    And the simulated traffic is 50 requests per second with seed <seed>
+    And the simulated new version is <kind>
+    When the simulated rollout runs to its end
+    Then at most 5 in 100 simulated requests went to the new version
+    And no simulated request went to it later than 10 s after its fault showed
+
+    Examples:
+      | kind                 | seed |
+      | failing              | 21   |
+      | failing_a_third      | 22   |
+      | failing_on_one_route | 23   |
+
+  Scenario: good versions are not taken back by chance
+    Given a simulated rollout with deadline 60 s and watch period 10 s
+    And the simulated traffic is 50 requests per second with seed 100
+    And the simulated new version is as_faulty_as_old
+    When the simulated rollout runs with 40 seeds in turn
+    Then every simulated rollout ended as done
+
+  Scenario Outline: an ended or later phase never moves back
+    Then a rollout in phase <phase> may move to <allowed> only
+
+    Examples:
+      | phase      | allowed                     |
+      | trial      | trial ramping taken_back    |
+      | ramping    | ramping watching taken_back |
+      | watching   | done taken_back             |
+      | done       | nothing                     |
+      | taken_back | nothing                     |
--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,294 @@
+"""Steps for version moves, with simulated traffic."""
+
+import dataclasses
+import random
+
+import behave
+import immutables
+
+from waxwingrack.core import data
+from waxwingrack.operations import rollout_lifecycle
+from waxwingrack.operations import rollouts
+from waxwingrack.operations import version_samples
+
+_TICK_MS = 250
+_LATE_MS = 45_000
+_Outcome = data.Outcome
+
+
+@dataclasses.dataclass(frozen=True)
+class _Request:
+    """What a simulated version knows of a request."""
+
+    at_ms: int
+    route: str
+    data_centre: str
+    share: float
+    is_new: bool
+
+
+def _good(req, rng):
+    return _Outcome.COMPLETED, rng.lognormvariate(4, 0.5)
+
+
+def _failing(chance, when=lambda req: True):
+    def answer(req, rng):
+        if req.is_new and when(req) and rng.random() < chance:
+            return _Outcome.SERVER_ERROR, 5.0
+        return _good(req, rng)
+
+    return answer
+
+
+def _slow(factor, when=lambda req: True, both=False):
+    def answer(req, rng):
+        outcome, latency = _good(req, rng)
+        slow = (req.is_new or both) and when(req)
+        return outcome, latency * (factor if slow else 1)
+
+    return answer
+
+
+def _broken_centre(req, rng):
+    broken = req.data_centre == "b" and req.at_ms >= 8_000
+    if broken and rng.random() < 0.7:
+        return _Outcome.CONNECT_FAILED, 5.0
+    return _good(req, rng)
+
+
+def _one_crash(req, rng):
+    if req.is_new and 10_000 <= req.at_ms < 10_400:
+        return _Outcome.CONNECTION_LOST, 5.0
+    return _good(req, rng)
+
+
+def _as_faulty(req, rng):
+    if rng.random() < 0.02:
+        return _Outcome.SERVER_ERROR, 5.0
+    return _good(req, rng)
+
+
+_KINDS = {
+    "good": _good,
+    "good_in_slow_centre": _slow(
+        4, lambda req: req.data_centre == "b", both=True
+    ),
+    "good_in_broken_centre": _broken_centre,
+    "good_mostly_in_slow_centre": _slow(
+        4, lambda req: req.data_centre == "b", both=True
+    ),
+    "good_mostly_in_broken_centre": _broken_centre,
+    "cold_at_start": _slow(5, lambda req: req.at_ms < 8_000),
+    "hit_by_one_crash": _one_crash,
+    "as_faulty_as_old": _as_faulty,
+    "failing": _failing(1.0),
+    "failing_a_third": _failing(0.34),
+    "failing_late": _failing(0.5, lambda req: req.at_ms > _LATE_MS),
+    "failing_under_load": _failing(0.5, lambda req: req.share >= 0.5),
+    "failing_on_one_route": _failing(0.8, lambda req: req.route == "draft"),
+    "slow": _slow(3),
+    "slow_late": _slow(3, lambda req: req.at_ms > _LATE_MS),
+    "slow_on_one_route": _slow(3, lambda req: req.route == "draft"),
+    "absent": _good,
+}
+
+
+@dataclasses.dataclass
+class _Result:
+    """How a simulated rollout ended."""
+
+    rollout: data.Rollout
+    ended_ms: int
+    to_new: int
+    total: int
+    last_new_ms: int
+    first_fault_ms: int | None
+
+
+def _environment():
+    return data.Environment(
+        name="test",
+        workspaces=(),
+        services=(data.Service("sketch", (), "v1"),),
+        data_centres=(),
+    )
+
+
+def _simulate(plan, kind, rate, seed):
+    """Runs requests, judges and moves until the rollout ends."""
+    rng = random.Random(seed)
+    answer = _KINDS[kind]
+    rollout = data.Rollout(
+        plan, "v1", data.RolloutPhase.TRIAL, rollouts.TRIAL_SHARE
+    )
+    stats = version_samples.Stats()
+    result = _Result(rollout, 0, 0, 0, 0, None)
+    credit = 0.0
+    for now_ms in range(0, int(plan.deadline_s * 1000) + 2_000, _TICK_MS):
+        samples = []
+        for _ in range(_arrivals(rate, rng)):
+            credit += rollout.share
+            is_new = credit >= 1 and kind != "absent"
+            credit -= credit >= 1
+            weights = _centre_weights(kind, is_new)
+            centre = rng.choices("ab", weights)[0]
+            req = _Request(
+                now_ms,
+                rng.choice(("draft", "ask")),
+                centre,
+                rollout.share,
+                is_new,
+            )
+            samples.append(_run(answer, req, rng, result))
+        stats = rollouts.observe(stats, tuple(samples))
+        state = data.ReplicatedState(
+            environment=_environment(),
+            rollouts=immutables.Map({plan.id: rollout}),
+        )
+        moves = rollouts.tick(state, stats, _TICK_MS / 1000, now_ms)
+        rollout = _advance(rollout, moves)
+        if not rollouts.unfinished(rollout):
+            break
+    result.rollout = rollout
+    result.ended_ms = now_ms
+    return result
+
+
+def _centre_weights(kind, is_new):
+    """Weights of the data centres a and b for the servers of a version."""
+    if "mostly" not in kind:
+        return 1, 1
+    return (1, 9) if is_new else (9, 1)
+
+
+def _arrivals(rate, rng):
+    expected = rate * _TICK_MS / 1000
+    return int(expected) + (rng.random() < expected % 1)
+
+
+def _run(answer, req, rng, result):
+    outcome, latency = answer(req, rng)
+    result.total += 1
+    result.to_new += req.is_new
+    if req.is_new:
+        result.last_new_ms = req.at_ms
+        if outcome is not _Outcome.COMPLETED and result.first_fault_ms is None:
+            result.first_fault_ms = req.at_ms
+    version = "v2" if req.is_new else "v1"
+    return data.Sample(
+        "sketch",
+        req.route,
+        req.data_centre,
+        version,
+        f"{version}-{req.data_centre}",
+        outcome,
+        latency,
+        latency,
+        req.at_ms,
+    )
+
+
+def _advance(rollout, moves):
+    rollout = dataclasses.replace(
+        rollout,
+        elapsed_s=rollout.elapsed_s + _TICK_MS / 1000,
+        phase_elapsed_s=rollout.phase_elapsed_s + _TICK_MS / 1000,
+    )
+    for move in moves:
+        assert rollout_lifecycle.may_move(rollout.phase, move.phase), move
+        rollout = dataclasses.replace(
+            rollout,
+            phase=move.phase,
+            share=move.share,
+            reason=move.reason,
+            phase_elapsed_s=0.0,
+        )
+    return rollout
+
+
+@behave.given(
+    "a simulated rollout with deadline {deadline:d} s"
+    " and watch period {watch:d} s"
+)
+def given_rollout(context, deadline, watch):
+    context.plan = data.RolloutPlan("r", "sketch", "v2", deadline, watch)
+
+
+@behave.given(
+    "the simulated traffic is {rate:d} requests per second with seed {seed:d}"
+)
+def given_traffic(context, rate, seed):
+    context.rate = rate
+    context.seed = seed
+
+
+@behave.given("the simulated new version is {kind}")
+def given_kind(context, kind):
+    context.kind = kind
+
+
+@behave.when("the simulated rollout runs to its end")
+def run_rollout(context):
+    context.result = _simulate(
+        context.plan, context.kind, context.rate, context.seed
+    )
+
+
+@behave.when("the simulated rollout runs with {count:d} seeds in turn")
+def run_seeds(context, count):
+    context.results = {
+        seed: _simulate(context.plan, context.kind, context.rate, seed)
+        for seed in range(context.seed, context.seed + count)
+    }
+
+
+@behave.then("the simulated rollout ends as {end} within {limit:d} s")
+def ends_as(context, end, limit):
+    result = context.result
+    assert result.rollout.phase.value == end, result
+    assert result.ended_ms <= limit * 1000, result
+
+
+@behave.then('the simulated reason contains "{reason}"')
+def reason_contains(context, reason):
+    assert reason in context.result.rollout.reason, context.result
+
+
+@behave.then(
+    "at most {share:d} in 100 simulated requests went to the new version"
+)
+def small_share(context, share):
+    result = context.result
+    assert result.to_new * 100 <= result.total * share, result
+
+
+@behave.then(
+    "no simulated request went to it later than {limit:d} s"
+    " after its fault showed"
+)
+def none_later(context, limit):
+    result = context.result
+    late_ms = result.last_new_ms - result.first_fault_ms
+    assert late_ms <= limit * 1000, result
+
+
+@behave.then("every simulated rollout ended as done")
+def all_done(context):
+    bad = {
+        seed: result.rollout
+        for seed, result in context.results.items()
+        if result.rollout.phase is not data.RolloutPhase.DONE
+    }
+    assert not bad, bad
+
+
+@behave.then("a rollout in phase {phase} may move to {allowed} only")
+def may_move_only(context, phase, allowed):
+    reached = [
+        target.value
+        for target in data.RolloutPhase
+        if rollout_lifecycle.may_move(data.RolloutPhase(phase), target)
+    ]
+    assert reached == [one for one in allowed.split() if one != "nothing"], (
+        reached
+    )
--- /dev/null
+++ b/waxwingrack/operations/version_samples.py
@@ -0,0 +1,153 @@
+"""Samples of how requests ended, kept per version for the rollout judges."""
+
+import dataclasses
+import itertools
+
+import immutables
+
+from waxwingrack.core import data
+
+# Samples kept per service, route, data centre and version.
+MAX_SAMPLES = 256
+# Requests that a backend server loses together within this time, in
+# milliseconds, count as one error: one crash ends all requests running there.
+SAME_CRASH_MS = 2_000
+# A server's latencies do not count until this time after its first sample, in
+# milliseconds, as a freshly started server is slow.
+WARM_UP_MS = 10_000
+
+_FAILED = frozenset(
+    (
+        data.Outcome.SERVER_ERROR,
+        data.Outcome.CONNECT_FAILED,
+        data.Outcome.CONNECTION_LOST,
+        data.Outcome.TIMED_OUT,
+    )
+)
+_IGNORED = frozenset((data.Outcome.CANCELLED, data.Outcome.NOT_DISPATCHED))
+_LOST = frozenset((data.Outcome.CONNECT_FAILED, data.Outcome.CONNECTION_LOST))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stratum:
+    """Requests that are compared with each other across versions."""
+
+    service: str
+    route: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """One sample as the judges use it.
+
+    Attributes:
+      at_ms: Leader's monotonic clock.
+      failed: Whether the version failed the request.
+      latency_ms: Time to the first answer byte, or None if it does not count.
+    """
+
+    at_ms: int
+    failed: bool
+    latency_ms: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Stats:
+    """Samples of all versions.
+
+    Attributes:
+      ended: Tuples of `Ended`, oldest first, by (stratum, version).
+      first_ms: Time of the first sample by backend server.
+      lost_ms: Time of the last lost connection by backend server.
+    """
+
+    ended: immutables.Map = immutables.Map()
+    first_ms: immutables.Map = immutables.Map()
+    lost_ms: immutables.Map = immutables.Map()
+
+
+def observe(stats: Stats, samples: tuple[data.Sample, ...]) -> Stats:
+    """Adds samples.
+
+    Args:
+      stats: Samples so far.
+      samples: New samples in order of time.
+
+    Returns:
+      The samples with the new ones; cancelled and undispatched requests say
+      nothing about a version and are left out.
+    """
+    counted = [sample for sample in samples if sample.outcome not in _IGNORED]
+    for sample in counted:
+        stats = _observe_one(stats, sample)
+    return stats
+
+
+def _observe_one(stats: Stats, sample: data.Sample) -> Stats:
+    server = sample.server_id
+    first_ms = stats.first_ms.get(server, sample.at_ms)
+    lost = sample.outcome in _LOST
+    repeated = (
+        lost
+        and sample.at_ms - stats.lost_ms.get(server, -SAME_CRASH_MS)
+        < SAME_CRASH_MS
+    )
+    if lost:
+        # The server starts again, so its latencies are those of a cold start.
+        stats = dataclasses.replace(
+            stats,
+            lost_ms=stats.lost_ms.set(server, sample.at_ms),
+            first_ms=stats.first_ms.delete(server)
+            if server in stats.first_ms
+            else stats.first_ms,
+        )
+    elif server not in stats.first_ms:
+        stats = dataclasses.replace(
+            stats, first_ms=stats.first_ms.set(server, sample.at_ms)
+        )
+    if repeated:
+        return stats
+    failed = sample.outcome in _FAILED
+    warm = sample.at_ms - first_ms >= WARM_UP_MS
+    ended = Ended(
+        at_ms=sample.at_ms,
+        failed=failed,
+        latency_ms=sample.first_byte_ms if warm and not failed else None,
+    )
+    key = (
+        Stratum(sample.service, sample.route, sample.data_centre),
+        sample.version,
+    )
+    kept = stats.ended.get(key, ())[-(MAX_SAMPLES - 1) :]
+    return dataclasses.replace(
+        stats, ended=stats.ended.set(key, (*kept, ended))
+    )
+
+
+def of_version(
+    stats: Stats, service: str, version: str
+) -> dict[Stratum, tuple[Ended, ...]]:
+    """Selects the samples of one version of a service.
+
+    Args:
+      stats: All samples.
+      service: Service.
+      version: Version.
+
+    Returns:
+      Samples by stratum.
+    """
+    return {
+        stratum: ended
+        for (stratum, other), ended in stats.ended.items()
+        if stratum.service == service and other == version
+    }
+
+
+def since(ended: tuple[Ended, ...], start_ms: int) -> tuple[Ended, ...]:
+    """Returns the samples from `start_ms` on, oldest first."""
+    recent = itertools.takewhile(
+        lambda one: one.at_ms >= start_ms, reversed(ended)
+    )
+    return tuple(recent)[::-1]
