Add consensus replica, replicated state machine and storage

Ruled out: a Python list as log (an append copies it under immutability); letting an empty disk vote by a flag in its own folder (an empty folder cannot know what its node promised before). Members name the disk ids that may vote.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -545,6 +545,15 @@
       counters: Fairness counters by (service, workspace).
       routers: Router incarnations at the last checkpoint.
       clock_s: Leader-counted clock at the last checkpoint, in seconds.
+      takers: Who took a number, by the number before the change.
+      rollout_order: Ids of `rollouts` in order of their start.
+      outcome_order: Operation ids by sequence, from `outcome_first` up to but
+        not including `outcome_next`.
+      digest_order: `refused_digests`, oldest first.
+      key_order: (workspace, key) by sequence of the claim, from `key_first` up
+        to but not including `key_next`; released keys leave gaps.
+      key_sequences: Sequence of the claim by (workspace, key).
+      stored_bytes: Size of the stored answers.
     """
 
     number: int = 0
@@ -560,6 +569,17 @@
     counters: immutables.Map = immutables.Map()
     routers: frozenset[str] = frozenset()
     clock_s: float = 0.0
+    takers: immutables.Map = immutables.Map()
+    rollout_order: tuple[str, ...] = ()
+    outcome_order: immutables.Map = immutables.Map()
+    outcome_first: int = 0
+    outcome_next: int = 0
+    digest_order: tuple[str, ...] = ()
+    key_order: immutables.Map = immutables.Map()
+    key_sequences: immutables.Map = immutables.Map()
+    key_first: int = 0
+    key_next: int = 0
+    stored_bytes: int = 0
 
 
 # ---------------------------------------------------------------------------
@@ -576,12 +596,14 @@
       term: Term of the leader that created it.
       command: Encoded command; empty for a leader's first entry.
       members: Node ids in force from this entry on, if it changes them.
+      disks: Disk ids with which `members` may vote, in the same order.
     """
 
     index: int
     term: int
     command: bytes
     members: tuple[str, ...] | None = None
+    disks: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -593,12 +615,14 @@
       term: Term of that entry.
       members: Node ids in force at that entry.
       state: Encoded replicated state.
+      disks: Disk ids with which `members` may vote, in the same order.
     """
 
     index: int
     term: int
     members: tuple[str, ...]
     state: bytes
+    disks: tuple[str, ...] = ()
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -250,22 +250,36 @@
       last_index: Index of the candidate's last entry.
       last_term: Term of the candidate's last entry.
       pre_vote: True for a trial vote, which changes no state at the voter.
+      members: Members of a group whose first election is under way, else
+        empty.
+      disks: Disk ids with which `members` may vote, in the same order; empty
+        while the candidate still collects them.
     """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool
+    members: tuple[str, ...] = ()
+    disks: tuple[str, ...] = ()
 
 
 @MESSAGES.register("vote_reply")
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Answer to a vote request."""
+    """Answer to a vote request.
+
+    Attributes:
+      term: Voter's term.
+      granted: Whether the vote was given.
+      pre_vote: Whether the request was a trial vote.
+      disk: Disk id of the voter.
+    """
 
     term: int
     granted: bool
     pre_vote: bool
+    disk: str = ""
 
 
 @MESSAGES.register("append")
@@ -302,12 +316,14 @@
       match: If successful, last index known to equal the leader's log;
         otherwise a hint where to go on.
       round: Round of the request.
+      disk: Disk id of the follower.
     """
 
     term: int
     success: bool
     match: int
     round: int
+    disk: str = ""
 
 
 @MESSAGES.register("install_snapshot")
--- /dev/null
+++ b/waxwingrack/operations/replicated.py
@@ -0,0 +1,87 @@
+"""Replicated state machine: applies the commands of the log in order.
+
+Every replica must reach the same state from the same commands, so nothing here
+reads a clock or a random number, or depends on the order of a hash table.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+from typing import Any
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.core import registry
+from waxwingrack.operations import replicated_environment
+from waxwingrack.operations import replicated_image
+from waxwingrack.operations import replicated_keys
+from waxwingrack.operations import replicated_outcomes
+from waxwingrack.operations import replicated_rollouts
+
+Applied = replicated_outcomes.Applied
+KeyLookupResult = replicated_keys.KeyLookupResult
+
+lookup_key = replicated_keys.lookup_key
+encode = replicated_image.encode
+decode = replicated_image.decode
+
+Handler = Callable[[data.ReplicatedState, Any], Applied]
+HANDLERS: registry.Registry[type, Handler] = registry.Registry("handler")
+
+HANDLERS.register(commands.ApplyEnvironment)(
+    replicated_outcomes.operation(replicated_environment.apply_environment)
+)
+HANDLERS.register(commands.SetDataCentre)(
+    replicated_outcomes.operation(replicated_environment.set_data_centre)
+)
+HANDLERS.register(commands.StartRollout)(
+    replicated_outcomes.operation(replicated_rollouts.start_rollout)
+)
+HANDLERS.register(commands.TakeBackRollout)(
+    replicated_outcomes.operation(replicated_rollouts.take_back_rollout)
+)
+HANDLERS.register(commands.MoveRollout)(replicated_rollouts.move_rollout)
+HANDLERS.register(commands.ClaimKey)(replicated_keys.claim_key)
+HANDLERS.register(commands.RecordKeyOutcome)(replicated_keys.record_outcome)
+HANDLERS.register(commands.ReleaseKey)(replicated_keys.release_key)
+HANDLERS.register(commands.RefuseDigest)(replicated_environment.refuse_digest)
+
+
+def apply(state: data.ReplicatedState, command: Any) -> Applied:
+    """Applies one command.
+
+    Args:
+      state: State before the command.
+      command: Record of a type in `core.commands`.
+
+    Returns:
+      The new state and the outcome. For operators' commands the outcome is a
+      `data.OperationOutcome`. For key commands it is the `data.KeyRecord` if
+      the key is claimed just now, answered or may have run, and otherwise a
+      `data.KeyState`; a claim is granted if and only if the outcome is a record
+      whose state is CLAIMED. It is None for all other commands.
+
+    Raises:
+      KeyError: The type of the command is unknown.
+    """
+    return HANDLERS[type(command)](state, command)
+
+
+@HANDLERS.register(commands.Checkpoint)
+def _checkpoint(
+    state: data.ReplicatedState, command: commands.Checkpoint
+) -> Applied:
+    """Advances the leader-counted clock and saves the leader's tables."""
+    seconds = command.seconds if math.isfinite(command.seconds) else 0.0
+    seconds = max(0.0, seconds)
+    counters = state.counters.update(
+        {(row.service, row.workspace): row for row in command.counters}
+    )
+    state = dataclasses.replace(
+        state,
+        clock_s=state.clock_s + seconds,
+        counters=counters,
+        routers=frozenset(command.routers),
+    )
+    state = replicated_rollouts.advance_clock(state, seconds)
+    return Applied(replicated_keys.expire(state), None)
--- /dev/null
+++ b/waxwingrack/operations/replicated_environment.py
@@ -0,0 +1,140 @@
+"""Changes of the environment document, data centres and refused digests.
+
+The version that has a service's traffic follows these rules:
+
+* A service that is new takes the version in its document.
+* A rollout that ends as done moves the traffic to its version.
+* A document moves the traffic only if it names another version for the service
+  than the document before it, no rollout of the service is unfinished, and no
+  rollout has moved the traffic away from that version or was taken back from
+  it. Such a version returns by a rollout only, so an old document that is
+  applied again reverts nothing, and a faulty version never gets all traffic.
+"""
+
+import dataclasses
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.operations import replicated_outcomes
+from waxwingrack.operations import replicated_rollouts
+
+# Digests that the crash guard keeps refused; the oldest gives way.
+MAX_REFUSED_DIGESTS = 1_024
+# Who takes a number that the crash guard raises.
+CRASH_GUARD = "crash guard"
+
+Refused = replicated_outcomes.Refused
+
+
+def apply_environment(
+    state: data.ReplicatedState, command: commands.ApplyEnvironment
+) -> data.ReplicatedState | Refused:
+    """Replaces the document and starts the rollouts that are new in it."""
+    document = command.environment
+    before = state.environment
+    services = {service.id for service in document.services}
+    state = dataclasses.replace(
+        state,
+        environment=document,
+        drained=_drained(document, state.drained),
+        counters=_kept_counters(state, document),
+    )
+    state = replicated_rollouts.take_back_orphans(state, services)
+    declared = [
+        plan for plan in document.rollouts if plan.id not in state.rollouts
+    ]
+    moving = {plan.service for plan in declared}
+    moving |= replicated_rollouts.unfinished(state).keys()
+    state = _follow_versions(state, before, moving)
+    for plan in declared:
+        if state.versions.get(plan.service) == plan.version:
+            state = replicated_rollouts.record_done(state, plan)
+            continue
+        started = replicated_rollouts.start(state, plan)
+        if isinstance(started, Refused):
+            return started
+        state = started
+    return replicated_rollouts.drop_old(state)
+
+
+def set_data_centre(
+    state: data.ReplicatedState, command: commands.SetDataCentre
+) -> data.ReplicatedState | Refused:
+    """Drains or restores a data centre."""
+    known = state.environment.data_centres if state.environment else ()
+    if command.data_centre not in {item.id for item in known}:
+        return Refused(f"no data centre {command.data_centre!r}")
+    if command.state is data.DataCentreState.DRAINED:
+        drained = state.drained | {command.data_centre}
+    else:
+        drained = state.drained - {command.data_centre}
+    return dataclasses.replace(state, drained=drained)
+
+
+def refuse_digest(
+    state: data.ReplicatedState, command: commands.RefuseDigest
+) -> replicated_outcomes.Applied:
+    """Refuses a request digest; routers learn of it by the number."""
+    if command.digest in state.refused_digests:
+        return replicated_outcomes.Applied(state, None)
+    order = (*state.digest_order, command.digest)[-MAX_REFUSED_DIGESTS:]
+    state = dataclasses.replace(
+        state, digest_order=order, refused_digests=frozenset(order)
+    )
+    state = replicated_outcomes.raise_number(state, CRASH_GUARD)
+    return replicated_outcomes.Applied(state, None)
+
+
+def _drained(
+    document: data.Environment, drained: frozenset[str]
+) -> frozenset[str]:
+    """Returns the drained data centres under a new document."""
+
+    def is_drained(item: data.DataCentre) -> bool:
+        if item.state is None:
+            return item.id in drained
+        return item.state is data.DataCentreState.DRAINED
+
+    return frozenset(
+        item.id for item in document.data_centres if is_drained(item)
+    )
+
+
+def _kept_counters(state: data.ReplicatedState, document: data.Environment):
+    services = {item.id for item in document.services}
+    workspaces = {item.id for item in document.workspaces}
+    counters = state.counters
+    for key in state.counters:
+        if key[0] not in services or key[1] not in workspaces:
+            counters = counters.delete(key)
+    return counters
+
+
+def _follow_versions(
+    state: data.ReplicatedState,
+    before: data.Environment | None,
+    moving: set[str],
+) -> data.ReplicatedState:
+    """Sets the versions by the rules in the module's docstring."""
+    earlier = (
+        {item.id: item.version for item in before.services} if before else {}
+    )
+    versions = state.versions
+    for service in state.environment.services:
+        current = versions.get(service.id)
+        if current is None or (
+            service.version != earlier.get(service.id)
+            and service.id not in moving
+            and service.version
+            not in replicated_rollouts.left_versions(state, service.id)
+        ):
+            versions = versions.set(service.id, service.version)
+    declared = {service.id for service in state.environment.services}
+    for service_id in state.versions:
+        # The version of a removed service is kept while a rollout tells of
+        # it, so that an old document cannot revert it when it comes back.
+        if service_id not in declared and not (
+            replicated_rollouts.left_versions(state, service_id)
+        ):
+            versions = versions.delete(service_id)
+    return dataclasses.replace(state, versions=versions)
--- /dev/null
+++ b/waxwingrack/operations/replicated_image.py
@@ -0,0 +1,186 @@
+"""Encoding of the replicated state for snapshots.
+
+The bytes depend only on the state, so replicas with equal states encode equal
+snapshots. Idempotency records, which can be many, are encoded as plain rows.
+"""
+
+import dataclasses
+from typing import Any
+
+import cbor2
+import immutables
+import pydantic
+from returns import result
+
+from waxwingrack.core import codec
+from waxwingrack.core import data
+from waxwingrack.core import registry
+from waxwingrack.operations import replicated_keys
+
+IMAGES: registry.Registry[str, type] = registry.Registry("image")
+
+
+@IMAGES.register("replicated_state")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Image:
+    """The state without idempotency records, as tuples in a fixed order."""
+
+    number: int
+    operator: str
+    environment: data.Environment | None
+    drained: tuple[str, ...]
+    rollouts: tuple[data.Rollout, ...]
+    versions: tuple[tuple[str, str], ...]
+    key_floors: tuple[tuple[str, int], ...]
+    outcomes: tuple[data.OperationOutcome, ...]
+    outcome_first: int
+    digests: tuple[str, ...]
+    counters: tuple[data.CounterRow, ...]
+    routers: tuple[str, ...]
+    clock_s: float
+    takers: tuple[tuple[int, str], ...]
+    key_first: int
+    key_next: int
+
+
+CODEC = codec.Codec(IMAGES)
+_ROWS = pydantic.TypeAdapter(list[tuple[int, data.KeyRecord]])
+_RECORD_FIELDS = tuple(
+    field.name for field in dataclasses.fields(data.KeyRecord)
+)
+
+
+def encode(state: data.ReplicatedState) -> bytes:
+    """Encodes a state.
+
+    The state is immutable, so this may run in another thread.
+
+    Args:
+      state: The state.
+
+    Returns:
+      CBOR bytes.
+    """
+    image = Image(
+        number=state.number,
+        operator=state.operator,
+        environment=state.environment,
+        drained=tuple(sorted(state.drained)),
+        rollouts=tuple(state.rollouts[item] for item in state.rollout_order),
+        versions=tuple(sorted(state.versions.items())),
+        key_floors=tuple(sorted(state.key_floors.items())),
+        outcomes=tuple(
+            state.outcomes[state.outcome_order[sequence]]
+            for sequence in range(state.outcome_first, state.outcome_next)
+        ),
+        outcome_first=state.outcome_first,
+        digests=state.digest_order,
+        counters=tuple(
+            state.counters[key] for key in sorted(state.counters.keys())
+        ),
+        routers=tuple(sorted(state.routers)),
+        clock_s=state.clock_s,
+        takers=tuple(sorted(state.takers.items())),
+        key_first=state.key_first,
+        key_next=state.key_next,
+    )
+    rows = [
+        _row(sequence, state.keys[place])
+        for sequence, place in sorted(state.key_order.items())
+    ]
+    return cbor2.dumps([CODEC.encode(image), rows])
+
+
+def decode(
+    blob: bytes,
+) -> result.Result[data.ReplicatedState, codec.DecodeError]:
+    """Decodes a state.
+
+    Args:
+      blob: Bytes from `encode`.
+
+    Returns:
+      The state, or a DecodeError if the bytes are not one.
+    """
+    try:
+        head, rows = cbor2.loads(blob)
+        fields = [
+            (row[0], dict(zip(_RECORD_FIELDS, row[1:], strict=True)))
+            for row in rows
+        ]
+        records = _ROWS.validate_python(fields)
+    except (cbor2.CBORError, ValueError, TypeError, IndexError) as exc:
+        return result.Failure(codec.DecodeError(f"not a state: {exc}"))
+    return CODEC.decode(head).map(lambda image: _state(image, records))
+
+
+def _row(sequence: int, record: data.KeyRecord) -> list[Any]:
+    answer = record.answer
+    stored = answer and {
+        "status": answer.status,
+        "headers": answer.headers,
+        "body": answer.body,
+        "truncated": answer.truncated,
+    }
+    return [
+        sequence,
+        record.workspace,
+        record.key,
+        record.digest,
+        record.owner,
+        str(record.state),
+        stored,
+        record.claimed_s,
+    ]
+
+
+def _state(
+    image: Image, records: list[tuple[int, data.KeyRecord]]
+) -> data.ReplicatedState:
+    places = [
+        (sequence, (record.workspace, record.key), record)
+        for sequence, record in records
+    ]
+    outcomes = dict(enumerate(image.outcomes, start=image.outcome_first))
+    return data.ReplicatedState(
+        number=image.number,
+        operator=image.operator,
+        environment=image.environment,
+        drained=frozenset(image.drained),
+        rollouts=immutables.Map({row.plan.id: row for row in image.rollouts}),
+        versions=immutables.Map(image.versions),
+        keys=immutables.Map({place: record for _, place, record in places}),
+        key_floors=immutables.Map(image.key_floors),
+        outcomes=immutables.Map(
+            {outcome.operation: outcome for outcome in image.outcomes}
+        ),
+        refused_digests=frozenset(image.digests),
+        counters=immutables.Map(
+            {(row.service, row.workspace): row for row in image.counters}
+        ),
+        routers=frozenset(image.routers),
+        clock_s=image.clock_s,
+        takers=immutables.Map(image.takers),
+        rollout_order=tuple(row.plan.id for row in image.rollouts),
+        outcome_order=immutables.Map(
+            {
+                sequence: outcome.operation
+                for sequence, outcome in outcomes.items()
+            }
+        ),
+        outcome_first=image.outcome_first,
+        outcome_next=image.outcome_first + len(image.outcomes),
+        digest_order=image.digests,
+        key_order=immutables.Map(
+            {sequence: place for sequence, place, _ in places}
+        ),
+        key_sequences=immutables.Map(
+            {place: sequence for sequence, place, _ in places}
+        ),
+        key_first=image.key_first,
+        key_next=image.key_next,
+        stored_bytes=sum(
+            replicated_keys.answer_bytes(record.answer)
+            for _, _, record in places
+        ),
+    )
