Add messages and records that the controller needs

Cause: the leader did not learn a router's data centre, routers could not learn the address of a controller added by a repair, a key dated too far ahead had no state of its own, and a refused connection could only be aborted with its last message unsent.

Change: RouterReport.data_centre, EnvironmentPush.controllers, KeyState.INVALID, ReplicatedState.controllers, the commands SetController and ForgetController, Connection.send_last and Connection.send_frame.

Ruled out: the data centre in Hello, as it is covered by the proof and would change the handshake for controllers as well.

Not run yet: no test covers these alone.

--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -152,3 +152,22 @@
     seconds: float
     counters: tuple[data.CounterRow, ...]
     routers: tuple[str, ...]
+
+
+@COMMANDS.register("set_controller")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetController:
+    """Records the addresses of a controller that a repair adds.
+
+    It raises the environment number, so that routers learn the addresses.
+    """
+
+    controller: data.Peer
+
+
+@COMMANDS.register("forget_controller")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetController:
+    """Drops the recorded addresses of a controller that was replaced."""
+
+    controller: str
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -417,6 +417,7 @@
     MISMATCH = "mismatch"
     EXPIRED = "expired"
     STORE_FULL = "store_full"
+    INVALID = "invalid"
     UNAVAILABLE = "unavailable"
 
 
@@ -545,6 +546,8 @@
       counters: Fairness counters by (service, workspace).
       routers: Router incarnations at the last checkpoint.
       clock_s: Leader-counted clock at the last checkpoint, in seconds.
+      controllers: Controllers that were added by a repair, by node id; others
+        are in the settings of each process.
     """
 
     number: int = 0
@@ -560,6 +563,7 @@
     counters: immutables.Map = immutables.Map()
     routers: frozenset[str] = frozenset()
     clock_s: float = 0.0
+    controllers: immutables.Map = immutables.Map()
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -94,6 +94,8 @@
       announcements: Announcements of backend servers received.
       crash_suspects: Requests whose connection broke.
       draining: True once the router shuts down.
+      data_centre: Data centre of the router, in the first report on a
+        connection.
     """
 
     sent_ms: int
@@ -107,6 +109,7 @@
     announcements: tuple[data.Announcement, ...] = ()
     crash_suspects: tuple[CrashSuspect, ...] = ()
     draining: bool = False
+    data_centre: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,12 +153,15 @@
       environment: Document.
       drained: Drained data centres.
       refused_digests: Digests refused by the crash guard.
+      controllers: Controllers added by a repair, which the router's settings
+        may not list.
     """
 
     number: int
     environment: data.Environment
     drained: tuple[str, ...] = ()
     refused_digests: tuple[str, ...] = ()
+    controllers: tuple[data.Peer, ...] = ()
 
 
 @MESSAGES.register("key_lookup")
@@ -222,8 +228,8 @@
 
     Attributes:
       call: Number of the message answered.
-      state: For a lookup: ABSENT, RUNNING, ANSWERED, MAY_HAVE_RUN, MISMATCH or
-        EXPIRED.
+      state: For a lookup: ABSENT, RUNNING, ANSWERED, MAY_HAVE_RUN, MISMATCH,
+        EXPIRED, or INVALID if the key's date is too far ahead.
         For a claim: CLAIMED if this router may dispatch, else as for a lookup,
         or STORE_FULL. For an outcome or release: ANSWERED, MAY_HAVE_RUN or
         ABSENT once committed. UNAVAILABLE if the leader could not commit.
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -110,6 +110,7 @@
         self._unsent_bytes = 0
         self._wake = asyncio.Event()
         self._closed = False
+        self._last = False
 
     @property
     def closed(self) -> bool:
@@ -126,9 +127,14 @@
           False if the connection is closed or was closed now because the peer
           reads too slowly.
         """
-        if self._closed:
+        if self._closed or self._last:
+            return False
+        return self.send_frame(messages.CODEC.encode(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Queues a message that is encoded already; see `send`."""
+        if self._closed or self._last:
             return False
-        frame = messages.CODEC.encode(message)
         if self._unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
             logs.event("peer_too_slow", peer=self.peer.node_id)
             self.close()
@@ -138,6 +144,15 @@
         self._wake.set()
         return True
 
+    def send_last(self, message: Any) -> None:
+        """Queues a message and closes the connection once it was sent.
+
+        Args:
+          message: A registered message.
+        """
+        if self.send(message):
+            self._last = True
+
     def close(self) -> None:
         """Closes the connection at once; unsent messages are dropped."""
         if not self._closed:
@@ -192,6 +207,8 @@
                     return
                 self._counts.bytes_sent += len(frame)
                 self._counts.messages_sent += 1
+            if self._last and not self._closed:
+                await self._socket.close()
 
 
 async def serve(
