--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -324,3 +324,21 @@
     term: int
     snapshot: data.Snapshot
     round: int
+
+
+@MESSAGES.register("frame_part")
+@dataclasses.dataclass(frozen=True, slots=True)
+class FramePart:
+    """Part of the frame of a message that is larger than a frame may be.
+
+    Attributes:
+      frame: Number of the frame at its sender.
+      part: Position of the part, from 0.
+      parts: Number of parts.
+      blob: Bytes of the part.
+    """
+
+    frame: int
+    part: int
+    parts: int
+    blob: bytes
--- /dev/null
+++ b/waxwingrack/daemons/controller.py
@@ -0,0 +1,400 @@
+"""Controller process: consensus, leadership, routers and operators."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import pathlib
+import random
+import secrets
+from typing import Any
+from typing import Protocol
+
+import automat
+from returns import result
+from twisted.internet import defer
+from websockets.asyncio import server as ws_server
+
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.core import messages
+from waxwingrack.daemons import controller_metrics
+from waxwingrack.daemons import key_calls  # noqa: F401  fills the registry
+from waxwingrack.daemons import leader as leader_module
+from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.daemons import operators_api
+from waxwingrack.daemons import peer_links
+from waxwingrack.daemons import repair
+from waxwingrack.daemons import replica_driver
+from waxwingrack.daemons import router_sessions
+from waxwingrack.daemons import transport
+from waxwingrack.operations import consensus
+
+CONSENSUS_MESSAGES = (
+    messages.VoteRequest,
+    messages.VoteReply,
+    messages.Append,
+    messages.AppendReply,
+    messages.InstallSnapshot,
+)
+
+
+class _LifeCycle(Protocol):
+    """What moves a controller through its life."""
+
+    def opened(self) -> None:
+        """The storage was read and the ports are open."""
+
+    def gained(self) -> None:
+        """This controller may act as leader."""
+
+    def lost(self) -> None:
+        """This controller may not act as leader any more."""
+
+    def stop(self) -> None:
+        """The process ends."""
+
+
+class Controller:
+    """One controller process.
+
+    Attributes:
+      settings: Settings of the process.
+      driver: Replica with its disk; None before the start and while the
+        storage is damaged.
+      sessions: Connected routers, while this controller leads.
+      links: Connections to the other controllers.
+      leader: Work of the leader; None unless this controller leads.
+      metrics: Metrics of the process.
+      counts: Traffic between processes.
+      phase: Name of the state in the life cycle.
+    """
+
+    def __init__(
+        self,
+        settings: data.Settings,
+        storage: Any,
+        clock: Callable[[], int],
+        rng: random.Random,
+    ):
+        """Prepares a controller.
+
+        Args:
+          settings: Settings of the process; their role is controller.
+          storage: `DiskStorage` or `MemoryStorage`.
+          clock: Returns monotonic milliseconds.
+          rng: Random generator.
+        """
+        self.settings = settings
+        self.driver: replica_driver.ReplicaDriver | None = None
+        self.sessions = router_sessions.Sessions()
+        self.leader: leader_module.Leader | None = None
+        self.metrics = metrics_module.Metrics()
+        self.counts = transport.Counts()
+        self.phase = "starting"
+        self.clock = clock
+        self.repairs = repair.Repairs(self)
+        self._storage = storage
+        self._rng = rng
+        self._damage = ""
+        self._life: _LifeCycle = _MACHINE(self)
+        self._identity = transport.Identity(
+            role=data.Role.CONTROLLER,
+            node_id=settings.node_id,
+            incarnation=secrets.token_hex(8),
+            shared_key=_read_secret(settings.shared_key_file),
+            tls=settings.tls,
+        )
+        self.links = peer_links.PeerLinks(
+            self._identity, self.counts, self._from_peer, clock, rng
+        )
+        self._server: ws_server.Server | None = None
+        self._port: Any = None
+        self._loop_task: asyncio.Task | None = None
+        self._peers: tuple[data.Peer, ...] = ()
+        self._pushed_number = 0
+
+    # -----------------------------------------------------------------------
+    # Life
+    # -----------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Reads the storage, opens the ports and joins the group.
+
+        A damaged storage does not end the process: it serves health and
+        metrics and takes no part in consensus.
+
+        Raises:
+          OSError: A port cannot be opened.
+        """
+        # Importing the reactor installs one; the program chooses it first.
+        from twisted.internet import reactor
+
+        loop = asyncio.get_running_loop()
+        match await loop.run_in_executor(None, self._load):
+            case result.Success(persisted):
+                self._create_driver(persisted)
+            case result.Failure(damage):
+                self._damage = f"storage is damaged: {damage}"
+                logs.event(
+                    "storage_damaged", logging.ERROR, reason=str(damage)
+                )
+        controller_metrics.watch(self)
+        self._server = await transport.serve(
+            self.settings.control, self._identity, self, self.counts
+        )
+        self._port = reactor.listenTCP(
+            self.settings.operators.port,
+            operators_api.site(
+                self, _read_secret(self.settings.operator_token_file)
+            ),
+            interface=self.settings.operators.host,
+        )
+        if self.driver is not None:
+            self._update_peers()
+            self.driver.start()
+        self._life.opened()
+        self._loop_task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Closes all connections, syncs the storage and frees the ports."""
+        self._life.stop()
+        self._loop_task.cancel()
+        self.repairs.close()
+        self._server.close()
+        self.links.close()
+        if self.driver is not None:
+            await self.driver.stop()
+        await defer.maybeDeferred(self._port.stopListening).asFuture(
+            asyncio.get_running_loop()
+        )
+        await self._server.wait_closed()
+
+    def _load(self) -> result.Result[consensus.Persisted, Any]:
+        identity = self._storage.identify(self.settings.node_id)
+        return identity.bind(lambda _: self._storage.load())
+
+    def _create_driver(self, persisted: consensus.Persisted) -> None:
+        replica = consensus.create(
+            self.settings.node_id,
+            tuple(peer.id for peer in self.settings.controllers),
+            persisted,
+            self.clock(),
+            self._rng.getrandbits(32),
+        )
+        try:
+            self.driver = replica_driver.ReplicaDriver(
+                replica,
+                persisted.snapshot,
+                self._storage,
+                self.clock,
+                self.links.send,
+            )
+        except ValueError as exc:
+            self._damage = str(exc)
+            logs.failure("snapshot_damaged", exc)
+            return
+        self.driver.on_applied = self._applied
+        self.driver.on_change = self._replica_changed
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(leader_module.TICK_S)
+            self._guard("tick", self._periodic)
+
+    def _periodic(self) -> None:
+        if self.driver is None:
+            return
+        self.links.check_replies()
+        self._replica_changed()
+        if self.leader is not None:
+            self.leader.run_periodic()
+
+    def _guard(self, name: str, call: Callable, *arguments: Any) -> None:
+        # A failing handler must not end the process or its connection.
+        try:
+            call(*arguments)
+        except Exception as exc:
+            self.metrics.add("handler_failures_total", "Unexpected exceptions.")
+            logs.failure("handler_failed", exc, handler=name)
+
+    # -----------------------------------------------------------------------
+    # Questions
+    # -----------------------------------------------------------------------
+
+    def readiness(self) -> str | None:
+        """Returns why the controller is not ready, or None."""
+        if self.driver is None:
+            return self._damage or "starting"
+        if self.driver.failed is not None:
+            return self.driver.failed
+        if not self.driver.replica.leader and not self.driver.is_leader():
+            return "no leader is known"
+        if not self.driver.caught_up():
+            return "the state is not caught up with the leader's"
+        return None
+
+    def leads(self) -> bool:
+        """Whether this controller may act as leader now."""
+        return (
+            self.leader is not None
+            and self.driver is not None
+            and self.driver.may_act()
+        )
+
+    def leader_id(self) -> str:
+        """Returns the node id of another controller that leads, or ""."""
+        if self.driver is None or self.driver.failed is not None:
+            return ""
+        leader = self.driver.replica.leader
+        return "" if leader == self.settings.node_id else leader
+
+    def peer(self, node_id: str) -> data.Peer | None:
+        """Returns the addresses of a controller, or None."""
+        return {peer.id: peer for peer in self._peers}.get(node_id)
+
+    # -----------------------------------------------------------------------
+    # Consensus
+    # -----------------------------------------------------------------------
+
+    def _applied(self) -> None:
+        self._guard("applied", self._update_peers)
+        state = self.driver.state
+        if self.leader is not None and state.number != self._pushed_number:
+            self._pushed_number = state.number
+            self._guard("push", self.leader.push_environment)
+
+    def _update_peers(self) -> None:
+        added = self.driver.state.controllers
+        listed = {peer.id: peer for peer in self.settings.controllers}
+        peers = tuple((listed | dict(added)).values())
+        if peers != self._peers:
+            self._peers = peers
+            self.links.set_peers(peers)
+
+    def _replica_changed(self) -> None:
+        may_act = self.driver is not None and self.driver.may_act()
+        if may_act and self.phase == "follower":
+            self._guard("gained", self._life.gained)
+        elif not may_act and self.phase == "leading":
+            self._guard("lost", self._life.lost)
+
+    def _from_peer(self, node_id: str, message: Any) -> None:
+        if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
+            logs.event(
+                "unexpected_message",
+                peer=node_id,
+                message=type(message).__name__,
+            )
+            return
+        self._guard("replica", self.driver.receive, node_id, message)
+
+    def begin_leading(self) -> None:
+        """Takes up the work of the leader."""
+        logs.event("leadership_gained", term=self.driver.replica.term)
+        self._pushed_number = self.driver.state.number
+        self.leader = leader_module.Leader(
+            leader_module.Services(
+                driver=self.driver,
+                sessions=self.sessions,
+                clock=self.clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+        )
+
+    def end_leading(self) -> None:
+        """Gives up the work of the leader and sends routers elsewhere."""
+        logs.event("leadership_lost", term=self.driver.replica.term)
+        self.leader.end()
+        self.leader = None
+        for session in self.sessions:
+            self.sessions.close(session)
+            session.conn.send_last(messages.NotLeader(self.leader_id()))
+
+    # -----------------------------------------------------------------------
+    # transport.Listener
+    # -----------------------------------------------------------------------
+
+    def connected(self, conn: transport.Connection) -> None:
+        """Takes a connection of a controller or router."""
+        self._guard("connected", self._connected, conn)
+
+    def received(self, conn: transport.Connection, message: Any) -> None:
+        """Takes a message."""
+        self._guard("received", self._received, conn, message)
+
+    def disconnected(self, conn: transport.Connection) -> None:
+        """Handles the end of a connection."""
+        self._guard("disconnected", self._disconnected, conn)
+
+    def _connected(self, conn: transport.Connection) -> None:
+        if conn.peer.role is data.Role.CONTROLLER:
+            self.links.connected(conn)
+        elif self.leads():
+            replaced = self.sessions.open(conn, self.clock())
+            session = self.sessions.of(conn)
+            self.leader.opened(session, replaced)
+        else:
+            conn.send_last(messages.NotLeader(self.leader_id()))
+
+    def _received(self, conn: transport.Connection, message: Any) -> None:
+        if conn.peer.role is data.Role.CONTROLLER:
+            self.links.received(conn, message)
+            return
+        # The lease may have run out since the last timer, for example while
+        # the process was frozen.
+        self._replica_changed()
+        session = self.sessions.of(conn)
+        if session is not None and self.leads():
+            self.leader.handle(session, message)
+
+    def _disconnected(self, conn: transport.Connection) -> None:
+        if conn.peer.role is data.Role.CONTROLLER:
+            self.links.disconnected(conn)
+            return
+        session = self.sessions.of(conn)
+        if session is not None:
+            self.sessions.close(session)
+            if self.leader is not None:
+                self.leader.closed(session, "the connection ended")
+
+
+def _life_cycle() -> Callable[[Controller], _LifeCycle]:
+    """Builds the state machine of a controller's life."""
+    builder = automat.TypeMachineBuilder(_LifeCycle, Controller)
+    starting = builder.state("starting")
+    follower = builder.state("follower")
+    leading = builder.state("leading")
+    stopping = builder.state("stopping")
+
+    @starting.upon(_LifeCycle.opened).to(follower)
+    def opened(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "follower"
+
+    @follower.upon(_LifeCycle.gained).to(leading)
+    def gained(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "leading"
+        controller.begin_leading()
+
+    @leading.upon(_LifeCycle.lost).to(follower)
+    def lost(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "follower"
+        controller.end_leading()
+
+    @leading.upon(_LifeCycle.stop).to(stopping)
+    def stop_leading(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "stopping"
+        controller.end_leading()
+
+    @follower.upon(_LifeCycle.stop).to(stopping)
+    def stop_following(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "stopping"
+
+    return builder.build()
+
+
+_MACHINE = _life_cycle()
+
+
+def _read_secret(path: str | None) -> bytes:
+    return pathlib.Path(path).read_bytes().strip() if path else b""
--- /dev/null
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -0,0 +1,92 @@
+"""Metrics of a controller."""
+
+import collections
+from typing import Any
+
+from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.operations import scheduler
+
+
+def watch(controller: Any) -> None:
+    """Shows the state of a controller in its metrics.
+
+    Args:
+      controller: The `controller.Controller`.
+    """
+    metrics = controller.metrics
+    metrics_module.watch_traffic(metrics, controller.counts)
+    # These exist from the start, so that a rate over them has a first value.
+    for name, doc in (
+        ("reports_total", "Reports of routers."),
+        ("grants_total", "Grants issued."),
+        ("handler_failures_total", "Unexpected exceptions."),
+        ("unexpected_messages_total", "Messages of a wrong type."),
+    ):
+        metrics.set_total(name, doc, 0)
+    metrics.refresh_with(lambda: _refresh_replica(controller))
+    metrics.refresh_with(lambda: _refresh_leader(controller))
+
+
+def _refresh_replica(controller: Any) -> None:
+    metrics, driver = controller.metrics, controller.driver
+    failed = driver is None or driver.failed is not None
+    metrics.set(
+        "replica_failed",
+        "1 if this controller takes no part in consensus.",
+        int(failed),
+    )
+    if driver is None:
+        return
+    counts, replica = driver.counts, driver.replica
+    for name, doc, value in (
+        ("commits_total", "Log entries applied.", counts.committed),
+        ("elections_total", "Elections won.", counts.elections),
+        ("syncs_total", "Syncs of the storage.", counts.syncs),
+        ("sync_seconds_total", "Time of writes and syncs.", counts.sync_s),
+        ("proposals_total", "Commands proposed.", counts.proposals),
+        (
+            "unavailable_proposals_total",
+            "Proposals not known to be committed.",
+            counts.unavailable,
+        ),
+    ):
+        metrics.set_total(name, doc, value)
+    for name, doc, value in (
+        ("term", "Term of consensus.", replica.term),
+        ("applied_index", "Last applied log entry.", driver.applied),
+        (
+            "environment_number",
+            "Environment number in force.",
+            driver.state.number,
+        ),
+        (
+            "leading",
+            "1 if this controller acts as leader.",
+            int(controller.leads()),
+        ),
+        ("idempotency_records", "Records kept.", len(driver.state.keys)),
+    ):
+        metrics.set(name, doc, value)
+
+
+def _refresh_leader(controller: Any) -> None:
+    metrics = controller.metrics
+    number = 0 if controller.driver is None else controller.driver.state.number
+    lagging = sum(1 for _ in controller.sessions.lagging(number))
+    metrics.set(
+        "connected_routers", "Connected routers.", len(controller.sessions)
+    )
+    metrics.set(
+        "lagging_routers", "Routers with an older environment.", lagging
+    )
+    metrics.forget("waiting_requests")
+    if not controller.leads():
+        return
+    view = scheduler.overview(controller.leader.tables, controller.clock())
+    waiting = collections.Counter()
+    for row in view.workspaces:
+        waiting[row.service] += row.waiting
+    for service, count in waiting.items():
+        metrics.set(
+            "waiting_requests", "Requests without grant.", count, service=service
+        )
--- /dev/null
+++ b/waxwingrack/daemons/fleet_status.py
@@ -0,0 +1,103 @@
+"""Status of the fleet as JSON."""
+
+import functools
+from typing import Any
+
+import pydantic
+
+from waxwingrack.core import data
+from waxwingrack.operations import scheduler
+
+
+@functools.cache
+def _adapter(cls: type) -> pydantic.TypeAdapter:
+    return pydantic.TypeAdapter(cls)
+
+
+def to_json(record: Any) -> Any:
+    """Turns a data class into values for JSON; None stays None."""
+    if record is None:
+        return None
+    return _adapter(type(record)).dump_python(record, mode="json")
+
+
+def rollouts(state: data.ReplicatedState) -> list[Any]:
+    """Returns all rollouts as values for JSON."""
+    return [to_json(rollout) for rollout in state.rollouts.values()]
+
+
+def status(controller: Any) -> dict[str, Any]:
+    """Collects the status.
+
+    Args:
+      controller: A `controller.Controller` that leads.
+
+    Returns:
+      Values for JSON; see `GET /v1/status` in the protocols.
+    """
+    driver, leader = controller.driver, controller.leader
+    state, now_ms = driver.state, controller.clock()
+    view = scheduler.overview(leader.tables, now_ms)
+    return {
+        "leader": controller.settings.node_id,
+        "term": driver.replica.term,
+        "number": state.number,
+        "controllers": _controllers(controller, now_ms),
+        "routers": _routers(controller, now_ms),
+        "backend_servers": [to_json(row) for row in view.backend_servers],
+        "workspaces": [to_json(row) for row in view.workspaces],
+        "data_centres": _data_centres(state),
+        "rollouts": rollouts(state),
+        "refused_digests": sorted(state.refused_digests),
+    }
+
+
+def _controllers(controller: Any, now_ms: int) -> list[dict[str, Any]]:
+    replica = controller.driver.replica
+    seen = controller.links.seen_ms
+    own = controller.settings.node_id
+    return [
+        {
+            "id": node_id,
+            "match_index": replica.match.get(node_id, 0),
+            "voter": node_id in replica.members,
+            "seen_ms_ago": 0
+            if node_id == own
+            else now_ms - seen[node_id]
+            if node_id in seen
+            else None,
+        }
+        for node_id in sorted({*replica.members, *replica.match})
+    ]
+
+
+def _routers(controller: Any, now_ms: int) -> list[dict[str, Any]]:
+    number = controller.driver.state.number
+    rows = controller.leader.tables.routers
+    return [
+        {
+            "id": session.ref.node_id,
+            "data_centre": session.ref.data_centre,
+            "number": session.number,
+            "lagging": session.number < number,
+            "in_flight": len(rows[session.ref.node_id].grants)
+            if session.ref.node_id in rows
+            else 0,
+            "seen_ms_ago": now_ms - session.seen_ms,
+        }
+        for session in controller.sessions
+    ]
+
+
+def _data_centres(state: data.ReplicatedState) -> list[dict[str, Any]]:
+    declared = state.environment.data_centres if state.environment else ()
+    states = data.DataCentreState
+    return [
+        {
+            "id": centre.id,
+            "state": states.DRAINED
+            if centre.id in state.drained
+            else states.IN_SERVICE,
+        }
+        for centre in declared
+    ]
--- /dev/null
+++ b/waxwingrack/daemons/leader.py
@@ -0,0 +1,508 @@
+"""Work of the controller that leads: grants, environment, checkpoints.
+
+One object serves one period of leadership. It is built once the controller may
+act as leader and is thrown away when that ends.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import operator
+import random
+from typing import Any
+
+from returns import result
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.core import messages
+from waxwingrack.core import registry
+from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.daemons import replica_driver
+from waxwingrack.daemons import router_sessions
+from waxwingrack.operations import rollouts
+from waxwingrack.operations import scheduler
+
+TICK_S = 0.05
+CHECKPOINT_MS = 1_000
+ROLLOUT_TICK_MS = 200
+
+# Handlers of routers' messages, by type of the message. A handler takes the
+# leader, the session and the message.
+HANDLERS: registry.Registry[type, Callable] = registry.Registry(
+    "handler of a router's message"
+)
+
+_FINAL = (data.RolloutPhase.DONE, data.RolloutPhase.TAKEN_BACK)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Services:
+    """What the leader uses of its controller.
+
+    Attributes:
+      driver: Replica.
+      sessions: Sessions of routers.
+      clock: Monotonic milliseconds.
+      rng: Random generator.
+      metrics: Metrics of the process.
+    """
+
+    driver: replica_driver.ReplicaDriver
+    sessions: router_sessions.Sessions
+    clock: Callable[[], int]
+    rng: random.Random
+    metrics: metrics_module.Metrics
+
+
+class Leader:
+    """One period of leadership.
+
+    Attributes:
+      services: Parts of the controller.
+      tables: Tables of the scheduler.
+      since_ms: Start of the leadership.
+    """
+
+    def __init__(self, services: Services):
+        self.services = services
+        self.since_ms = services.clock()
+        self.tables = scheduler.empty(
+            services.driver.replica.term,
+            self.since_ms,
+            tuple(self.state.counters.values()),
+            tuple(sorted(self.state.routers)),
+        )
+        self._stats = rollouts.Stats()
+        self._policy_parts: tuple = ()
+        self._policy: data.Policy | None = None
+        self._push: tuple[int, bytes] = (0, b"")
+        self._saved_counters: dict[tuple[str, str], float] = {}
+        # Start of the time that no committed checkpoint includes yet.
+        self._checkpoint_ms = self.since_ms
+        self._next_checkpoint_ms = self.since_ms + CHECKPOINT_MS
+        self._checkpoint: asyncio.Future | None = None
+        self._next_rollout_tick_ms = self.since_ms
+        self._moving: set[str] = set()
+        self._refusing: set[str] = set()
+        self._tick_scheduled = False
+        self._ended = False
+
+    @property
+    def state(self) -> data.ReplicatedState:
+        """Replicated state."""
+        return self.services.driver.state
+
+    def end(self) -> None:
+        """Ends the leadership; scheduled ticks do nothing any more."""
+        self._ended = True
+
+    # -----------------------------------------------------------------------
+    # Routers
+    # -----------------------------------------------------------------------
+
+    def opened(
+        self,
+        session: router_sessions.Session,
+        replaced: router_sessions.Session | None,
+    ) -> None:
+        """Takes a new connection of a router.
+
+        Args:
+          session: The new session.
+          replaced: Former session of the same router, or None.
+        """
+        if replaced is None:
+            return
+        replaced.conn.close()
+        if replaced.ref.incarnation != session.ref.incarnation:
+            self._router_lost(replaced, "replaced by a new incarnation")
+
+    def closed(self, session: router_sessions.Session, reason: str) -> None:
+        """Handles the end of a session.
+
+        Args:
+          session: Session that has been removed.
+          reason: Why it ended.
+        """
+        self._router_lost(session, reason)
+
+    def handle(
+        self, session: router_sessions.Session, message: Any
+    ) -> None:
+        """Handles a message of a router.
+
+        Args:
+          session: Session of the router.
+          message: The message.
+        """
+        handler = HANDLERS.get(type(message))
+        if handler is None:
+            logs.event(
+                "unexpected_message",
+                peer=session.ref.node_id,
+                message=type(message).__name__,
+            )
+            self.services.metrics.add(
+                "unexpected_messages_total", "Messages of a wrong type."
+            )
+            return
+        handler(self, session, message)
+
+    def live_owners(self) -> frozenset[str]:
+        """Returns the router incarnations that may still run requests.
+
+        Routers of the last checkpoint count until they had time to connect.
+        """
+        live = self.services.sessions.incarnations()
+        age_ms = self.services.clock() - self.since_ms
+        if age_ms < messages.CONTROL_TIMEOUT_MS:
+            return live | self.state.routers
+        return live
+
+    def _router_lost(
+        self, session: router_sessions.Session, reason: str
+    ) -> None:
+        logs.event(
+            "router_lost",
+            router=session.ref.node_id,
+            incarnation=session.ref.incarnation,
+            reason=reason,
+        )
+        if session.reported:
+            self.tables = scheduler.on_router_lost(
+                self.tables, session.ref.node_id, self.services.clock()
+            )
+
+    # -----------------------------------------------------------------------
+    # Scheduler
+    # -----------------------------------------------------------------------
+
+    def schedule_tick(self) -> None:
+        """Runs a tick after the events that are ready now.
+
+        Reports that arrive in the same iteration of the event loop share it.
+        """
+        if not self._tick_scheduled:
+            self._tick_scheduled = True
+            asyncio.get_running_loop().call_soon(self._scheduled_tick)
+
+    def _scheduled_tick(self) -> None:
+        self._tick_scheduled = False
+        try:
+            self.tick()
+        except Exception as exc:
+            self.services.metrics.add(
+                "handler_failures_total", "Unexpected exceptions."
+            )
+            logs.failure("tick_failed", exc)
+
+    def tick(self) -> None:
+        """Decides on waiting requests and answers all reports."""
+        if self._ended or not self.services.driver.may_act():
+            return
+        granted: dict[str, list[data.Grant]] = {}
+        refused: dict[str, list[messages.Refusal]] = {}
+        policy = self._current_policy()
+        if policy is not None:
+            ticked = scheduler.tick(
+                self.tables, policy, self.services.clock(), self.services.rng
+            )
+            self.tables = ticked.tables
+            self._note_decisions(ticked.decisions)
+            granted = _grouped(ticked.decisions.grants, "grant")
+            refused = _grouped(ticked.decisions.refusals, "refusal")
+        for session in self.services.sessions:
+            self._answer(
+                session,
+                tuple(granted.get(session.ref.node_id, ())),
+                tuple(refused.get(session.ref.node_id, ())),
+            )
+
+    def _answer(
+        self,
+        session: router_sessions.Session,
+        grants: tuple[data.Grant, ...],
+        refusals: tuple[messages.Refusal, ...],
+    ) -> None:
+        if not (session.unanswered or grants or refusals):
+            return
+        session.unanswered = False
+        session.conn.send(
+            messages.ControllerUpdate(
+                echo_ms=session.echo_ms,
+                term=self.services.driver.replica.term,
+                grants=grants,
+                refusals=refusals,
+            )
+        )
+
+    def _current_policy(self) -> data.Policy | None:
+        state = self.state
+        if state.environment is None:
+            return None
+        parts = (
+            state.environment,
+            state.drained,
+            state.rollouts,
+            state.versions,
+            state.refused_digests,
+        )
+        # A policy is kept while nothing changes, so that the scheduler can
+        # tell by identity whether it has to look at it again.
+        if len(parts) != len(self._policy_parts) or not all(
+            map(operator.is_, parts, self._policy_parts)
+        ):
+            self._policy_parts = parts
+            self._policy = data.Policy(
+                environment=state.environment,
+                drained=state.drained,
+                shares=rollouts.shares(state),
+                refused_digests=state.refused_digests,
+            )
+        return self._policy
+
+    def _note_decisions(self, decisions: Any) -> None:
+        metrics = self.services.metrics
+        for item in decisions.grants:
+            grant = item.grant
+            logs.decision(
+                "grant",
+                item.reason,
+                router=item.router,
+                term=grant.term,
+                grant=grant.id,
+                want=grant.want,
+                server=grant.server_id,
+                version=grant.version,
+            )
+        if decisions.grants:
+            metrics.add(
+                "grants_total", "Grants issued.", len(decisions.grants)
+            )
+        for item in decisions.refusals:
+            logs.decision(
+                "refusal",
+                item.reason,
+                router=item.router,
+                want=item.refusal.want,
+                error=item.refusal.kind,
+            )
+            metrics.add(
+                "refusals_total",
+                "Requests refused by the leader.",
+                error=item.refusal.kind.value,
+            )
+        for item in decisions.events:
+            logs.decision(item.name, item.reason, **dict(item.fields))
+        if decisions.samples:
+            self._stats = rollouts.observe(self._stats, decisions.samples)
+        for digest in decisions.crashed_digests:
+            self._refuse_digest(digest)
+
+    def _refuse_digest(self, digest: str) -> None:
+        if digest in self._refusing or digest in self.state.refused_digests:
+            return
+        self._refusing.add(digest)
+        logs.decision(
+            "refuse_digest", "the request crashed servers", digest=digest
+        )
+        fut = self.services.driver.propose(commands.RefuseDigest(digest))
+        fut.add_done_callback(lambda _: self._refusing.discard(digest))
+
+    # -----------------------------------------------------------------------
+    # Periodic work
+    # -----------------------------------------------------------------------
+
+    def run_periodic(self) -> None:
+        """Runs what is due; called every `TICK_S`."""
+        now_ms = self.services.clock()
+        self._drop_silent(now_ms)
+        self.tick()
+        self.push_environment()
+        if now_ms >= self._next_rollout_tick_ms:
+            self._next_rollout_tick_ms = now_ms + ROLLOUT_TICK_MS
+            self._move_rollouts(now_ms)
+        if now_ms >= self._next_checkpoint_ms:
+            self._next_checkpoint_ms = now_ms + CHECKPOINT_MS
+            if self._checkpoint is None and self._checkpoint_needed():
+                self._save_checkpoint(now_ms)
+
+    def _drop_silent(self, now_ms: int) -> None:
+        for session in self.services.sessions.silent(now_ms):
+            session.conn.close()
+            if self.services.sessions.close(session):
+                self._router_lost(
+                    session,
+                    f"no report for {now_ms - session.seen_ms} ms",
+                )
+
+    # -----------------------------------------------------------------------
+    # Environment
+    # -----------------------------------------------------------------------
+
+    def push_environment(
+        self, sessions: Iterable[router_sessions.Session] | None = None
+    ) -> None:
+        """Pushes the environment to the routers whose environment is older.
+
+        Args:
+          sessions: Sessions to look at; None means all.
+        """
+        state = self.state
+        if state.environment is None or not self.services.driver.may_act():
+            return
+        now_ms = self.services.clock()
+        for session in sessions or self.services.sessions:
+            if router_sessions.push_due(session, state.number, now_ms):
+                session.pushed_number = state.number
+                session.pushed_ms = now_ms
+                session.conn.send_frame(self._push_frame(state))
+
+    def _push_frame(self, state: data.ReplicatedState) -> bytes:
+        number, frame = self._push
+        if number != state.number:
+            # Encoded once for all routers: the document may be large.
+            frame = messages.CODEC.encode(
+                messages.EnvironmentPush(
+                    number=state.number,
+                    environment=state.environment,
+                    drained=tuple(sorted(state.drained)),
+                    refused_digests=tuple(sorted(state.refused_digests)),
+                    controllers=tuple(state.controllers.values()),
+                )
+            )
+            self._push = (state.number, frame)
+        return frame
+
+    # -----------------------------------------------------------------------
+    # Rollouts
+    # -----------------------------------------------------------------------
+
+    def _move_rollouts(self, now_ms: int) -> None:
+        if not self._rollouts_under_way():
+            return
+        elapsed_s = (now_ms - self._checkpoint_ms) / 1000
+        moves = rollouts.tick(self.state, self._stats, elapsed_s, now_ms)
+        moves = [move for move in moves if move.rollout not in self._moving]
+        if not moves:
+            return
+        # The time before the move belongs to the phase before the move.
+        self._save_checkpoint(now_ms)
+        for move in moves:
+            self._move_rollout(move)
+
+    def _move_rollout(self, move: commands.MoveRollout) -> None:
+        self._moving.add(move.rollout)
+        fut = self.services.driver.propose(move)
+        fut.add_done_callback(lambda done: self._moved(move, done.result()))
+
+    def _moved(
+        self, move: commands.MoveRollout, outcome: replica_driver.Outcome
+    ) -> None:
+        self._moving.discard(move.rollout)
+        fields = {
+            "rollout": move.rollout,
+            "phase": move.phase,
+            "share": move.share,
+        }
+        if isinstance(outcome, result.Failure):
+            logs.event("rollout_move_not_committed", **fields)
+            return
+        logs.decision("move_rollout", move.reason, **fields)
+        self.services.metrics.add(
+            "rollout_moves_total",
+            "Committed moves of rollouts.",
+            phase=move.phase.value,
+        )
+
+    def _rollouts_under_way(self) -> bool:
+        return any(
+            rollout.phase not in _FINAL
+            for rollout in self.state.rollouts.values()
+        )
+
+    # -----------------------------------------------------------------------
+    # Checkpoints
+    # -----------------------------------------------------------------------
+
+    def _changed_counters(self) -> tuple[data.CounterRow, ...]:
+        return tuple(
+            row
+            for row in scheduler.counters(self.tables)
+            if self._saved_counters.get((row.service, row.workspace))
+            != row.value
+        )
+
+    def _checkpoint_needed(self) -> bool:
+        return bool(
+            self._rollouts_under_way()
+            or self.live_routers() != self.state.routers
+            or self._changed_counters()
+        )
+
+    def live_routers(self) -> frozenset[str]:
+        """Returns the router incarnations for the next checkpoint."""
+        return self.live_owners()
+
+    def _save_checkpoint(self, now_ms: int) -> None:
+        counters = self._changed_counters()
+        command = commands.Checkpoint(
+            seconds=(now_ms - self._checkpoint_ms) / 1000,
+            counters=counters,
+            routers=tuple(sorted(self.live_routers())),
+        )
+        # Entries of one term are committed in order, so the next checkpoint
+        # may count from here although this one is not committed yet.
+        self._checkpoint_ms = now_ms
+        for row in counters:
+            self._saved_counters[row.service, row.workspace] = row.value
+        fut = self.services.driver.propose(command)
+        self._checkpoint = fut
+        fut.add_done_callback(self._checkpoint_done)
+
+    def _checkpoint_done(self, fut: asyncio.Future) -> None:
+        if self._checkpoint is fut:
+            self._checkpoint = None
+
+
+# ---------------------------------------------------------------------------
+# Handlers
+# ---------------------------------------------------------------------------
+
+
+@HANDLERS.register(messages.RouterReport)
+def _report(
+    leader: Leader,
+    session: router_sessions.Session,
+    report: messages.RouterReport,
+) -> None:
+    now_ms = leader.services.clock()
+    session.seen_ms = now_ms
+    session.echo_ms = report.sent_ms
+    session.number = report.environment_number
+    session.unanswered = True
+    session.reported = True
+    if report.data_centre:
+        session.ref = dataclasses.replace(
+            session.ref, data_centre=report.data_centre
+        )
+    leader.services.metrics.add("reports_total", "Reports of routers.")
+    leader.tables = scheduler.on_report(
+        leader.tables, session.ref, report, now_ms
+    )
+    leader.push_environment((session,))
+    leader.schedule_tick()
+
+
+def _grouped(items: Iterable[Any], field: str) -> dict[str, list]:
+    router = operator.attrgetter("router")
+    return {
+        node_id: [getattr(item, field) for item in group]
+        for node_id, group in itertools.groupby(
+            sorted(items, key=router), key=router
+        )
+    }
--- /dev/null
+++ b/waxwingrack/daemons/operators_api.py
@@ -0,0 +1,485 @@
+"""Operators' HTTP API of a controller."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import functools
+import hmac
+import json
+from typing import Any
+
+import klein
+import pydantic
+from returns import result
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import iweb
+from twisted.web import resource
+from twisted.web import server
+
+from waxwingrack.core import codec
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.daemons import fleet_status
+from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.daemons import repair
+from waxwingrack.load import environment as environment_module
+
+# Longest wait for a change to be committed, in seconds.
+COMMIT_TIMEOUT_S = 2.0
+# Largest request body. The log carries a change within one frame.
+MAX_BODY_BYTES = 1024 * 1024
+MAX_OPERATION_CHARACTERS = 128
+
+MISDIRECTED = 421
+_DOCUMENT_FIELD = "$.environment"
+
+_Text = pydantic.constr(
+    min_length=1, max_length=MAX_OPERATION_CHARACTERS, strict=True
+)
+_Number = pydantic.conint(ge=0, strict=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnvironmentBody:
+    """Body of `PUT /v1/environment`."""
+
+    operation: _Text
+    operator: _Text
+    expected: _Number
+    environment: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreBody:
+    """Body of `PUT /v1/data-centres/<id>`."""
+
+    operation: _Text
+    operator: _Text
+    state: data.DataCentreState
+    expected: _Number | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutBody:
+    """Body of `POST /v1/rollouts`."""
+
+    operation: _Text
+    operator: _Text
+    plan: data.RolloutPlan
+    expected: _Number | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeBody:
+    """Body of a change without further fields."""
+
+    operation: _Text
+    operator: _Text
+    expected: _Number | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControllerBody:
+    """Body of `PUT /v1/controllers/<id>`."""
+
+    operation: _Text
+    operator: _Text
+    control: data.Address
+    operators: data.Address
+    replaces: _Text | None = None
+    expected: _Number | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invalid:
+    """Faults of a request body.
+
+    Attributes:
+      errors: Path and rule of each fault.
+    """
+
+    errors: tuple[tuple[str, str], ...]
+
+
+class _Request(server.Request):
+    """Request whose body is dropped once it is larger than the limit."""
+
+    too_large = False
+
+    def handleContentChunk(self, data):  # noqa: N802  name of the library
+        """Takes a part of the body."""
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
+            self.too_large = True
+            self.setHeader(b"Connection", b"close")
+        else:
+            super().handleContentChunk(data)
+
+
+def site(controller: Any, token: bytes) -> server.Site:
+    """Builds the operators' HTTP server.
+
+    Args:
+      controller: The `controller.Controller`.
+      token: Bearer token of operators; empty refuses every call of the API.
+
+    Returns:
+      A site for the operators' port.
+    """
+    api = OperatorsApi(controller, token)
+    return server.Site(api.app.resource(), requestFactory=_Request)
+
+
+def _call(body: type | None = None) -> Callable:
+    """Returns a decorator for calls that only the leader answers.
+
+    It checks the token, the leadership and the body, in this order.
+
+    Args:
+      body: Data class of the body; None takes no body.
+    """
+
+    def decorate(handler: Callable) -> Callable:
+        @functools.wraps(handler)
+        async def checked(
+            self: "OperatorsApi", request: iweb.IRequest, **path: str
+        ) -> bytes:
+            refusal = self.refusal(request)
+            if refusal is not None:
+                return refusal
+            arguments = []
+            if body is not None:
+                match read_body(request, body):
+                    case result.Success(found):
+                        arguments = [found]
+                    case result.Failure(invalid):
+                        return _invalid(request, invalid.errors)
+            try:
+                return await handler(self, request, *arguments, **path)
+            except Exception as exc:
+                logs.failure("operator_call_failed", exc)
+                self.metrics.add(
+                    "handler_failures_total", "Unexpected exceptions."
+                )
+                return metrics_module.write_json(
+                    request,
+                    http.INTERNAL_SERVER_ERROR,
+                    {"message": "unexpected error; see the log"},
+                )
+
+        return checked
+
+    return decorate
+
+
+class OperatorsApi:
+    """Calls of the operators' API."""
+
+    app = klein.Klein()
+
+    def __init__(self, controller: Any, token: bytes):
+        self.metrics = controller.metrics
+        self._controller = controller
+        self._token = token
+        self._health = metrics_module.HealthApi(
+            controller.metrics, controller.readiness
+        )
+
+    # -----------------------------------------------------------------------
+    # Reads
+    # -----------------------------------------------------------------------
+
+    @app.route("/v1/environment", methods=["GET"])
+    @_call()
+    async def read_environment(self, request: iweb.IRequest) -> bytes:
+        """Answers with the environment in force."""
+        state = self._controller.driver.state
+        return _ok(
+            request,
+            {
+                "number": state.number,
+                "environment": fleet_status.to_json(state.environment),
+                "drained": sorted(state.drained),
+                "versions": dict(state.versions),
+            },
+        )
+
+    @app.route("/v1/rollouts", methods=["GET"])
+    @_call()
+    async def read_rollouts(self, request: iweb.IRequest) -> bytes:
+        """Answers with all rollouts."""
+        rows = fleet_status.rollouts(self._controller.driver.state)
+        return _ok(request, {"rollouts": rows})
+
+    @app.route("/v1/status", methods=["GET"])
+    @_call()
+    async def read_status(self, request: iweb.IRequest) -> bytes:
+        """Answers with the state of the whole fleet."""
+        return _ok(request, fleet_status.status(self._controller))
+
+    # -----------------------------------------------------------------------
+    # Changes
+    # -----------------------------------------------------------------------
+
+    @app.route("/v1/environment", methods=["PUT"])
+    @_call(EnvironmentBody)
+    async def put_environment(
+        self, request: iweb.IRequest, body: EnvironmentBody
+    ) -> bytes:
+        """Applies a document."""
+        match environment_module.check(body.environment):
+            case result.Failure(errors):
+                return _invalid(
+                    request,
+                    tuple(
+                        (item.path.replace("$", _DOCUMENT_FIELD, 1), item.rule)
+                        for item in errors
+                    ),
+                )
+            case result.Success(environment):
+                command = commands.ApplyEnvironment(
+                    body.operation, body.operator, body.expected, environment
+                )
+                return await self._change(request, command)
+
+    @app.route("/v1/data-centres/<node>", methods=["PUT"])
+    @_call(DataCentreBody)
+    async def put_data_centre(
+        self, request: iweb.IRequest, body: DataCentreBody, node: str
+    ) -> bytes:
+        """Drains or restores a data centre."""
+        command = commands.SetDataCentre(
+            body.operation, body.operator, body.expected, node, body.state
+        )
+        return await self._change(request, command)
+
+    @app.route("/v1/rollouts", methods=["POST"])
+    @_call(RolloutBody)
+    async def post_rollout(
+        self, request: iweb.IRequest, body: RolloutBody
+    ) -> bytes:
+        """Starts a rollout."""
+        command = commands.StartRollout(
+            body.operation, body.operator, body.expected, body.plan
+        )
+        return await self._change(request, command)
+
+    @app.route("/v1/rollouts/<rollout>/take-back", methods=["POST"])
+    @_call(ChangeBody)
+    async def take_back(
+        self, request: iweb.IRequest, body: ChangeBody, rollout: str
+    ) -> bytes:
+        """Takes a rollout back."""
+        command = commands.TakeBackRollout(
+            body.operation, body.operator, body.expected, rollout
+        )
+        return await self._change(request, command)
+
+    @app.route("/v1/controllers/<node>", methods=["PUT"])
+    @_call(ControllerBody)
+    async def put_controller(
+        self, request: iweb.IRequest, body: ControllerBody, node: str
+    ) -> bytes:
+        """Adds a controller and removes the one that it replaces."""
+        driver = self._controller.driver
+        fault = _repair_fault(driver, body, node)
+        if fault:
+            return _outcome(
+                request,
+                data.OperationOutcome(
+                    body.operation, False, driver.state.number, "", fault
+                ),
+            )
+        peer = data.Peer(node, body.control, body.operators)
+        task = self._controller.repairs.ensure(
+            repair.Request(peer, body.replaces)
+        )
+        await _wait(task)
+        if task.done() and not task.cancelled() and task.result():
+            return _outcome(
+                request,
+                data.OperationOutcome(
+                    body.operation, True, driver.state.number, "", "done"
+                ),
+            )
+        step = self._controller.repairs.step_of(node)
+        return _unavailable(request, f"not done yet: {step}")
+
+    @app.route("/", branch=True)
+    def other(self, _: iweb.IRequest) -> resource.IResource:
+        """Passes all other paths to the health calls."""
+        return self._health.app.resource()
+
+    # -----------------------------------------------------------------------
+    # Parts of calls
+    # -----------------------------------------------------------------------
+
+    def refusal(self, request: iweb.IRequest) -> bytes | None:
+        """Refuses calls without the token or at another controller.
+
+        Args:
+          request: The request.
+
+        Returns:
+          Body of the refusal, or None.
+        """
+        if not self._authorized(request):
+            request.setHeader(b"WWW-Authenticate", b"Bearer")
+            return metrics_module.write_json(
+                request,
+                http.UNAUTHORIZED,
+                {"message": "the bearer token is missing or wrong"},
+            )
+        if self._controller.leads():
+            return None
+        peer = self._controller.peer(self._controller.leader_id())
+        return metrics_module.write_json(
+            request,
+            MISDIRECTED,
+            {
+                "leader": peer
+                and {
+                    "id": peer.id,
+                    "host": peer.operators.host,
+                    "port": peer.operators.port,
+                }
+            },
+        )
+
+    def _authorized(self, request: iweb.IRequest) -> bool:
+        given = request.getHeader(b"authorization") or b""
+        scheme, _, token = given.partition(b" ")
+        return (
+            bool(self._token)
+            and scheme.lower() == b"bearer"
+            and hmac.compare_digest(token.strip(), self._token)
+        )
+
+    async def _change(self, request: iweb.IRequest, command: Any) -> bytes:
+        fut = self._controller.driver.propose(command)
+        await _wait(fut)
+        if not fut.done():
+            return _unavailable(
+                request, "not committed in time; send the operation again"
+            )
+        match fut.result():
+            case result.Success(data.OperationOutcome() as outcome):
+                logs.decision(
+                    type(command).__name__,
+                    outcome.message or "accepted",
+                    operation=command.operation,
+                    operator=command.operator,
+                    accepted=outcome.accepted,
+                    number=outcome.number,
+                )
+                return _outcome(request, outcome)
+            case result.Failure(unavailable):
+                return _unavailable(
+                    request, f"{unavailable.reason}; send the operation again"
+                )
+            case other:
+                raise TypeError(f"unexpected outcome {other!r}")
+
+
+def read_body(
+    request: iweb.IRequest, cls: type
+) -> result.Result[Any, Invalid]:
+    """Reads and checks a JSON body.
+
+    Args:
+      request: The request.
+      cls: Data class of the body.
+
+    Returns:
+      Success with the record, or Failure with all faults.
+    """
+    if getattr(request, "too_large", False):
+        return _fault("$", f"must be at most {MAX_BODY_BYTES} bytes")
+    try:
+        document = json.loads(request.content.read())
+    except (ValueError, RecursionError) as exc:
+        return _fault("$", f"is not JSON: {exc}")
+    try:
+        # Strict checks of JSON text take text for enumerations and arrays for
+        # tuples, which strict checks of Python values refuse.
+        return result.Success(
+            _adapter(cls).validate_json(json.dumps(document), strict=True)
+        )
+    except pydantic.ValidationError as exc:
+        return result.Failure(Invalid(tuple(map(_rule, exc.errors()))))
+
+
+def _fault(path: str, rule: str) -> result.Result[Any, Invalid]:
+    return result.Failure(Invalid(((path, rule),)))
+
+
+@functools.cache
+def _adapter(cls: type) -> pydantic.TypeAdapter:
+    for field in (data.RolloutPlan, data.Address, cls):
+        codec.forbid_extra(field)
+    return pydantic.TypeAdapter(cls)
+
+
+def _rule(error: dict[str, Any]) -> tuple[str, str]:
+    path = "$" + "".join(
+        f"[{part}]" if isinstance(part, int) else f".{part}"
+        for part in error["loc"]
+    )
+    texts = {
+        "missing": "is required",
+        "unexpected_keyword_argument": "is not a known field",
+    }
+    return path, texts.get(error["type"], error["msg"])
+
+
+def _repair_fault(driver: Any, body: ControllerBody, node: str) -> str:
+    state = driver.state
+    if body.expected is not None and body.expected != state.number:
+        return f"the environment number is {state.number}"
+    if body.replaces == node:
+        return "a controller cannot replace itself; give it a new id"
+    return ""
+
+
+async def _wait(fut: asyncio.Future) -> None:
+    """Waits for a future up to the commit timeout, without ending it."""
+    await _deferred(asyncio.wait([fut], timeout=COMMIT_TIMEOUT_S))
+
+
+def _deferred(coroutine: Coroutine) -> defer.Deferred:
+    return defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
+def _ok(request: iweb.IRequest, body: Any) -> bytes:
+    return metrics_module.write_json(request, http.OK, body)
+
+
+def _invalid(
+    request: iweb.IRequest, errors: tuple[tuple[str, str], ...]
+) -> bytes:
+    return metrics_module.write_json(
+        request,
+        http.BAD_REQUEST,
+        {"errors": [{"path": path, "rule": rule} for path, rule in errors]},
+    )
+
+
+def _outcome(request: iweb.IRequest, outcome: data.OperationOutcome) -> bytes:
+    return metrics_module.write_json(
+        request,
+        http.OK if outcome.accepted else http.CONFLICT,
+        {
+            "accepted": outcome.accepted,
+            "number": outcome.number,
+            "winner": outcome.winner,
+            "message": outcome.message,
+        },
+    )
+
+
+def _unavailable(request: iweb.IRequest, message: str) -> bytes:
+    return metrics_module.write_json(
+        request, http.SERVICE_UNAVAILABLE, {"message": message}
+    )
--- /dev/null
+++ b/waxwingrack/daemons/replica_driver.py
@@ -0,0 +1,412 @@
+"""Runs the pure replica against the disk and the network.
+
+All writes and syncs happen in one worker thread, in order, so that a slow disk
+never blocks the event loop. Writes that queue up while one sync runs share the
+next sync.
+"""
+
+import asyncio
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import time
+from typing import Any
+
+from returns import result
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.operations import consensus
+from waxwingrack.operations import replicated
+
+# Interval of the replica's timer, in seconds.
+TICK_S = 0.02
+# Applied entries after which the log is replaced by a snapshot.
+SNAPSHOT_ENTRIES = 512
+# Entries by which a follower that counts as caught up may lag.
+MAX_LAG_ENTRIES = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Why a proposal is not known to be committed.
+
+    Attributes:
+      reason: Text for logs and operators.
+    """
+
+    reason: str
+
+
+Outcome = result.Result[Any, Unavailable]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Write:
+    """Work of one step for the worker thread, and what follows its sync."""
+
+    effects: consensus.Effects
+    synced: tuple[int, int] | None
+
+    @property
+    def empty(self) -> bool:
+        """Whether the disk is left alone."""
+        effects = self.effects
+        return (
+            effects.hard is None
+            and effects.truncate_from is None
+            and not effects.append
+            and effects.snapshot is None
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What the driver did since the start of the process.
+
+    Attributes:
+      committed: Entries applied.
+      elections: Elections that this replica won.
+      syncs: Syncs of the disk.
+      sync_s: Time spent in writes and syncs, in seconds.
+      proposals: Commands proposed.
+      unavailable: Proposals that were not known to be committed.
+    """
+
+    committed: int = 0
+    elections: int = 0
+    syncs: int = 0
+    sync_s: float = 0.0
+    proposals: int = 0
+    unavailable: int = 0
+
+
+class ReplicaDriver:
+    """A replica with its disk.
+
+    Attributes:
+      replica: State of consensus.
+      state: Replicated state after the last applied entry.
+      applied: Index of the last applied entry.
+      applied_term: Term of the last applied entry.
+      failed: Why the replica does not take part any more, or None.
+      counts: What was done.
+      on_applied: Called after entries were applied or a snapshot restored.
+      on_change: Called after each step, for example to follow the role.
+    """
+
+    def __init__(
+        self,
+        replica: consensus.Replica,
+        snapshot: data.Snapshot | None,
+        storage: Any,
+        clock: Callable[[], int],
+        send: Callable[[str, Any], None],
+    ):
+        self.replica = replica
+        self.state = data.ReplicatedState()
+        self.applied = 0
+        self.applied_term = 0
+        self.failed: str | None = None
+        self.counts = Counts()
+        self.on_applied: Callable[[], None] = _nothing
+        self.on_change: Callable[[], None] = _nothing
+        self._storage = storage
+        self._clock = clock
+        self._send = send
+        self._worker = futures.ThreadPoolExecutor(1, "storage")
+        self._writes: list[_Write] = []
+        self._writing: asyncio.Task | None = None
+        self._timer: asyncio.Task | None = None
+        self._next_token = 0
+        self._tokens: dict[int, asyncio.Future] = {}
+        self._indices: dict[int, tuple[int, int]] = {}
+        self._leader_commit = 0
+        self._compacting: asyncio.Task | None = None
+        self._compacted = 0
+        if snapshot is not None:
+            self._restore(snapshot)
+
+    # -----------------------------------------------------------------------
+    # Life
+    # -----------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Starts the replica's timer."""
+        self._timer = asyncio.ensure_future(self._tick())
+
+    async def stop(self) -> None:
+        """Ends the timer and finishes the writes that are queued."""
+        self._timer.cancel()
+        self._abandon("the controller stops")
+        while self._writing is not None and not self._writing.done():
+            await asyncio.wait([self._writing])
+        self.failed = self.failed or "stopped"
+        if self._compacting is not None:
+            await asyncio.wait([self._compacting])
+        self._worker.shutdown()
+
+    def fail(self, reason: str) -> None:
+        """Takes the replica out of consensus, as its disk cannot be trusted.
+
+        Args:
+          reason: Text for logs and readiness.
+        """
+        if self.failed is None:
+            self.failed = reason
+            self._writes.clear()
+            self._abandon(reason)
+            self.on_change()
+
+    # -----------------------------------------------------------------------
+    # Questions
+    # -----------------------------------------------------------------------
+
+    def is_leader(self) -> bool:
+        """Whether the replica's role is leader."""
+        return (
+            self.failed is None
+            and self.replica.role is consensus.ReplicaRole.LEADER
+        )
+
+    def may_act(self) -> bool:
+        """Whether this controller may act as leader now.
+
+        It must hold the lease and must have committed an entry of its own
+        term, as only then its state includes all that earlier leaders
+        committed.
+        """
+        return (
+            self.is_leader()
+            and self.applied_term == self.replica.term
+            and consensus.has_lease(self.replica, self._clock())
+        )
+
+    def caught_up(self) -> bool:
+        """Whether the state is close to the leader's."""
+        if self.is_leader():
+            return self.may_act()
+        return self.applied + MAX_LAG_ENTRIES >= self._leader_commit
+
+    # -----------------------------------------------------------------------
+    # Inputs
+    # -----------------------------------------------------------------------
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Feeds a message of another controller."""
+        commit = getattr(message, "commit", 0)
+        self._leader_commit = max(self._leader_commit, commit)
+        self._feed(consensus.Received(sender, message))
+
+    def propose(self, command: Any) -> "asyncio.Future[Outcome]":
+        """Proposes a command.
+
+        Args:
+          command: A registered command.
+
+        Returns:
+          Future of Success with the outcome of the command once it is
+          committed, or Failure with Unavailable. It never raises.
+        """
+        blob = commands.CODEC.encode(command)
+        return self._submit(
+            lambda token: consensus.Propose(blob, token)
+        )
+
+    def propose_members(
+        self, members: tuple[str, ...]
+    ) -> "asyncio.Future[Outcome]":
+        """Proposes another set of voting controllers; see `propose`."""
+        return self._submit(
+            lambda token: consensus.ProposeMembers(members, token)
+        )
+
+    def feed(self, event: Any) -> None:
+        """Feeds a further event of consensus."""
+        self._feed(event)
+
+    def _submit(
+        self, event: Callable[[int], Any]
+    ) -> "asyncio.Future[Outcome]":
+        self._next_token += 1
+        token = self._next_token
+        fut = asyncio.get_running_loop().create_future()
+        self._tokens[token] = fut
+        self.counts.proposals += 1
+        if self.failed is not None:
+            self._resolve(token, _unavailable(self.failed))
+        else:
+            self._feed(event(token))
+        return fut
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._feed(consensus.Tick())
+
+    # -----------------------------------------------------------------------
+    # Steps and effects
+    # -----------------------------------------------------------------------
+
+    def _feed(self, event: Any) -> None:
+        if self.failed is not None:
+            return
+        was_leader = self.is_leader()
+        try:
+            step = consensus.step(self.replica, event, self._clock())
+            self.replica = step.replica
+            self._carry_out(step.effects)
+        except Exception as exc:
+            # A replica whose step failed half-way may break its promises.
+            logs.failure("replica_step_failed", exc, step=type(event).__name__)
+            self.fail(f"replica step failed: {exc}")
+            return
+        if was_leader and not self.is_leader():
+            self._abandon("another controller may lead now")
+        elif self.is_leader() and not was_leader:
+            self.counts.elections += 1
+        self.on_change()
+
+    def _carry_out(self, effects: consensus.Effects) -> None:
+        for item in effects.accepted:
+            self._indices[item.index] = (item.term, item.token)
+        for token in effects.rejected:
+            self._resolve(token, _unavailable("this controller does not lead"))
+        for envelope in effects.send:
+            self._send(envelope.receiver, envelope.message)
+        self._queue_write(effects)
+        if effects.restored is not None:
+            self._restore(effects.restored)
+        for entry in effects.committed:
+            self._apply(entry)
+        if effects.restored is not None or effects.committed:
+            self.on_applied()
+            self._compact_if_due()
+
+    def _queue_write(self, effects: consensus.Effects) -> None:
+        synced = None
+        if effects.append:
+            synced = (effects.append[-1].index, effects.append[-1].term)
+        elif effects.snapshot is not None:
+            synced = (effects.snapshot.index, effects.snapshot.term)
+        write = _Write(effects, synced)
+        if write.empty and not effects.send_after_sync:
+            return
+        self._writes.append(write)
+        if self._writing is None or self._writing.done():
+            self._writing = asyncio.ensure_future(self._write_all())
+
+    async def _write_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._writes and self.failed is None:
+            writes, self._writes = self._writes, []
+            dirty = [item for item in writes if not item.empty]
+            if dirty:
+                try:
+                    spent_s = await loop.run_in_executor(
+                        self._worker, self._write_and_sync, dirty
+                    )
+                except Exception as exc:
+                    logs.failure("storage_failed", exc)
+                    self.fail(f"storage failed: {exc}")
+                    return
+                self.counts.syncs += 1
+                self.counts.sync_s += spent_s
+            self._after_sync(writes)
+
+    def _write_and_sync(self, writes: list[_Write]) -> float:
+        begin = time.perf_counter()
+        for item in writes:
+            effects = item.effects
+            self._storage.write(
+                effects.hard,
+                effects.truncate_from,
+                effects.append,
+                effects.snapshot,
+            )
+        self._storage.sync()
+        return time.perf_counter() - begin
+
+    def _after_sync(self, writes: list[_Write]) -> None:
+        for item in writes:
+            if self.failed is not None:
+                return
+            for envelope in item.effects.send_after_sync:
+                self._send(envelope.receiver, envelope.message)
+        for item in writes:
+            if item.synced is not None:
+                self._feed(consensus.Synced(*item.synced))
+
+    # -----------------------------------------------------------------------
+    # State machine
+    # -----------------------------------------------------------------------
+
+    def _apply(self, entry: data.LogEntry) -> None:
+        outcome = None
+        if entry.command:
+            match commands.CODEC.decode(entry.command):
+                case result.Success(command):
+                    applied = replicated.apply(self.state, command)
+                    self.state, outcome = applied.state, applied.outcome
+                case result.Failure(error):
+                    # All replicas of this version skip the entry alike.
+                    logs.event(
+                        "command_unknown",
+                        index=entry.index,
+                        reason=error.reason,
+                    )
+        self.applied, self.applied_term = entry.index, entry.term
+        self.counts.committed += 1
+        term, token = self._indices.pop(entry.index, (0, 0))
+        if token and term == entry.term:
+            self._resolve(token, result.Success(outcome))
+        elif token:
+            self._resolve(token, _unavailable("replaced by another entry"))
+
+    def _restore(self, snapshot: data.Snapshot) -> None:
+        match replicated.decode(snapshot.state):
+            case result.Success(state):
+                self.state = state
+                self.applied = snapshot.index
+                self.applied_term = snapshot.term
+                self._compacted = snapshot.index
+            case result.Failure(error):
+                raise ValueError(f"snapshot is damaged: {error.reason}")
+
+    def _compact_if_due(self) -> None:
+        due = self.applied - self._compacted >= SNAPSHOT_ENTRIES
+        if due and (self._compacting is None or self._compacting.done()):
+            self._compacted = self.applied
+            self._compacting = asyncio.ensure_future(
+                self._compact(self.applied, self.state)
+            )
+
+    async def _compact(self, index: int, state: data.ReplicatedState) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            # The state is immutable, so another thread may encode it.
+            blob = await loop.run_in_executor(None, replicated.encode, state)
+            self._feed(consensus.Compact(index, blob))
+        except Exception as exc:
+            logs.failure("snapshot_failed", exc, index=index)
+
+    def _resolve(self, token: int, outcome: Outcome) -> None:
+        fut = self._tokens.pop(token, None)
+        if isinstance(outcome, result.Failure):
+            self.counts.unavailable += 1
+        if fut is not None and not fut.done():
+            fut.set_result(outcome)
+
+    def _abandon(self, reason: str) -> None:
+        self._indices.clear()
+        for token in list(self._tokens):
+            self._resolve(token, _unavailable(reason))
+
+
+def _unavailable(reason: str) -> Outcome:
+    return result.Failure(Unavailable(reason))
+
+
+def _nothing() -> None:
+    """Does nothing; default of the callbacks."""
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -117,6 +117,11 @@
         """Whether the connection has ended or is being closed."""
         return self._closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of messages that wait to be sent."""
+        return self._unsent_bytes
+
     def send(self, message: Any) -> bool:
         """Queues a message.
 
