--- /dev/null
+++ b/waxwingrack/load/settings.py
@@ -0,0 +1,167 @@
+"""Settings of one process."""
+
+from collections.abc import Iterator
+import itertools
+from typing import Any
+
+from returns import result
+
+from waxwingrack.core import data
+from waxwingrack.core import registry
+from waxwingrack.load import documents
+from waxwingrack.load.documents import SettingError
+
+RULES: documents.Rules = registry.Registry("settings rule")
+
+Faults = Iterator[tuple[str, str]]
+
+REQUIRED = {
+    data.Role.ROUTER: ("callers",),
+    data.Role.CONTROLLER: ("control", "data_folder", "operator_token_file"),
+}
+# Addresses of the process itself; port 0 chooses a free port.
+_OWN = ("$.operators", "$.callers", "$.control")
+_PEERS = ("$.controllers[*].control", "$.controllers[*].operators")
+# The callers' port stands behind the platform's balancer, which ends TLS.
+_PROTECTED = ("$.operators", "$.control", *_PEERS)
+
+# A value above the upper limit is most likely written in milliseconds. Seconds,
+# by path.
+TIME_LIMITS_S = {
+    "$.shutdown_delay_s": (0.0, 300.0),
+    "$.shutdown_timeout_s": (0.01, 7_200.0),
+    "$.body_timeout_s": (0.01, 3_600.0),
+}
+BYTE_LIMITS = {
+    "$.max_body_bytes": (1, 1_073_741_824),
+    "$.max_header_bytes": (256, 1_048_576),
+}
+COUNT_LIMITS = {"$.max_open_connections": (1, 1_000_000)}
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def load(path: str) -> result.Result[data.Settings, tuple[SettingError, ...]]:
+    """Reads the settings of a process from a file.
+
+    Args:
+      path: Path of the JSON file.
+
+    Returns:
+      Success with the settings, or Failure with all faults.
+    """
+    return documents.load(path, data.Settings, RULES)
+
+
+def check(
+    document: object, source: str = "document"
+) -> result.Result[data.Settings, tuple[SettingError, ...]]:
+    """Checks settings that have been parsed from JSON.
+
+    Args:
+      document: Value as `json.loads` returns it.
+      source: Name that the faults carry.
+
+    Returns:
+      Success with the settings, or Failure with all faults.
+    """
+    return documents.check(document, source, data.Settings, RULES)
+
+
+@RULES.register("ids")
+def _ids(document: Any) -> Faults:
+    return documents.ids(
+        document, "$.node_id", "$.data_centre", "$.controllers[*].id"
+    )
+
+
+@RULES.register("role_fields")
+def _role_fields(document: Any) -> Faults:
+    for _, role in documents.select(document, "$.role", str):
+        for name in REQUIRED.get(role, ()):
+            if document.get(name) is None:
+                yield f"$.{name}", f"is required for the role {role}"
+
+
+@RULES.register("protection")
+def _protection(document: Any) -> Faults:
+    if not isinstance(document, dict) or document.get("tls") is not None:
+        return
+    if document.get("shared_key_file") is None:
+        yield "$.shared_key_file", "is required without tls"
+    for pattern in _PROTECTED:
+        for path, number in documents.addresses(document, pattern):
+            if not number.is_loopback:
+                yield path, "an address other than loopback needs tls"
+
+
+@RULES.register("ip_numbers")
+def _ip_numbers(document: Any) -> Faults:
+    for pattern in (*_OWN, *_PEERS):
+        known = dict(documents.addresses(document, pattern))
+        for path, _ in documents.select(document, f"{pattern}.host", str):
+            if path not in known:
+                yield path, "must be an IP number"
+            elif known[path].is_unspecified and pattern in _PEERS:
+                yield path, "must be an address that others can reach"
+
+
+@RULES.register("ports")
+def _ports(document: Any) -> Faults:
+    limits = {f"{pattern}.port": (0, 65_535) for pattern in _OWN}
+    limits |= {f"{pattern}.port": (1, 65_535) for pattern in _PEERS}
+    return documents.ranges(document, limits, "(TCP port)")
+
+
+@RULES.register("own_ports_differ")
+def _own_ports_differ(document: Any) -> Faults:
+    return documents.repeated(
+        (
+            (path, (address.get("host"), port))
+            for pattern in _OWN
+            for path, address in documents.select(document, pattern, dict)
+            for _, port in documents.select(address, "$.port", int)
+            if port
+            if isinstance(address.get("host"), str)
+        ),
+        "a listening address",
+    )
+
+
+@RULES.register("controllers")
+def _controllers(document: Any) -> Faults:
+    for path, peers in documents.select(document, "$.controllers", list):
+        if not peers:
+            yield path, "at least one controller is required"
+    yield from documents.repeated(
+        documents.select(document, "$.controllers[*].id", str),
+        "the id of a controller",
+    )
+    yield from documents.repeated(
+        (
+            (path, (address["host"], address["port"]))
+            for path, address in itertools.chain.from_iterable(
+                documents.select(document, pattern, dict) for pattern in _PEERS
+            )
+            if isinstance(address.get("host"), str)
+            if isinstance(address.get("port"), int)
+        ),
+        "the address of a controller",
+    )
+
+
+@RULES.register("times")
+def _times(document: Any) -> Faults:
+    return documents.ranges(document, TIME_LIMITS_S, "seconds")
+
+
+@RULES.register("sizes")
+def _sizes(document: Any) -> Faults:
+    yield from documents.ranges(document, BYTE_LIMITS, "bytes")
+    yield from documents.ranges(document, COUNT_LIMITS, "connections")
+
+
+@RULES.register("log_level")
+def _log_level(document: Any) -> Faults:
+    for path, level in documents.select(document, "$.log_level", str):
+        if level not in LOG_LEVELS:
+            yield path, f"must be one of {', '.join(LOG_LEVELS)}"
