Keep the addresses of added controllers in the replicated state

Cause: a controller that a repair adds is not in the settings of the others. Ruled out: addresses in the consensus members, which would mix transport into the replica.

--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -135,9 +135,7 @@
                 self._create_driver(persisted)
             case result.Failure(damage):
                 self._damage = f"storage is damaged: {damage}"
-                logs.event(
-                    "storage_damaged", logging.ERROR, reason=str(damage)
-                )
+                logs.event("storage_damaged", logging.ERROR, reason=str(damage))
         controller_metrics.watch(self)
         self._server = await transport.serve(
             self.settings.control, self._identity, self, self.counts
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -88,5 +88,8 @@
         waiting[row.service] += row.waiting
     for service, count in waiting.items():
         metrics.set(
-            "waiting_requests", "Requests without grant.", count, service=service
+            "waiting_requests",
+            "Requests without grant.",
+            count,
+            service=service,
         )
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -130,9 +130,7 @@
         """
         self._router_lost(session, reason)
 
-    def handle(
-        self, session: router_sessions.Session, message: Any
-    ) -> None:
+    def handle(self, session: router_sessions.Session, message: Any) -> None:
         """Handles a message of a router.
 
         Args:
@@ -280,9 +278,7 @@
                 version=grant.version,
             )
         if decisions.grants:
-            metrics.add(
-                "grants_total", "Grants issued.", len(decisions.grants)
-            )
+            metrics.add("grants_total", "Grants issued.", len(decisions.grants))
         for item in decisions.refusals:
             logs.decision(
                 "refusal",
--- a/waxwingrack/daemons/metrics.py
+++ b/waxwingrack/daemons/metrics.py
@@ -53,9 +53,7 @@
         """Sets a counter to a total that is counted elsewhere."""
         self._collector(aioprometheus.Counter, name, doc).set(labels, value)
 
-    def observe(
-        self, name: str, doc: str, value: float, **labels: str
-    ) -> None:
+    def observe(self, name: str, doc: str, value: float, **labels: str) -> None:
         """Adds a value to a histogram of durations in milliseconds."""
         self._collector(_milliseconds, name, doc).add(labels, value)
 
@@ -140,9 +138,7 @@
         reason = self._readiness()
         if reason is None:
             return write_json(request, http.OK, {})
-        return write_json(
-            request, http.SERVICE_UNAVAILABLE, {"reason": reason}
-        )
+        return write_json(request, http.SERVICE_UNAVAILABLE, {"reason": reason})
 
     @app.route("/metrics", methods=["GET"])
     def read_metrics(self, request: iweb.IRequest) -> bytes:
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -383,9 +383,7 @@
                 raise TypeError(f"unexpected outcome {other!r}")
 
 
-def read_body(
-    request: iweb.IRequest, cls: type
-) -> result.Result[Any, Invalid]:
+def read_body(request: iweb.IRequest, cls: type) -> result.Result[Any, Invalid]:
     """Reads and checks a JSON body.
 
     Args:
--- a/waxwingrack/daemons/peer_links.py
+++ b/waxwingrack/daemons/peer_links.py
@@ -101,9 +101,7 @@
         if len(frame) <= large_frames.MAX_WHOLE_BYTES:
             conn.send_frame(frame)
         else:
-            self._sender.send(
-                conn, frame, lambda: self._note_progress(node_id)
-            )
+            self._sender.send(conn, frame, lambda: self._note_progress(node_id))
 
     def check_replies(self) -> None:
         """Closes connections on which a reply is overdue."""
@@ -180,9 +178,7 @@
         if conn is None:
             return
         if conn.peer.node_id != node_id:
-            logs.event(
-                "wrong_peer", expected=node_id, found=conn.peer.node_id
-            )
+            logs.event("wrong_peer", expected=node_id, found=conn.peer.node_id)
             conn.close()
             return
         self._outgoing[node_id] = conn
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -210,9 +210,7 @@
           committed, or Failure with Unavailable. It never raises.
         """
         blob = commands.CODEC.encode(command)
-        return self._submit(
-            lambda token: consensus.Propose(blob, token)
-        )
+        return self._submit(lambda token: consensus.Propose(blob, token))
 
     def propose_members(
         self, members: tuple[str, ...]
@@ -226,9 +224,7 @@
         """Feeds a further event of consensus."""
         self._feed(event)
 
-    def _submit(
-        self, event: Callable[[int], Any]
-    ) -> "asyncio.Future[Outcome]":
+    def _submit(self, event: Callable[[int], Any]) -> "asyncio.Future[Outcome]":
         self._next_token += 1
         token = self._next_token
         fut = asyncio.get_running_loop().create_future()
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -12,6 +12,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import registry
+from waxwingrack.operations import replicated_controllers
 from waxwingrack.operations import replicated_environment
 from waxwingrack.operations import replicated_image
 from waxwingrack.operations import replicated_keys
@@ -45,6 +46,10 @@
 HANDLERS.register(commands.RecordKeyOutcome)(replicated_keys.record_outcome)
 HANDLERS.register(commands.ReleaseKey)(replicated_keys.release_key)
 HANDLERS.register(commands.RefuseDigest)(replicated_environment.refuse_digest)
+HANDLERS.register(commands.SetController)(replicated_controllers.set_controller)
+HANDLERS.register(commands.ForgetController)(
+    replicated_controllers.forget_controller
+)
 
 
 def apply(state: data.ReplicatedState, command: Any) -> Applied:
--- a/waxwingrack/operations/replicated_image.py
+++ b/waxwingrack/operations/replicated_image.py
@@ -41,6 +41,7 @@
     takers: tuple[tuple[int, str], ...]
     key_first: int
     key_next: int
+    controllers: tuple[data.Peer, ...] = ()
 
 
 CODEC = codec.Codec(IMAGES)
@@ -83,6 +84,9 @@
         takers=tuple(sorted(state.takers.items())),
         key_first=state.key_first,
         key_next=state.key_next,
+        controllers=tuple(
+            state.controllers[key] for key in sorted(state.controllers.keys())
+        ),
     )
     rows = [
         _row(sequence, state.keys[place])
@@ -183,4 +187,7 @@
             replicated_keys.answer_bytes(record.answer)
             for _, _, record in places
         ),
+        controllers=immutables.Map(
+            {peer.id: peer for peer in image.controllers}
+        ),
     )
