--- a/waxwingrack/daemons/peer_links.py
+++ b/waxwingrack/daemons/peer_links.py
@@ -7,9 +7,9 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 from typing import Any
 
 from waxwingrack.core import data
