--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -674,6 +674,322 @@
     at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """Fairness account of a workspace at a service.
+
+    The account with an empty workspace belongs to the service itself: its
+    value is the service's virtual time, the lowest counter of a backlogged
+    workspace at the latest grant.
+
+    Attributes:
+      value: Counter, in cost per weight.
+      mean: Running mean of the real cost; 0 while no cost is known.
+      largest: Largest recent real cost; 0 while no cost is known.
+      in_use: Grants in use.
+    """
+
+    value: float = 0.0
+    mean: float = 0.0
+    largest: float = 0.0
+    in_use: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ramp:
+    """Slot limit of a backend server.
+
+    Attributes:
+      limit: Most grants in use at once.
+      slots: Announced slots, the most that the limit can reach.
+      good: Good completions since the limit last changed.
+      failures: Consecutive failures.
+      cut_ms: Time of the last cut; results of older grants do not count.
+      slow: Consecutive latencies far above the usual, as multiples of it.
+      slow_since_ms: Time of the first of these.
+      ratio: Latest latency as a multiple of the usual one.
+      ratio_ms: Time of the latest latency.
+    """
+
+    limit: int
+    slots: int
+    good: int = 0
+    failures: int = 0
+    cut_ms: int = -1
+    slow: tuple[float, ...] = ()
+    slow_since_ms: int = 0
+    ratio: float = 0.0
+    ratio_ms: int = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Latency:
+    """Running median of the time to the first byte, in milliseconds."""
+
+    usual_ms: float
+    count: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class PrefixCache:
+    """Prompt prefixes that a backend server holds, as far as known.
+
+    Attributes:
+      last: Sequence of the last cache event; None before the first one.
+      stored: Number of the store event by prefix.
+      order: Prefix by number of the store event.
+      oldest: Lowest number that may still be in `order`.
+      added: Number of the next store event.
+    """
+
+    last: int | None = None
+    stored: immutables.Map = immutables.Map()
+    order: immutables.Map = immutables.Map()
+    oldest: int = 0
+    added: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerRow:
+    """A backend server as the leader knows it.
+
+    Attributes:
+      announcement: Latest announcement, without cache events.
+      seen_ms: Time of the latest announcement of this incarnation.
+      ramp: Slot limit.
+      key: Number that orders servers of equal load.
+      grants: Grants in use, by (term, id).
+      orphans: Requests of lost or unknown routers that may still run.
+      orphans_ms: Time from which announcements may lower `orphans`.
+      bound: Most orphans that the latest announcement leaves possible.
+      lost: Grants of lost routers among the orphans.
+      paused: Whether grants are withheld until the orphans are settled.
+      blocked: Whether connect failures keep the server out.
+      blocked_ms: Time of the latest connect failure that was counted.
+      connect_failures: Consecutive counted connect failures.
+      aged: Whether the announcement has aged out.
+      solo: Grant that runs alone on the server, if any.
+      reserved: Whether the server is emptied for a request to run alone.
+      retired: Former incarnations, the latest last.
+      claims: Announcements of a retired incarnation, as (incarnation, time),
+        since the current one was last seen.
+      prefixes: Known prompt prefixes.
+    """
+
+    announcement: Announcement
+    seen_ms: int
+    ramp: Ramp
+    key: int
+    grants: immutables.Map = immutables.Map()
+    orphans: int = 0
+    orphans_ms: int = 0
+    bound: int | None = None
+    lost: immutables.Map = immutables.Map()
+    paused: bool = False
+    blocked: bool = False
+    blocked_ms: int = -1
+    connect_failures: int = 0
+    aged: bool = False
+    solo: tuple[int, int] | None = None
+    reserved: bool = False
+    retired: tuple[str, ...] = ()
+    claims: tuple[tuple[str, int], ...] = ()
+    prefixes: PrefixCache = PrefixCache()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantRow:
+    """A waiting request.
+
+    Attributes:
+      router: Node id of its router.
+      want: The request.
+      arrival: Number in order of arrival over all routers.
+      at_ms: Time of arrival at the leader.
+    """
+
+    router: str
+    want: Want
+    arrival: int
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lane:
+    """Waiting requests in order of arrival.
+
+    Attributes:
+      rows: Rows of waiting requests by position.
+      head: Lowest position that may be in use.
+      tail: Next free position.
+    """
+
+    rows: immutables.Map = immutables.Map()
+    head: int = 0
+    tail: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a waiting request stands.
+
+    Attributes:
+      service: Service.
+      workspace: Workspace; empty for the lane of requests that run alone.
+      avoid: Key of the lane.
+      position: Position in the lane.
+    """
+
+    service: str
+    workspace: str
+    avoid: tuple[str, ...]
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolRow:
+    """What the scheduler keeps of a service.
+
+    Attributes:
+      places: Number of servers by (version, data centre).
+      usable: Number of servers that are neither aged out nor departing.
+      reserved: Server that is emptied for a request to run alone; empty if
+        none is.
+      solos: Grants that run alone on a server.
+      paused: Servers that are paused to settle their orphans.
+      candidate: Version to which `credit` belongs.
+      credit: Share of a request that the candidate version is owed.
+      none_since_ms: Since when no server is usable.
+    """
+
+    places: immutables.Map = immutables.Map()
+    usable: int = 0
+    reserved: str = ""
+    solos: immutables.Map = immutables.Map()
+    paused: immutables.Map = immutables.Map()
+    candidate: str = ""
+    credit: float = 0.0
+    none_since_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterRow:
+    """A router as the leader knows it.
+
+    Attributes:
+      ref: Identity of the router.
+      wants: Place of each waiting request by sequence.
+      grants: Grants in use, by (term, id).
+      sent_ms: Router's clock at its latest report.
+      seen_ms: Time of its latest report.
+      unlisted: Grants that were not listed after a reconnect.
+      connected: Whether the router is connected.
+    """
+
+    ref: RouterRef
+    wants: immutables.Map = immutables.Map()
+    grants: immutables.Map = immutables.Map()
+    sent_ms: int = 0
+    seen_ms: int = 0
+    unlisted: immutables.Map = immutables.Map()
+    connected: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantRow:
+    """A grant in use.
+
+    Attributes:
+      router: Node id of the router.
+      server_id: Backend server.
+      incarnation: Incarnation of the server that the grant counts against.
+      version: Version of the backend server.
+      data_centre: Data centre of the backend server.
+      workspace: Workspace.
+      service: Service.
+      route: Route.
+      digest: Digest of the request.
+      weight: Weight of the workspace at the grant.
+      charged: Cost charged so far.
+      granted_ms: Time of the grant.
+      echo_ms: Router's clock that the life of the grant counts from.
+      running: Whether the router has reported the grant in use.
+      candidate: Whether the share of the candidate version paid for it.
+      share: Share of the candidate version at the grant.
+      orphan: Whether its router is lost.
+    """
+
+    router: str
+    server_id: str
+    incarnation: str
+    version: str
+    data_centre: str
+    workspace: str
+    service: str
+    route: str
+    digest: str
+    weight: float
+    charged: float
+    granted_ms: int
+    echo_ms: int
+    running: bool = False
+    candidate: bool = False
+    share: float = 0.0
+    orphan: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenServer:
+    """Requests whose connection to one server incarnation broke.
+
+    Attributes:
+      digests: Digests of the requests.
+      at_ms: Time of the latest report.
+      others: Whether other grants were in use on the server as well.
+    """
+
+    digests: tuple[str, ...]
+    at_ms: int
+    others: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Evidence against a request digest.
+
+    Attributes:
+      pending: Broken server incarnations that are not judged yet.
+      crashes: Crashed server incarnations.
+      alone: Number of these crashes with no other request at the server.
+      at_ms: Time of the latest evidence.
+      running: Grant of a run of the digest on its own, if any.
+    """
+
+    pending: tuple[tuple[str, str], ...] = ()
+    crashes: tuple[tuple[str, str], ...] = ()
+    alone: int = 0
+    at_ms: int = 0
+    running: tuple[int, int] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantDecision:
+    """A grant to send to a router."""
+
+    router: str
+    grant: Grant
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulerEvent:
+    """A log line of the scheduler that is neither a grant nor a refusal."""
+
+    name: str
+    reason: str
+    fields: immutables.Map = immutables.Map()
+
+
 # ---------------------------------------------------------------------------
 # Rollout judges
 # ---------------------------------------------------------------------------
--- /dev/null
+++ b/waxwingrack/operations/fairness.py
@@ -0,0 +1,156 @@
+"""Weighted virtual counters, one per (service, workspace).
+
+A counter holds the cost that a workspace was charged at a service, divided by
+its weight. A workspace that becomes backlogged starts at the highest of its own
+counter and a floor: the lowest counter of the backlogged workspaces of the
+service or, if there is none, the service's virtual time. The virtual time is
+the lowest counter of a backlogged workspace at the latest grant and never goes
+back, as in start-time fair queueing. So time without wants gives no credit, and
+service received while nobody else waited leaves no debt.
+
+A reservation never exceeds the largest recent real cost. The stated bound on
+the gap between two backlogged workspaces counts one such cost per slot in
+flight, so a hint that is wrong cannot widen it.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from waxwingrack.core import data
+from waxwingrack.core import registry
+
+# Factor by which a hint can move a reservation either way.
+HINT_FACTOR = 10.0
+# Weight of the latest real cost in the running mean.
+MEAN_STEP = 0.1
+# Factor by which the largest cost fades with each completion, so that one
+# outlier does not raise reservations for ever.
+LARGEST_FADE = 0.995
+# Reservation in cost units while no real cost is known. It must not exceed the
+# cost of a real request, as over-reservation is bounded by that cost.
+FIRST_RESERVATION = 1.0
+# Counters are shifted down once the virtual time passes this value. A double
+# then still resolves 2**-12 cost units.
+REBASE_AT = float(2**40)
+# Workspace name of a service's own account.
+SERVICE_ACCOUNT = ""
+
+Reservation = Callable[[float, float, float], float]
+UnknownCost = Callable[[data.GrantRow, int], float]
+
+RESERVATIONS: registry.Registry[data.CostMeter, Reservation] = (
+    registry.Registry("reservation")
+)
+UNKNOWN_COSTS: registry.Registry[data.CostMeter, UnknownCost] = (
+    registry.Registry("cost of a request with an unknown end")
+)
+
+
+@RESERVATIONS.register(data.CostMeter.SLOT_MS)
+@RESERVATIONS.register(data.CostMeter.TOKENS)
+def _bounded_hint(mean: float, largest: float, hint: float) -> float:
+    if largest <= 0:
+        return FIRST_RESERVATION
+    if hint > 0:
+        wanted = min(max(hint, mean / HINT_FACTOR), mean * HINT_FACTOR)
+    else:
+        wanted = mean
+    return min(wanted, largest)
+
+
+@UNKNOWN_COSTS.register(data.CostMeter.SLOT_MS)
+def _time_held(grant: data.GrantRow, now_ms: int) -> float:
+    return float(now_ms - grant.granted_ms)
+
+
+@UNKNOWN_COSTS.register(data.CostMeter.TOKENS)
+def _charge_so_far(grant: data.GrantRow, now_ms: int) -> float:
+    del now_ms
+    return grant.charged
+
+
+def reserve(
+    account: data.Account,
+    service_account: data.Account,
+    meter: data.CostMeter,
+    hint: float,
+) -> float:
+    """Computes the cost to charge at the grant.
+
+    Args:
+      account: Account of the workspace.
+      service_account: Account of the service, used while the workspace has no
+        known cost.
+      meter: Cost meter of the service.
+      hint: Expected cost as the caller sees it, 0 if there is none.
+
+    Returns:
+      Cost in the unit of the meter.
+    """
+    known = account if account.largest > 0 else service_account
+    return RESERVATIONS[meter](known.mean, known.largest, hint)
+
+
+def charge(account: data.Account, cost: float, weight: float) -> data.Account:
+    """Adds a cost, which may be negative, to a counter."""
+    return data.Account(
+        account.value + cost / weight,
+        account.mean,
+        account.largest,
+        account.in_use,
+    )
+
+
+def observe(account: data.Account, cost: float) -> data.Account:
+    """Takes the real cost of an ended request into the running mean."""
+    if account.largest <= 0:
+        mean = cost
+    else:
+        mean = account.mean + MEAN_STEP * (cost - account.mean)
+    return data.Account(
+        account.value,
+        mean,
+        max(cost, account.largest * LARGEST_FADE),
+        account.in_use,
+    )
+
+
+def start(account: data.Account, floor: float) -> data.Account:
+    """Raises the counter of a workspace that becomes backlogged."""
+    if account.value >= floor:
+        return account
+    return dataclasses.replace(account, value=floor)
+
+
+def rebase(
+    accounts: Iterable[tuple[str, data.Account]],
+    backlogged: Iterable[str],
+    virtual: float,
+) -> tuple[tuple[str, data.Account], ...]:
+    """Shifts the counters of a service down by its virtual time.
+
+    Differences that matter are kept: a workspace without wants that is below
+    the virtual time would start at the virtual time anyway.
+
+    Args:
+      accounts: Accounts of the service by workspace.
+      backlogged: Workspaces with wants.
+      virtual: Virtual time of the service.
+
+    Returns:
+      The shifted accounts by workspace.
+    """
+    waiting = frozenset(backlogged)
+    return tuple(
+        (
+            workspace,
+            dataclasses.replace(
+                account,
+                value=account.value - virtual
+                if workspace in waiting
+                else max(0.0, account.value - virtual),
+            ),
+        )
+        for workspace, account in accounts
+    )
--- /dev/null
+++ b/waxwingrack/operations/slots.py
@@ -0,0 +1,185 @@
+"""Slot limit of a backend server.
+
+The limit starts at 1 and grows by one per `GROWTH` good completions, so by half
+in each round of requests, up to the announced slots. It is cut to 1
+on consecutive failures and when a cold start shows: the latest latencies are
+all several times the usual one of the service, version, data centre and route,
+and the server's peers do not show the same. Results of requests granted before
+a cut count neither for growth nor for another cut.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+import statistics
+
+from waxwingrack.core import data
+
+# Good completions that raise the limit by one.
+GROWTH = 2
+# Latency above the usual, as a factor, that counts as slow.
+SLOW_FACTOR = 4.0
+# Consecutive slow answers that show a cold start. With a log-normal spread of
+# sigma 1 four in a row happen by chance less than once in 20,000 answers.
+SLOW_ANSWERS = 4
+# Consecutive failures that cut the limit.
+FAILURES = 3
+# A peer must be this many times faster for a slow server to count as cold.
+PEER_FACTOR = 2.5
+# Age after which the latency of a peer says nothing about the present.
+PEER_AGE_MS = 10_000
+# Step of the running median in log scale, and its value for the first answers.
+MEDIAN_STEP = 0.03
+FIRST_MEDIAN_STEP = 0.5
+# Shortest latency that is told apart; below it the timer's noise dominates.
+MIN_LATENCY_MS = 1.0
+# Back-off after a connect failure, and its upper bound.
+BACK_OFF_MS = 500
+MAX_BACK_OFF_MS = 15_000
+
+_FAILURES = frozenset(
+    (
+        data.Outcome.SERVER_ERROR,
+        data.Outcome.CONNECTION_LOST,
+        data.Outcome.TIMED_OUT,
+    )
+)
+
+
+def fresh(slots: int) -> data.Ramp:
+    """Returns the ramp of a new incarnation."""
+    return data.Ramp(limit=min(1, slots), slots=slots)
+
+
+def announce(ramp: data.Ramp, slots: int) -> data.Ramp:
+    """Applies the announced slots."""
+    if ramp.slots == slots:
+        return ramp
+    return dataclasses.replace(
+        ramp, slots=slots, limit=min(max(1, ramp.limit), slots)
+    )
+
+
+def cut(ramp: data.Ramp, now_ms: int) -> data.Ramp:
+    """Cuts the limit to 1."""
+    return data.Ramp(
+        limit=min(1, ramp.slots),
+        slots=ramp.slots,
+        cut_ms=now_ms,
+        ratio=ramp.ratio,
+        ratio_ms=ramp.ratio_ms,
+    )
+
+
+def learn(usual: data.Latency | None, latency_ms: float) -> data.Latency:
+    """Moves the running median towards a latency.
+
+    The step does not depend on the distance, so outliers move the median no
+    more than other answers.
+    """
+    latency_ms = max(latency_ms, MIN_LATENCY_MS)
+    if usual is None:
+        return data.Latency(latency_ms)
+    step = max(MEDIAN_STEP, FIRST_MEDIAN_STEP / usual.count)
+    distance = math.log(latency_ms / usual.usual_ms)
+    move = max(-step, min(step, distance))
+    return data.Latency(usual.usual_ms * math.exp(move), usual.count + 1)
+
+
+def ratio(usual: data.Latency | None, latency_ms: float) -> float:
+    """Returns a latency as a multiple of the usual one."""
+    if usual is None:
+        return 1.0
+    return max(latency_ms, MIN_LATENCY_MS) / usual.usual_ms
+
+
+def observe(
+    ramp: data.Ramp,
+    outcome: data.Outcome,
+    slowness: float,
+    granted_ms: int,
+    now_ms: int,
+) -> data.Ramp:
+    """Takes the end of a request into the ramp.
+
+    Args:
+      ramp: Ramp of the server.
+      outcome: How the request ended.
+      slowness: Latency as a multiple of the usual one; used if completed.
+      granted_ms: Time of the grant.
+      now_ms: Present time.
+
+    Returns:
+      The new ramp; `slow` and `failures` tell whether a cut is due.
+    """
+    if granted_ms < ramp.cut_ms:
+        return ramp
+    if outcome in _FAILURES:
+        return dataclasses.replace(ramp, failures=ramp.failures + 1)
+    if outcome is not data.Outcome.COMPLETED:
+        return ramp
+    if slowness >= SLOW_FACTOR:
+        return dataclasses.replace(
+            ramp,
+            failures=0,
+            slow=(*ramp.slow, slowness)[-SLOW_ANSWERS:],
+            slow_since_ms=ramp.slow_since_ms if ramp.slow else now_ms,
+            ratio=slowness,
+            ratio_ms=now_ms,
+        )
+    good = ramp.good + 1
+    grown = good >= GROWTH and ramp.limit < ramp.slots
+    return data.Ramp(
+        limit=ramp.limit + 1 if grown else ramp.limit,
+        slots=ramp.slots,
+        good=0 if grown else min(good, GROWTH),
+        cut_ms=ramp.cut_ms,
+        ratio=slowness,
+        ratio_ms=now_ms,
+    )
+
+
+def suspected_cold(ramp: data.Ramp) -> bool:
+    """Tells whether the latest answers were all slow."""
+    return len(ramp.slow) >= SLOW_ANSWERS
+
+
+def cold(ramp: data.Ramp, peers: Iterable[data.Ramp], now_ms: int) -> bool:
+    """Tells whether a slow server is slower than its peers are now.
+
+    A slowdown of the whole service shows at the peers as well and is no reason
+    to cut. Peers that have answered since the server became slow are compared;
+    while none of them has, the verdict waits. A server without recent peers is
+    compared with its own past alone.
+
+    Args:
+      ramp: Ramp of the server.
+      peers: Ramps of the other servers of the same service, version and data
+        centre.
+      now_ms: Present time.
+
+    Returns:
+      Whether the limit has to be cut.
+    """
+    recent = [
+        peer for peer in peers if 0 <= peer.ratio_ms >= now_ms - PEER_AGE_MS
+    ]
+    if not recent:
+        return True
+    since = [
+        peer.ratio for peer in recent if peer.ratio_ms >= ramp.slow_since_ms
+    ]
+    if not since:
+        return False
+    return min(ramp.slow) >= PEER_FACTOR * statistics.median(since)
+
+
+def failing(ramp: data.Ramp) -> bool:
+    """Tells whether consecutive failures call for a cut."""
+    return ramp.failures >= FAILURES
+
+
+def back_off_ms(connect_failures: int) -> int:
+    """Returns the back-off after so many consecutive connect failures."""
+    doubled = BACK_OFF_MS * 2 ** min(connect_failures - 1, 10)
+    return min(MAX_BACK_OFF_MS, doubled)
--- /dev/null
+++ b/waxwingrack/operations/tables.py
@@ -0,0 +1,414 @@
+"""Tables of the scheduler and their indexes.
+
+`Tables` is immutable. During one call, the systems share a `Work`, which holds
+a mutable copy of each table; copies are cheap, as tables share structure.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+
+import immutables
+
+from waxwingrack.core import data
+from waxwingrack.core import registry
+from waxwingrack.operations import fairness
+from waxwingrack.operations import placement
+
+# Timers run in steps of this many milliseconds.
+TIMER_STEP_MS = 50
+# Levels of load that the index of free servers tells apart.
+LOAD_LEVELS = 8
+# An odd multiplier permutes the numbers modulo 2**32. Servers of equal load
+# are then taken in scattered order in place of always the first one.
+_SCATTER = 2_654_435_761
+_SCATTER_MASK = 0xFFFFFFFF
+
+GrantKey = tuple[int, int]
+
+_MAPS = (
+    "accounts",
+    "pools",
+    "queues",
+    "backlog",
+    "alone",
+    "servers",
+    "groups",
+    "free",
+    "free_counts",
+    "holders",
+    "unannounced",
+    "routers",
+    "grants",
+    "latencies",
+    "suspicions",
+    "condemned",
+    "timers",
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Scope:
+    """Parts of the environment by id.
+
+    Attributes:
+      environment: Environment that the other attributes were taken from.
+      services: Services by id.
+      weights: Weights by workspace.
+    """
+
+    environment: data.Environment | None = None
+    services: immutables.Map = immutables.Map()
+    weights: immutables.Map = immutables.Map()
+
+    def meter(self, service: str) -> data.CostMeter:
+        """Returns the cost meter of a service."""
+        found = self.services.get(service)
+        return found.cost_meter if found else data.CostMeter.SLOT_MS
+
+    def weight(self, workspace: str) -> float:
+        """Returns the weight of a workspace."""
+        return self.weights.get(workspace, 1.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Tables:
+    """State of the scheduler at the leader.
+
+    Attributes:
+      term: Term of the leader.
+      created_ms: Time at which the leader took over.
+      awaited: Router incarnations that have not reported yet.
+      open: Whether grants are no longer withheld.
+      next_grant: Id of the next grant.
+      next_arrival: Number of the next want.
+      next_key: Number of the next insertion into the index of free servers.
+      next_timer: Number of the next timer step.
+      accounts: `data.Account` by (service, workspace).
+      pools: `data.PoolRow` by service.
+      queues: Maps from avoided servers to `data.Lane`, by (service,
+        workspace).
+      backlog: Workspaces with wants, by service.
+      alone: `data.Lane` of requests that run alone, by service.
+      servers: `data.ServerRow` by server id.
+      groups: Usable servers by (service, version, data centre).
+      free: Servers with a free slot by (service, version, data centre, level
+        of load).
+      free_counts: Number of servers with a free slot by (service, version,
+        data centre).
+      holders: Servers by (service, prompt prefix).
+      unannounced: Grants in use by server without a row.
+      routers: `data.RouterRow` by node id.
+      grants: `data.GrantRow` by (term, id).
+      latencies: `data.Latency` by (service, version, data centre, route).
+      suspicions: `data.Suspicion` by request digest.
+      condemned: Time of the latest report by digest to be refused.
+      timers: Due entries by timer step.
+      broken: `data.BrokenServer` by (server id, incarnation).
+      drained: Drained data centres at the last tick.
+      refused: Refused digests at the last tick.
+      scope: Environment at the last tick.
+      arrived: Places of wants since the last tick.
+      samples: Samples since the last tick.
+      events: Log lines since the last tick.
+    """
+
+    term: int
+    created_ms: int
+    awaited: frozenset[str] = frozenset()
+    open: bool = False
+    next_grant: int = 1
+    next_arrival: int = 1
+    next_key: int = 1
+    next_timer: int = 0
+    accounts: immutables.Map = immutables.Map()
+    pools: immutables.Map = immutables.Map()
+    queues: immutables.Map = immutables.Map()
+    backlog: immutables.Map = immutables.Map()
+    alone: immutables.Map = immutables.Map()
+    servers: immutables.Map = immutables.Map()
+    groups: immutables.Map = immutables.Map()
+    free: immutables.Map = immutables.Map()
+    free_counts: immutables.Map = immutables.Map()
+    holders: immutables.Map = immutables.Map()
+    unannounced: immutables.Map = immutables.Map()
+    routers: immutables.Map = immutables.Map()
+    grants: immutables.Map = immutables.Map()
+    latencies: immutables.Map = immutables.Map()
+    suspicions: immutables.Map = immutables.Map()
+    condemned: immutables.Map = immutables.Map()
+    timers: immutables.Map = immutables.Map()
+    broken: immutables.Map = immutables.Map()
+    drained: frozenset[str] = frozenset()
+    refused: frozenset[str] = frozenset()
+    scope: Scope = Scope()
+    arrived: tuple[tuple[str, int], ...] = ()
+    samples: tuple[data.Sample, ...] = ()
+    events: tuple[data.SchedulerEvent, ...] = ()
+
+
+class Work:
+    """Mutable copy of the tables for the length of one call.
+
+    Attributes:
+      tables: Tables at the start.
+      now_ms: Present time.
+      granted: Grants decided in this call.
+      refusals: Refusals decided in this call, as (router, refusal, reason).
+      crashed: Digests to be refused, found in this call.
+    """
+
+    def __init__(self, tables: Tables, now_ms: int):
+        self.tables = tables
+        self.now_ms = now_ms
+        for name in _MAPS:
+            setattr(self, name, getattr(tables, name).mutate())
+        self.term = tables.term
+        self.awaited = tables.awaited
+        self.open = tables.open
+        self.next_grant = tables.next_grant
+        self.next_arrival = tables.next_arrival
+        self.next_key = tables.next_key
+        self.next_timer = tables.next_timer
+        self.broken = tables.broken
+        self.drained = tables.drained
+        self.refused = tables.refused
+        self.scope = tables.scope
+        self.arrived = list(tables.arrived)
+        self.samples = list(tables.samples)
+        self.events = list(tables.events)
+        self.granted: list[data.GrantDecision] = []
+        self.refusals: list[tuple[str, Any, str]] = []
+        self.crashed: list[str] = []
+
+    def finish(self) -> Tables:
+        """Returns the tables with every change of this call."""
+        return Tables(
+            term=self.term,
+            created_ms=self.tables.created_ms,
+            awaited=self.awaited,
+            open=self.open,
+            next_grant=self.next_grant,
+            next_arrival=self.next_arrival,
+            next_key=self.next_key,
+            next_timer=self.next_timer,
+            broken=self.broken,
+            drained=self.drained,
+            refused=self.refused,
+            scope=self.scope,
+            arrived=tuple(self.arrived),
+            samples=tuple(self.samples),
+            events=tuple(self.events),
+            **{name: getattr(self, name).finish() for name in _MAPS},
+        )
+
+    def event(self, name: str, reason: str, **fields: Any) -> None:
+        """Adds a log line."""
+        self.events.append(
+            data.SchedulerEvent(name, reason, immutables.Map(fields))
+        )
+
+
+# ---------------------------------------------------------------------------
+# Timers
+# ---------------------------------------------------------------------------
+
+TIMERS: registry.Registry[str, Callable[[Work, Any], None]] = registry.Registry(
+    "timer"
+)
+
+
+def set_timer(work: Work, at_ms: int, kind: str, key: Any) -> None:
+    """Runs the timer function `kind` with `key` at the first tick after a time.
+
+    Args:
+      work: Tables.
+      at_ms: Time.
+      kind: Name in `TIMERS`.
+      key: Argument; the same pair of kind and key is kept once per step.
+    """
+    step = max(work.next_timer, -(-at_ms // TIMER_STEP_MS))
+    due = work.timers.get(step, immutables.Map())
+    work.timers[step] = due.set((kind, key), None)
+
+
+def run_timers(work: Work) -> None:
+    """Runs every timer that is due."""
+    last = work.now_ms // TIMER_STEP_MS
+    if last - work.next_timer > len(work.timers):
+        timers = work.timers.finish()
+        work.timers = timers.mutate()
+        steps = sorted(step for step in timers if step <= last)
+    else:
+        steps = range(work.next_timer, last + 1)
+    work.next_timer = max(work.next_timer, last + 1)
+    for step in steps:
+        for kind, key in work.timers.pop(step, immutables.Map()):
+            TIMERS[kind](work, key)
+
+
+# ---------------------------------------------------------------------------
+# Accounts
+# ---------------------------------------------------------------------------
+
+
+def account(work: Work, service: str, workspace: str) -> data.Account:
+    """Returns the account of a workspace at a service.
+
+    A workspace without an account starts at the virtual time of the service.
+    """
+    found = work.accounts.get((service, workspace))
+    if found is not None:
+        return found
+    own = work.accounts.get((service, fairness.SERVICE_ACCOUNT))
+    return data.Account(value=own.value if own else 0.0)
+
+
+# ---------------------------------------------------------------------------
+# Backend servers and their indexes
+# ---------------------------------------------------------------------------
+
+
+def usable(row: data.ServerRow) -> bool:
+    """Tells whether a server is announced and stays."""
+    return not row.aged and not row.announcement.departing
+
+
+def _group(row: data.ServerRow | None) -> tuple[str, str, str] | None:
+    if row is None or not usable(row):
+        return None
+    seen = row.announcement
+    return (seen.service, seen.version, seen.data_centre)
+
+
+def free_level(row: data.ServerRow | None) -> tuple[str, str, str, int] | None:
+    """Returns the place of a server in the index of free servers."""
+    group = _group(row)
+    if (
+        group is None
+        or row.paused
+        or row.blocked
+        or row.reserved
+        or row.solo is not None
+    ):
+        return None
+    used = placement.in_use(row)
+    if used >= row.ramp.limit:
+        return None
+    return (*group, used * LOAD_LEVELS // row.ramp.limit)
+
+
+def _remove(table: Any, key: Any, member: Any) -> None:
+    members = table[key].delete(member)
+    if members:
+        table[key] = members
+    else:
+        del table[key]
+
+
+def _add(table: Any, key: Any, member: Any, value: Any = None) -> None:
+    table[key] = table.get(key, immutables.Map()).set(member, value)
+
+
+def _count(work: Work, group: tuple[str, str, str], change: int) -> None:
+    count = work.free_counts.get(group, 0) + change
+    if count:
+        work.free_counts[group] = count
+    else:
+        del work.free_counts[group]
+
+
+def pool(work: Work, service: str) -> data.PoolRow:
+    """Returns the row of a service; a new one has no usable server."""
+    row = work.pools.get(service)
+    if row is None:
+        row = data.PoolRow(none_since_ms=work.now_ms)
+        work.pools[service] = row
+    return row
+
+
+def store(work: Work, row: data.ServerRow) -> data.ServerRow:
+    """Stores a server's row and keeps the indexes in step.
+
+    Args:
+      work: Tables.
+      row: New row.
+
+    Returns:
+      The row as stored.
+    """
+    server_id = row.announcement.server_id
+    old = work.servers.get(server_id)
+    before, after = free_level(old), free_level(row)
+    if before != after:
+        if before is not None:
+            _remove(work.free, before, old.key)
+            _count(work, before[:3], -1)
+        if after is not None:
+            key = (work.next_key * _SCATTER) & _SCATTER_MASK
+            work.next_key += 1
+            row = dataclasses.replace(row, key=key)
+            _add(work.free, after, key, server_id)
+            _count(work, after[:3], 1)
+    _store_group(work, server_id, _group(old), _group(row))
+    work.servers[server_id] = row
+    return row
+
+
+def _store_group(
+    work: Work,
+    server_id: str,
+    before: tuple[str, str, str] | None,
+    after: tuple[str, str, str] | None,
+) -> None:
+    if before == after:
+        return
+    for group, change in ((before, -1), (after, 1)):
+        if group is None:
+            continue
+        if change < 0:
+            _remove(work.groups, group, server_id)
+        else:
+            _add(work.groups, group, server_id)
+        row = pool(work, group[0])
+        place = group[1:]
+        count = row.places.get(place, 0) + change
+        work.pools[group[0]] = dataclasses.replace(
+            row,
+            places=row.places.set(place, count)
+            if count
+            else row.places.delete(place),
+            usable=row.usable + change,
+            none_since_ms=work.now_ms
+            if row.usable + change == 0
+            else row.none_since_ms,
+        )
+
+
+def store_prefixes(
+    work: Work,
+    row: data.ServerRow,
+    prefixes: data.PrefixCache,
+    touched: Iterable[str],
+) -> data.ServerRow:
+    """Replaces a server's known prefixes.
+
+    Args:
+      work: Tables.
+      row: Row of the server, not stored yet.
+      prefixes: New prefixes.
+      touched: Prefixes that may have been added or removed.
+
+    Returns:
+      The row with the new prefixes.
+    """
+    seen = row.announcement
+    for prefix in touched:
+        before = prefix in row.prefixes.stored
+        after = prefix in prefixes.stored
+        if after and not before:
+            _add(work.holders, (seen.service, prefix), seen.server_id)
+        if before and not after:
+            _remove(work.holders, (seen.service, prefix), seen.server_id)
+    return dataclasses.replace(row, prefixes=prefixes)
