--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -84,8 +84,8 @@
         return
     view = scheduler.overview(controller.leader.tables, controller.clock())
     waiting = collections.Counter()
-    for row in view.workspaces:
-        waiting[row.service] += row.waiting
+    for row in view["workspaces"]:
+        waiting[row["service"]] += row["waiting"]
     for service, count in waiting.items():
         metrics.set(
             "waiting_requests",
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import itertools
 import operator
 import random
 from typing import Any
@@ -81,6 +80,7 @@
         self._policy: data.Policy | None = None
         self._push: tuple[int, bytes] = (0, b"")
         self._saved_counters: dict[tuple[str, str], float] = {}
+        self._saved_environment: data.Environment | None = None
         # Start of the time that no committed checkpoint includes yet.
         self._checkpoint_ms = self.since_ms
         self._next_checkpoint_ms = self.since_ms + CHECKPOINT_MS
@@ -165,7 +165,7 @@
         self, session: router_sessions.Session, reason: str
     ) -> None:
         logs.event(
-            "router_lost",
+            "router_session_ended",
             router=session.ref.node_id,
             incarnation=session.ref.incarnation,
             reason=reason,
@@ -204,21 +204,28 @@
             return
         granted: dict[str, list[data.Grant]] = {}
         refused: dict[str, list[messages.Refusal]] = {}
+        decisions: scheduler.Decisions | None = None
         policy = self._current_policy()
         if policy is not None:
             ticked = scheduler.tick(
                 self.tables, policy, self.services.clock(), self.services.rng
             )
-            self.tables = ticked.tables
-            self._note_decisions(ticked.decisions)
-            granted = _grouped(ticked.decisions.grants, "grant")
-            refused = _grouped(ticked.decisions.refusals, "refusal")
+            self.tables, decisions = ticked.tables, ticked.decisions
+            granted = _grouped(
+                (item.router, item.grant) for item in decisions.grants
+            )
+            refused = _grouped(
+                (router, refusal) for router, refusal, _ in decisions.refusals
+            )
         for session in self.services.sessions:
             self._answer(
                 session,
                 tuple(granted.get(session.ref.node_id, ())),
                 tuple(refused.get(session.ref.node_id, ())),
             )
+        # Grants leave first: a fault in what follows must not lose them.
+        if decisions is not None:
+            self._note_decisions(decisions)
 
     def _answer(
         self,
@@ -254,6 +261,10 @@
         if len(parts) != len(self._policy_parts) or not all(
             map(operator.is_, parts, self._policy_parts)
         ):
+            if state.environment is not self._saved_environment:
+                # A new document may have dropped counters from the state.
+                self._saved_environment = state.environment
+                self._saved_counters.clear()
             self._policy_parts = parts
             self._policy = data.Policy(
                 environment=state.environment,
@@ -263,7 +274,7 @@
             )
         return self._policy
 
-    def _note_decisions(self, decisions: Any) -> None:
+    def _note_decisions(self, decisions: scheduler.Decisions) -> None:
         metrics = self.services.metrics
         for item in decisions.grants:
             grant = item.grant
@@ -279,18 +290,18 @@
             )
         if decisions.grants:
             metrics.add("grants_total", "Grants issued.", len(decisions.grants))
-        for item in decisions.refusals:
+        for router, refusal, reason in decisions.refusals:
             logs.decision(
                 "refusal",
-                item.reason,
-                router=item.router,
-                want=item.refusal.want,
-                error=item.refusal.kind,
+                reason,
+                router=router,
+                want=refusal.want,
+                error=refusal.kind,
             )
             metrics.add(
                 "refusals_total",
                 "Requests refused by the leader.",
-                error=item.refusal.kind.value,
+                error=refusal.kind.value,
             )
         for item in decisions.events:
             logs.decision(item.name, item.reason, **dict(item.fields))
@@ -494,11 +505,8 @@
     leader.schedule_tick()
 
 
-def _grouped(items: Iterable[Any], field: str) -> dict[str, list]:
-    router = operator.attrgetter("router")
-    return {
-        node_id: [getattr(item, field) for item in group]
-        for node_id, group in itertools.groupby(
-            sorted(items, key=router), key=router
-        )
-    }
+def _grouped(pairs: Iterable[tuple[str, Any]]) -> dict[str, list]:
+    groups: dict[str, list] = {}
+    for key, value in pairs:
+        groups.setdefault(key, []).append(value)
+    return groups
--- a/waxwingrack/daemons/metrics.py
+++ b/waxwingrack/daemons/metrics.py
@@ -1,10 +1,10 @@
 """Metrics, liveness and readiness of a process over HTTP."""
 
 from collections.abc import Callable
-import functools
 import json
 
 import aioprometheus
+from aioprometheus import collectors
 from aioprometheus import renderer
 import klein
 from twisted.web import http
@@ -53,10 +53,6 @@
         """Sets a counter to a total that is counted elsewhere."""
         self._collector(aioprometheus.Counter, name, doc).set(labels, value)
 
-    def observe(self, name: str, doc: str, value: float, **labels: str) -> None:
-        """Adds a value to a histogram of durations in milliseconds."""
-        self._collector(_milliseconds, name, doc).add(labels, value)
-
     def forget(self, name: str) -> None:
         """Drops all time series of a gauge, before it is filled again."""
         if PREFIX + name in self._registry.collectors:
@@ -74,19 +70,13 @@
 
     def _collector(
         self, kind: Callable, name: str, doc: str
-    ) -> aioprometheus.Collector:
+    ) -> collectors.Collector:
         full = PREFIX + name
         if full not in self._registry.collectors:
             kind(full, doc, registry=self._registry)
         return self._registry.get(full)
 
 
-BUCKETS_MS = (0.1, 0.5, 1.0, 5.0, 10.0, 50.0, 100.0, 500.0, 1_000.0)
-_milliseconds = functools.partial(
-    aioprometheus.Histogram, buckets=list(BUCKETS_MS)
-)
-
-
 def watch_traffic(metrics: Metrics, counts: transport.Counts) -> None:
     """Shows the traffic between processes.
 
