--- /dev/null
+++ b/waxwingrack/daemons/admission.py
@@ -0,0 +1,318 @@
+"""Limits on callers' connections, headers and bodies.
+
+Requests over a limit are refused while they are still being received. After
+such a refusal the connection discards what the caller goes on sending for a
+short time, because closing it at once could destroy the answer on its way.
+"""
+
+# Methods that override those of twisted keep its names.
+# ruff: noqa: N802, N815
+
+import io
+import re
+from typing import Any
+from typing import Protocol
+import urllib.parse
+
+from twisted.python import failure
+from twisted.web import http
+from twisted.web import server
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.operations import routing
+
+# Caller connections without a request are closed after this time, in seconds.
+IDLE_CONNECTION_S = 75
+# Time for which a refused caller's remaining bytes are discarded, in seconds.
+LINGER_S = 2.0
+# Connections above the limit that are kept open just to be refused.
+SPARE_CONNECTIONS = 256
+MAX_HEADERS = 200
+# Paths of the router itself.
+OWN_PREFIX = b"/-/"
+
+_METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,32}")
+_URI = re.compile(rb"/[\x21-\x7e]*")
+
+
+class Front(Protocol):
+    """What admission needs from the router."""
+
+    settings: data.Settings
+    reactor: Any
+
+    def write_refusal(
+        self,
+        req: "CallersRequest",
+        kind: errors.ErrorKind,
+        stated: errors.Execution,
+        reason: str,
+    ) -> None:
+        """Answers a request with a refusal and logs it."""
+
+    def failed(self, name: str, exc: BaseException) -> None:
+        """Logs and counts an unexpected exception."""
+
+
+class CallersSite(server.Site):
+    """Site of the callers' port.
+
+    Attributes:
+      front: The router.
+      channels: Open connections of callers.
+    """
+
+    def __init__(self, resource: Any, front: Front):
+        super().__init__(
+            resource, requestFactory=CallersRequest, timeout=IDLE_CONNECTION_S
+        )
+        self.protocol = CallersChannel
+        self.displayTracebacks = False
+        self.front = front
+        self.channels: set[CallersChannel] = set()
+
+    def log(self, request: http.Request) -> None:
+        """Leaves out the access log; decisions are logged instead."""
+
+
+class CallersChannel(http.HTTPChannel):
+    """Connection of a caller.
+
+    Attributes:
+      overflow: Whether the connection is above the limit.
+    """
+
+    maxHeaders = MAX_HEADERS
+    site: CallersSite
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.overflow = False
+        self._deadline: Any = None
+        self._refused = False
+        self._header_bytes = 0
+
+    def connectionMade(self) -> None:
+        """Registers the connection."""
+        settings = self.site.front.settings
+        # The base class answers its own limits with 400; they are set so that
+        # the checks below come first.
+        self.totalHeadersSize = settings.max_header_bytes * 2
+        self.MAX_LENGTH = settings.max_header_bytes
+        super().connectionMade()
+        limit = settings.max_open_connections
+        if len(self.site.channels) >= limit + SPARE_CONNECTIONS:
+            self.transport.abortConnection()
+            return
+        self.overflow = len(self.site.channels) >= limit
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Forgets the connection."""
+        self.site.channels.discard(self)
+        self._cancel_deadline()
+        super().connectionLost(reason)
+
+    def lineReceived(self, line: bytes) -> None:
+        """Counts header bytes and starts the time limit of the request."""
+        if self._refused:
+            return
+        if self._deadline is None and line:
+            self._deadline = self.callLater(
+                self.site.front.settings.body_timeout_s,
+                self.refuse,
+                errors.ErrorKind.BODY_TIMEOUT,
+            )
+        self._header_bytes += len(line) + 2
+        if self._header_bytes > self.site.front.settings.max_header_bytes:
+            self.refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuses a line that is longer than all headers may be."""
+        self.refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
+
+    def headerReceived(self, line: bytes) -> bool:
+        """Refuses too many headers."""
+        if self._refused:
+            return False
+        if self._receivedHeaderCount >= self.maxHeaders:
+            self.refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
+            return False
+        return super().headerReceived(line)
+
+    def allHeadersReceived(self) -> None:
+        """Refuses before the caller is told to send its body."""
+        if self._refused:
+            return
+        self._header_bytes = 0
+        if self.overflow:
+            self.refuse(errors.ErrorKind.TOO_MANY_CONNECTIONS)
+            return
+        if (self.length or 0) > self.site.front.settings.max_body_bytes:
+            self.refuse(errors.ErrorKind.BODY_TOO_LARGE)
+            return
+        super().allHeadersReceived()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Passes on the body."""
+        if not self._refused:
+            super().rawDataReceived(data)
+
+    def allContentReceived(self) -> None:
+        """Ends the time limit of the request."""
+        if not self._refused:
+            self._cancel_deadline()
+            super().allContentReceived()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self.refuse(errors.ErrorKind.BAD_REQUEST)
+
+    def refuse(self, kind: errors.ErrorKind) -> None:
+        """Refuses a request that is being received and ends the connection.
+
+        Args:
+          kind: Error kind.
+        """
+        if self._refused:
+            return
+        self._refused = True
+        self._cancel_deadline()
+        self.setTimeout(None)
+        self.persistent = False
+        req = self.requests[-1] if self.requests else self._placeholder()
+        req.clientproto = b"HTTP/1.1"
+        req.method = getattr(self, "_command", b"GET")
+        req.uri = req.path = getattr(self, "_path", b"/")
+        self.site.front.write_refusal(
+            req, kind, errors.ANSWERS[kind].execution, "limit"
+        )
+
+    def loseConnection(self) -> None:
+        """Ends the connection; lingers if the caller may still be sending."""
+        if not self._refused:
+            super().loseConnection()
+            return
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.callLater(LINGER_S, self.transport.abortConnection)
+
+    def close_when_idle(self) -> None:
+        """Closes the connection unless a request is open on it."""
+        self.persistent = False
+        if not self.requests:
+            super().loseConnection()
+
+    def _placeholder(self) -> "CallersRequest":
+        req = CallersRequest(self)
+        self.requests.append(req)
+        return req
+
+    def _cancel_deadline(self) -> None:
+        if self._deadline is not None and self._deadline.active():
+            self._deadline.cancel()
+        self._deadline = None
+
+
+class CallersRequest(server.Request):
+    """Request of a caller; its body is kept in memory.
+
+    Attributes:
+      request_id: Id of the request, from the caller or made by the router.
+      request_id_valid: Whether the caller's id may be used.
+    """
+
+    defaultContentType = None
+    content: io.BytesIO
+
+    def __init__(self, channel: CallersChannel, queued: Any = False):
+        del queued  # Requests of a connection are handled one by one.
+        super().__init__(channel, False, parsePOSTFormSubmission=False)
+        self.request_id = ""
+        self.request_id_valid = True
+        self._received = 0
+
+    def gotLength(self, length: int | None) -> None:
+        """Prepares for the body."""
+        self.content = io.BytesIO()
+
+    def parseCookies(self) -> None:
+        """Leaves cookies to the backend servers."""
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        self._received += len(data)
+        if self._received > self.channel.site.front.settings.max_body_bytes:
+            self.channel.refuse(errors.ErrorKind.BODY_TOO_LARGE)
+            return
+        self.content.write(data)
+
+    def process(self) -> None:
+        """Checks the request line and passes the request on."""
+        self.site = self.channel.site
+        self.take_request_id()
+        if not self._well_formed():
+            self.site.front.write_refusal(
+                self,
+                errors.ErrorKind.BAD_REQUEST,
+                errors.Execution.NOT_RUN,
+                "request_line_or_host",
+            )
+            return
+        self.prepath = []
+        # Only the router's own paths are looked up by klein; all others are
+        # matched by the tables of the environment, byte for byte.
+        own = self.path.startswith(OWN_PREFIX)
+        self.postpath = (
+            [urllib.parse.unquote_to_bytes(part) for part in self._segments()]
+            if own
+            else [b""]
+        )
+        try:
+            self.render(self.site.resource)
+        except Exception:  # noqa: BLE001
+            self.processingFailed(failure.Failure())
+
+    def take_request_id(self) -> None:
+        """Reads the caller's id, or makes one."""
+        given = self.requestHeaders.getRawHeaders(b"X-Request-Id") or []
+        text = given[0].decode("latin-1") if given else ""
+        self.request_id_valid = not given or (
+            len(given) == 1 and routing.valid_request_id(text)
+        )
+        self.request_id = (
+            text
+            if given and self.request_id_valid
+            else self.channel.site.front.new_request_id()
+        )
+
+    def processingFailed(self, reason: failure.Failure) -> None:
+        """Answers an unexpected exception."""
+        front = self.channel.site.front
+        front.failed("request_failed", reason.value)
+        if self.startedWriting:
+            self.channel.transport.abortConnection()
+        elif not self.finished:
+            front.write_refusal(
+                self,
+                errors.ErrorKind.INTERNAL,
+                errors.Execution.MAY_HAVE_RUN,
+                "exception",
+            )
+
+    def _segments(self) -> list[bytes]:
+        return self.path[1:].split(b"/")
+
+    def _well_formed(self) -> bool:
+        hosts = self.requestHeaders.getRawHeaders(b"Host") or []
+        if not _METHOD.fullmatch(self.method) or self.method == b"CONNECT":
+            return False
+        if not _URI.fullmatch(self.uri) or len(hosts) > 1:
+            return False
+        try:
+            urllib.parse.unquote_to_bytes(self.path).decode()
+        except UnicodeDecodeError:
+            return not self.path.startswith(OWN_PREFIX)
+        return True
--- /dev/null
+++ b/waxwingrack/daemons/answers.py
@@ -0,0 +1,318 @@
+"""Answers on their way from a backend server to a caller."""
+
+# Methods that override those of twisted keep its names.
+# ruff: noqa: N802, N815
+
+import dataclasses
+import socket
+import struct
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http
+from zope.interface import implementer
+
+from waxwingrack.core import data
+from waxwingrack.daemons import admission
+from waxwingrack.daemons import forwarding
+from waxwingrack.operations import costs
+from waxwingrack.operations import idempotency
+from waxwingrack.operations import queueing
+
+_NO_BODY_STATUS = frozenset({204, 304})
+
+
+class CallerSide:
+    """The caller's end of an answer.
+
+    Attributes:
+      started: Whether a byte of the answer was written.
+    """
+
+    def __init__(self, req: admission.CallersRequest, hold_end: bool):
+        """Prepares an answer.
+
+        Args:
+          req: Request of the caller.
+          hold_end: Whether the caller must not see the end of the answer
+            before `finish` is called.
+        """
+        self._req = req
+        self._hold_end = hold_end
+        self._remaining: int | None = None
+        self._held = b""
+        self._detached = False
+        self.started = False
+
+    @property
+    def attached(self) -> bool:
+        """Whether the caller still takes the answer."""
+        return not self._detached
+
+    def detach(self) -> None:
+        """Stops writing; the caller is gone or too slow."""
+        self._detached = True
+
+    def start(
+        self,
+        status: int,
+        phrase: bytes | None,
+        headers: tuple[tuple[bytes, bytes], ...],
+        length: int | None,
+        content_length: bytes | None = None,
+    ) -> None:
+        """Writes the head of the answer.
+
+        Args:
+          status: HTTP status.
+          phrase: Reason phrase, None for the usual one.
+          headers: Headers of the answer.
+          length: Length of the body; None if unknown.
+          content_length: Content-Length of an answer without body.
+        """
+        if self._detached:
+            return
+        req = self._req
+        req.setResponseCode(status, phrase)
+        for name in dict.fromkeys(name.lower() for name, _ in headers):
+            req.responseHeaders.removeHeader(name)
+        for name, value in headers:
+            req.responseHeaders.addRawHeader(name, value)
+        bodiless = req.method == b"HEAD" or status in _NO_BODY_STATUS
+        if bodiless:
+            if content_length is not None and status != 204:
+                req.responseHeaders.setRawHeaders(
+                    b"Content-Length", [content_length]
+                )
+            length = 0
+        elif length is not None:
+            req.responseHeaders.setRawHeaders(
+                b"Content-Length", [b"%d" % length]
+            )
+        self._remaining = length
+        if self._hold_end and length == 0:
+            return
+        self.started = True
+        req.write(b"")
+
+    def write(self, chunk: bytes) -> None:
+        """Writes a part of the body."""
+        if self._detached:
+            return
+        if self._remaining is not None:
+            self._remaining -= len(chunk)
+            if self._hold_end and self._remaining <= 0:
+                self._held += chunk
+                return
+        self.started = True
+        self._req.write(chunk)
+
+    def finish(self) -> None:
+        """Ends a whole answer."""
+        if self._detached:
+            return
+        self._detached = True
+        if self._held:
+            self._req.write(self._held)
+        self.started = True
+        self._req.finish()
+
+    def abort(self) -> None:
+        """Breaks the connection, so that the answer cannot pass for whole."""
+        if self._detached:
+            return
+        self._detached = True
+        abort_connection(self._req)
+
+
+def abort_connection(req: admission.CallersRequest) -> None:
+    """Resets the connection of a caller.
+
+    Args:
+      req: Request on the connection.
+    """
+    transport = req.channel.transport if req.channel else None
+    if transport is None:
+        return
+    # An answer without length ends with the connection; only a reset tells
+    # its caller that the end is missing.
+    if not req.chunked and not req.responseHeaders.hasHeader(b"Content-Length"):
+        handle = transport.getHandle()
+        handle.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    transport.abortConnection()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """How the body of an answer ended.
+
+    Attributes:
+      fault: None if the body is whole.
+    """
+
+    fault: queueing.Fault | None
+
+
+@implementer(interfaces.IPushProducer)
+class Pump(protocol.Protocol):
+    """Passes the body of an answer on, at the pace of the caller.
+
+    Attributes:
+      ended: Fires with an `End` when the body has ended.
+      caller_too_slow: Whether the caller took nothing for too long.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        head: forwarding.Head,
+        side: CallerSide,
+        meter: costs.Meter,
+        idle_timeout_s: float,
+        keep: bool,
+    ):
+        """Prepares a transfer.
+
+        Args:
+          reactor: Source of timers.
+          head: Head of the answer.
+          side: The caller's end.
+          meter: Cost meter of the request.
+          idle_timeout_s: Longest pause of either side.
+          keep: Whether to keep the body for resends.
+        """
+        self.ended: defer.Deferred = defer.Deferred()
+        self.caller_too_slow = False
+        self._reactor = reactor
+        self._head = head
+        self._side = side
+        self._meter = meter
+        self._idle_timeout_s = idle_timeout_s
+        self._kept = bytearray() if keep else None
+        self._truncated = False
+        self._paused = False
+        self._done = False
+        self._fault: queueing.Fault | None = None
+        self._active_s = reactor.seconds()
+        self._timer: Any = None
+
+    def run(self) -> defer.Deferred:
+        """Starts the transfer.
+
+        Returns:
+          `ended`.
+        """
+        self._timer = self._reactor.callLater(
+            self._idle_timeout_s, self._check_idle
+        )
+        self._head.response.deliverBody(self)
+        return self.ended
+
+    def dataReceived(self, chunk: bytes) -> None:
+        """Handles a part of the body."""
+        self._active_s = self._reactor.seconds()
+        self._meter.feed(chunk)
+        if self._kept is not None and not self._truncated:
+            self._kept += chunk
+            if len(self._kept) > idempotency.MAX_ANSWER_BYTES:
+                self._truncated = True
+                self._kept.clear()
+        self._side.write(chunk)
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Handles the end of the body."""
+        if self._done:
+            return
+        self._done = True
+        if self._timer and self._timer.active():
+            self._timer.cancel()
+        whole = reason.check(client.ResponseDone) or (
+            reason.check(http.PotentialDataLoss) and self._closed_cleanly()
+        )
+        fault = None
+        if self._fault or not whole:
+            fault = self._fault or queueing.Fault.CONNECTION_LOST
+        self.ended.callback(End(fault))
+
+    def _closed_cleanly(self) -> bool:
+        reason = self._head.conn.lost_reason
+        return reason is not None and bool(reason.check(error.ConnectionDone))
+
+    def abort(self, fault: queueing.Fault) -> None:
+        """Closes the connection to the backend server.
+
+        Args:
+          fault: How the transfer ended.
+        """
+        if not self._done:
+            self._fault = fault
+            self._head.conn.abort()
+
+    def release_caller(self) -> None:
+        """Goes on without the caller."""
+        self._side.detach()
+        self.resumeProducing()
+
+    def stored_answer(
+        self, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> data.StoredAnswer:
+        """Returns the answer to keep for resends.
+
+        Args:
+          headers: Headers of the answer.
+        """
+        return data.StoredAnswer(
+            status=self._head.status,
+            headers=tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in headers
+            ),
+            body=bytes(self._kept or b""),
+            truncated=self._truncated,
+        )
+
+    # -- IPushProducer ------------------------------------------------------
+
+    def pauseProducing(self) -> None:
+        """Stops reading: the caller's buffer is full."""
+        if not self._done:
+            self._paused = True
+            self._active_s = self._reactor.seconds()
+            self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Goes on reading."""
+        if not self._done and self._paused:
+            self._paused = False
+            self._active_s = self._reactor.seconds()
+            self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """Does nothing: the loss of the caller is handled by its request."""
+
+    def _check_idle(self) -> None:
+        idle_s = self._reactor.seconds() - self._active_s
+        if idle_s < self._idle_timeout_s:
+            self._timer = self._reactor.callLater(
+                self._idle_timeout_s - idle_s, self._check_idle
+            )
+            return
+        if not self._paused:
+            self.abort(queueing.Fault.TIMED_OUT)
+            return
+        self.caller_too_slow = True
+        self._side.abort()
+        if self._kept is not None:
+            self.release_caller()
+            self._timer = self._reactor.callLater(
+                self._idle_timeout_s, self._check_idle
+            )
+        else:
+            self.abort(queueing.Fault.TIMED_OUT)
--- /dev/null
+++ b/waxwingrack/daemons/callers_api.py
@@ -0,0 +1,125 @@
+"""HTTP resources of a router: the callers' port and the operators' port."""
+
+import json
+from typing import Any
+from typing import Protocol
+
+import klein
+from returns import result
+from twisted.internet import defer
+from twisted.web import resource
+
+from waxwingrack.core import data
+from waxwingrack.daemons import admission
+from waxwingrack.operations import announcements
+from waxwingrack.operations import routing
+
+_ANY_METHOD = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
+
+
+class Host(Protocol):
+    """What the resources need from their router."""
+
+    tables: routing.Tables | None
+
+    def begin(self, req: admission.CallersRequest) -> defer.Deferred:
+        """Handles a caller's request."""
+
+    def unready(self) -> str:
+        """Returns why the router is not ready, or an empty text."""
+
+    def announce(self, announcement: data.Announcement) -> bool:
+        """Forwards an announcement; False if there is no leader."""
+
+    def render_metrics(self, accept: list[str]) -> tuple[bytes, dict]:
+        """Returns body and headers of the metrics."""
+
+
+def callers_resource(host: Host) -> resource.Resource:
+    """Builds the resource of the callers' port.
+
+    Args:
+      host: The router.
+
+    Returns:
+      A klein resource.
+    """
+    app = klein.Klein()
+    app.url_map.merge_slashes = False
+
+    @app.route("/", branch=True)
+    def forward(request: Any) -> defer.Deferred:
+        return host.begin(request)
+
+    @app.route("/-/readyz", methods=["GET", "HEAD"])
+    def ready(request: Any) -> bytes:
+        return _ready(host, request)
+
+    @app.route("/-/backend-servers/<server_id>", methods=["PUT"])
+    def announce(request: Any, server_id: str) -> bytes:
+        return _announce(host, request, server_id)
+
+    return app.resource()
+
+
+def operators_resource(host: Host) -> resource.Resource:
+    """Builds the resource of the operators' port.
+
+    Args:
+      host: The router.
+
+    Returns:
+      A klein resource.
+    """
+    app = klein.Klein()
+
+    @app.route("/healthz", methods=["GET", "HEAD"])
+    def healthy(request: Any) -> bytes:
+        return _json(request, 200, {})
+
+    @app.route("/readyz", methods=["GET", "HEAD"])
+    def ready(request: Any) -> bytes:
+        return _ready(host, request)
+
+    @app.route("/metrics", methods=["GET", "HEAD"])
+    def metrics(request: Any) -> bytes:
+        accept = request.requestHeaders.getRawHeaders("Accept") or []
+        body, headers = host.render_metrics(accept)
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        return body
+
+    return app.resource()
+
+
+def _ready(host: Host, request: Any) -> bytes:
+    reason = host.unready()
+    return _json(request, 503 if reason else 200, {"reason": reason})
+
+
+def _announce(host: Host, request: Any, server_id: str) -> bytes:
+    if host.tables is None:
+        return _json(request, 503, {"reason": "not_ready"})
+    header = request.getHeader("Authorization")
+    if routing.token_digest(header) not in host.tables.announcers:
+        return _json(request, 401, {"reason": "unknown_token"})
+    body = request.content.getvalue()
+    match announcements.check(server_id, body, host.tables.environment):
+        case result.Failure(faults):
+            errors = [
+                {"path": fault.path, "rule": fault.rule} for fault in faults
+            ]
+            return _json(request, 400, {"errors": errors})
+        case result.Success(announcement):
+            if not host.announce(announcement):
+                return _json(request, 503, {"reason": "control_unavailable"})
+    request.setResponseCode(204)
+    return b""
+
+
+def _json(request: Any, status: int, document: dict) -> bytes:
+    body = json.dumps(document).encode()
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Type", b"application/json")
+    request.setHeader(b"Content-Length", b"%d" % len(body))
+    return body
--- /dev/null
+++ b/waxwingrack/daemons/exchanges.py
@@ -0,0 +1,766 @@
+"""Life of one caller's request at a router.
+
+A request is admitted, waits for a grant, is sent and answered. A request with
+an idempotency key is looked up first and claimed after its grant. Each try
+uses one grant; every way out of a try reports it.
+"""
+
+import collections
+import dataclasses
+import random
+from typing import Any
+from typing import Protocol
+
+from returns import result
+from twisted.internet import defer
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.core import logs
+from waxwingrack.core import messages
+from waxwingrack.daemons import admission
+from waxwingrack.daemons import answers
+from waxwingrack.daemons import control_link
+from waxwingrack.daemons import dispatch
+from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import router_metrics
+from waxwingrack.operations import costs
+from waxwingrack.operations import idempotency
+from waxwingrack.operations import queueing
+from waxwingrack.operations import routing
+
+# Longest wait for the confirmation of a key message while a caller waits.
+CONFIRM_WAIT_S = messages.CONTROL_TIMEOUT_MS / 1000
+# Pause before a key is looked up again after the leader changed.
+LOOKUP_AGAIN_S = 0.05
+
+_OUTCOMES = {
+    queueing.Fault.CONNECT_FAILED: data.Outcome.CONNECT_FAILED,
+    queueing.Fault.CONNECTION_LOST: data.Outcome.CONNECTION_LOST,
+    queueing.Fault.TIMED_OUT: data.Outcome.TIMED_OUT,
+    queueing.Fault.GRANT_EXPIRED: data.Outcome.NOT_DISPATCHED,
+    queueing.Fault.CLAIM_LOST: data.Outcome.NOT_DISPATCHED,
+}
+
+
+class Host(Protocol):
+    """What a request needs from its router."""
+
+    settings: data.Settings
+    reactor: Any
+    rng: random.Random
+    tables: routing.Tables | None
+    dispatcher: dispatch.Dispatcher
+    link: control_link.ControlLink
+    forwarder: forwarding.Forwarder
+    metrics: router_metrics.RouterMetrics
+    closing: bool
+    keys: dict[tuple[str, str], str]
+    open_by_workspace: collections.Counter
+
+    def clock(self) -> int:
+        """Returns the monotonic clock in milliseconds."""
+
+    def write_refusal(
+        self,
+        req: admission.CallersRequest,
+        kind: errors.ErrorKind,
+        stated: errors.Execution,
+        reason: str,
+        **fields: Any,
+    ) -> None:
+        """Answers a request with a refusal and logs it."""
+
+    def failed(self, name: str, exc: BaseException) -> None:
+        """Logs and counts an unexpected exception."""
+
+
+class _EndedError(Exception):
+    """The answer has been written."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Admitted:
+    """What is known of a request once it is admitted."""
+
+    workspace: data.Workspace
+    service: data.Service
+    route: data.Route
+    body: bytes
+    want: data.Want
+    key: str | None
+    deadline_ms: int
+
+
+class Exchange:
+    """One request of a caller.
+
+    Attributes:
+      waiting_sequence: Sequence of its want while it waits, None otherwise.
+    """
+
+    def __init__(self, host: Host, req: admission.CallersRequest):
+        self.waiting_sequence: int | None = None
+        self._host = host
+        self._req = req
+        self._gone = False
+        self._sent = False
+        self._cancel: Any = None
+        self._lease: dispatch.Lease | None = None
+        self._side: answers.CallerSide | None = None
+        self._unconfirmed: list[defer.Deferred] = []
+        self._key: tuple[str, str] | None = None
+        self._workspace = ""
+        self._service = ""
+        self._pump: answers.Pump | None = None
+        req.notifyFinish().addErrback(lambda _: self._caller_gone())
+
+    async def run(self) -> None:
+        """Handles the request to its end; raises nothing."""
+        try:
+            await self._run()
+        except _EndedError:
+            pass
+        except dispatch.CallerGoneError:
+            logs.decision("ended", "caller_gone", **self._fields())
+        except dispatch.RefusedError as exc:
+            self._refuse(exc)
+        except Exception as exc:  # noqa: BLE001
+            self._host.failed("exchange_failed", exc)
+            self._refuse(dispatch.RefusedError(errors.ErrorKind.INTERNAL))
+        finally:
+            self._clean_up()
+
+    def cut(self) -> None:
+        """Ends the request at once; the router stops."""
+        if self.waiting_sequence is not None:
+            self._host.dispatcher.give_up(
+                self.waiting_sequence,
+                dispatch.RefusedError(errors.ErrorKind.SHUTTING_DOWN),
+            )
+        elif self._pump:
+            self._pump.abort(queueing.Fault.CONNECTION_LOST)
+        elif self._cancel:
+            self._cancel()
+
+    # -- admission ----------------------------------------------------------
+
+    def _admit(self) -> _Admitted:
+        host, req = self._host, self._req
+        kinds = errors.ErrorKind
+        if host.closing:
+            raise dispatch.RefusedError(kinds.SHUTTING_DOWN)
+        if host.tables is None:
+            raise dispatch.RefusedError(kinds.NOT_READY)
+        workspace = _unwrap(
+            routing.authenticate(host.tables, self._header("Authorization"))
+        )
+        if host.open_by_workspace[workspace.id] >= workspace.max_connections:
+            raise dispatch.RefusedError(kinds.TOO_MANY_CONNECTIONS)
+        self._workspace = workspace.id
+        host.open_by_workspace[workspace.id] += 1
+        method = req.method.decode()
+        found = _unwrap(
+            routing.match_route(host.tables, method, req.path.decode("latin-1"))
+        )
+        self._service = found.service.id
+        if not req.request_id_valid:
+            raise dispatch.RefusedError(kinds.BAD_REQUEST, "request_id")
+        key = _unwrap(
+            idempotency.check_key(self._key_header(), found.route.idempotent)
+        )
+        body = req.content.getvalue()
+        digest = routing.request_digest(
+            workspace.id, method, req.uri.decode("latin-1"), body
+        )
+        if digest in host.tables.refused_digests:
+            raise dispatch.RefusedError(kinds.REQUEST_CRASHES_SERVERS)
+        if not host.link.alive:
+            raise dispatch.RefusedError(
+                kinds.CONTROL_UNAVAILABLE, record_unread=key is not None
+            )
+        return _Admitted(
+            workspace=workspace,
+            service=found.service,
+            route=found.route,
+            body=body,
+            want=data.Want(
+                sequence=0,
+                workspace=workspace.id,
+                service=found.service.id,
+                route=found.route.id,
+                digest=digest,
+                prefix=routing.prompt_prefix(
+                    self._header("X-Prompt-Prefix"),
+                    self._header("Content-Type") or "",
+                    body,
+                ),
+                hint=routing.cost_hint(self._header("X-Cost-Hint")),
+            ),
+            key=key,
+            deadline_ms=host.clock()
+            + round(found.service.queue_timeout_s * 1000),
+        )
+
+    def _header(self, name: str) -> str | None:
+        values = self._req.requestHeaders.getRawHeaders(name.encode())
+        return values[0].decode("latin-1") if values else None
+
+    def _key_header(self) -> str | None:
+        values = self._req.requestHeaders.getRawHeaders(b"Idempotency-Key")
+        # Two keys are not one key; the comma makes the check refuse them.
+        return b", ".join(values).decode("latin-1") if values else None
+
+    # -- tries --------------------------------------------------------------
+
+    async def _run(self) -> None:
+        admitted = self._admit()
+        host = self._host
+        host.dispatcher.budgets = queueing.earn_retry(
+            host.dispatcher.budgets, admitted.service.id
+        )
+        if admitted.key is not None:
+            await self._look_up(admitted)
+        want, place, tries = admitted.want, None, 0
+        while True:
+            lease = await self._wait(admitted, want, place)
+            place = lease.place
+            fault = await self._try(admitted, lease)
+            tries += fault not in queueing.FREE
+            decision = self._decide(admitted, fault, tries)
+            if not decision.retry:
+                raise dispatch.RefusedError(
+                    queueing.KINDS[fault], decision.reason
+                )
+            host.metrics.retried(fault)
+            logs.decision(
+                "retried",
+                decision.reason,
+                **self._fields(),
+                server=lease.grant.server_id,
+            )
+            if fault not in queueing.FREE:
+                want = dataclasses.replace(
+                    want, avoid=(*want.avoid, lease.grant.server_id)
+                )
+
+    def _decide(
+        self, admitted: _Admitted, fault: queueing.Fault, tries: int
+    ) -> queueing.Decision:
+        dispatcher = self._host.dispatcher
+        dispatcher.budgets, decision = queueing.decide_retry(
+            dispatcher.budgets,
+            admitted.service.id,
+            queueing.Attempt(
+                repeatable=admitted.route.idempotent and admitted.key is None,
+                fault=fault,
+                tries=tries,
+                answer_started=self._side is not None and self._side.started,
+            ),
+        )
+        return decision
+
+    async def _wait(
+        self, admitted: _Admitted, want: data.Want, place: int | None
+    ) -> dispatch.Lease:
+        host = self._host
+        if self._gone:
+            raise dispatch.CallerGoneError
+        if not host.link.alive:
+            raise dispatch.RefusedError(errors.ErrorKind.CONTROL_UNAVAILABLE)
+        sequence, granted = host.dispatcher.wait(
+            want, admitted.deadline_ms, admitted.workspace.max_queue, place
+        )
+        logs.decision(
+            "queued",
+            "needs_grant",
+            **self._fields(),
+            want=sequence,
+            digest=want.digest,
+        )
+        self.waiting_sequence = sequence
+        self._cancel = lambda: host.dispatcher.give_up(
+            sequence, dispatch.CallerGoneError()
+        )
+        try:
+            self._lease = await granted
+        finally:
+            self._cancel = None
+            self.waiting_sequence = None
+        return self._lease
+
+    async def _try(
+        self, admitted: _Admitted, lease: dispatch.Lease
+    ) -> queueing.Fault:
+        """Uses one grant.
+
+        Returns:
+          How the try failed, so that the request may be tried again.
+
+        Raises:
+          _EndedError: The answer was written or cut.
+          RefusedError: The request ends with a refusal.
+          CallerGoneError: The caller left and the request does not go on.
+        """
+        if admitted.key is not None and not await self._claim(admitted, lease):
+            self._return(lease)
+            await self._release(admitted)
+            return queueing.Fault.CLAIM_LOST
+        try:
+            head = await self._send(admitted, lease)
+        except forwarding.NotSentError as exc:
+            self._end_lease(lease, _OUTCOMES[exc.fault])
+            if admitted.key is not None:
+                await self._release(admitted)
+            if self._gone:
+                raise dispatch.CallerGoneError from None
+            return exc.fault
+        except forwarding.BrokenError as exc:
+            return self._broken(admitted, lease, exc.fault)
+        return await self._answer(admitted, lease, head)
+
+    async def _send(
+        self, admitted: _Admitted, lease: dispatch.Lease
+    ) -> forwarding.Head:
+        host, req, keyed = self._host, self._req, admitted.key is not None
+        outgoing = forwarding.Outgoing(
+            method=req.method,
+            uri=req.uri,
+            headers=forwarding.request_headers(
+                req.requestHeaders,
+                lease.grant.address,
+                req.request_id,
+                admitted.workspace.id,
+                req.getClientAddress().host,
+            ),
+            body=admitted.body if self._has_body(admitted) else None,
+            request_id=req.request_id,
+            reuse=admitted.route.idempotent and not keyed,
+            answer_timeout_s=admitted.service.answer_timeout_s,
+        )
+
+        def may_send() -> bool:
+            now_ms = host.clock()
+            if self._gone or not queueing.grant_valid(lease.echo_ms, now_ms):
+                return False
+            self._sent = True
+            lease.sent_ms = lease.reported_ms = now_ms
+            lease.meter = costs.create(admitted.service.cost_meter, "")
+            if keyed:
+                # It runs to its end, whether or not its caller waits for it.
+                self._cancel = None
+            logs.decision(
+                "dispatched",
+                "granted",
+                **self._fields(),
+                server=lease.grant.server_id,
+                version=lease.grant.version,
+                grant=lease.grant.id,
+                term=lease.grant.term,
+            )
+            return True
+
+        sending = defer.Deferred.fromCoroutine(
+            host.forwarder.send(lease.grant, outgoing, may_send)
+        )
+        self._cancel = sending.cancel
+        try:
+            return await sending
+        finally:
+            self._cancel = None
+
+    def _has_body(self, admitted: _Admitted) -> bool:
+        headers = self._req.requestHeaders
+        return bool(
+            admitted.body
+            or headers.hasHeader(b"Content-Length")
+            or headers.hasHeader(b"Transfer-Encoding")
+        )
+
+    def _broken(
+        self, admitted: _Admitted, lease: dispatch.Lease, fault: queueing.Fault
+    ) -> queueing.Fault:
+        if self._gone and admitted.key is None:
+            self._end_lease(lease, data.Outcome.CANCELLED)
+            raise dispatch.CallerGoneError
+        if fault is queueing.Fault.CONNECTION_LOST:
+            self._host.dispatcher.suspect(lease)
+        self._end_lease(lease, _OUTCOMES[fault])
+        if admitted.key is not None:
+            self._record(admitted, None)
+        return fault
+
+    # -- answer -------------------------------------------------------------
+
+    async def _answer(
+        self, admitted: _Admitted, lease: dispatch.Lease, head: forwarding.Head
+    ) -> queueing.Fault:
+        host, req, keyed = self._host, self._req, admitted.key is not None
+        first_ms = host.clock() - lease.sent_ms
+        content_type = next(
+            (
+                value.decode("latin-1")
+                for name, value in head.headers
+                if name.lower() == b"content-type"
+            ),
+            "",
+        )
+        lease.meter = costs.create(admitted.service.cost_meter, content_type)
+        side = self._side = answers.CallerSide(req, hold_end=keyed)
+        pump = self._pump = answers.Pump(
+            host.reactor,
+            head,
+            side,
+            lease.meter,
+            admitted.service.idle_timeout_s,
+            keep=keyed,
+        )
+        if self._gone:
+            side.detach()
+        else:
+            req.registerProducer(pump, True)
+            self._set_own_headers(lease)
+            side.start(
+                head.status,
+                head.phrase,
+                head.headers,
+                head.length,
+                head.content_length,
+            )
+        end = await pump.run()
+        self._pump = None
+        if not self._gone and req.producer:
+            req.unregisterProducer()
+        return await self._conclude(admitted, lease, head, pump, end, first_ms)
+
+    async def _conclude(
+        self,
+        admitted: _Admitted,
+        lease: dispatch.Lease,
+        head: forwarding.Head,
+        pump: answers.Pump,
+        end: answers.End,
+        first_ms: int,
+    ) -> queueing.Fault:
+        side = self._side
+        if end.fault is None:
+            outcome = (
+                data.Outcome.SERVER_ERROR
+                if head.status >= 500
+                else data.Outcome.COMPLETED
+            )
+        elif (self._gone or pump.caller_too_slow) and admitted.key is None:
+            outcome = data.Outcome.CANCELLED
+        else:
+            outcome = _OUTCOMES[end.fault]
+        if outcome is data.Outcome.CONNECTION_LOST:
+            self._host.dispatcher.suspect(lease)
+        self._end_lease(lease, outcome, first_ms, status=head.status)
+        if admitted.key is not None:
+            kept = None if end.fault else pump.stored_answer(head.headers)
+            recorded = self._record(admitted, kept)
+            if self._host.link.following and not end.fault:
+                await _until(self._host.reactor, recorded, CONFIRM_WAIT_S)
+        if end.fault is None:
+            side.finish()
+            raise _EndedError
+        if outcome is data.Outcome.CANCELLED:
+            side.abort()
+            raise _EndedError
+        if side.started:
+            side.abort()
+            raise _EndedError
+        return end.fault
+
+    def _set_own_headers(self, lease: dispatch.Lease) -> None:
+        headers = self._req.responseHeaders
+        headers.removeHeader(b"Server")
+        self._set_connection_headers()
+        headers.setRawHeaders(
+            b"X-Backend-Server", [lease.grant.server_id.encode()]
+        )
+        headers.setRawHeaders(
+            b"X-Backend-Version", [lease.grant.version.encode()]
+        )
+
+    def _set_connection_headers(self) -> None:
+        headers = self._req.responseHeaders
+        headers.setRawHeaders(b"X-Request-Id", [self._req.request_id.encode()])
+        if self._host.closing:
+            headers.setRawHeaders(b"Connection", [b"close"])
+            self._req.channel.persistent = False
+
+    # -- idempotency keys ---------------------------------------------------
+
+    async def _look_up(self, admitted: _Admitted) -> None:
+        self._take_key(admitted)
+        answer = await self._read_record(admitted)
+        match idempotency.after_lookup(answer.state, answer.answer):
+            case idempotency.Replay(stored):
+                self._replay(stored)
+            case idempotency.Refuse(kind, record_unread):
+                raise dispatch.RefusedError(kind, "key_record", record_unread)
+
+    def _take_key(self, admitted: _Admitted) -> None:
+        """Keeps a second request with the key away from this router's claim.
+
+        The leader cannot tell two requests of one router incarnation apart.
+        """
+        entry = (admitted.workspace.id, admitted.key)
+        digest = self._host.keys.get(entry)
+        if digest is not None:
+            raise dispatch.RefusedError(
+                errors.ErrorKind.REQUEST_STILL_RUNNING
+                if digest == admitted.want.digest
+                else errors.ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                "key_in_use",
+            )
+        self._host.keys[entry] = admitted.want.digest
+        self._key = entry
+
+    async def _read_record(self, admitted: _Admitted) -> messages.KeyAnswer:
+        host = self._host
+        while True:
+            call = host.link.call(
+                messages.KeyLookup,
+                workspace=admitted.workspace.id,
+                key=admitted.key,
+                digest=admitted.want.digest,
+            )
+            self._cancel = call.cancel
+            try:
+                return await call
+            except control_link.LinkLostError:
+                pass
+            except defer.CancelledError:
+                raise dispatch.CallerGoneError from None
+            finally:
+                self._cancel = None
+            if (
+                not host.link.alive
+                or host.closing
+                or host.clock() >= admitted.deadline_ms
+            ):
+                raise dispatch.RefusedError(
+                    errors.ErrorKind.CONTROL_UNAVAILABLE, record_unread=True
+                )
+            if self._gone:
+                raise dispatch.CallerGoneError
+            await _sleep(host.reactor, LOOKUP_AGAIN_S)
+
+    async def _claim(self, admitted: _Admitted, lease: dispatch.Lease) -> bool:
+        """Records the key before the request is sent.
+
+        Returns:
+          True if the request may be sent, False if the claim has to be
+          released and made again.
+        """
+        try:
+            answer = await self._host.link.call(
+                messages.KeyClaim,
+                workspace=admitted.workspace.id,
+                key=admitted.key,
+                digest=admitted.want.digest,
+            )
+        except control_link.LinkLostError:
+            return False
+        match idempotency.after_claim(answer.state, answer.answer):
+            case idempotency.Proceed():
+                return True
+            case idempotency.Replay(stored):
+                self._return(lease)
+                self._replay(stored)
+            case idempotency.Refuse(kind, record_unread):
+                self._return(lease)
+                raise dispatch.RefusedError(kind, "key_record", record_unread)
+        return False
+
+    async def _release(self, admitted: _Admitted) -> None:
+        """Removes a claim whose request was not sent."""
+        released = self._host.link.call(
+            messages.KeyRelease,
+            persistent=True,
+            workspace=admitted.workspace.id,
+            key=admitted.key,
+        )
+        self._keep_key_until(released)
+        if not await _until(self._host.reactor, released, CONFIRM_WAIT_S):
+            raise dispatch.RefusedError(
+                errors.ErrorKind.CONTROL_UNAVAILABLE,
+                "release_unconfirmed",
+                record_unread=True,
+            )
+        self._unconfirmed.remove(released)
+
+    def _record(
+        self, admitted: _Admitted, answer: data.StoredAnswer | None
+    ) -> defer.Deferred:
+        """Records how the request ended, however long that takes."""
+        recorded = self._host.link.call(
+            messages.KeyOutcome,
+            persistent=True,
+            workspace=admitted.workspace.id,
+            key=admitted.key,
+            answer=answer,
+        )
+        self._keep_key_until(recorded)
+        return recorded
+
+    def _keep_key_until(self, confirmed: defer.Deferred) -> None:
+        self._unconfirmed.append(confirmed)
+        # The router stops: the record stays with its claim.
+        confirmed.addErrback(
+            lambda fault: fault.trap(control_link.LinkLostError)
+        )
+
+    def _replay(self, stored: data.StoredAnswer) -> None:
+        side = answers.CallerSide(self._req, hold_end=False)
+        if not self._gone:
+            self._req.responseHeaders.removeHeader(b"Server")
+            self._set_connection_headers()
+            self._req.setHeader(b"X-Idempotent-Replay", b"true")
+            side.start(
+                stored.status,
+                None,
+                tuple(
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                    for name, value in stored.headers
+                ),
+                len(stored.body),
+            )
+            side.write(stored.body)
+            side.finish()
+        logs.decision(
+            "ended", "stored_answer", **self._fields(), status=stored.status
+        )
+        self._host.metrics.ended("replayed")
+        raise _EndedError
+
+    # -- ends ---------------------------------------------------------------
+
+    def _return(self, lease: dispatch.Lease) -> None:
+        self._end_lease(lease, data.Outcome.NOT_DISPATCHED)
+
+    def _end_lease(
+        self,
+        lease: dispatch.Lease,
+        outcome: data.Outcome,
+        first_ms: int = 0,
+        status: int | None = None,
+    ) -> None:
+        duration_ms = (
+            0 if lease.sent_ms is None else self._host.clock() - lease.sent_ms
+        )
+        cost = self._host.dispatcher.finish(
+            lease, outcome, first_ms, duration_ms
+        )
+        self._lease = None
+        self._host.metrics.ended(outcome)
+        logs.decision(
+            "ended",
+            outcome,
+            **self._fields(),
+            server=lease.grant.server_id,
+            grant=lease.grant.id,
+            status=status,
+            duration_ms=duration_ms,
+            cost=cost,
+        )
+
+    def _refuse(self, exc: dispatch.RefusedError) -> None:
+        stated = queueing.execution(exc.kind, self._sent, exc.record_unread)
+        if self._gone:
+            logs.decision(
+                "ended", "caller_gone", **self._fields(), refusal=exc.kind
+            )
+            return
+        if self._req.startedWriting:
+            answers.abort_connection(self._req)
+            return
+        if self._req.producer:
+            self._req.unregisterProducer()
+        self._host.write_refusal(
+            self._req, exc.kind, stated, exc.reason, **self._fields()
+        )
+
+    def _caller_gone(self) -> None:
+        self._gone = True
+        if self._side:
+            self._side.detach()
+        if self._pump:
+            if self._unkeyed():
+                self._pump.abort(queueing.Fault.CONNECTION_LOST)
+            else:
+                self._pump.release_caller()
+        elif self._cancel:
+            self._cancel()
+
+    def _unkeyed(self) -> bool:
+        return self._key is None
+
+    def _clean_up(self) -> None:
+        if self._lease is not None:
+            # Only an unexpected exception leaves a lease behind.
+            self._host.dispatcher.finish(
+                self._lease,
+                data.Outcome.CANCELLED
+                if self._sent
+                else data.Outcome.NOT_DISPATCHED,
+            )
+        if self._workspace:
+            self._host.open_by_workspace[self._workspace] -= 1
+        if self._key is None:
+            return
+        entry, keys = self._key, self._host.keys
+        pending = [call for call in self._unconfirmed if not call.called]
+        if not pending:
+            keys.pop(entry, None)
+            return
+        defer.DeferredList(pending, consumeErrors=True).addBoth(
+            lambda _: keys.pop(entry, None)
+        )
+
+    def _fields(self) -> dict[str, Any]:
+        return {
+            "request_id": self._req.request_id,
+            "workspace": self._workspace,
+            "service": self._service,
+        }
+
+
+def _unwrap(outcome: result.Result) -> Any:
+    match outcome:
+        case result.Success(value):
+            return value
+        case result.Failure(kind):
+            raise dispatch.RefusedError(kind)
+
+
+def _sleep(reactor: Any, seconds: float) -> defer.Deferred:
+    pause: defer.Deferred = defer.Deferred()
+    reactor.callLater(seconds, pause.callback, None)
+    return pause
+
+
+async def _until(reactor: Any, awaited: defer.Deferred, seconds: float) -> bool:
+    """Waits for a Deferred without cancelling it.
+
+    Args:
+      reactor: Source of timers.
+      awaited: What to wait for.
+      seconds: Longest wait.
+
+    Returns:
+      Whether it fired in time.
+    """
+    done: defer.Deferred = defer.Deferred()
+    timer = reactor.callLater(seconds, done.callback, False)
+
+    def fired(value: Any) -> Any:
+        if timer.active():
+            timer.cancel()
+            done.callback(True)
+        return value
+
+    awaited.addBoth(fired)
+    return await done
--- /dev/null
+++ b/waxwingrack/daemons/forwarding.py
@@ -0,0 +1,364 @@
+"""Requests to backend servers and their answers.
+
+The connection layer of `twisted.web.client` is used directly. A client above
+it would follow redirects, keep cookies, decode bodies and repeat requests, and
+it leaves no point between the connection and the first byte at which a grant
+could be checked.
+"""
+
+# Methods that override those of twisted keep its names.
+# ruff: noqa: N802, N815
+
+from collections.abc import Callable
+import dataclasses
+import ipaddress
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.python import failure
+from twisted.web import _newclient
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope.interface import implementer
+
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.operations import queueing
+
+# Longest time to connect to a backend server, in seconds. It is shorter than
+# the life of a grant, so that a retry can still find a place in its queue.
+CONNECT_TIMEOUT_S = 0.8
+# Idle connections are closed before backend servers usually close them (5 s),
+# as a request on a connection that is just being closed is lost.
+IDLE_POOL_S = 4
+MAX_IDLE_PER_SERVER = 64
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"trailers",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Request headers that end at the router, or that it sets itself.
+_OWN_REQUEST_HEADERS = HOP_BY_HOP | {
+    b"authorization",
+    b"content-length",
+    b"expect",
+    b"host",
+    b"x-request-id",
+    b"x-workspace",
+    b"x-forwarded-for",
+}
+
+
+class NotSentError(Exception):
+    """No byte of the request was written.
+
+    Attributes:
+      fault: How the try ended.
+    """
+
+    def __init__(self, fault: queueing.Fault):
+        super().__init__(fault)
+        self.fault = fault
+
+
+class BrokenError(Exception):
+    """The request was written and no usable answer began.
+
+    Attributes:
+      fault: How the try ended.
+    """
+
+    def __init__(self, fault: queueing.Fault):
+        super().__init__(fault)
+        self.fault = fault
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A request for a backend server.
+
+    Attributes:
+      method: HTTP method.
+      uri: Path with query as the caller sent it.
+      headers: Headers to send.
+      body: Whole body; None if the caller sent none.
+      request_id: Id that an answer must carry if it carries one.
+      reuse: Whether a pooled connection may be used. A pooled connection may
+        be closed by its server at any moment, which loses the request.
+      answer_timeout_s: Longest wait for the head of the answer.
+    """
+
+    method: bytes
+    uri: bytes
+    headers: http_headers.Headers
+    body: bytes | None
+    request_id: str
+    reuse: bool
+    answer_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Head of an answer.
+
+    Attributes:
+      status: HTTP status.
+      phrase: Reason phrase.
+      headers: End-to-end headers as name and value.
+      length: Length of the body in bytes; None if unknown.
+      content_length: Value of Content-Length to pass on, also for an answer
+        without body; None if there is none.
+      response: Response whose body follows.
+      conn: Connection of the response.
+    """
+
+    status: int
+    phrase: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    length: int | None
+    content_length: bytes | None
+    response: Any
+    conn: "BackendConnection"
+
+
+class BackendConnection(_newclient.HTTP11ClientProtocol):
+    """Connection to a backend server.
+
+    Attributes:
+      lost_reason: Why the connection ended, None while it is open.
+    """
+
+    lost_reason: failure.Failure | None = None
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Keeps the reason; an answer without a length depends on it."""
+        self.lost_reason = reason
+        super().connectionLost(reason)
+
+    def _finishResponse_WAITING(self, rest: bytes) -> None:
+        # Bytes behind the answer would be taken for the next answer.
+        if rest and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
+
+    _finishResponse_TRANSMITTING = _finishResponse_WAITING
+
+
+class _ConnectionFactory(client._HTTP11ClientFactory):
+    def buildProtocol(self, addr: Any) -> BackendConnection:
+        return BackendConnection(self._quiescentCallback)
+
+
+@implementer(iweb.IBodyProducer)
+class _Body:
+    """Writes a whole body at once."""
+
+    def __init__(self, body: bytes):
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> defer.Deferred:
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Does nothing: the body is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Does nothing: the body is written at once."""
+
+    def stopProducing(self) -> None:
+        """Does nothing: the body is written at once."""
+
+
+class Forwarder:
+    """Sends requests to backend servers."""
+
+    def __init__(self, reactor: Any):
+        self._reactor = reactor
+        self._pools = {}
+        for reuse in (True, False):
+            pool = client.HTTPConnectionPool(reactor, persistent=reuse)
+            pool.retryAutomatically = False
+            pool.maxPersistentPerHost = MAX_IDLE_PER_SERVER
+            pool.cachedConnectionTimeout = IDLE_POOL_S
+            pool._factory = _ConnectionFactory
+            self._pools[reuse] = pool
+
+    async def send(
+        self,
+        grant: data.Grant,
+        outgoing: Outgoing,
+        may_send: Callable[[], bool],
+    ) -> Head:
+        """Sends a request and waits for the head of the answer.
+
+        Args:
+          grant: Grant that names the backend server.
+          outgoing: The request.
+          may_send: Called immediately before the first byte is written; if it
+            returns False nothing is written.
+
+        Returns:
+          The head. The body follows once `receive` is called.
+
+        Raises:
+          NotSentError: No byte was written.
+          BrokenError: Bytes were written and no usable answer began in time.
+        """
+        pool = self._pools[outgoing.reuse]
+        try:
+            conn = await pool.getConnection(
+                (grant.address, grant.incarnation), self._endpoint(grant)
+            )
+        except (defer.CancelledError, error.ConnectingCancelledError) as exc:
+            raise NotSentError(queueing.Fault.GRANT_EXPIRED) from exc
+        except Exception as exc:  # noqa: BLE001
+            raise NotSentError(queueing.Fault.CONNECT_FAILED) from exc
+        try:
+            req = _newclient.Request._construct(
+                outgoing.method,
+                outgoing.uri,
+                outgoing.headers,
+                None if outgoing.body is None else _Body(outgoing.body),
+                persistent=outgoing.reuse,
+            )
+            allowed = may_send()
+        except BaseException:
+            conn.transport.abortConnection()
+            raise
+        if not allowed:
+            conn.transport.abortConnection()
+            raise NotSentError(queueing.Fault.GRANT_EXPIRED)
+        return await self._exchange(conn, req, outgoing)
+
+    async def _exchange(
+        self, conn: BackendConnection, req: Any, outgoing: Outgoing
+    ) -> Head:
+        pending = conn.request(req)
+        parser = conn._parser
+        timed_out = []
+
+        def give_up() -> None:
+            timed_out.append(True)
+            pending.cancel()
+
+        timer = self._reactor.callLater(outgoing.answer_timeout_s, give_up)
+        try:
+            response = await pending
+        except _newclient.RequestNotSent as exc:
+            raise NotSentError(queueing.Fault.CONNECT_FAILED) from exc
+        except Exception as exc:  # noqa: BLE001
+            conn.transport.abortConnection()
+            raise BrokenError(
+                queueing.Fault.TIMED_OUT
+                if timed_out
+                else queueing.Fault.CONNECTION_LOST
+            ) from exc
+        finally:
+            if timer.active():
+                timer.cancel()
+        echoed = response.headers.getRawHeaders(b"X-Request-Id")
+        if echoed and echoed[0] != outgoing.request_id.encode():
+            logs.event("crossed_answer", request_id=outgoing.request_id)
+            # The server is out of step; a pooled connection must not survive.
+            conn.transport.abortConnection()
+            raise BrokenError(queueing.Fault.CONNECTION_LOST)
+        return _head(response, parser, conn)
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        for pool in self._pools.values():
+            await pool.closeCachedConnections()
+
+    def _endpoint(self, grant: data.Grant) -> Any:
+        host = grant.address.host
+        kind = (
+            endpoints.TCP6ClientEndpoint
+            if ipaddress.ip_address(host).version == 6
+            else endpoints.TCP4ClientEndpoint
+        )
+        return kind(
+            self._reactor, host, grant.address.port, timeout=CONNECT_TIMEOUT_S
+        )
+
+
+def request_headers(
+    received: http_headers.Headers,
+    address: data.Address,
+    request_id: str,
+    workspace: str,
+    caller: str,
+) -> http_headers.Headers:
+    """Derives the headers of a request to a backend server.
+
+    Args:
+      received: Headers as the caller sent them.
+      address: Address of the backend server, for a caller without Host.
+      request_id: Id of the request.
+      workspace: Workspace of the caller.
+      caller: IP number of the caller.
+
+    Returns:
+      End-to-end headers without `Authorization`, and those of the router.
+    """
+    dropped = _OWN_REQUEST_HEADERS | _connection_tokens(
+        received.getRawHeaders(b"Connection")
+    )
+    headers = http_headers.Headers()
+    for name, values in received.getAllRawHeaders():
+        if name.lower() not in dropped:
+            headers.setRawHeaders(name, values)
+    hosts = received.getRawHeaders(b"Host") or [str(address).encode()]
+    headers.setRawHeaders(b"Host", hosts)
+    headers.setRawHeaders(b"X-Request-Id", [request_id.encode()])
+    headers.setRawHeaders(b"X-Workspace", [workspace.encode()])
+    passed = received.getRawHeaders(b"X-Forwarded-For") or []
+    headers.setRawHeaders(
+        b"X-Forwarded-For", [b", ".join([*passed, caller.encode()])]
+    )
+    return headers
+
+
+def _connection_tokens(values: list[bytes] | None) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower()
+        for value in values or ()
+        for token in value.split(b",")
+    )
+
+
+def _head(response: Any, parser: Any, conn: BackendConnection) -> Head:
+    control = parser.connHeaders
+    dropped = HOP_BY_HOP | _connection_tokens(
+        control.getRawHeaders(b"Connection")
+    )
+    length = response.length
+    lengths = control.getRawHeaders(b"Content-Length")
+    return Head(
+        status=response.code,
+        phrase=response.phrase,
+        headers=tuple(
+            (name, value)
+            for name, values in response.headers.getAllRawHeaders()
+            if name.lower() not in dropped
+            for value in values
+        ),
+        length=None if length is iweb.UNKNOWN_LENGTH else length,
+        content_length=lengths[0] if lengths else None,
+        response=response,
+        conn=conn,
+    )
--- /dev/null
+++ b/waxwingrack/operations/announcements.py
@@ -0,0 +1,112 @@
+"""Check of the documents with which backend servers announce themselves."""
+
+import dataclasses
+import ipaddress
+from typing import Annotated
+from typing import Any
+
+import pydantic
+from returns import result
+
+from waxwingrack.core import data
+
+_Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=128)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a document.
+
+    Attributes:
+      path: Field, with dots between its parts.
+      rule: Rule that the field breaks.
+    """
+
+    path: str
+    rule: str
+
+
+class _CacheEvent(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    sequence: int = pydantic.Field(ge=0)
+    prefix: _Name
+    stored: bool
+
+
+class _Document(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    incarnation: _Name
+    host: str
+    port: int = pydantic.Field(ge=1, le=65_535)
+    service: _Name
+    version: _Name
+    data_centre: _Name
+    slots: int = pydantic.Field(ge=1, le=100_000)
+    in_flight: int = pydantic.Field(default=0, ge=0)
+    load: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+    checks_fencing: bool = False
+    departing: bool = False
+    cache_events: list[_CacheEvent] = pydantic.Field(
+        default=[], max_length=10_000
+    )
+
+    @pydantic.field_validator("host")
+    @classmethod
+    def _check_host(cls, host: str) -> str:
+        ipaddress.ip_address(host)
+        return host
+
+    @pydantic.field_validator("service", "data_centre")
+    @classmethod
+    def _check_declared(cls, name: str, info: pydantic.ValidationInfo) -> str:
+        if name not in info.context[info.field_name]:
+            raise ValueError("not declared in the environment")
+        return name
+
+
+def check(
+    server_id: str, body: bytes, environment: data.Environment
+) -> result.Result[data.Announcement, tuple[Fault, ...]]:
+    """Checks an announcement.
+
+    Args:
+      server_id: Id of the backend server from the path.
+      body: JSON document.
+      environment: Environment that names services and data centres.
+
+    Returns:
+      Success with the announcement or Failure with all faults.
+    """
+    if not 0 < len(server_id) <= 128 or not server_id.isprintable():
+        return result.Failure(
+            (Fault("server_id", "1 to 128 printable characters"),)
+        )
+    names = {
+        "service": {item.id for item in environment.services},
+        "data_centre": {item.id for item in environment.data_centres},
+    }
+    try:
+        document = _Document.model_validate_json(body, context=names)
+    except pydantic.ValidationError as exc:
+        return result.Failure(
+            tuple(
+                Fault(".".join(map(str, error["loc"])), error["msg"])
+                for error in exc.errors(
+                    include_url=False,
+                    include_input=False,
+                    include_context=False,
+                )
+            )
+        )
+    fields: dict[str, Any] = dict(document)
+    host, port = fields.pop("host"), fields.pop("port")
+    fields["cache_events"] = tuple(
+        data.CacheEvent(**dict(event)) for event in document.cache_events
+    )
+    return result.Success(
+        data.Announcement(
+            server_id=server_id, address=data.Address(host, port), **fields
+        )
+    )
--- /dev/null
+++ b/waxwingrack/operations/costs.py
@@ -0,0 +1,117 @@
+"""Cost meters: what a request has cost so far.
+
+A meter sees the bytes of the answer as they pass. The unit is that of the
+service's `CostMeter`.
+"""
+
+import json
+from typing import Any
+from typing import Protocol
+
+from waxwingrack.core import data
+from waxwingrack.core import registry
+
+# Change of cost, relative to the last report, that is worth a new report.
+PROGRESS_SHARE = 0.1
+# Largest JSON answer, and longest event line, that is read for its usage.
+MAX_USAGE_BYTES = 1024 * 1024
+
+METERS: registry.Registry[data.CostMeter, type] = registry.Registry(
+    "cost meter"
+)
+
+
+class Meter(Protocol):
+    """Measures one try of a request."""
+
+    def feed(self, chunk: bytes) -> None:
+        """Sees a part of the answer's body."""
+
+    def cost(self, elapsed_ms: float) -> float:
+        """Returns the cost so far, `elapsed_ms` after the dispatch."""
+
+
+def create(meter: data.CostMeter, content_type: str) -> Meter:
+    """Creates the meter of a request.
+
+    Args:
+      meter: Kind of meter.
+      content_type: Media type of the answer, empty before it is known.
+
+    Returns:
+      The meter.
+    """
+    return METERS[meter](content_type.lower())
+
+
+def worth_reporting(last: float, cost: float) -> bool:
+    """Whether a cost differs enough from the one reported last."""
+    return abs(cost - last) > PROGRESS_SHARE * max(last, 1.0)
+
+
+@METERS.register(data.CostMeter.SLOT_MS)
+class SlotTime:
+    """Time for which the request used a slot, in milliseconds."""
+
+    def __init__(self, content_type: str):
+        del content_type
+
+    def feed(self, chunk: bytes) -> None:
+        """Ignores the answer."""
+
+    def cost(self, elapsed_ms: float) -> float:
+        """Returns the time since the dispatch."""
+        return max(0.0, elapsed_ms)
+
+
+@METERS.register(data.CostMeter.TOKENS)
+class Tokens:
+    """Streamed events, corrected by `usage.total_tokens` once it is known."""
+
+    def __init__(self, content_type: str):
+        self._stream = content_type.startswith("text/event-stream")
+        self._json = content_type.startswith("application/json")
+        self._buffer = bytearray()
+        self._overflow = False
+        self._events = 0
+        self._usage: float | None = None
+
+    def feed(self, chunk: bytes) -> None:
+        """Counts events, or keeps a JSON body until it is whole."""
+        if self._stream:
+            self._feed_stream(chunk)
+        elif self._json and not self._overflow:
+            self._buffer += chunk
+            if len(self._buffer) > MAX_USAGE_BYTES:
+                self._overflow = True
+                self._buffer.clear()
+
+    def cost(self, elapsed_ms: float) -> float:
+        """Returns the tokens known so far."""
+        del elapsed_ms
+        # An unfinished body hardly ever ends with a brace and is not parsed.
+        if self._json and self._buffer.rstrip().endswith(b"}"):
+            self._usage = _usage(bytes(self._buffer))
+        # A request without any sign of usage is not free either.
+        known = self._events if self._usage is None else self._usage
+        return max(1.0, float(known))
+
+    def _feed_stream(self, chunk: bytes) -> None:
+        self._buffer += chunk
+        *lines, rest = self._buffer.split(b"\n")
+        for line in lines:
+            if line.startswith(b"data:") and line.strip() != b"data: [DONE]":
+                self._events += 1
+                if b'"usage"' in line:
+                    found = _usage(bytes(line[5:]))
+                    self._usage = self._usage if found is None else found
+        self._buffer = bytearray(rest[:MAX_USAGE_BYTES])
+
+
+def _usage(blob: bytes) -> float | None:
+    try:
+        document: Any = json.loads(blob)
+        tokens = document["usage"]["total_tokens"]
+        return max(0.0, float(tokens))
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None
--- /dev/null
+++ b/waxwingrack/operations/idempotency.py
@@ -0,0 +1,136 @@
+"""Decisions on idempotency keys at a router."""
+
+import dataclasses
+import re
+
+from returns import result
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+
+MAX_KEY_CHARACTERS = 200
+# Largest answer body that is kept for resends, in bytes.
+MAX_ANSWER_BYTES = 64 * 1024
+
+_KEY = re.compile(r"[0-9]{1,12}-[\x21-\x7e]+")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proceed:
+    """The request may go on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The stored answer is the answer."""
+
+    answer: data.StoredAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request ends here.
+
+    Attributes:
+      kind: Error kind.
+      record_unread: Whether the record could not be read.
+    """
+
+    kind: errors.ErrorKind
+    record_unread: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseFirst:
+    """The claim may have been recorded: release it before the next one."""
+
+
+Step = Proceed | Replay | Refuse | ReleaseFirst
+
+_REFUSALS = {
+    data.KeyState.RUNNING: errors.ErrorKind.REQUEST_STILL_RUNNING,
+    data.KeyState.CLAIMED: errors.ErrorKind.REQUEST_STILL_RUNNING,
+    data.KeyState.MAY_HAVE_RUN: errors.ErrorKind.OUTCOME_UNKNOWN,
+    data.KeyState.MISMATCH: errors.ErrorKind.IDEMPOTENCY_KEY_REUSED,
+    data.KeyState.EXPIRED: errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+    data.KeyState.STORE_FULL: errors.ErrorKind.IDEMPOTENCY_STORE_FULL,
+}
+
+
+def check_key(
+    key: str | None, idempotent: bool
+) -> result.Result[str | None, errors.ErrorKind]:
+    """Checks the header `Idempotency-Key`.
+
+    Args:
+      key: Value of the header, None if it is missing.
+      idempotent: Whether the route is idempotent.
+
+    Returns:
+      Success with the key, or with None for an idempotent route without one;
+      Failure with the error kind.
+    """
+    if key is None:
+        if idempotent:
+            return result.Success(None)
+        return result.Failure(errors.ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
+    if len(key) > MAX_KEY_CHARACTERS or not _KEY.fullmatch(key):
+        return result.Failure(errors.ErrorKind.IDEMPOTENCY_KEY_INVALID)
+    return result.Success(key)
+
+
+def after_lookup(
+    state: data.KeyState, answer: data.StoredAnswer | None
+) -> Step:
+    """Decides on the answer to a `KeyLookup`.
+
+    Args:
+      state: State of the record.
+      answer: Stored answer, if there is one.
+
+    Returns:
+      Proceed, Replay or Refuse.
+    """
+    if state is data.KeyState.ABSENT:
+        return Proceed()
+    return _recorded(state, answer)
+
+
+def after_claim(state: data.KeyState, answer: data.StoredAnswer | None) -> Step:
+    """Decides on the answer to a `KeyClaim`.
+
+    Args:
+      state: CLAIMED if this router may dispatch, otherwise why not.
+      answer: Stored answer, if there is one.
+
+    Returns:
+      Proceed, Replay, Refuse or ReleaseFirst. An answer that the leader could
+      not commit may still take effect, so the claim is released first.
+    """
+    if state is data.KeyState.CLAIMED:
+        return Proceed()
+    if state in (data.KeyState.UNAVAILABLE, data.KeyState.ABSENT):
+        return ReleaseFirst()
+    return _recorded(state, answer)
+
+
+def confirmed(state: data.KeyState) -> bool:
+    """Whether a `KeyOutcome` or `KeyRelease` is committed.
+
+    Args:
+      state: State in the answer of the leader.
+
+    Returns:
+      False if the message must be sent again.
+    """
+    return state is not data.KeyState.UNAVAILABLE
+
+
+def _recorded(state: data.KeyState, answer: data.StoredAnswer | None) -> Step:
+    if state is data.KeyState.ANSWERED and answer is not None:
+        if answer.truncated:
+            return Refuse(errors.ErrorKind.ANSWER_NOT_KEPT)
+        return Replay(answer)
+    if state in _REFUSALS:
+        return Refuse(_REFUSALS[state])
+    return Refuse(errors.ErrorKind.CONTROL_UNAVAILABLE, record_unread=True)
--- /dev/null
+++ b/waxwingrack/operations/routing.py
@@ -0,0 +1,255 @@
+"""Tables that a router derives from an environment, and lookups in them."""
+
+import dataclasses
+import hashlib
+import json
+import re
+from typing import Any
+import urllib.parse
+
+import immutables
+from returns import result
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+
+# Bytes of a prompt whose digest stands for its prefix.
+PROMPT_PREFIX_BYTES = 256
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Match:
+    """Service and route of a request."""
+
+    service: data.Service
+    route: data.Route
+
+
+@dataclasses.dataclass(frozen=True)
+class Tables:
+    """Lookup tables of one environment.
+
+    Attributes:
+      number: Number of the environment.
+      environment: The document.
+      drained: Ids of drained data centres.
+      refused_digests: Request digests refused by the crash guard.
+      callers: Workspace by SHA-256 digest (hex) of a token.
+      announcers: SHA-256 digests (hex) of the announce tokens.
+      routes: Matches by path as a tuple of segments.
+    """
+
+    number: int
+    environment: data.Environment
+    drained: frozenset[str]
+    refused_digests: frozenset[str]
+    callers: immutables.Map
+    announcers: frozenset[str]
+    routes: immutables.Map
+
+
+def build(
+    number: int,
+    environment: data.Environment,
+    drained: tuple[str, ...] = (),
+    refused_digests: tuple[str, ...] = (),
+) -> Tables:
+    """Derives the tables of an environment.
+
+    Args:
+      number: Number of the environment.
+      environment: The document.
+      drained: Ids of drained data centres.
+      refused_digests: Request digests refused by the crash guard.
+
+    Returns:
+      The tables.
+    """
+    routes: dict[tuple[str, ...], tuple[Match, ...]] = {}
+    for service in environment.services:
+        for route in service.routes:
+            segments = split_path(route.path)
+            routes[segments] = (
+                *routes.get(segments, ()),
+                Match(service, route),
+            )
+    return Tables(
+        number=number,
+        environment=environment,
+        drained=frozenset(drained),
+        refused_digests=frozenset(refused_digests),
+        callers=immutables.Map(
+            {
+                digest.lower(): workspace
+                for workspace in environment.workspaces
+                for digest in workspace.token_digests
+            }
+        ),
+        announcers=frozenset(
+            digest.lower() for digest in environment.announce_token_digests
+        ),
+        routes=immutables.Map(routes),
+    )
+
+
+def split_path(path: str) -> tuple[str, ...]:
+    """Splits a path into decoded segments without the empty ones.
+
+    Args:
+      path: Path without query.
+
+    Returns:
+      Its segments. Percent-encoding is resolved, so that `/%61` and `/a` lead
+      to the same route.
+    """
+    return tuple(
+        urllib.parse.unquote(segment) for segment in path.split("/") if segment
+    )
+
+
+def match_route(
+    tables: Tables, method: str, path: str
+) -> result.Result[Match, errors.ErrorKind]:
+    """Finds the route of a request.
+
+    Args:
+      tables: Tables of the environment.
+      method: HTTP method.
+      path: Path without query.
+
+    Returns:
+      Success with the longest match by whole segments; Failure with
+      METHOD_NOT_ALLOWED if no route of that path takes the method, with
+      NO_ROUTE if no path matches. A path with `.` or `..` segments matches
+      nothing, as a backend server could resolve it to another route.
+    """
+    segments = split_path(path)
+    if any(part in (".", "..") for part in segments):
+        return result.Failure(errors.ErrorKind.NO_ROUTE)
+    for length in range(len(segments), -1, -1):
+        matches = tables.routes.get(segments[:length], ())
+        for match in matches:
+            if not match.route.methods or method in match.route.methods:
+                return result.Success(match)
+        if matches:
+            # A shorter path could be idempotent where this one is not.
+            return result.Failure(errors.ErrorKind.METHOD_NOT_ALLOWED)
+    return result.Failure(errors.ErrorKind.NO_ROUTE)
+
+
+def token_digest(header: str | None) -> str | None:
+    """Digests the token of an `Authorization` header.
+
+    Args:
+      header: Value of the header, None if it is missing.
+
+    Returns:
+      SHA-256 digest (hex), or None if the header holds no bearer token. The
+      digest is looked up in a table, so the time taken says nothing about the
+      token itself.
+    """
+    scheme, _, token = (header or "").strip().partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        return None
+    return hashlib.sha256(token.strip().encode()).hexdigest()
+
+
+def authenticate(
+    tables: Tables, header: str | None
+) -> result.Result[data.Workspace, errors.ErrorKind]:
+    """Finds the workspace of a caller.
+
+    Args:
+      tables: Tables of the environment.
+      header: Value of the header `Authorization`.
+
+    Returns:
+      Success with the workspace or Failure with UNAUTHENTICATED.
+    """
+    digest = token_digest(header)
+    workspace = tables.callers.get(digest) if digest else None
+    if workspace is None:
+        return result.Failure(errors.ErrorKind.UNAUTHENTICATED)
+    return result.Success(workspace)
+
+
+def valid_request_id(text: str) -> bool:
+    """Whether a caller's `X-Request-Id` may be used."""
+    return _REQUEST_ID.fullmatch(text) is not None
+
+
+def request_digest(workspace: str, method: str, uri: str, body: bytes) -> str:
+    """Digests a request.
+
+    Args:
+      workspace: Workspace of the caller.
+      method: HTTP method.
+      uri: Path with query as the caller sent it.
+      body: Whole body.
+
+    Returns:
+      SHA-256 digest (hex) over the lengths and values of all four, so that two
+      different requests have no common encoding.
+    """
+    digest = hashlib.sha256()
+    for part in (workspace.encode(), method.encode(), uri.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def cost_hint(header: str | None) -> float:
+    """Reads the header `X-Cost-Hint`.
+
+    Args:
+      header: Value of the header, None if it is missing.
+
+    Returns:
+      The hint, or 0 if it is missing or not a finite positive number: hints are
+      rough, and a bad one is no reason to refuse a request.
+    """
+    try:
+        value = float(header or 0)
+    except ValueError:
+        return 0.0
+    return value if 0 < value < 1e12 else 0.0
+
+
+def prompt_prefix(header: str | None, content_type: str, body: bytes) -> str:
+    """Finds the digest of a prompt prefix.
+
+    Args:
+      header: Value of the header `X-Prompt-Prefix`, None if it is missing.
+      content_type: Media type of the body.
+      body: Whole body.
+
+    Returns:
+      The header, or the digest of the first bytes of `prompt` or of the first
+      message of a JSON body, or an empty text.
+    """
+    if header:
+        return header[:128]
+    if not body or not content_type.lower().startswith("application/json"):
+        return ""
+    try:
+        text = _prompt(json.loads(body))
+    except (ValueError, RecursionError):
+        return ""
+    if not text:
+        return ""
+    head = text.encode(errors="replace")[:PROMPT_PREFIX_BYTES]
+    return hashlib.sha256(head).hexdigest()
+
+
+def _prompt(document: Any) -> str:
+    if not isinstance(document, dict):
+        return ""
+    prompt = document.get("prompt")
+    if isinstance(prompt, str):
+        return prompt
+    found = document.get("messages")
+    first = found[0] if isinstance(found, list) and found else None
+    content = first.get("content") if isinstance(first, dict) else None
+    return content if isinstance(content, str) else ""
