--- /dev/null
+++ b/features/steps/router_fakes.py
@@ -0,0 +1,718 @@
+"""A leader, backend servers and callers under the control of a test."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+import urllib.parse
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.core import messages
+from waxwingrack.daemons import transport
+
+KEY = "test-key"
+TOKEN = "planners-token"
+ANNOUNCE_TOKEN = "announce-token"
+WAIT_S = 8.0
+
+
+def digest(token: str) -> str:
+    """Returns the SHA-256 digest (hex) of a token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def environment(**changes: Any) -> data.Environment:
+    """Builds an environment with two workspaces and two services."""
+    timeouts = {"queue_timeout_s": 10.0, "answer_timeout_s": 5.0}
+    timeouts |= {"idle_timeout_s": 5.0}
+    timeouts |= changes.pop("timeouts", {})
+    workspace = {"max_queue": 64, "max_connections": 256}
+    workspace |= changes.pop("workspace", {})
+    return data.Environment(
+        name="test",
+        workspaces=(
+            data.Workspace("planners", 1.0, (digest(TOKEN),), **workspace),
+            data.Workspace("painters", 1.0, (digest("painters-token"),)),
+        ),
+        services=(
+            data.Service(
+                "sketch",
+                (
+                    data.Route("read", "/sketch", idempotent=True),
+                    data.Route("deposit", "/sketch/deposit", ("POST",)),
+                ),
+                "v1",
+                **timeouts,
+            ),
+            data.Service(
+                "model",
+                (data.Route("chat", "/model", idempotent=True),),
+                "v1",
+                data.CostMeter.TOKENS,
+                **timeouts,
+            ),
+        ),
+        data_centres=(data.DataCentre("a", "r"), data.DataCentre("b", "r")),
+        announce_token_digests=(digest(ANNOUNCE_TOKEN),),
+        **changes,
+    )
+
+
+class Loop:
+    """An asyncio loop in a thread."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def run(self, coroutine: Any) -> Any:
+        """Runs a coroutine to its end."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(WAIT_S)
+
+    def call(self, function: Callable, *args: Any) -> Any:
+        """Calls a function in the loop."""
+
+        async def wrapped() -> Any:
+            return function(*args)
+
+        return self.run(wrapped())
+
+
+class FakeLeader:
+    """Controller that grants, refuses and keeps keys as a test says.
+
+    Attributes:
+      granting: Whether wants are granted at once.
+      silent: Whether everything from the router is ignored.
+      echo_lag_ms: How much older than the report the echo is.
+      key_state: State that overrides the answer to a kind of key message.
+    """
+
+    def __init__(self, node_id: str = "c1"):
+        self.node_id = node_id
+        self.term = 1
+        self.granting = True
+        self.silent = False
+        self.hint: str | None = None
+        self.echo_lag_ms = 0
+        self.refusal: errors.ErrorKind | None = None
+        self.key_state: dict[str, data.KeyState] = {}
+        self.key_ignored: collections.Counter = collections.Counter()
+        self.servers: list[FakeBackend] = []
+        self.environment: data.Environment | None = environment()
+        self.number = 1
+        self.drained: tuple[str, ...] = ()
+        self.refused_digests: tuple[str, ...] = ()
+        self.records: dict[tuple[str, str], tuple[str, Any]] = {}
+        self.reports: list[messages.RouterReport] = []
+        self.key_messages: list[Any] = []
+        self.wants: dict[int, data.Want] = {}
+        self.conns: list[transport.Connection] = []
+        self.counts = transport.Counts()
+        self.events: list[tuple[str, Any]] = []
+        self._grant = 0
+        self._pushed: dict[int, int] = {}
+        self._last_sent_ms = 0
+
+    async def open(self, port: int = 0) -> int:
+        """Opens the port."""
+        identity = transport.Identity(
+            data.Role.CONTROLLER, self.node_id, "i", KEY.encode()
+        )
+        self._server = await transport.serve(
+            data.Address("127.0.0.1", port), identity, self, self.counts
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def close(self) -> None:
+        """Closes the port and all connections."""
+        self._server.close()
+        self.drop()
+
+    def drop(self) -> None:
+        """Breaks all connections."""
+        for conn in self.conns:
+            conn.close()
+
+    def connected(self, conn: transport.Connection) -> None:
+        self.conns.append(conn)
+        self.wants.clear()
+
+    def disconnected(self, conn: transport.Connection) -> None:
+        self.conns.remove(conn)
+
+    def received(self, conn: transport.Connection, message: Any) -> None:
+        if self.silent:
+            return
+        if self.hint is not None:
+            conn.send(messages.NotLeader(self.hint))
+            return
+        if isinstance(message, messages.RouterReport):
+            self._report(conn, message)
+        else:
+            self.key_messages.append(message)
+            self.events.append((type(message).__name__, message))
+            self._key(conn, message)
+
+    def _report(self, conn: Any, report: messages.RouterReport) -> None:
+        self.reports.append(report)
+        self._last_sent_ms = report.sent_ms
+        for finished in report.finished:
+            self.events.append(("Finished", finished))
+        for sequence in report.withdrawn:
+            self.wants.pop(sequence, None)
+        for want in report.wants:
+            self.wants[want.sequence] = want
+        if self.environment and report.environment_number < self.number:
+            self._push(conn)
+        self.answer(conn)
+
+    def _push(self, conn: Any) -> None:
+        conn.send(
+            messages.EnvironmentPush(
+                self.number,
+                self.environment,
+                self.drained,
+                self.refused_digests,
+            )
+        )
+
+    def push(self, **changes: Any) -> None:
+        """Pushes a changed environment to all routers."""
+        for name, value in changes.items():
+            setattr(self, name, value)
+        for conn in self.conns:
+            self._push(conn)
+
+    def answer(self, conn: Any) -> None:
+        """Sends an update with what can be granted."""
+        grants, refusals = [], []
+        for want in list(self.wants.values()):
+            if self.refusal:
+                refusals.append(messages.Refusal(want.sequence, self.refusal))
+                del self.wants[want.sequence]
+            elif self.granting and self.servers:
+                grants.append(self.make_grant(want))
+        conn.send(
+            messages.ControllerUpdate(
+                self._last_sent_ms - self.echo_lag_ms,
+                self.term,
+                tuple(grants),
+                tuple(refusals),
+            )
+        )
+
+    def make_grant(self, want: data.Want) -> data.Grant:
+        """Grants a want."""
+        del self.wants[want.sequence]
+        self._grant += 1
+        free = [s for s in self.servers if s.id not in want.avoid]
+        candidates = free or self.servers
+        server = candidates[self._grant % len(candidates)]
+        return data.Grant(
+            self._grant,
+            self.term,
+            want.sequence,
+            server.id,
+            "i1",
+            data.Address("127.0.0.1", server.port),
+            "v1",
+        )
+
+    def grant_all(self) -> None:
+        """Grants every want that waits now."""
+        self.granting = True
+        for conn in self.conns:
+            self.answer(conn)
+
+    def finished(self) -> list[data.Finished]:
+        """Returns all ended grants."""
+        return [item for report in self.reports for item in report.finished]
+
+    def _key(self, conn: Any, message: Any) -> None:
+        kind = type(message).__name__
+        if self.key_ignored[kind] > 0:
+            self.key_ignored[kind] -= 1
+            return
+        entry = (message.workspace, message.key)
+        owner = conn.peer.incarnation
+        state, answer = self._apply(message, entry, owner)
+        if kind in self.key_state:
+            state, answer = self.key_state[kind], None
+        conn.send(messages.KeyAnswer(message.call, state, answer))
+
+    def _apply(self, message: Any, entry: Any, owner: str) -> Any:
+        states = data.KeyState
+        record = self.records.get(entry)
+        if isinstance(message, messages.KeyOutcome):
+            if record:
+                self.records[entry] = (record[0], message.answer, "")
+            if message.answer is None:
+                return states.MAY_HAVE_RUN, None
+            return states.ANSWERED, None
+        if isinstance(message, messages.KeyRelease):
+            if record and record[2] == owner:
+                del self.records[entry]
+            return states.ABSENT, None
+        if record is None:
+            if isinstance(message, messages.KeyLookup):
+                return states.ABSENT, None
+            self.records[entry] = (message.digest, None, owner)
+            return states.CLAIMED, None
+        if record[0] != message.digest:
+            return states.MISMATCH, None
+        if record[2]:
+            return states.RUNNING, None
+        if record[1] is None:
+            return states.MAY_HAVE_RUN, None
+        return states.ANSWERED, record[1]
+
+
+class FakeBackend:
+    """Backend server that behaves as the query of a request says.
+
+    Attributes:
+      runs: Requests received whole, by request id.
+      seen: Heads and bodies of the requests received.
+      cancelled: Requests whose connection was closed while they ran.
+    """
+
+    def __init__(self, server_id: str):
+        self.id = server_id
+        self.runs: collections.Counter = collections.Counter()
+        self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.cancelled: list[str] = []
+        self.connections = 0
+        self.sent_bytes = 0
+        self.faults: list[str] = []
+
+    async def open(self) -> None:
+        """Opens a free port."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=2**22
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Refuses connections from now on."""
+        self._server.close()
+
+    async def _serve(self, reader: Any, writer: Any) -> None:
+        self.connections += 1
+        try:
+            while await self._handle(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _handle(self, reader: Any, writer: Any) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        line, *rest = head.split("\r\n")
+        method, target, _ = line.split(" ")
+        headers = dict(
+            (part.split(": ", 1)[0].lower(), part.split(": ", 1)[1])
+            for part in rest
+            if part
+        )
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        request_id = headers["x-request-id"]
+        self.runs[request_id] += 1
+        self.seen.append((method, target, headers, body))
+        query = dict(
+            urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query)
+        )
+        act = query.get("do", "ok")
+        if self.faults:
+            act = self.faults.pop(0)
+        running = asyncio.ensure_future(
+            getattr(self, f"do_{act}")(writer, query, request_id, body, method)
+        )
+        gone = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait(
+            (running, gone), return_when=asyncio.FIRST_COMPLETED
+        )
+        if running not in done:
+            if not gone.result():
+                self.cancelled.append(request_id)
+            running.cancel()
+            return False
+        again = running.result()
+        if again is not True:
+            gone.cancel()
+            return False
+        # The byte that was read belongs to the next request.
+        first = await gone
+        if not first:
+            return False
+        reader._buffer[:0] = first
+        return True
+
+    @staticmethod
+    def _text(body: bytes, status: str = "200 OK", extra: str = "") -> bytes:
+        return (
+            f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n"
+            f"Content-Length: {len(body)}\r\n{extra}\r\n"
+        ).encode() + body
+
+    async def do_ok(self, writer, query, request_id, body, method):
+        answer = f"{request_id}:".encode() + body
+        sent = self._text(answer)
+        if method == "HEAD":
+            sent = sent[: -len(answer)]
+        writer.write(sent)
+        return True
+
+    async def do_json(self, writer, query, request_id, body, method):
+        text = query["text"].encode()
+        head = f"Content-Type: application/json\r\nContent-Length: {len(text)}"
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n\r\n".encode() + text)
+        return True
+
+    async def do_status(self, writer, query, request_id, body, method):
+        code = query["code"]
+        if code in ("204", "304"):
+            writer.write(f"HTTP/1.1 {code} X\r\n\r\n".encode())
+        else:
+            writer.write(self._text(b"status", f"{code} X"))
+        return True
+
+    async def do_early(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+        writer.write(self._text(b"after hints"))
+        return True
+
+    async def do_headers(self, writer, query, request_id, body, method):
+        extra = (
+            "Connection: keep-alive, X-Private\r\nX-Private: 1\r\n"
+            "Keep-Alive: timeout=5\r\nServer: engine\r\nSet-Cookie: a=1\r\n"
+            "Set-Cookie: b=2\r\n"
+        )
+        writer.write(self._text(b"headers", extra=extra))
+        return True
+
+    async def do_large(self, writer, query, request_id, body, method):
+        size = int(query["bytes"])
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
+        writer.write(head.encode())
+        while size:
+            part = b"x" * min(65536, size)
+            writer.write(part)
+            await writer.drain()
+            size -= len(part)
+            self.sent_bytes += len(part)
+        return True
+
+    async def do_stream(self, writer, query, request_id, body, method):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for number in range(int(query.get("events", 5))):
+            self._chunk(writer, f"data: {number} {time.monotonic()}\n\n")
+            await writer.drain()
+            await asyncio.sleep(float(query.get("pause", 0.02)))
+        if "usage" in query:
+            usage = {"usage": {"total_tokens": int(query["usage"])}}
+            self._chunk(writer, f"data: {json.dumps(usage)}\n\n")
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    @staticmethod
+    def _chunk(writer: Any, text: str) -> None:
+        writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+
+    async def do_slow(self, writer, query, request_id, body, method):
+        await asyncio.sleep(float(query.get("pause", 0.5)))
+        return await self.do_ok(writer, query, request_id, body, method)
+
+    async def do_stall(self, writer, query, request_id, body, method):
+        await asyncio.sleep(60)
+
+    async def do_stall_body(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+        await asyncio.sleep(60)
+
+    async def do_drop(self, writer, query, request_id, body, method):
+        return False
+
+    async def do_reset(self, writer, query, request_id, body, method):
+        self._reset(writer)
+
+    @staticmethod
+    def _reset(writer: Any) -> None:
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
+    async def do_garbage(self, writer, query, request_id, body, method):
+        writer.write(b"this is not HTTP\r\n\r\n")
+
+    async def do_cut_length(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+
+    async def do_cut_head(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Le")
+
+    async def do_cut_chunk(self, writer, query, request_id, body, method):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\npart\r\n20\r\nhalf"
+        )
+
+    async def do_cut_last(self, writer, query, request_id, body, method):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\npart\r\n"
+        )
+
+    async def do_bad_chunk(self, writer, query, request_id, body, method):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\npart\r\nzz\r\n"
+        )
+
+    async def do_until_close(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.0 200 OK\r\n\r\nwhole until close")
+
+    async def do_until_reset(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\npart until reset")
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        self._reset(writer)
+
+    async def do_twice(self, writer, query, request_id, body, method):
+        answer = self._text(f"{request_id}:first".encode())
+        writer.write(answer + answer)
+        return True
+
+    async def do_late_copy(self, writer, query, request_id, body, method):
+        extra = f"X-Request-Id: {request_id}\r\n"
+        answer = self._text(f"{request_id}:late".encode(), extra=extra)
+        writer.write(answer)
+        await writer.drain()
+        asyncio.get_running_loop().call_later(0.05, writer.write, answer)
+        return True
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int | None = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    raw_headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    whole: bool = False
+    error: str = ""
+    seconds: float = 0.0
+
+    @property
+    def refusal(self) -> dict[str, Any]:
+        """Returns the error of a refusal."""
+        return json.loads(self.body)["error"]
+
+
+def send(
+    port: int,
+    method: str,
+    target: str,
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+    timeout_s: float = WAIT_S,
+    token: str | None = TOKEN,
+    conn: http.client.HTTPConnection | None = None,
+) -> Reply:
+    """Sends one request and reads its answer to the end."""
+    reply, started = Reply(), time.monotonic()
+    own = conn is None
+    conn = conn or http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=timeout_s
+    )
+    fields = dict(headers or {})
+    if token:
+        fields.setdefault("Authorization", f"Bearer {token}")
+    try:
+        conn.request(method, target, body, fields)
+        answer = conn.getresponse()
+        reply.status = answer.status
+        reply.raw_headers = answer.getheaders()
+        reply.headers = {key.lower(): value for key, value in reply.raw_headers}
+        try:
+            reply.body = answer.read()
+            reply.whole = True
+        except http.client.IncompleteRead as exc:
+            reply.body, reply.error = exc.partial, "IncompleteRead"
+    except (OSError, http.client.HTTPException) as exc:
+        reply.error = type(exc).__name__
+    finally:
+        if own:
+            conn.close()
+    reply.seconds = time.monotonic() - started
+    return reply
+
+
+class RouterProcess:
+    """A router in a process of its own."""
+
+    def __init__(self, controllers: list[FakeLeader], **settings: Any):
+        self.folder = tempfile.TemporaryDirectory()
+        folder = pathlib.Path(self.folder.name)
+        (folder / "key").write_text(KEY)
+        nowhere = data.Address("127.0.0.1", 1)
+        document = {
+            "role": "router",
+            "node_id": "r1",
+            "data_centre": "a",
+            "operators": {"host": "127.0.0.1", "port": 0},
+            "callers": {"host": "127.0.0.1", "port": 0},
+            "controllers": [
+                dataclasses.asdict(
+                    data.Peer(
+                        leader.node_id,
+                        data.Address("127.0.0.1", leader.port),
+                        nowhere,
+                    )
+                )
+                for leader in controllers
+            ],
+            "shared_key_file": str(folder / "key"),
+            "shutdown_delay_s": 0.3,
+            "shutdown_timeout_s": 5.0,
+            **settings,
+        }
+        self.log_path = folder / "log"
+        self._log = self.log_path.open("wb")
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                str(pathlib.Path(__file__).with_name("router_process.py")),
+                json.dumps(document),
+            ],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            env=os.environ
+            | {"PYTHONPATH": str(pathlib.Path(__file__).parents[2])},
+        )
+        line = self.process.stdout.readline()
+        if not line:
+            raise AssertionError(self.log_path.read_text())
+        ports = json.loads(line)
+        self.port = ports["callers"]
+        self.operators_port = ports["operators"]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the router."""
+        self.process.send_signal(number)
+
+    def close(self) -> None:
+        """Ends the router."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait(WAIT_S)
+        self.process.stdout.close()
+        self._log.close()
+        self.folder.cleanup()
+
+    def log(self) -> list[dict[str, Any]]:
+        """Returns the log lines so far."""
+        return [
+            json.loads(line)
+            for line in self.log_path.read_text().splitlines()
+            if line.startswith("{")
+        ]
+
+
+class World:
+    """One router, its leader and its backend servers."""
+
+    def __init__(self) -> None:
+        self.loop = Loop()
+        self.leader = FakeLeader()
+        self.routers: list[RouterProcess] = []
+        self.leaders = [self.leader]
+        self.backends: list[FakeBackend] = []
+
+    def start(self, servers: int = 1, **settings: Any) -> None:
+        """Starts everything and waits until the router is ready."""
+        ready = settings.pop("wait_ready", True)
+        for leader in self.leaders:
+            self.loop.run(leader.open())
+        for number in range(servers):
+            backend = FakeBackend(f"s{number + 1}")
+            self.loop.run(backend.open())
+            self.backends.append(backend)
+        self.leader.servers = list(self.backends)
+        self.routers.append(RouterProcess(self.leaders, **settings))
+        if ready:
+            self.wait_for(lambda: self.ready() == 200, "the router is ready")
+
+    @property
+    def router(self) -> RouterProcess:
+        """Returns the first router."""
+        return self.routers[0]
+
+    def ready(self, router: RouterProcess | None = None) -> int | None:
+        """Returns the status of the readiness check."""
+        router = router or self.router
+        return send(router.port, "GET", "/-/readyz", token=None).status
+
+    def send(self, method: str, target: str, **more: Any) -> Reply:
+        """Sends a request to the first router."""
+        return send(self.router.port, method, target, **more)
+
+    def send_later(self, method: str, target: str, **more: Any) -> Any:
+        """Sends a request in a thread; returns a function that joins it."""
+        replies: list[Reply] = []
+        thread = threading.Thread(
+            target=lambda: replies.append(self.send(method, target, **more))
+        )
+        thread.start()
+
+        def join() -> Reply:
+            thread.join(WAIT_S + 4)
+            assert replies, f"no answer to {target}"
+            return replies[0]
+
+        return join
+
+    def wait_for(
+        self, check: Callable[[], bool], what: str, seconds: float = WAIT_S
+    ) -> None:
+        """Waits until something holds."""
+        deadline = time.monotonic() + seconds
+        while not check():
+            assert time.monotonic() < deadline, f"not seen: {what}"
+            time.sleep(0.01)
+
+    def runs(self) -> int:
+        """Returns how many requests the backend servers received."""
+        return sum(sum(b.runs.values()) for b in self.backends)
+
+    def close(self) -> None:
+        """Ends everything."""
+        for router in self.routers:
+            router.close()
+        for part in (*self.leaders, *self.backends):
+            self.loop.run(part.close())
+        self.loop.loop.call_soon_threadsafe(self.loop.loop.stop)
--- /dev/null
+++ b/features/steps/router_process.py
@@ -0,0 +1,46 @@
+"""Runs one router as a process for the tests.
+
+Reads the settings as JSON from its first argument and prints the ports.
+"""
+
+import asyncio
+import json
+import signal
+import sys
+
+
+def main() -> None:
+    """Runs a router until SIGTERM."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    import pydantic
+
+    from waxwingrack.core import data
+    from waxwingrack.core import logs
+    from waxwingrack.daemons import router
+
+    settings = pydantic.TypeAdapter(data.Settings).validate_json(sys.argv[1])
+    logs.configure(settings.node_id, settings.log_level)
+    host = router.Router(settings)
+
+    async def run() -> None:
+        stopping = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        await host.start()
+        ports = {"callers": host.callers_port, "operators": host.operators_port}
+        print(json.dumps(ports), flush=True)
+        await stopping.wait()
+        await host.stop()
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: asyncio.ensure_future(run()))
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -252,6 +252,7 @@
     def process(self) -> None:
         """Checks the request line and passes the request on."""
         self.site = self.channel.site
+        self.setHeader(b"Date", http.datetimeToString())
         self.take_request_id()
         if not self._well_formed():
             self.site.front.write_refusal(
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -4,8 +4,6 @@
 # ruff: noqa: N802, N815
 
 import dataclasses
-import socket
-import struct
 from typing import Any
 
 from twisted.internet import defer
@@ -139,13 +137,8 @@
     transport = req.channel.transport if req.channel else None
     if transport is None:
         return
-    # An answer without length ends with the connection; only a reset tells
-    # its caller that the end is missing.
-    if not req.chunked and not req.responseHeaders.hasHeader(b"Content-Length"):
-        handle = transport.getHandle()
-        handle.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+    # Twisted resets the connection here. A plain close would end an answer
+    # without length like a whole one.
     transport.abortConnection()
 
 
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -225,8 +225,8 @@
           **fields: Fields of the message except `call`.
 
         Returns:
-          Fires with the `KeyAnswer`; fails with LinkLostError when the connection
-          ends first and the call is not persistent.
+          Fires with the `KeyAnswer`; fails with LinkLostError when the
+          connection ends first and the call is not persistent.
         """
         self._last_call += 1
         call = _Call(
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -474,7 +474,6 @@
 
     def _set_own_headers(self, lease: dispatch.Lease) -> None:
         headers = self._req.responseHeaders
-        headers.removeHeader(b"Server")
         self._set_connection_headers()
         headers.setRawHeaders(
             b"X-Backend-Server", [lease.grant.server_id.encode()]
@@ -616,7 +615,6 @@
     def _replay(self, stored: data.StoredAnswer) -> None:
         side = answers.CallerSide(self._req, hold_end=False)
         if not self._gone:
-            self._req.responseHeaders.removeHeader(b"Server")
             self._set_connection_headers()
             self._req.setHeader(b"X-Idempotent-Replay", b"true")
             side.start(
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -12,6 +12,7 @@
 import uuid
 
 from twisted.internet import defer
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import server
 
@@ -306,6 +307,7 @@
         req.setResponseCode(answer.status)
         headers = http_headers.Headers(
             {
+                b"Date": [http.datetimeToString()],
                 b"Content-Type": [b"application/json"],
                 b"Content-Length": [b"%d" % len(body)],
                 b"X-Request-Id": [req.request_id.encode()],
