--- /dev/null
+++ b/features/controller_routers.feature
@@ -0,0 +1,87 @@
+Feature: The leading controller serves routers
+
+  Scenario: a follower sends a router to the leader and ends the connection
+    Given a shared group of 3 controllers
+    When a fake router "r-lost" connects to a follower
+    Then the fake router "r-lost" is told who leads and its connection ends
+
+  Scenario: every report is answered with its own time
+    A router measures the age of grants from the echoed time.
+
+    Given a shared group of 3 controllers
+    When a fake router "r-echo" sends 5 reports 100 ms apart
+    Then each report of "r-echo" was answered with its own time
+
+  Scenario: grants follow a report at once
+    Given a shared group of 3 controllers
+    And the environment "routers" is in force
+    When a fake router "r-grant" reports a server and 20 wants one by one
+    Then each want of "r-grant" got a grant, half of them within 20 ms
+
+  Scenario Outline: <event> ends the session of a router
+    A lost router that still counted would keep grants and names in use.
+
+    Given a shared group of 3 controllers
+    And a fake router "r-gone" that the status shows
+    When the fake router "r-gone" <event>
+    Then the status shows no router "r-gone" within <limit_s> s
+
+    Examples:
+      | event                          | limit_s |
+      | falls silent                   | 3       |
+      | closes its connection          | 1       |
+
+  Scenario: a new incarnation of a router replaces the old one
+    Given a shared group of 3 controllers
+    And a fake router "r-twice" that the status shows
+    When a new incarnation of the fake router "r-twice" connects
+    Then the old connection of "r-twice" ends and the status shows it once
+
+  Scenario: an environment reaches every router within seconds
+    Given a shared group of 3 controllers
+    And 5 fake routers of which "p4" does not take environments
+    When an operator applies environment "pushed"
+    Then 4 fake routers have environment "pushed" within 2 s
+    And the fake router "p4" is sent environment "pushed" again after about 1 s
+    And the status names only "p4" as lagging
+
+  Scenario: a router with the environment in force is not sent it again
+    Each push carries the whole document, which the control traffic must bear.
+
+    Given a shared group of 3 controllers
+    And the environment "routers" is in force
+    When a fake router "r-same" connects with the number in force
+    Then the fake router "r-same" gets no environment within 0.6 s
+
+  Scenario Outline: the number rises and routers learn of <change>
+    Given a shared group of 3 controllers
+    And the environment "routers" is in force
+    And a fake router "r-<state>" at the leader
+    When an operator sets data centre "b" to <state>
+    Then the fake router "r-<state>" is told drained data centres "<drained>"
+
+    Examples:
+      | change    | state      | drained |
+      | a drain   | drained    | b       |
+      | a restore | in_service |         |
+
+  Scenario Outline: a malformed frame of <kind> is refused and counted
+    Given a shared group of 3 controllers
+    And a fake router "r-bad" at the leader
+    When the fake router "r-bad" sends a frame of <kind>
+    Then the leader counts one more malformed frame
+    And the reports of "r-bad" are still answered
+
+    Examples:
+      | kind                  |
+      | no CBOR               |
+      | an unknown tag        |
+      | an unknown field      |
+      | a field of wrong type |
+
+  Scenario: a message that a router may not send is refused and counted
+    Given a shared group of 3 controllers
+    And a fake router "r-odd" at the leader
+    When the fake router "r-odd" sends a vote request
+    Then the leader counts one more unexpected message
+    And the reports of "r-odd" are still answered
--- /dev/null
+++ b/features/steps/controller_router_steps.py
@@ -0,0 +1,420 @@
+"""Steps for routers at the leading controller."""
+
+import secrets
+import statistics
+import time
+
+import behave
+import cbor2
+
+from features.support import controller_fleet
+from waxwingrack.core import data
+from waxwingrack.core import messages
+
+wait_for = controller_fleet.wait_for
+
+
+@behave.given("a shared group of 3 controllers")
+def shared_group(context):
+    if getattr(context.feature, "fleet", None) is None:
+        fleet = controller_fleet.Fleet()
+        context.feature.fleet = fleet
+        context.add_cleanup(fleet.close, layer="feature")
+    context.fleet = context.feature.fleet
+    context.leader = context.fleet.leader()
+    context.routers = {}
+
+
+def connect(context, name, **options):
+    leader = context.fleet.leader()
+    router = context.fleet.router(name, leader, **options)
+    context.routers[name] = router
+    context.add_cleanup(router.close)
+    return router
+
+
+def number_in_force(context):
+    _, answer = context.fleet.call(
+        context.fleet.leader(), "GET", "/v1/environment"
+    )
+    return answer["number"]
+
+
+def apply(context, name):
+    status, answer = context.fleet.apply(number_in_force(context), name=name)
+    assert status == 200, answer
+    return answer["number"]
+
+
+def status_of(context, name):
+    _, answer = context.fleet.call(context.leader, "GET", "/v1/status")
+    return [row for row in answer["routers"] if row["id"] == name]
+
+
+@behave.given('the environment "{name}" is in force')
+def in_force(context, name):
+    apply(context, name)
+
+
+@behave.given('a fake router "{name}" at the leader')
+def at_leader(context, name):
+    connect(context, name)
+
+
+@behave.given('a fake router "{name}" that the status shows')
+def shown_router(context, name):
+    connect(context, name)
+    wait_for(lambda: status_of(context, name))
+
+
+@behave.given('fake routers "{first}" and "{second}" at the leader')
+@behave.when('fake routers "{first}" and "{second}" connect to the new leader')
+def two_routers(context, first, second):
+    if not hasattr(context, "routers"):
+        context.routers = {}
+    for name in (first, second):
+        connect(context, name)
+    wait_for(lambda: all(context.routers[x].updates for x in (first, second)))
+    date = int(time.time())
+    if not hasattr(context, "key"):
+        context.key = f"{date}-{secrets.token_hex(4)}"
+        context.key_answers = []
+
+
+@behave.when('a fake router "{name}" connects to a follower')
+def to_follower(context, name):
+    fleet = context.fleet
+    follower = next(x for x in fleet.nodes if x != context.leader)
+    router = fleet.router(name, follower)
+    context.routers[name] = router
+    context.add_cleanup(router.close)
+
+
+@behave.then(
+    'the fake router "{name}" is told who leads and its connection ends'
+)
+def told_leader(context, name):
+    router = context.routers[name]
+    wait_for(lambda: router.ended)
+    assert [item.leader for item in router.refusals] == [context.leader]
+
+
+@behave.when('a fake router "{name}" sends {count:d} reports 100 ms apart')
+def sends_reports(context, name, count):
+    router = connect(context, name, beats=False)
+    wait_for(lambda: router.updates)
+    context.sent = []
+    for _ in range(count):
+        time.sleep(0.1)
+        known = len(router.updates)
+        router.send_report()
+        wait_for(lambda known=known: len(router.updates) > known)
+
+
+@behave.then('each report of "{name}" was answered with its own time')
+def own_time(context, name):
+    router = context.routers[name]
+    echoes = [item.echo_ms for item in router.updates]
+    assert echoes == router.sent_ms[: len(echoes)], (echoes, router.sent_ms)
+    assert len(echoes) == len(router.sent_ms)
+
+
+@behave.when(
+    'a fake router "{name}" reports a server and {count:d} wants one by one'
+)
+def wants(context, name, count):
+    router = connect(context, name, beats=False)
+    context.delays = []
+    router.send_report(announcements=(controller_fleet.server(slots=64),))
+    finished = ()
+    for sequence in range(1, count + 1):
+        begin = time.monotonic()
+        router.send_report(
+            wants=(data.Want(sequence, "ws1", "desk", "read"),),
+            finished=finished,
+        )
+        wait_for(
+            lambda sequence=sequence: len(router.grants) == sequence,
+            pause_s=0.001,
+        )
+        grant = router.grants[-1]
+        assert grant.want == sequence, grant
+        context.delays.append(router.grant_times[-1] - begin)
+        finished = (
+            data.Finished(
+                grant.term, grant.id, data.Outcome.COMPLETED, 1.0, 1.0, 1.0
+            ),
+        )
+
+
+@behave.then(
+    'each want of "{name}" got a grant, half of them within {limit_ms:d} ms'
+)
+def granted_soon(context, name, limit_ms):
+    # The periodic tick alone would take 25 ms in the mean.
+    assert context.routers[name].grants
+    median_ms = statistics.median(context.delays) * 1000
+    assert median_ms < limit_ms, median_ms
+
+
+@behave.when('the fake router "{name}" falls silent')
+def falls_silent(context, name):
+    context.routers[name].beats = False
+
+
+@behave.when('the fake router "{name}" closes its connection')
+def closes(context, name):
+    context.routers[name].close()
+
+
+@behave.then('the status shows no router "{name}" within {limit_s:d} s')
+def not_shown(context, name, limit_s):
+    wait_for(lambda: not status_of(context, name), limit_s)
+
+
+@behave.when('a new incarnation of the fake router "{name}" connects')
+def new_incarnation(context, name):
+    context.old = context.routers[name]
+    connect(context, name)
+
+
+@behave.then('the old connection of "{name}" ends and the status shows it once')
+def replaced(context, name):
+    wait_for(lambda: context.old.ended)
+    assert not context.routers[name].ended
+    assert len(status_of(context, name)) == 1
+
+
+@behave.given(
+    '{count:d} fake routers of which "{name}" does not take environments'
+)
+def several_routers(context, count, name):
+    for number in range(count):
+        node_id = f"p{number}"
+        connect(context, node_id, confirms=node_id != name)
+
+
+@behave.when('an operator applies environment "{name}"')
+def operator_applies(context, name):
+    context.number = apply(context, name)
+    context.applied_at = time.monotonic()
+
+
+@behave.then(
+    '{count:d} fake routers have environment "{name}" within {limit_s:d} s'
+)
+def have_environment(context, count, name, limit_s):
+    def holders():
+        return [
+            router
+            for router in context.routers.values()
+            if router.number == context.number
+            and router.pushes[-1].environment.name == name
+        ]
+
+    wait_for(lambda: len(holders()) == count, limit_s)
+
+
+@behave.then(
+    'the fake router "{node_id}" is sent environment "{name}" again after '
+    "about 1 s"
+)
+def sent_again(context, node_id, name):
+    router = context.routers[node_id]
+
+    def sent():
+        return [item for item in router.pushes if item.environment.name == name]
+
+    wait_for(lambda: len(sent()) >= 2, 3)
+    spent_s = time.monotonic() - context.applied_at
+    assert 0.9 < spent_s < 2.5, spent_s
+
+
+@behave.then('the status names only "{name}" as lagging')
+def lagging(context, name):
+    _, answer = context.fleet.call(context.leader, "GET", "/v1/status")
+    found = [row["id"] for row in answer["routers"] if row["lagging"]]
+    assert found == [name], answer["routers"]
+    assert context.fleet.metric(context.leader, "lagging_routers") == 1
+
+
+@behave.when('a fake router "{name}" connects with the number in force')
+def connects_current(context, name):
+    connect(context, name, number=number_in_force(context))
+
+
+@behave.then('the fake router "{name}" gets no environment within {time_s} s')
+def no_environment(context, name, time_s):
+    time.sleep(float(time_s))
+    router = context.routers[name]
+    assert router.updates and not router.pushes, router.pushes
+
+
+@behave.when('an operator sets data centre "{node_id}" to {state}')
+def set_data_centre(context, node_id, state):
+    status, answer = context.fleet.change(
+        "PUT",
+        f"/v1/data-centres/{node_id}",
+        operation=secrets.token_hex(4),
+        operator="ada",
+        expected=None,
+        state=state,
+    )
+    assert status == 200, answer
+    context.number = answer["number"]
+
+
+@behave.then(
+    'the fake router "{name}" is told drained data centres "{drained}"'
+)
+@behave.then('the fake router "{name}" is told drained data centres ""')
+def told_drained(context, name, drained=""):
+    router = context.routers[name]
+    wait_for(lambda: router.number == context.number)
+    expected = (drained,) if drained else ()
+    assert router.pushes[-1].drained == expected, router.pushes[-1]
+
+
+FRAMES = {
+    "no CBOR": b"\xff\x00\xff",
+    "an unknown tag": cbor2.dumps(["no_such_message", {}]),
+    "an unknown field": cbor2.dumps(
+        ["report", {"sent_ms": 1, "environment_number": 0, "extra": 1}]
+    ),
+    "a field of wrong type": cbor2.dumps(
+        ["report", {"sent_ms": "soon", "environment_number": 0}]
+    ),
+}
+
+
+@behave.when('the fake router "{name}" sends a frame of {kind}')
+def sends_malformed(context, name, kind):
+    context.counted = context.fleet.metric(
+        context.leader, "malformed_frames_total"
+    )
+    context.routers[name].send_raw(FRAMES[kind])
+
+
+@behave.then("the leader counts one more malformed frame")
+def counted_malformed(context):
+    wait_for(
+        lambda: (
+            context.fleet.metric(context.leader, "malformed_frames_total")
+            == context.counted + 1
+        )
+    )
+
+
+@behave.when('the fake router "{name}" sends a vote request')
+def sends_vote(context, name):
+    context.counted = context.fleet.metric(
+        context.leader, "unexpected_messages_total"
+    )
+    context.routers[name].send_raw(
+        messages.CODEC.encode(messages.VoteRequest(99, 9, 9, False))
+    )
+
+
+@behave.then("the leader counts one more unexpected message")
+def counted_unexpected(context):
+    wait_for(
+        lambda: (
+            context.fleet.metric(context.leader, "unexpected_messages_total")
+            == context.counted + 1
+        )
+    )
+
+
+@behave.then('the reports of "{name}" are still answered')
+def still_answered(context, name):
+    router = context.routers[name]
+    known = len(router.updates)
+    wait_for(lambda: len(router.updates) > known)
+    assert context.fleet.leader() == context.leader
+
+
+# ---------------------------------------------------------------------------
+# Idempotency keys
+# ---------------------------------------------------------------------------
+
+ANSWER = data.StoredAnswer(200, (), b"done")
+
+
+def key_message(verb, key):
+    request = {"workspace": "ws1", "key": key}
+    digest = {"digest": "other" if verb.endswith("-other") else "same"}
+    return {
+        "lookup": (messages.KeyLookup, request | digest),
+        "claim": (messages.KeyClaim, request | digest),
+        "answer": (messages.KeyOutcome, request | {"answer": ANSWER}),
+        "unknown": (messages.KeyOutcome, request | {"answer": None}),
+        "release": (messages.KeyRelease, request),
+    }[verb.removesuffix("-other")]
+
+
+def use_key(context, name, verb, key=None):
+    router = context.routers[name]
+    if verb == "dies":
+        router.close()
+        # Routers of the last checkpoint count as alive just after an
+        # election, so the loss shows once a later checkpoint is committed.
+        wait_for(lambda: not status_of(context, name))
+        return
+    kind, fields = key_message(verb, key or context.key)
+    answer = router.ask(kind, **fields)
+    context.key_answers.append(answer)
+    if answer.state is data.KeyState.ANSWERED:
+        assert answer.answer == ANSWER, answer
+
+
+@behave.when("a key is used as: {steps}")
+def use_keys(context, steps):
+    context.leader = context.fleet.leader()
+    for step in steps.split(","):
+        use_key(context, *step.split())
+
+
+@behave.when("after {time_s:f} s a key is used as: {steps}")
+def use_keys_later(context, time_s, steps):
+    time.sleep(time_s)
+    use_keys(context, steps)
+
+
+@behave.when("a key dated {ahead_s:d} s ahead is looked up and claimed")
+def dated_ahead(context, ahead_s):
+    key = f"{int(time.time()) + ahead_s}-ahead"
+    for verb in ("lookup", "claim"):
+        use_key(context, "k1", verb, key)
+
+
+@behave.then("the answers about the key are: {answers}")
+def key_answers(context, answers):
+    found = [item.state.value for item in context.key_answers]
+    assert found == answers.split(", "), found
+
+
+@behave.when('"{name}" claims {count:d} keys at once')
+def claims_many(context, name, count):
+    fleet = context.fleet
+    context.counted = fleet.metric(fleet.leader(), "syncs_total")
+    router = context.routers[name]
+    date = int(time.time())
+    claims = [
+        messages.KeyClaim(10_000 + n, "ws1", f"{date}-many{n}", "same")
+        for n in range(count)
+    ]
+    router.send_all(claims)
+    wait_for(lambda: sum(x >= 10_000 for x in router.answers) == count)
+
+
+@behave.then(
+    "all {count:d} keys are claimed with fewer than {syncs:d} syncs at the "
+    "leader"
+)
+def claimed_many(context, count, syncs):
+    router = context.routers["k1"]
+    states = [x.state for call, x in router.answers.items() if call >= 10_000]
+    assert states == [data.KeyState.CLAIMED] * count, states
+    fleet = context.fleet
+    spent = fleet.metric(fleet.leader(), "syncs_total") - context.counted
+    assert spent < syncs, spent
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import dataclasses
 import http.client
 import json
@@ -336,6 +337,7 @@
         self.pushes: list[messages.EnvironmentPush] = []
         self.refusals: list[messages.NotLeader] = []
         self.answers: dict[int, messages.KeyAnswer] = {}
+        self.sent_ms: list[int] = []
         self.ended = False
         self.beats = beats
         self.confirms = confirms
@@ -368,9 +370,10 @@
 
     def report(self, **fields):
         """Sends a report; loop thread only."""
+        self.sent_ms.append(time.monotonic_ns() // 1_000_000)
         self._conn.send(
             messages.RouterReport(
-                sent_ms=time.monotonic_ns() // 1_000_000,
+                sent_ms=self.sent_ms[-1],
                 environment_number=self.number,
                 data_centre="a",
                 **fields,
@@ -381,14 +384,18 @@
         """Sends a report from the thread of the steps."""
         self._loop.loop.call_soon_threadsafe(lambda: self.report(**fields))
 
+    def send_all(self, items: list):
+        """Sends messages in one iteration of the event loop."""
+        self._loop.loop.call_soon_threadsafe(
+            lambda: [self._conn.send(item) for item in items]
+        )
+
     def send_raw(self, blob: bytes):
         """Sends a frame that need not be a message."""
 
         async def send():
-            try:
+            with contextlib.suppress(websockets.exceptions.ConnectionClosed):
                 await self._conn._socket.send(blob)
-            except websockets.exceptions.ConnectionClosed:
-                pass
 
         self._loop.run(send())
 
