--- a/waxwingrack/daemons/metrics.py
+++ b/waxwingrack/daemons/metrics.py
@@ -7,8 +7,10 @@
 from aioprometheus import collectors
 from aioprometheus import renderer
 import klein
+from twisted.python import failure as failure_module
 from twisted.web import http
 from twisted.web import iweb
+from werkzeug import exceptions
 
 from waxwingrack.daemons import transport
 
@@ -140,6 +142,15 @@
         return body
 
 
+@HealthApi.app.handle_errors(exceptions.HTTPException)
+def answer_error(
+    _: HealthApi, request: iweb.IRequest, fault: failure_module.Failure
+) -> bytes:
+    """Answers unknown paths and methods in JSON."""
+    code = fault.value.code or http.NOT_FOUND
+    return write_json(request, code, {"message": fault.value.name})
+
+
 def write_json(request: iweb.IRequest, status: int, body: object) -> bytes:
     """Sets status and type of an HTTP answer.
 
