--- a/features/steps/controller_router_steps.py
+++ b/features/steps/controller_router_steps.py
@@ -418,3 +418,128 @@
     fleet = context.fleet
     spent = fleet.metric(fleet.leader(), "syncs_total") - context.counted
     assert spent < syncs, spent
+
+
+# ---------------------------------------------------------------------------
+# Large states
+# ---------------------------------------------------------------------------
+
+
+def send_and_wait(router, items):
+    router.send_all(items)
+    wait_for(lambda: all(item.call in router.answers for item in items), 20)
+    return [router.answers[item.call].state for item in items]
+
+
+def stored_key(context, number):
+    return f"{context.key}-stored{number}"
+
+
+@behave.when(
+    '"{name}" stores {count:d} answers of {size:d} bytes and claims '
+    "{further:d} further keys"
+)
+def stores_answers(context, name, count, size, further):
+    router = context.routers[name]
+    answer = data.StoredAnswer(200, (), b"x" * size)
+    keys = [stored_key(context, number) for number in range(count)]
+    claims = [
+        messages.KeyClaim(20_000 + number, "ws1", key, "same")
+        for number, key in enumerate(keys)
+    ]
+    assert set(send_and_wait(router, claims)) == {data.KeyState.CLAIMED}
+    outcomes = [
+        messages.KeyOutcome(30_000 + number, "ws1", key, answer)
+        for number, key in enumerate(keys)
+    ]
+    assert set(send_and_wait(router, outcomes)) == {data.KeyState.ANSWERED}
+    for start in range(0, further, 250):
+        claims = [
+            messages.KeyClaim(
+                40_000 + number, "ws1", f"{context.key}-more{number}", "same"
+            )
+            for number in range(start, min(start + 250, further))
+        ]
+        assert set(send_and_wait(router, claims)) == {data.KeyState.CLAIMED}
+
+
+@behave.then("the new controller was sent a snapshot in parts")
+def sent_in_parts(context):
+    sent = [
+        line
+        for node_id in context.fleet.nodes
+        for line in context.fleet.log(node_id)
+        if line["event"] == "large_message_sent"
+    ]
+    assert sent and sent[0]["peer"] == "c4", sent
+    assert sent[0]["bytes"] > messages.MAX_FRAME_BYTES, sent
+
+
+@behave.then('"{name}" finds the {count:d} stored answers')
+def finds_answers(context, name, count):
+    router = context.routers[name]
+    lookups = [
+        messages.KeyLookup(
+            50_000 + number, "ws1", stored_key(context, number), "same"
+        )
+        for number in range(count)
+    ]
+    found = send_and_wait(router, lookups)
+    assert found == [data.KeyState.ANSWERED] * count, found
+
+
+# ---------------------------------------------------------------------------
+# Crash guard
+# ---------------------------------------------------------------------------
+
+
+def refused_digests(context):
+    _, answer = context.fleet.call(context.fleet.leader(), "GET", "/v1/status")
+    return answer["refused_digests"]
+
+
+@behave.when(
+    'the fake router "{name}" reports that digest "{digest}" crashed the '
+    "server until it is refused"
+)
+def reports_crashes(context, name, digest):
+    router = context.routers[name]
+    context.crashes = 0
+    deadline = time.monotonic() + 12
+    while not refused_digests(context):
+        assert time.monotonic() < deadline, context.crashes
+        crash_once(router, digest, context.crashes)
+        context.crashes += 1
+
+
+def crash_once(router, digest, number):
+    known = len(router.grants)
+    router.send_report(
+        wants=(data.Want(100 + number, "ws1", "desk", "read", digest),)
+    )
+    try:
+        wait_for(lambda: len(router.grants) > known, 3)
+    except AssertionError:
+        # The digest is refused by now, or the server is still in doubt.
+        return
+    grant = router.grants[-1]
+    ended = data.Finished(
+        grant.term, grant.id, data.Outcome.CONNECTION_LOST, 0.0, 5.0, 1.0
+    )
+    suspect = messages.CrashSuspect(digest, grant.server_id, grant.incarnation)
+    router.send_report(finished=(ended,), crash_suspects=(suspect,))
+    time.sleep(0.1)
+    server = controller_fleet.server(incarnation=f"after-{number}")
+    router.send_report(announcements=(server,))
+    time.sleep(0.2)
+
+
+@behave.then('the status lists the refused digest "{digest}"')
+def lists_digest(context, digest):
+    assert refused_digests(context) == [digest]
+
+
+@behave.then('the fake router "{name}" is told to refuse digest "{digest}"')
+def told_digest(context, name, digest):
+    router = context.routers[name]
+    wait_for(lambda: router.pushes[-1].refused_digests == (digest,))
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -465,11 +465,13 @@
     }
 
 
-def server(number: int = 1, slots: int = 4) -> data.Announcement:
+def server(
+    number: int = 1, slots: int = 4, incarnation: str = "i1"
+) -> data.Announcement:
     """Returns the announcement of a backend server."""
     return data.Announcement(
         server_id=f"s{number}",
-        incarnation="i1",
+        incarnation=incarnation,
         address=data.Address(HOST, 9),
         service="desk",
         version="v1",
--- a/waxwingrack/daemons/large_frames.py
+++ b/waxwingrack/daemons/large_frames.py
@@ -77,6 +77,12 @@
             if not conn.send(messages.FramePart(number, part, count, blob)):
                 return
             progress()
+        logs.event(
+            "large_message_sent",
+            peer=conn.peer.node_id,
+            bytes=len(frame),
+            parts=count,
+        )
 
 
 class Receiver:
