--- /dev/null
+++ b/features/router_answers.feature
@@ -0,0 +1,55 @@
+Feature: A router passes whole answers on and never a part as a whole one
+
+  Scenario Outline: an answer that breaks is never taken for a whole one
+  A caller that stores a cut answer loses data without noticing.
+    Given a shared router with 2 fake backend servers
+    When the router's caller sends GET /sketch/a?do=<act>
+    Then the router's caller sees a broken transfer
+    And the router's backend servers ran 1 request
+    And the router reports the outcome <outcome>
+
+    Examples:
+      | act         | outcome         |
+      | cut_length  | connection_lost |
+      | cut_chunk   | connection_lost |
+      | cut_last    | connection_lost |
+      | bad_chunk   | connection_lost |
+      | until_reset | connection_lost |
+      | stall_body  | timed_out       |
+
+  Scenario Outline: whole answers of every form arrive whole
+    Given a shared router with 2 fake backend servers
+    When the router's caller sends <method> /sketch/a?do=<act>
+    Then the router's caller gets <status> with <bytes> bytes
+    And the router reports the outcome <outcome>
+
+    Examples:
+      | method | act                | status | bytes   | outcome      |
+      | GET    | status&code=204    | 204    | 0       | completed    |
+      | GET    | status&code=304    | 304    | 0       | completed    |
+      | GET    | status&code=500    | 500    | 6       | server_error |
+      | GET    | early              | 200    | 11      | completed    |
+      | GET    | until_close        | 200    | 17      | completed    |
+      | GET    | large&bytes=3000000 | 200   | 3000000 | completed    |
+      | HEAD   | ok                 | 200    | 0       | completed    |
+      | HEAD   | large&bytes=5      | 200    | 0       | completed    |
+
+  Scenario: headers of one hop and secrets are not passed on
+    Given a router with 2 fake backend servers
+    When the router's caller sends GET /sketch/a?do=headers with {"Connection": "X-Own, keep-alive", "X-Own": "1", "X-Kept": "2", "X-Request-Id": "my-id", "X-Workspace": "other", "TE": "trailers"}
+    Then the router passed on x-kept: 2 and x-request-id: my-id and x-workspace: planners
+    And the router did not pass on authorization, x-own, connection, te
+    And the router's answer has Set-Cookie: a=1 and Set-Cookie: b=2 and Server: engine and X-Request-Id: my-id
+    And the router's answer lacks X-Private, Keep-Alive, Connection
+
+  Scenario: answers do not cross when servers send bytes behind an answer
+  A second copy of an answer must not be taken for the answer to the next
+  request on the same connection.
+    Given a router with 2 fake backend servers
+    When the router serves 24 requests in turn with "twice ok late_copy ok"
+    Then every router's caller got its own answer
+
+  Scenario: answers do not cross under load
+    Given a router with 2 fake backend servers
+    When 12 router's callers send 20 requests each at the same time
+    Then every router's caller got its own answer
--- /dev/null
+++ b/features/router_failures.feature
@@ -0,0 +1,46 @@
+Feature: A router tells the truth about requests that failed
+
+  Background:
+    Given a router with 2 fake backend servers
+
+  Scenario Outline: a request without an answer is refused truthfully
+  A caller that reads "not run" repeats the request, so that must be true, and
+  a request that may not be repeated runs at most once.
+    When the router's caller sends <method> <path>?do=<act>
+    Then the router's caller gets <status> <kind> with execution may_have_run
+    And the router's backend servers ran <runs> request
+    And the router reports the outcome <outcome>
+
+    Examples:
+      | method | path            | act      | status | kind                    | runs | outcome         |
+      | GET    | /sketch/a       | drop     | 502    | backend_connection_lost | 3    | connection_lost |
+      | GET    | /sketch/a       | reset    | 502    | backend_connection_lost | 3    | connection_lost |
+      | GET    | /sketch/a       | garbage  | 502    | backend_connection_lost | 3    | connection_lost |
+      | GET    | /sketch/a       | cut_head | 502    | backend_connection_lost | 3    | connection_lost |
+      | GET    | /sketch/a       | stall    | 504    | backend_timeout         | 3    | timed_out       |
+      | POST   | /sketch/deposit | drop     | 502    | backend_connection_lost | 1    | connection_lost |
+      | POST   | /sketch/deposit | reset    | 502    | backend_connection_lost | 1    | connection_lost |
+      | POST   | /sketch/deposit | stall    | 504    | backend_timeout         | 1    | timed_out       |
+
+  Scenario Outline: a failed try goes to the other server where it may
+    Given the router's next try fails with <fault>
+    When the router's caller sends <method> <path>
+    Then the router's caller gets 200 with its own answer
+    And the router's backend servers ran <runs> request
+    And the router avoided the server that failed
+
+    Examples:
+      | fault  | method | path            | runs |
+      | drop   | GET    | /sketch/a       | 2    |
+      | refuse | GET    | /sketch/a       | 1    |
+      | refuse | POST   | /sketch/deposit | 1    |
+
+  Scenario Outline: a request that reached no server has not run
+    Given the router's backend servers refuse connections
+    When the router's caller sends <method> <path>
+    Then the router's caller gets 502 backend_connect_failed with execution not_run
+
+    Examples:
+      | method | path            |
+      | GET    | /sketch/a       |
+      | POST   | /sketch/deposit |
--- /dev/null
+++ b/features/steps/router_decisions_steps.py
@@ -0,0 +1,251 @@
+"""Steps for the decisions of a router without sockets."""
+
+import dataclasses
+import json
+import re
+
+import behave
+import immutables
+from returns import result
+
+from features.steps import router_fakes
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.operations import announcements
+from waxwingrack.operations import costs
+from waxwingrack.operations import idempotency
+from waxwingrack.operations import queueing
+from waxwingrack.operations import routing
+
+
+def as_flag(text):
+    return {"yes": True, "no": False}[text]
+
+
+@behave.when(
+    "the router decides on a retry after {fault} with repeatable {repeatable}, "
+    "tries {tries:d}, started {started} and budget {budget:g}"
+)
+def decide_retry(context, fault, repeatable, tries, started, budget):
+    attempt = queueing.Attempt(
+        as_flag(repeatable), queueing.Fault(fault), tries, as_flag(started)
+    )
+    _, context.decision = queueing.decide_retry(
+        immutables.Map({"sketch": budget}), "sketch", attempt
+    )
+
+
+@behave.then("the router's retry decision is {retry} because of {reason}")
+def retry_is(context, retry, reason):
+    expected = queueing.Decision(as_flag(retry), reason)
+    assert context.decision == expected, context.decision
+
+
+@behave.when("the router serves {count:d} requests that all fail with {fault}")
+def serve_failing(context, count, fault):
+    budgets, context.repeated = immutables.Map(), 0
+    for _ in range(count):
+        budgets = queueing.earn_retry(budgets, "sketch")
+        for tries in (1, 2, 3):
+            attempt = queueing.Attempt(
+                True, queueing.Fault(fault), tries, False
+            )
+            budgets, decision = queueing.decide_retry(
+                budgets, "sketch", attempt
+            )
+            if not decision.retry:
+                break
+            context.repeated += 1
+
+
+@behave.then("the router repeated between {low:d} and {high:d} of them")
+def repeated_between(context, low, high):
+    assert low <= context.repeated <= high, context.repeated
+
+
+@behave.when(
+    "the router refuses with {kind}, sent {sent} and record unread {unread}"
+)
+def refuse(context, kind, sent, unread):
+    context.execution = queueing.execution(
+        errors.ErrorKind(kind), as_flag(sent), as_flag(unread)
+    )
+
+
+@behave.then("the router's refusal says {execution}")
+def refusal_says(context, execution):
+    assert context.execution == execution, context.execution
+
+
+def make_want(sequence):
+    return data.Want(sequence, "planners", "sketch", "read")
+
+
+@behave.when('the router\'s queue sees "{events}"')
+def queue_sees(context, events):
+    queues, context.wants, context.refused = queueing.Queues(), [], 0
+    for event in events.split():
+        name, _, rest = event.partition(":")
+        if name == "report":
+            queues, wants = queueing.take_wants(queues)
+            context.wants += [want.sequence for want in wants]
+        elif name == "connect":
+            queues = queueing.forget_reports(queues)
+        elif name == "remove":
+            queues, _ = queueing.remove(queues, int(rest))
+        else:
+            sequence, _, place = rest.partition("@")
+            outcome = queueing.enqueue(
+                queues,
+                make_want(int(sequence)),
+                1000,
+                4,
+                int(place) if place else None,
+            )
+            context.refused += isinstance(outcome, result.Failure)
+            queues = outcome.value_or(queues)
+
+
+@behave.then('the router\'s queue reports "{wants}" and refuses {refused:d}')
+def queue_reports(context, wants, refused):
+    assert context.wants == [int(want) for want in wants.split()], context.wants
+    assert context.refused == refused, context.refused
+
+
+@behave.when(
+    "the router's queue takes {count:d} requests and {granted:d} of the "
+    "reported ones are granted"
+)
+def queue_takes(context, count, granted):
+    queues = queueing.Queues()
+    for sequence in range(count):
+        queues = queueing.enqueue(
+            queues, make_want(sequence), 1000, count
+        ).unwrap()
+    queues, first = queueing.take_wants(queues)
+    for want in first[:granted]:
+        queues, _ = queueing.remove(queues, want.sequence)
+    _, later = queueing.take_wants(queues)
+    context.reported = (len(first), len(later))
+
+
+@behave.then(
+    "the router's queue reported {first:d} wants first and {later:d} later"
+)
+def queue_reported(context, first, later):
+    assert context.reported == (first, later), context.reported
+
+
+@behave.when("a router's grant echoes {echo:d} and the clock shows {now:d}")
+def grant_echoes(context, echo, now):
+    context.valid = queueing.grant_valid(echo, now)
+
+
+@behave.then("the router's grant is {validity}")
+def grant_is(context, validity):
+    assert context.valid == (validity == "valid"), context.valid
+
+
+@behave.when("the router reads {state} with answer {answer} after a {message}")
+def read_record(context, state, answer, message):
+    stored = None
+    if answer != "none":
+        stored = data.StoredAnswer(200, (), b"", answer == "truncated")
+    decide = {
+        "lookup": idempotency.after_lookup,
+        "claim": idempotency.after_claim,
+    }[message]
+    context.step = decide(data.KeyState(state), stored)
+
+
+@behave.then("the router's key decision is {decision}")
+def key_decision_is(context, decision):
+    match context.step:
+        case idempotency.Refuse(kind, unread):
+            seen = f"{kind} unread" if unread else str(kind)
+        case idempotency.Proceed():
+            seen = "proceed"
+        case idempotency.Replay():
+            seen = "replay"
+        case idempotency.ReleaseFirst():
+            seen = "release"
+    assert seen == decision, seen
+
+
+@behave.when(
+    'the router checks the key "{key}" on an idempotent route {idempotent}'
+)
+@behave.when('the router checks the key "" on an idempotent route {idempotent}')
+def check_key(context, idempotent, key=None):
+    if key:
+        key = re.sub(r"\{x\*(\d+)\}", lambda m: "x" * int(m.group(1)), key)
+    context.outcome = idempotency.check_key(key, as_flag(idempotent))
+
+
+@behave.then("the router's key check gives {outcome}")
+def key_check_gives(context, outcome):
+    match context.outcome:
+        case result.Failure(kind):
+            assert kind == outcome, kind
+        case result.Success():
+            assert outcome == "accepted", outcome
+
+
+@behave.when("the router matches {method} {path}")
+def match_route(context, method, path):
+    tables = routing.build(1, router_fakes.environment())
+    context.outcome = routing.match_route(tables, method, path)
+
+
+@behave.then("the router's match is {outcome}")
+def match_is(context, outcome):
+    match context.outcome:
+        case result.Failure(kind):
+            assert kind == outcome, kind
+        case result.Success(found):
+            assert found.route.id == outcome, found
+
+
+@behave.when(
+    'the router measures {meter} of "{content}" in chunks "{chunks}" after '
+    "{elapsed:d} ms"
+)
+def measure(context, meter, content, chunks, elapsed):
+    found = costs.create(data.CostMeter(meter), content)
+    for chunk in chunks.replace("\\n", "\n").split(","):
+        found.feed(chunk.encode())
+    context.cost = found.cost(elapsed)
+
+
+@behave.then("the router's cost is {cost:g}")
+def cost_is(context, cost):
+    assert context.cost == cost, context.cost
+
+
+@behave.when("the router checks an announcement with {changes}")
+def check_announcement(context, changes):
+    document = announcement() | json.loads(changes)
+    context.outcome = announcements.check(
+        "s1", json.dumps(document).encode(), router_fakes.environment()
+    )
+
+
+def announcement():
+    fields = dataclasses.asdict(
+        data.Announcement(
+            "s1", "i1", data.Address("127.0.0.1", 1), "sketch", "v1", "a", 2
+        )
+    )
+    del fields["server_id"]
+    return fields | fields.pop("address")
+
+
+@behave.then('the router\'s faults of the announcement are "{faults}"')
+@behave.then('the router\'s faults of the announcement are ""')
+def faults_are(context, faults=""):
+    match context.outcome:
+        case result.Failure(found):
+            seen = [fault.path for fault in found]
+        case result.Success():
+            seen = []
+    assert sorted(seen) == sorted(faults.split()), seen
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -7,6 +7,7 @@
 import hashlib
 import http.client
 import json
+import logging
 import os
 import pathlib
 import signal
@@ -29,6 +30,7 @@
 TOKEN = "planners-token"
 ANNOUNCE_TOKEN = "announce-token"
 WAIT_S = 8.0
+logging.getLogger("websockets").setLevel(logging.WARNING)
 
 
 def digest(token: str) -> str:
@@ -152,13 +154,16 @@
             conn.close()
 
     def connected(self, conn: transport.Connection) -> None:
+        """Handles a new connection."""
         self.conns.append(conn)
         self.wants.clear()
 
     def disconnected(self, conn: transport.Connection) -> None:
+        """Handles the end of a connection."""
         self.conns.remove(conn)
 
     def received(self, conn: transport.Connection, message: Any) -> None:
+        """Handles a message of a router."""
         if self.silent:
             return
         if self.hint is not None:
@@ -328,11 +333,12 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         line, *rest = head.split("\r\n")
         method, target, _ = line.split(" ")
-        headers = dict(
-            (part.split(": ", 1)[0].lower(), part.split(": ", 1)[1])
-            for part in rest
-            if part
-        )
+        headers = {
+            name.lower(): value
+            for name, _, value in (
+                part.partition(": ") for part in rest if part
+            )
+        }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers["x-request-id"]
         self.runs[request_id] += 1
@@ -344,14 +350,14 @@
         if self.faults:
             act = self.faults.pop(0)
         running = asyncio.ensure_future(
-            getattr(self, f"do_{act}")(writer, query, request_id, body, method)
+            getattr(self, f"_do_{act}")(writer, query, request_id, body, method)
         )
         gone = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait(
             (running, gone), return_when=asyncio.FIRST_COMPLETED
         )
         if running not in done:
-            if not gone.result():
+            if gone.exception() or not gone.result():
                 self.cancelled.append(request_id)
             running.cancel()
             return False
@@ -373,7 +379,7 @@
             f"Content-Length: {len(body)}\r\n{extra}\r\n"
         ).encode() + body
 
-    async def do_ok(self, writer, query, request_id, body, method):
+    async def _do_ok(self, writer, query, request_id, body, method):
         answer = f"{request_id}:".encode() + body
         sent = self._text(answer)
         if method == "HEAD":
@@ -381,13 +387,13 @@
         writer.write(sent)
         return True
 
-    async def do_json(self, writer, query, request_id, body, method):
+    async def _do_json(self, writer, query, request_id, body, method):
         text = query["text"].encode()
         head = f"Content-Type: application/json\r\nContent-Length: {len(text)}"
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n\r\n".encode() + text)
         return True
 
-    async def do_status(self, writer, query, request_id, body, method):
+    async def _do_status(self, writer, query, request_id, body, method):
         code = query["code"]
         if code in ("204", "304"):
             writer.write(f"HTTP/1.1 {code} X\r\n\r\n".encode())
@@ -395,12 +401,12 @@
             writer.write(self._text(b"status", f"{code} X"))
         return True
 
-    async def do_early(self, writer, query, request_id, body, method):
+    async def _do_early(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
         writer.write(self._text(b"after hints"))
         return True
 
-    async def do_headers(self, writer, query, request_id, body, method):
+    async def _do_headers(self, writer, query, request_id, body, method):
         extra = (
             "Connection: keep-alive, X-Private\r\nX-Private: 1\r\n"
             "Keep-Alive: timeout=5\r\nServer: engine\r\nSet-Cookie: a=1\r\n"
@@ -409,7 +415,7 @@
         writer.write(self._text(b"headers", extra=extra))
         return True
 
-    async def do_large(self, writer, query, request_id, body, method):
+    async def _do_large(self, writer, query, request_id, body, method):
         size = int(query["bytes"])
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
         writer.write(head.encode())
@@ -421,7 +427,7 @@
             self.sent_bytes += len(part)
         return True
 
-    async def do_stream(self, writer, query, request_id, body, method):
+    async def _do_stream(self, writer, query, request_id, body, method):
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n"
@@ -440,21 +446,21 @@
     def _chunk(writer: Any, text: str) -> None:
         writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
 
-    async def do_slow(self, writer, query, request_id, body, method):
+    async def _do_slow(self, writer, query, request_id, body, method):
         await asyncio.sleep(float(query.get("pause", 0.5)))
-        return await self.do_ok(writer, query, request_id, body, method)
+        return await self._do_ok(writer, query, request_id, body, method)
 
-    async def do_stall(self, writer, query, request_id, body, method):
+    async def _do_stall(self, writer, query, request_id, body, method):
         await asyncio.sleep(60)
 
-    async def do_stall_body(self, writer, query, request_id, body, method):
+    async def _do_stall_body(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
         await asyncio.sleep(60)
 
-    async def do_drop(self, writer, query, request_id, body, method):
+    async def _do_drop(self, writer, query, request_id, body, method):
         return False
 
-    async def do_reset(self, writer, query, request_id, body, method):
+    async def _do_reset(self, writer, query, request_id, body, method):
         self._reset(writer)
 
     @staticmethod
@@ -464,48 +470,48 @@
         )
         writer.transport.abort()
 
-    async def do_garbage(self, writer, query, request_id, body, method):
+    async def _do_garbage(self, writer, query, request_id, body, method):
         writer.write(b"this is not HTTP\r\n\r\n")
 
-    async def do_cut_length(self, writer, query, request_id, body, method):
+    async def _do_cut_length(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
 
-    async def do_cut_head(self, writer, query, request_id, body, method):
+    async def _do_cut_head(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Le")
 
-    async def do_cut_chunk(self, writer, query, request_id, body, method):
+    async def _do_cut_chunk(self, writer, query, request_id, body, method):
         writer.write(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             b"4\r\npart\r\n20\r\nhalf"
         )
 
-    async def do_cut_last(self, writer, query, request_id, body, method):
+    async def _do_cut_last(self, writer, query, request_id, body, method):
         writer.write(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             b"4\r\npart\r\n"
         )
 
-    async def do_bad_chunk(self, writer, query, request_id, body, method):
+    async def _do_bad_chunk(self, writer, query, request_id, body, method):
         writer.write(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             b"4\r\npart\r\nzz\r\n"
         )
 
-    async def do_until_close(self, writer, query, request_id, body, method):
+    async def _do_until_close(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.0 200 OK\r\n\r\nwhole until close")
 
-    async def do_until_reset(self, writer, query, request_id, body, method):
+    async def _do_until_reset(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\n\r\npart until reset")
         await writer.drain()
         await asyncio.sleep(0.1)
         self._reset(writer)
 
-    async def do_twice(self, writer, query, request_id, body, method):
+    async def _do_twice(self, writer, query, request_id, body, method):
         answer = self._text(f"{request_id}:first".encode())
         writer.write(answer + answer)
         return True
 
-    async def do_late_copy(self, writer, query, request_id, body, method):
+    async def _do_late_copy(self, writer, query, request_id, body, method):
         extra = f"X-Request-Id: {request_id}\r\n"
         answer = self._text(f"{request_id}:late".encode(), extra=extra)
         writer.write(answer)
@@ -643,6 +649,13 @@
         ]
 
 
+async def _cancel_tasks() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class World:
     """One router, its leader and its backend servers."""
 
@@ -705,6 +718,13 @@
             assert time.monotonic() < deadline, f"not seen: {what}"
             time.sleep(0.01)
 
+    def forget(self) -> None:
+        """Forgets what the fakes have seen so far."""
+        self.leader.reports.clear()
+        for backend in self.backends:
+            for seen in (backend.runs, backend.seen, backend.cancelled):
+                seen.clear()
+
     def runs(self) -> int:
         """Returns how many requests the backend servers received."""
         return sum(sum(b.runs.values()) for b in self.backends)
@@ -715,4 +735,5 @@
             router.close()
         for part in (*self.leaders, *self.backends):
             self.loop.run(part.close())
+        self.loop.run(_cancel_tasks())
         self.loop.loop.call_soon_threadsafe(self.loop.loop.stop)
--- a/features/steps/router_process.py
+++ b/features/steps/router_process.py
@@ -16,9 +16,8 @@
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install(loop)
-    from twisted.internet import reactor
-
     import pydantic
+    from twisted.internet import reactor
 
     from waxwingrack.core import data
     from waxwingrack.core import logs
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -152,6 +152,7 @@
         self._conn: transport.Connection | None = None
         self._opened_ms = 0
         self._sent_ms = 0
+        self._urgent_ms = 0
         self._timer: asyncio.TimerHandle | None = None
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
@@ -201,14 +202,24 @@
 
     # -- messages to the leader ---------------------------------------------
 
-    def poke(self) -> None:
-        """Reports soon: at once if idle, otherwise after COALESCE_MS."""
-        if not self.following or self._timer:
+    def poke(self, urgent: bool = False) -> None:
+        """Reports soon: at once if idle, otherwise after COALESCE_MS.
+
+        Args:
+          urgent: Whether a caller waits for the answer to this report. It is
+            then coalesced only with other urgent reports, so that the end of
+            one request does not delay the next one.
+        """
+        if not self.following or (self._timer and not urgent):
             return
-        wait_ms = self._sent_ms + COALESCE_MS - self._clock()
+        now_ms = self._clock()
+        last_ms = self._urgent_ms if urgent else self._sent_ms
+        wait_ms = last_ms + COALESCE_MS - now_ms
         if wait_ms <= 0:
+            if urgent:
+                self._urgent_ms = now_ms
             self._send_report()
-        else:
+        elif not self._timer:
             self._timer = asyncio.get_running_loop().call_later(
                 wait_ms / 1000, self._send_report
             )
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -94,7 +94,7 @@
       budgets: Retries saved up by service id.
     """
 
-    def __init__(self, clock: Callable[[], int], poke: Callable[[], None]):
+    def __init__(self, clock: Callable[[], int], poke: Callable[[bool], None]):
         self.queues = queueing.Queues()
         self.leases: dict[tuple[int, int], Lease] = {}
         self.budgets = immutables.Map()
@@ -149,7 +149,7 @@
             RefusedError(errors.ErrorKind.QUEUE_TIMEOUT),
         )
         self._waits[sequence] = _Wait(granted, timer)
-        self._poke()
+        self._poke(True)
         return sequence, granted
 
     def give_up(self, sequence: int, reason: Exception) -> None:
@@ -166,7 +166,7 @@
         wait.timer.cancel()
         if row.reported:
             self._withdrawn.append(sequence)
-        self._poke()
+        self._poke(False)
         wait.granted.errback(reason)
 
     def refuse_all(self, kind: errors.ErrorKind) -> None:
@@ -246,7 +246,7 @@
                 float(cost),
             )
         )
-        self._poke()
+        self._poke(False)
 
     # -- other subjects of reports -------------------------------------------
 
@@ -263,7 +263,7 @@
                 cache_events=earlier.cache_events + announcement.cache_events,
             )
         self._announcements[announcement.server_id] = announcement
-        self._poke()
+        self._poke(False)
 
     def suspect(self, lease: Lease) -> None:
         """Reports that a backend server's connection broke."""
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -235,8 +235,8 @@
         self.dispatcher.announce(announcement)
         return True
 
-    def _poke(self) -> None:
-        self.link.poke()
+    def _poke(self, urgent: bool = False) -> None:
+        self.link.poke(urgent)
 
     # -- requests -----------------------------------------------------------
 
