--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -39,6 +39,9 @@
     headers = dict(headers or {})
     if "/deposit" in target:
         headers.setdefault("Idempotency-Key", new_key())
+    headers = {
+        key: value for key, value in headers.items() if value is not None
+    }
     if method == "POST":
         more.setdefault("body", b"body")
     context.reply = context.world.send(method, target, headers=headers, **more)
