Run the whole path as processes and cross requests with faults

Cause: at-most-once execution and recovery need a proof with real processes. Ruled out: a fault only between requests; links are delayed by 150 ms each way so that a fault strikes between two named steps.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,12 +1,11 @@
 """Fixtures of the integration features."""
 
-from behave import fixture
-from behave import use_fixture
+import behave
 
 from features.support import fleet
 
 
-@fixture.fixture
+@behave.fixture
 def running_fleet(context):
     """Three controllers, three routers and four backend servers."""
     context.fleet = fleet.Fleet()
@@ -36,7 +35,47 @@
         context.fleet.stop()
 
 
+# Delay of every link of the slow fleet, in milliseconds each way.
+LINK_DELAY_MS = 150
+WORK_MS = 600
+
+
+@behave.fixture
+def slow_fleet(context):
+    """Three routers and two booking desks behind links with a delay."""
+    context.fleet = fleet.Fleet(link_delay_ms=LINK_DELAY_MS)
+    try:
+        context.fleet.start()
+        context.fleet.apply(fleet.environment())
+        for name in ("booking-1", "booking-2"):
+            context.fleet.add_server(
+                name,
+                "booking",
+                work_ms=WORK_MS,
+                data_centre="ab"[int(name[-1]) - 1],
+                runs_file=str(context.fleet.folder / f"{name}.runs"),
+            )
+        for router in context.fleet.routers:
+            fleet.wait_until(
+                lambda name=router: (
+                    context.fleet.call(name, "GET", "/booking/free").status
+                    == 200
+                ),
+                20,
+                f"{router} serves",
+            )
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
+FIXTURES = {
+    "fixture.fleet": running_fleet,
+    "fixture.slow_fleet": slow_fleet,
+}
+
+
 def before_tag(context, tag):
-    """Starts the fleet of a feature or scenario tagged `fixture.fleet`."""
-    if tag == "fixture.fleet":
-        use_fixture(running_fleet, context)
+    """Starts the fleet that a tag of a feature or scenario names."""
+    if tag in FIXTURES:
+        behave.use_fixture(FIXTURES[tag], context)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -229,11 +229,18 @@
       proxy: Proxy of all links, named like `r1-c2` and `c1-c3`.
     """
 
-    def __init__(self, controllers=3, routers=3, router_settings=None):
+    def __init__(
+        self,
+        controllers=3,
+        routers=3,
+        router_settings=None,
+        link_delay_ms=0,
+    ):
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
         self.folder = pathlib.Path(self._temporary.name)
         self.members = {}
         self.proxy = Proxy()
+        self._link_delay_ms = link_delay_ms
         self._router_settings = router_settings or {}
         self._secrets()
         self.controllers = [f"c{n + 1}" for n in range(controllers)]
@@ -254,6 +261,7 @@
         for name in self.controllers + self.routers:
             self.members[name].start()
         wait_until(self.leader, START_TIMEOUT_S, "a leader")
+        self.heal()
 
     def stop(self):
         """Ends all processes and removes their files."""
@@ -409,7 +417,8 @@
     def heal(self):
         """Restores all links."""
         for link in self.proxy.links:
-            self.proxy.change(link, up=True, down=True, delay_ms=0)
+            delay_ms = self._link_delay_ms if link.startswith("r") else 0
+            self.proxy.change(link, up=True, down=True, delay_ms=delay_ms)
 
     def restart_empty(self, name):
         """Kills a router and starts it again."""
--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -6,10 +6,12 @@
 from cleo import application
 from cleo.commands import command
 
+from waxwingrack.commands import processes
+
 
 def commands() -> list[command.Command]:
     """Returns the commands of the program."""
-    return []
+    return [processes.RouterCommand(), processes.ControllerCommand()]
 
 
 def main() -> int:
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import dataclasses
 import json
 import logging
 import pathlib
@@ -189,7 +190,12 @@
     def make_report(self, first: bool) -> messages.RouterReport:
         """Takes what is to be reported now."""
         number = self.tables.number if self.tables else 0
-        return self.dispatcher.take_report(first, number, self.draining)
+        report = self.dispatcher.take_report(first, number, self.draining)
+        if not first:
+            return report
+        return dataclasses.replace(
+            report, data_centre=self.settings.data_centre
+        )
 
     def updated(self, update: messages.ControllerUpdate) -> None:
         """Hands out the grants of the leader."""
