--- a/features/replication_consensus.feature
+++ b/features/replication_consensus.feature
@@ -21,7 +21,7 @@
   Scenario Outline: a replicated group goes on after a fault of one replica
     Given a replicated group of 3 controllers with seed <seed>
     And 5 replicated commands are committed
-    When the replicated <victim> is <fault>
+    When the replicated <victim> has the fault: <fault>
     And <wait> ms pass in the replicated group
     And 5 replicated commands are committed
     And the replicated fault ends
@@ -78,7 +78,7 @@
 
   Scenario Outline: the replicated lease ends in time
     Given a replicated group of 3 controllers with seed 1
-    When the replicated leader is <fault>
+    When the replicated leader has the fault: <fault>
     Then it gives up its replicated lease within 500 ms and its role within 1300 ms
 
     Examples:
