--- a/waxwingrack/operations/fairness.py
+++ b/waxwingrack/operations/fairness.py
@@ -59,8 +59,10 @@
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.SLOT_MS)
-def _time_held(grant: data.GrantRow, now_ms: int) -> float:
-    return float(now_ms - grant.granted_ms)
+def _charge_within_time_held(grant: data.GrantRow, now_ms: int) -> float:
+    # The slot is held until the end is proven, which takes seconds longer than
+    # the request itself; the time held is only an upper bound.
+    return min(grant.charged, float(now_ms - grant.granted_ms))
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.TOKENS)
