--- /dev/null
+++ b/features/scheduler_crashes.feature
@@ -0,0 +1,58 @@
+Feature: The scheduler refuses requests that crash backend servers
+
+  Scenario Outline: <what> <result> a digest
+    Guards against a request that takes down one server after another, and
+    against refusing requests whose connection broke for another reason.
+
+    Given a crash guard with 6 servers of 4 slots
+    When the digest "bad" undergoes "<what>" at the crash guard
+    Then the crash guard refuses "<refused>"
+
+    Examples:
+      | what                                   | result          | refused |
+      | crash                                  | does not refuse | nothing |
+      | crash crash                            | refuses         | bad     |
+      | silence silence                        | refuses         | bad     |
+      | crash silence                          | refuses         | bad     |
+      | break break break break                | does not refuse | nothing |
+      | crash break break                      | does not refuse | nothing |
+      | crash complete crash                   | does not refuse | nothing |
+      | departure departure                    | does not refuse | nothing |
+      | crash expiry crash                     | does not refuse | nothing |
+
+  Scenario: a bystander of crashes is not refused
+    Guards against condemning requests that happened to run on a server which
+    another request crashed.
+
+    Given a crash guard with 6 servers of 4 slots
+    When the digest "bad" crashes each server that runs it while "innocent" requests run and are sent again
+    Then the crash guard refuses "bad"
+    And at most 2 servers crashed
+    And every innocent request completed
+
+  Scenario Outline: many crashing requests with different digests spare bystanders
+    Guards against condemning a request that is sent again and again while other
+    requests crash the servers around it.
+
+    Given a crash guard with <servers> servers of 4 slots
+    When <count> different digests crash their servers while "innocent" requests run and are sent again
+    Then the crash guard refuses no innocent request
+
+    Examples:
+      | servers | count |
+      | 6       | 4     |
+      | 3       | 6     |
+
+  Scenario: a digest waits while its second broken connection is not judged
+    Guards against fast resends that take down servers before the first crash
+    is confirmed.
+
+    Given a crash guard with 6 servers of 4 slots
+    When the digest "bad" breaks connections at once and is sent again 10 times
+    Then at most 2 grants were given to "bad" within 3 s
+
+  Scenario: waiting copies of a refused digest are refused and others are served
+    Given a crash guard with 6 servers of 4 slots
+    When the policy refuses "bad" while "bad" and "good" wait
+    Then the wants of "bad" are refused as request_crashes_servers
+    And the wants of "good" are granted
--- /dev/null
+++ b/features/scheduler_placement.feature
@@ -0,0 +1,83 @@
+Feature: The scheduler places requests on servers by version and preference
+
+  Scenario Outline: the candidate version gets its share and not one request more
+    Guards against a bad version that gets more than its share of requests,
+    also when the current version or the candidate has no free slot for a time.
+
+    Given a scheduler with servers of version "v1" with <current> slots and "v2" with <candidate> slots
+    And a share of <share> for the version "v2"
+    When 1000 requests are granted while <unused> of 10 come back undispatched
+    Then in each window of grants the version "v2" gets at most its share plus one request
+    And the version "v2" gets <real> of all requests
+
+    Examples:
+      | current | candidate | share | unused | real      |
+      | 8       | 8         | 0.05  | 0      | 0.04-0.05 |
+      | 8       | 8         | 0.01  | 0      | 0.00-0.01 |
+      | 8       | 8         | 0.5   | 0      | 0.49-0.50 |
+      | 8       | 1         | 0.5   | 0      | 0.10-0.50 |
+      | 1       | 8         | 0.05  | 0      | 0.04-0.05 |
+      | 8       | 8         | 0     | 0      | 0.00-0.00 |
+      | 8       | 8         | 1     | 0      | 1.00-1.00 |
+      | 8       | 0         | 0.5   | 0      | 0.00-0.00 |
+      | 0       | 8         | 0.05  | 0      | 0.00-0.05 |
+
+  Scenario: unused grants do not pay for requests on the candidate version
+    Guards against a share that grows because grants of the current version
+    came back undispatched.
+
+    Given a scheduler with servers of version "v1" with 8 slots and "v2" with 8 slots
+    And a share of 0.05 for the version "v2"
+    When 1000 requests are granted while 5 of 10 come back undispatched
+    Then the version "v2" gets 0.03-0.055 of all requests
+
+  Scenario Outline: preferences rank free servers: <case>
+    Given the placement servers "<servers>"
+    When a request with prefix "<prefix>" from data centre "a" is placed
+    Then it is placed on "<server>"
+
+    Examples:
+      | case                       | servers                      | prefix | server |
+      | prefix before data centre  | x:a:0/4 y:b:0/4:p            | p      | y      |
+      | data centre before load    | x:a:3/4 y:b:0/4              |        | x      |
+      | lowest load                | x:a:3/4 y:a:1/4 z:a:2/4      |        | y      |
+      | load relative to the limit | x:a:2/8 y:a:1/2              |        | x      |
+      | full holder is passed over | x:a:0/4 y:a:4/4:p            | p      | x      |
+      | least loaded holder        | x:a:3/4:p y:a:1/4:p z:a:0/4  | p      | y      |
+      | no free server             | x:a:4/4 y:b:4/4:p            | p      | none   |
+      | unknown prefix             | x:a:1/4 y:a:0/4:p            | q      | y      |
+
+  Scenario Outline: prefix caches follow events that are late or lost: <case>
+    Guards against affinity to prefixes that a server may have evicted.
+
+    When the cache events "<events>" are applied
+    Then the known prefixes are "<known>"
+
+    Examples:
+      | case          | events           | known |
+      | in order      | 1+p 2+q          | p q   |
+      | eviction      | 1+p 2+q 3-p      | q     |
+      | repeated      | 1+p 2-p 1+p      |       |
+      | gap clears    | 1+p 2+q 4+r      | r     |
+      | first is late | 7+p 8+q          | p q   |
+      | old after gap | 1+p 5+q 3+r      | q     |
+
+  Scenario: the known prefixes of a server are bounded
+    When 2000 different prefixes are stored in a cache
+    Then 512 prefixes are known and the latest is among them
+
+  Scenario: a popular prefix neither leaves slots idle nor overloads its holder
+    Given the placement servers "x:a:0/4:p y:a:0/4 z:a:0/4"
+    When 30 requests with prefix "p" from data centre "a" wait
+    Then each placement server has all of its slots in use
+
+  Scenario Outline: servers to avoid are avoided while others are left: <avoid>
+    Given the placement servers "x:a:0/4 y:a:2/4"
+    When a request that avoids "<avoid>" is placed
+    Then it is placed on "<server>"
+
+    Examples:
+      | avoid | server |
+      | none  | x      |
+      | x     | y      |
+      | x y   | x      |
--- /dev/null
+++ b/features/steps/scheduler_placement_steps.py
@@ -0,0 +1,262 @@
+"""Steps for version shares, placement preferences and prefix caches."""
+
+import random
+
+import behave
+import immutables
+
+from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.operations import placement
+from waxwingrack.operations import scheduler
+from waxwingrack.operations import tables as tables_module
+
+ROUTER = data.RouterRef("r0", "a", "a")
+ENVIRONMENT = data.Environment(
+    "table",
+    (data.Workspace("w", 1.0, ()),),
+    (data.Service("s", (), "v1"),),
+    (),
+)
+
+
+def _announcement(server_id, version="v1", data_centre="a", slots=4):
+    return data.Announcement(
+        server_id,
+        "i",
+        data.Address("127.0.0.1", 1),
+        "s",
+        version,
+        data_centre,
+        slots,
+    )
+
+
+def _report(context, **fields):
+    context.tables = scheduler.on_report(
+        context.tables,
+        ROUTER,
+        messages.RouterReport(context.at_ms, 1, **fields),
+        context.at_ms,
+    )
+
+
+def _tick(context):
+    result = scheduler.tick(
+        context.tables, context.policy, context.at_ms, random.Random(1)
+    )
+    context.tables = result.tables
+    return result.decisions.grants
+
+
+def _create(context):
+    context.at_ms = 100_000
+    context.policy = data.Policy(ENVIRONMENT)
+    context.tables = scheduler.empty(1, context.at_ms, (), ())
+    context.sequence = 0
+    _report(context, first=True)
+
+
+def _change(context, server_id, change):
+    work = tables_module.Work(context.tables, context.at_ms)
+    tables_module.store(work, change(work.servers[server_id], work))
+    context.tables = work.finish()
+
+
+def _warm(context, server_id):
+    _change(
+        context,
+        server_id,
+        lambda row, _: data.evolve(
+            row, ramp=data.evolve(row.ramp, limit=row.ramp.slots)
+        ),
+    )
+
+
+@behave.given(
+    'a scheduler with servers of version "v1" with {current:d} slots and'
+    ' "v2" with {candidate:d} slots'
+)
+def two_versions(context, current, candidate):
+    _create(context)
+    for version, count in (("v1", current), ("v2", candidate)):
+        if count:
+            seen = _announcement(f"b-{version}", version, slots=count)
+            _report(context, announcements=(seen,))
+            _warm(context, seen.server_id)
+
+
+@behave.given('a share of {share:g} for the version "v2"')
+def version_share(context, share):
+    context.share = share
+    context.policy = data.Policy(
+        ENVIRONMENT,
+        shares=immutables.Map({"s": data.VersionShare("v1", "v2", share)}),
+    )
+
+
+@behave.when(
+    "{count:d} requests are granted while {unused:d} of 10 come back"
+    " undispatched"
+)
+def grant_requests(context, count, unused):
+    rng = random.Random(17)
+    context.versions = []
+    running = []
+    for _ in range(20 * count):
+        context.at_ms += 5
+        if context.at_ms % 1_000 == 0:
+            seen = [row.announcement for row in context.tables.servers.values()]
+            _report(context, announcements=tuple(seen))
+        context.sequence += 1
+        _report(context, wants=(data.Want(context.sequence, "w", "s", "r"),))
+        for decision in _tick(context):
+            grant = decision.grant
+            # The unused grants are those of the current version, the worst
+            # case for the share.
+            back = grant.version == "v1" and rng.randrange(10) < unused
+            if not back:
+                context.versions.append(grant.version)
+            outcome = (
+                data.Outcome.NOT_DISPATCHED if back else data.Outcome.COMPLETED
+            )
+            end_ms = context.at_ms + rng.randint(5, 60)
+            ended = data.Finished(1, grant.id, outcome, 20, 20, 20)
+            running.append((end_ms, ended))
+        done = [ended for end_ms, ended in running if end_ms <= context.at_ms]
+        running = [entry for entry in running if entry[0] > context.at_ms]
+        _report(context, finished=tuple(done))
+        if len(context.versions) >= count:
+            return
+
+
+@behave.then(
+    'in each window of grants the version "v2" gets at most its share plus one'
+    " request"
+)
+def share_kept(context):
+    excess = lowest = 0.0
+    for version in context.versions:
+        excess += (version == "v2") - context.share
+        assert excess - lowest <= 1 + 1e-6, (excess, lowest)
+        lowest = min(lowest, excess)
+
+
+@behave.then('the version "v2" gets {low:g}-{high:g} of all requests')
+def real_share(context, low, high):
+    found = context.versions.count("v2")
+    total = max(1, len(context.versions))
+    # The last request that is owed may not have been granted yet.
+    assert low * total - 1 <= found <= high * total + 1, (found, total)
+
+
+@behave.given('the placement servers "{servers}"')
+def placement_servers(context, servers):
+    _create(context)
+    for entry in servers.split():
+        server_id, data_centre, load, *prefixes = entry.split(":")
+        used, limit = map(int, load.split("/"))
+        seen = _announcement(server_id, "v1", data_centre, limit)
+        events = tuple(
+            data.CacheEvent(number, prefix, True)
+            for number, prefix in enumerate(prefixes, 1)
+        )
+        _report(
+            context,
+            announcements=(
+                data.Announcement(
+                    seen.server_id,
+                    seen.incarnation,
+                    seen.address,
+                    seen.service,
+                    seen.version,
+                    seen.data_centre,
+                    seen.slots,
+                    cache_events=events,
+                ),
+            ),
+        )
+        _warm(context, server_id)
+        grants = immutables.Map({(0, n): None for n in range(used)})
+        _change(
+            context,
+            server_id,
+            lambda row, _, grants=grants: data.evolve(row, grants=grants),
+        )
+
+
+def _place(context, **fields):
+    context.sequence += 1
+    want = data.Want(context.sequence, "w", "s", "r", **fields)
+    _report(context, wants=(want,))
+    context.placed = [entry.grant.server_id for entry in _tick(context)]
+
+
+@behave.when('a request with prefix "{prefix}" from data centre "a" is placed')
+@behave.when('a request with prefix "" from data centre "a" is placed')
+def place_with_prefix(context, prefix=""):
+    _place(context, prefix=prefix)
+
+
+@behave.when('a request that avoids "{avoid}" is placed')
+def place_with_avoid(context, avoid):
+    names = () if avoid == "none" else tuple(avoid.split())
+    _place(context, avoid=names)
+
+
+@behave.then('it is placed on "{server}"')
+def placed_on(context, server):
+    expected = [] if server == "none" else [server]
+    assert context.placed == expected, context.placed
+
+
+@behave.when(
+    '{count:d} requests with prefix "{prefix}" from data centre "a" wait'
+)
+def many_with_prefix(context, count, prefix):
+    wants = tuple(
+        data.Want(number, "w", "s", "r", prefix=prefix)
+        for number in range(count)
+    )
+    _report(context, wants=wants)
+    context.placed = [entry.grant.server_id for entry in _tick(context)]
+
+
+@behave.then("each placement server has all of its slots in use")
+def all_in_use(context):
+    for row in context.tables.servers.values():
+        assert placement.in_use(row) == row.ramp.limit, row
+
+
+@behave.when('the cache events "{events}" are applied')
+def apply_events(context, events):
+    cache = data.PrefixCache()
+    for word in events.split():
+        stored = "+" in word
+        sequence, prefix = word.split("+" if stored else "-")
+        event = data.CacheEvent(int(sequence), prefix, stored)
+        cache, _ = placement.apply_events(cache, (event,))
+    context.cache = cache
+
+
+@behave.then('the known prefixes are "{known}"')
+@behave.then('the known prefixes are ""')
+def known_prefixes(context, known=""):
+    assert set(context.cache.stored) == set(known.split()), context.cache
+
+
+@behave.when("{count:d} different prefixes are stored in a cache")
+def store_many(context, count):
+    events = (
+        data.CacheEvent(number, f"p{number}", True)
+        for number in range(1, count + 1)
+    )
+    context.cache, _ = placement.apply_events(data.PrefixCache(), events)
+    context.latest = f"p{count}"
+
+
+@behave.then("{count:d} prefixes are known and the latest is among them")
+def bounded_cache(context, count):
+    assert len(context.cache.stored) == count
+    assert len(context.cache.order) == count
+    assert context.latest in context.cache.stored
--- /dev/null
+++ b/features/steps/scheduler_slots_steps.py
@@ -0,0 +1,450 @@
+"""Steps for slot limits, announcements and slots of lost grants."""
+
+import os
+import random
+import sys
+
+import behave
+
+sys.path.insert(0, os.path.dirname(__file__))
+
+import scheduler_fairness_steps as fairness_steps  # noqa: E402
+
+from waxwingrack.core import data  # noqa: E402
+from waxwingrack.core import messages  # noqa: E402
+from waxwingrack.operations import placement  # noqa: E402
+from waxwingrack.operations import scheduler  # noqa: E402
+from waxwingrack.operations import slots  # noqa: E402
+
+ROUTER = data.RouterRef("r0", "a", "a")
+POLICY = data.Policy(
+    data.Environment(
+        "table",
+        (data.Workspace("w", 1.0, ()),),
+        (data.Service("s", (), "v1"),),
+        (),
+    )
+)
+
+
+@behave.when(
+    'the simulated fleet suffers "{trouble}" for {seconds:d} s and recovers'
+    " for {rest:d} s"
+)
+def suffer(context, trouble, seconds, rest):
+    sim = fairness_steps.start(context, 60 if "delay" in trouble else 0)
+    sim.record = False
+    for server in sim.servers.values():
+        server.lag_ms = 1_000
+    for second in range(seconds):
+        sim.run(1)
+        router = sim.routers[second // 3 % 3]
+        if "restarts" in trouble and second % 6 == 4:
+            sim.restart_router(router)
+        if "leader" in trouble and second % 9 == 7:
+            sim.run(0.335)
+            sim.change_leader(gap_ms=0)
+        if "connections" in trouble and second % 3 == 1:
+            sim.break_connection(router)
+    sim.delay_ms = 0
+    sim.run(rest - 5)
+    before = sum(sim.service.values())
+    sim.run(5)
+    slots_in_all = sum(server.slots for server in sim.servers.values())
+    context.used = (sum(sim.service.values()) - before) / (5_000 * slots_in_all)
+
+
+@behave.then("no simulated server ever ran more requests than its slots")
+def within_slots(context):
+    for server in context.simulation.servers.values():
+        assert server.most <= server.slots, (server.id, server.most)
+
+
+@behave.then(
+    "at least {percent:d} percent of the simulated slots were used in the last"
+    " 5 s"
+)
+def slots_used(context, percent):
+    assert context.used >= percent / 100, context.used
+
+
+@behave.then("the slots in use equal the requests that run")
+def slots_equal_running(context):
+    sim = context.simulation
+    for row in sim.tables.servers.values():
+        running = len(sim.servers[row.announcement.server_id].running)
+        assert placement.in_use(row) == running, (row, running)
+
+
+# Ramps
+
+
+@behave.given("a slot ramp of a fresh server with {count:d} slots")
+def fresh_ramp(context, count):
+    context.ramp = slots.fresh(count)
+    context.at_ms = 0
+
+
+@behave.when("{count:d} good results are observed on the slot ramp")
+def good_results(context, count):
+    for _ in range(count):
+        context.at_ms += 10
+        context.ramp = slots.observe(
+            context.ramp,
+            data.Outcome.COMPLETED,
+            1.0,
+            context.at_ms - 5,
+            context.at_ms,
+        )
+
+
+def _observe(context, results, granted_ms):
+    for name in results.split():
+        context.at_ms += 10
+        slow = name == "slow"
+        context.ramp = slots.observe(
+            context.ramp,
+            data.Outcome.COMPLETED if slow else data.Outcome(name),
+            6.0 if slow else 1.0,
+            granted_ms if granted_ms is not None else context.at_ms - 5,
+            context.at_ms,
+        )
+
+
+@behave.when('the results "{results}" are observed on the slot ramp')
+def observe_results(context, results):
+    _observe(context, results, None)
+
+
+@behave.when("the slot ramp is cut")
+def cut_ramp(context):
+    context.at_ms += 10
+    context.ramp = slots.cut(context.ramp, context.at_ms)
+
+
+@behave.when('the results "{results}" of old grants are observed')
+def observe_old_results(context, results):
+    _observe(context, results, context.ramp.cut_ms - 1)
+
+
+@behave.then("the limit of the slot ramp is {limit:d}")
+def ramp_limit(context, limit):
+    assert context.ramp.limit == limit, context.ramp
+
+
+@behave.then("the slot ramp asks for a cut: {answer}")
+def ramp_asks_for_cut(context, answer):
+    peers = (data.Ramp(8, 8, ratio=1.0, ratio_ms=context.at_ms),)
+    due = slots.failing(context.ramp) or (
+        slots.suspected_cold(context.ramp)
+        and slots.cold(context.ramp, peers, context.at_ms)
+    )
+    assert due == (answer == "yes"), context.ramp
+
+
+# Simulated servers
+
+
+@behave.when(
+    'the simulated servers "{names}" become {factor:d} times slower after'
+    " {seconds:d} s"
+)
+def become_slower(context, names, factor, seconds):
+    sim = fairness_steps.start(context)
+    sim.record = False
+    sim.run(seconds)
+    for name in names.split():
+        if name != "none":
+            sim.servers[name].slow = factor
+    sim.run(30)
+
+
+@behave.then('only the simulated servers "{names}" had their limit cut')
+def limits_cut(context, names):
+    cut = {
+        event.fields["server"]
+        for _, event in context.simulation.events
+        if event.name == "limit_cut"
+    }
+    assert cut == set(names.split()) - {"none"}, cut
+
+
+@behave.when(
+    'the simulated server "{name}" undergoes "{change}" after {seconds:d} s'
+)
+def undergo(context, name, change, seconds):
+    sim = fairness_steps.start(context)
+    sim.run(seconds)
+    server = sim.servers[name]
+    if change == "drain":
+        sim.policy = data.Policy(
+            sim.environment, drained=frozenset((server.data_centre,))
+        )
+    elif change == "silence":
+        server.silent = True
+        seen_ms = sim.tables.servers[name].seen_ms
+        sim.now_ms += 0
+        context.changed_ms = seen_ms
+    else:
+        server.departing = True
+    if change != "silence":
+        context.changed_ms = sim.now_ms
+    if "late" in change:
+        sim.run(1.2)
+        server.departing = False
+    sim.run(12)
+
+
+@behave.then(
+    'the simulated server "{name}" gets no grant from {after:d} ms later on'
+)
+def no_grant_after(context, name, after):
+    since = context.changed_ms + after
+    late = [
+        at_ms - since
+        for at_ms, decision in context.simulation.grants
+        if decision.grant.server_id == name and at_ms >= since
+    ]
+    if after == 0:
+        late = [wait for wait in late if wait > 0]
+    assert not late, late[:5]
+    before = [
+        at_ms
+        for at_ms, decision in context.simulation.grants
+        if decision.grant.server_id == name
+    ]
+    assert before, "the server never got a grant"
+
+
+@behave.then('the simulated server "{name}" still gets grants')
+def still_gets_grants(context, name):
+    sim = context.simulation
+    assert any(
+        decision.grant.server_id == name and at_ms > sim.now_ms - 1_000
+        for at_ms, decision in sim.grants
+    )
+
+
+@behave.when(
+    'the simulated data centre "{name}" is drained after {first:d} s and'
+    " restored {second:d} s later"
+)
+def drain_and_restore(context, name, first, second):
+    sim = fairness_steps.start(context)
+    sim.run(first)
+    assert sim.tables.servers["b0"].ramp.limit == 4
+    sim.policy = data.Policy(sim.environment, drained=frozenset((name,)))
+    sim.run(second)
+    sim.policy = data.Policy(sim.environment)
+    sim.step()
+
+
+@behave.then(
+    'the limit of the simulated server "{name}" is {limit:d} after the restore'
+)
+def limit_after_restore(context, name, limit):
+    assert context.simulation.tables.servers[name].ramp.limit == limit
+
+
+@behave.then('the simulated server "{name}" is warm {seconds:d} s later')
+def warm_later(context, name, seconds):
+    sim = context.simulation
+    sim.run(seconds)
+    ramp = sim.tables.servers[name].ramp
+    assert ramp.limit == ramp.slots, ramp
+
+
+# Tables without a simulation
+
+
+def _announcement(incarnation, slots_announced=8, **fields):
+    return data.Announcement(
+        "x",
+        incarnation,
+        data.Address("127.0.0.1", 1),
+        "s",
+        "v1",
+        "a",
+        slots_announced,
+        **fields,
+    )
+
+
+def _report(context, **fields):
+    context.tables = scheduler.on_report(
+        context.tables,
+        ROUTER,
+        messages.RouterReport(context.at_ms, 1, **fields),
+        context.at_ms,
+    )
+
+
+def _tick(context):
+    result = scheduler.tick(
+        context.tables, POLICY, context.at_ms, random.Random(1)
+    )
+    context.tables = result.tables
+    return result.decisions
+
+
+@behave.given(
+    'a scheduler that knows the server "x" with incarnations "{names}"'
+)
+def scheduler_with_server(context, names):
+    context.at_ms = 50_000
+    context.tables = scheduler.empty(1, context.at_ms, (), ())
+    _report(context, first=True)
+    for name in names.split():
+        context.at_ms += 1_000
+        _report(context, announcements=(_announcement(name),))
+    context.sequence = 0
+
+
+@behave.when('the announcements "{late}" arrive')
+def announcements_arrive(context, late):
+    for word in late.split():
+        if word.startswith("+"):
+            context.at_ms += int(word)
+            continue
+        context.at_ms += 5
+        seen = _announcement(word.rstrip("!"), departing=word.endswith("!"))
+        _report(context, announcements=(seen,))
+
+
+@behave.then('the scheduler keeps the incarnation "{name}" in use: {answer}')
+def keeps_incarnation(context, name, answer):
+    row = context.tables.servers["x"]
+    assert row.announcement.incarnation == name, row
+    context.sequence += 1
+    _report(context, wants=(data.Want(context.sequence, "w", "s", "r"),))
+    granted = [decision.grant.incarnation for decision in _tick(context).grants]
+    assert granted == ([name] if answer == "yes" else []), granted
+
+
+@behave.when(
+    "connects to the server fail until it has been blocked {times:d} times"
+)
+def connects_fail(context, times):
+    context.blocked = []
+    _report(context, wants=(data.Want(1, "w", "s", "r"),))
+    since = None
+    sequence = 1
+    while len(context.blocked) < times:
+        context.at_ms += 50
+        if context.at_ms % 1_000 == 0:
+            _report(context, announcements=(_announcement("i1"),))
+        for decision in _tick(context).grants:
+            if since is not None:
+                context.blocked.append(context.at_ms - since)
+            since = context.at_ms
+            sequence += 1
+            ended = data.Finished(
+                1, decision.grant.id, data.Outcome.CONNECT_FAILED, 0, 0, 0
+            )
+            _report(
+                context,
+                finished=(ended,),
+                wants=(data.Want(sequence, "w", "s", "r"),),
+            )
+
+
+@behave.then(
+    "the scheduler blocked the server for {a:d}, {b:d}, {c:d} and {d:d} ms"
+)
+def blocked_for(context, a, b, c, d):
+    for real, expected in zip(context.blocked, (a, b, c, d), strict=True):
+        assert expected <= real <= expected + 100, context.blocked
+
+
+@behave.when(
+    "{count:d} requests complete and the server announces {announced:d} slots"
+)
+def complete_and_announce(context, count, announced):
+    for number in range(count):
+        _report(context, wants=(data.Want(number, "w", "s", "r"),))
+        for decision in _tick(context).grants:
+            context.at_ms += 10
+            done = data.Finished(
+                1, decision.grant.id, data.Outcome.COMPLETED, 10, 10, 10
+            )
+            _report(context, finished=(done,))
+    _report(context, announcements=(_announcement("i1", announced),))
+
+
+@behave.then("the scheduler limits the server to {limit:d}")
+def server_limit(context, limit):
+    ramp = context.tables.servers["x"].ramp
+    assert ramp.limit == limit, ramp
+    assert ramp.limit <= ramp.slots, ramp
+
+
+@behave.given("a scheduler that has granted the only slot of a server at 0 ms")
+def granted_only_slot(context):
+    context.at_ms = context.base_ms = 100_000
+    context.tables = scheduler.empty(1, context.at_ms, (), ())
+    _report(
+        context,
+        first=True,
+        announcements=(_announcement("i1", 1),),
+        wants=(data.Want(1, "w", "s", "r"),),
+    )
+    (context.decision,) = _tick(context).grants
+
+
+@behave.when("the router reconnects at {at} ms and lists the grant as {listed}")
+def reconnects(context, at, listed):
+    if at == "none":
+        return
+    context.at_ms = context.base_ms + int(at)
+    grant = context.decision.grant
+    running = data.Running(1, grant.id, "x", "i1", "v1", "w", "s", "r", "", 5.0)
+    _report(
+        context,
+        first=True,
+        running=(running,) if listed == "running" else (),
+    )
+
+
+@behave.when("the router reports again at {later:d} ms")
+def reports_again(context, later):
+    context.at_ms = context.base_ms + later
+    _report(context, announcements=(_announcement("i1", 1, in_flight=1),))
+    _tick(context)
+
+
+@behave.then("the scheduler counts {used:d} slots of the server")
+def counts_slots(context, used):
+    row = context.tables.servers["x"]
+    assert placement.in_use(row) == used, row
+
+
+@behave.given('a new scheduler that awaits the router incarnations "{names}"')
+@behave.given('a new scheduler that awaits the router incarnations ""')
+def awaiting_scheduler(context, names=""):
+    context.at_ms = 100_000
+    context.tables = scheduler.empty(2, context.at_ms, (), names.split())
+
+
+@behave.when('the router incarnations "{names}" report with first {first}')
+def incarnations_report(context, names, first):
+    for number, name in enumerate(names.split()):
+        report = messages.RouterReport(
+            5,
+            1,
+            first=first == "True",
+            wants=(data.Want(1, "w", "s", "r"),),
+            announcements=(_announcement("i1"),),
+        )
+        context.tables = scheduler.on_report(
+            context.tables,
+            data.RouterRef(f"r{number}", name, "a"),
+            report,
+            context.at_ms,
+        )
+
+
+@behave.then("the scheduler grants after {ms:d} ms: {answer}")
+def grants_after(context, ms, answer):
+    context.at_ms += ms
+    granted = bool(_tick(context).grants)
+    assert granted == (answer == "yes")
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -5,8 +5,9 @@
 announcements of a retired incarnation are ignored, so neither its load nor its
 departure touches the new one. If a late announcement that the leader never saw
 before did replace the living incarnation, the living one goes on announcing: a
-retired incarnation returns once it has announced itself twice, at least
-`RETURN_MS` apart, while the present one said nothing for that time.
+retired incarnation returns once the present one has said nothing for
+`RETURN_MS` and the retired one has then announced itself twice, at least
+`CLAIM_GAP_MS` apart, which a burst of late announcements does not do.
 
 A request of a lost router is an orphan: it keeps its slot. An announcement that
 arrives `LAG_MS` after the loss, so that its sample is younger than the loss,
@@ -35,6 +36,7 @@
 # Silence of the present incarnation before a retired one may return. Servers
 # announce themselves once a second.
 RETURN_MS = 2_500
+CLAIM_GAP_MS = 500
 # Former incarnations kept by server.
 MAX_RETIRED = 8
 # Longest time between the sample of an announcement and its arrival: one
@@ -175,7 +177,7 @@
         return False
     for incarnation, at_ms in old.claims:
         if incarnation == seen.incarnation:
-            return work.now_ms - at_ms >= RETURN_MS
+            return work.now_ms - at_ms >= CLAIM_GAP_MS
     tables_module.store(
         work,
         data.evolve(old, claims=(*old.claims, (seen.incarnation, work.now_ms))),
