--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -86,11 +86,11 @@
             pool, candidate=share.candidate, credit=0.0
         )
     _serve_alone(work, service, share.current)
-    if service not in work.backlog or not _any_free(work, service, share):
+    if service not in work.backlog or not any_free(work, service, share):
         return
     heap = _join(work, service)
     blocked = False
-    while heap and _any_free(work, service, share):
+    while heap and any_free(work, service, share):
         value, workspace = heap[0]
         if not blocked:
             _advance(work, service, value)
@@ -113,7 +113,8 @@
             heapq.heappop(heap)
 
 
-def _any_free(work: Work, service: str, share: data.VersionShare) -> bool:
+def any_free(work: Work, service: str, share: data.VersionShare) -> bool:
+    """Tells whether a server of a wanted version has a free slot."""
     return (service, share.current) in work.free_totals or (
         bool(share.candidate) and (service, share.candidate) in work.free_totals
     )
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -473,12 +473,8 @@
     waited = now_ms - work.tables.created_ms
     if not work.awaited or waited >= messages.GRANT_LIFETIME_MS:
         work.open = True
-    services = sorted({*_keys(work, "backlog"), *_keys(work, "alone")})
-    for service in services:
-        dispatch.refuse_without_server(work, service)
-        if work.open:
-            dispatch.serve(work, service, _share(work, policy, service))
-            _rebase(work, service)
+    for service in sorted({*_keys(work, "backlog"), *_keys(work, "alone")}):
+        _serve(work, policy, service)
     decisions = Decisions(
         grants=tuple(work.granted),
         refusals=tuple(work.refusals),
@@ -492,6 +488,23 @@
     return Tick(work.finish(), decisions)
 
 
+def _serve(work: Work, policy: data.Policy, service: str) -> None:
+    """Refuses and grants wants of one service."""
+    pool = work.pools[service]
+    if not pool.usable:
+        dispatch.refuse_without_server(work, service)
+    if not work.open:
+        return
+    share = _share(work, policy, service)
+    if (
+        service in work.alone
+        or pool.reserved
+        or dispatch.any_free(work, service, share)
+    ):
+        dispatch.serve(work, service, share)
+        _rebase(work, service)
+
+
 def _keys(work: Work, name: str) -> tuple[Any, ...]:
     """Returns the keys of a table that stays open for changes."""
     table = getattr(work, name).finish()
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -182,9 +182,8 @@
 
     def finish(self) -> Tables:
         """Returns the tables with every change of this call."""
-        return Tables(
-            term=self.term,
-            created_ms=self.tables.created_ms,
+        return data.evolve(
+            self.tables,
             awaited=self.awaited,
             open=self.open,
             next_grant=self.next_grant,
