--- a/features/steps/controller_router_steps.py
+++ b/features/steps/controller_router_steps.py
@@ -10,6 +10,7 @@
 from features.support import controller_fleet
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import consensus_log
 
 wait_for = controller_fleet.wait_for
 
@@ -356,8 +357,6 @@
     router = context.routers[name]
     if verb == "dies":
         router.close()
-        # Routers of the last checkpoint count as alive just after an
-        # election, so the loss shows once a later checkpoint is committed.
         wait_for(lambda: not status_of(context, name))
         return
     kind, fields = key_message(verb, key or context.key)
@@ -461,6 +460,20 @@
             for number in range(start, min(start + 250, further))
         ]
         assert set(send_and_wait(router, claims)) == {data.KeyState.CLAIMED}
+    wait_for(lambda: log_has_lost_its_start(context, router))
+
+
+def log_has_lost_its_start(context, router):
+    # The leader looks whether a snapshot is due when it applies an entry.
+    router.ask(
+        messages.KeyClaim,
+        workspace="ws1",
+        key=f"{context.key}-{secrets.token_hex(4)}",
+        digest="same",
+    )
+    fleet = context.fleet
+    index = fleet.metric(fleet.leader(), "snapshot_index")
+    return index > consensus_log.TRAILING_ENTRIES
 
 
 @behave.then("the new controller was sent a snapshot in parts")
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -186,6 +186,7 @@
                 self._storage,
                 self.clock,
                 self.links.send,
+                self._rng.randrange(replica_driver.SNAPSHOT_ENTRIES),
             )
         except ValueError as exc:
             self._damage = str(exc)
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -49,11 +49,18 @@
             "Proposals not known to be committed.",
             counts.unavailable,
         ),
+        ("dropped_events_total", "Events that failed.", counts.dropped),
+        ("snapshots_total", "Snapshots of the state.", counts.snapshots),
     ):
         metrics.set_total(name, doc, value)
     for name, doc, value in (
         ("term", "Term of consensus.", replica.term),
         ("applied_index", "Last applied log entry.", driver.applied),
+        (
+            "snapshot_index",
+            "Last log entry in the own snapshot.",
+            replica.log.snapshot_index,
+        ),
         (
             "environment_number",
             "Environment number in force.",
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -75,6 +75,8 @@
             tuple(self.state.counters.values()),
             tuple(sorted(self.state.routers)),
         )
+        # Routers of the last checkpoint that have not been lost since.
+        self._former_routers = self.state.routers
         self._stats = rollouts.Stats()
         self._policy_parts: tuple = ()
         self._policy: data.Policy | None = None
@@ -88,6 +90,8 @@
         self._next_rollout_tick_ms = self.since_ms
         self._moving: set[str] = set()
         self._refusing: set[str] = set()
+        # Sessions with a report that waits for an update.
+        self._unanswered: dict[str, router_sessions.Session] = {}
         self._tick_scheduled = False
         self._ended = False
 
@@ -158,7 +162,7 @@
         live = self.services.sessions.incarnations()
         age_ms = self.services.clock() - self.since_ms
         if age_ms < messages.CONTROL_TIMEOUT_MS:
-            return live | self.state.routers
+            return live | self._former_routers
         return live
 
     def _router_lost(
@@ -170,20 +174,25 @@
             incarnation=session.ref.incarnation,
             reason=reason,
         )
-        if session.reported:
-            self.tables = scheduler.on_router_lost(
-                self.tables, session.ref.node_id, self.services.clock()
-            )
+        self._former_routers -= {session.ref.incarnation}
+        self._unanswered.pop(session.ref.node_id, None)
+        self.tables = scheduler.on_router_lost(
+            self.tables, session.ref.node_id, self.services.clock()
+        )
 
     # -----------------------------------------------------------------------
     # Scheduler
     # -----------------------------------------------------------------------
 
-    def schedule_tick(self) -> None:
+    def answer_soon(self, session: router_sessions.Session) -> None:
         """Runs a tick after the events that are ready now.
 
         Reports that arrive in the same iteration of the event loop share it.
+
+        Args:
+          session: Session whose report is to be answered by then.
         """
+        self._unanswered[session.ref.node_id] = session
         if not self._tick_scheduled:
             self._tick_scheduled = True
             asyncio.get_running_loop().call_soon(self._scheduled_tick)
@@ -217,25 +226,26 @@
             refused = _grouped(
                 (router, refusal) for router, refusal, _ in decisions.refusals
             )
-        for session in self.services.sessions:
+        for node_id in {**self._unanswered, **granted, **refused}:
             self._answer(
-                session,
-                tuple(granted.get(session.ref.node_id, ())),
-                tuple(refused.get(session.ref.node_id, ())),
+                node_id,
+                tuple(granted.get(node_id, ())),
+                tuple(refused.get(node_id, ())),
             )
+        self._unanswered.clear()
         # Grants leave first: a fault in what follows must not lose them.
         if decisions is not None:
             self._note_decisions(decisions)
 
     def _answer(
         self,
-        session: router_sessions.Session,
+        node_id: str,
         grants: tuple[data.Grant, ...],
         refusals: tuple[messages.Refusal, ...],
     ) -> None:
-        if not (session.unanswered or grants or refusals):
+        session = self.services.sessions.get(node_id)
+        if session is None:
             return
-        session.unanswered = False
         session.conn.send(
             messages.ControllerUpdate(
                 echo_ms=session.echo_ms,
@@ -447,20 +457,16 @@
     def _checkpoint_needed(self) -> bool:
         return bool(
             self._rollouts_under_way()
-            or self.live_routers() != self.state.routers
+            or self.live_owners() != self.state.routers
             or self._changed_counters()
         )
 
-    def live_routers(self) -> frozenset[str]:
-        """Returns the router incarnations for the next checkpoint."""
-        return self.live_owners()
-
     def _save_checkpoint(self, now_ms: int) -> None:
         counters = self._changed_counters()
         command = commands.Checkpoint(
             seconds=(now_ms - self._checkpoint_ms) / 1000,
             counters=counters,
-            routers=tuple(sorted(self.live_routers())),
+            routers=tuple(sorted(self.live_owners())),
         )
         # Entries of one term are committed in order, so the next checkpoint
         # may count from here although this one is not committed yet.
@@ -491,7 +497,6 @@
     session.seen_ms = now_ms
     session.echo_ms = report.sent_ms
     session.number = report.environment_number
-    session.unanswered = True
     session.reported = True
     if report.data_centre:
         session.ref = dataclasses.replace(
@@ -502,7 +507,7 @@
         leader.tables, session.ref, report, now_ms
     )
     leader.push_environment((session,))
-    leader.schedule_tick()
+    leader.answer_soon(session)
 
 
 def _grouped(pairs: Iterable[tuple[str, Any]]) -> dict[str, list]:
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -304,7 +304,7 @@
                     body.operation, True, driver.state.number, "", "done"
                 ),
             )
-        step = self._controller.repairs.step_of(node)
+        step = self._controller.repairs.step
         return _unavailable(request, f"not done yet: {step}")
 
     @app.route("/", branch=True)
@@ -433,11 +433,19 @@
 
 
 def _repair_fault(driver: Any, body: ControllerBody, node: str) -> str:
-    state = driver.state
-    if body.expected is not None and body.expected != state.number:
-        return f"the environment number is {state.number}"
+    state, members = driver.state, driver.replica.members
+    known = state.controllers.get(node)
+    if known == data.Peer(node, body.control, body.operators):
+        # A resend: the repair itself has raised the number.
+        return ""
+    if body.expected not in (None, state.number):
+        return f"expected {body.expected}, is {state.number}"
     if body.replaces == node:
         return "a controller cannot replace itself; give it a new id"
+    if node in members:
+        return f"{node} is a controller already; give the new one a new id"
+    if body.replaces is not None and body.replaces not in members:
+        return f"{body.replaces} is not a controller"
     return ""
 
 
--- a/waxwingrack/daemons/peer_links.py
+++ b/waxwingrack/daemons/peer_links.py
@@ -78,10 +78,6 @@
                     self._keep_connected(node_id, address)
                 )
 
-    def knows(self, node_id: str) -> bool:
-        """Whether a node id is one of the peers."""
-        return node_id in self._addresses
-
     def send(self, node_id: str, message: Any) -> None:
         """Sends a message; it is lost if there is no connection.
 
--- a/waxwingrack/daemons/repair.py
+++ b/waxwingrack/daemons/repair.py
@@ -32,19 +32,21 @@
     replaces: str | None
 
 
-@dataclasses.dataclass(slots=True)
-class _Running:
-    request: Request
-    step: str
-    task: asyncio.Task | None = None
+class Repairs:
+    """The repair under way at this controller.
 
+    There is one at a time, as consensus changes one member at a time; a new
+    request replaces one that waits.
 
-class Repairs:
-    """Repairs under way at this controller."""
+    Attributes:
+      step: Step that the repair has reached, for the operator.
+    """
 
     def __init__(self, controller: Any):
+        self.step = "start"
         self._controller = controller
-        self._running: dict[str, _Running] = {}
+        self._request: Request | None = None
+        self._task: asyncio.Task | None = None
 
     def ensure(self, request: Request) -> asyncio.Task:
         """Starts a repair, or joins it if it is under way already.
@@ -56,42 +58,34 @@
           Task that ends when the repair is done or cannot go on here. Its
           result is True when the repair is done.
         """
-        node_id = request.controller.id
-        running = self._running.get(node_id)
-        if running and running.request != request:
-            running.task.cancel()
-            running = None
-        if running is None or running.task.done():
-            running = _Running(request, "start")
-            self._running[node_id] = running
-            running.task = asyncio.ensure_future(self._run(running))
-        return running.task
-
-    def step_of(self, node_id: str) -> str:
-        """Returns the step that a repair has reached."""
-        running = self._running.get(node_id)
-        return running.step if running else "start"
+        ended = self._task is None or self._task.done()
+        if ended or self._request != request:
+            self.close()
+            self.step = "start"
+            self._request = request
+            self._task = asyncio.ensure_future(self._run(request))
+        return self._task
 
     def close(self) -> None:
-        """Ends all repairs."""
-        for running in self._running.values():
-            running.task.cancel()
+        """Ends the repair."""
+        if self._task is not None:
+            self._task.cancel()
 
-    async def _run(self, running: _Running) -> bool:
+    async def _run(self, request: Request) -> bool:
         try:
             while self._controller.leads():
-                step = _next_step(self._controller.driver, running.request)
+                step = _next_step(self._controller.driver, request)
                 if step is None:
-                    running.step = "done"
+                    self.step = "done"
                     return True
                 name, submit = step
-                if name != running.step:
-                    running.step = name
+                if name != self.step:
+                    self.step = name
                     logs.decision(
                         "repair_step",
                         name,
-                        controller=running.request.controller.id,
-                        replaces=running.request.replaces,
+                        controller=request.controller.id,
+                        replaces=request.replaces,
                     )
                 outcome = await submit()
                 if isinstance(outcome, result.Failure):
@@ -107,14 +101,15 @@
     """Returns name and call of the next step, or None when all is done."""
     peer, replaces = request.controller, request.replaces
     members = driver.replica.members
-    if driver.state.controllers.get(peer.id) != peer:
+    added = driver.state.controllers
+    if added.get(peer.id) != peer:
         command = commands.SetController(peer)
         return "recording the addresses", lambda: driver.propose(command)
     if peer.id not in members:
-        added = (*members, peer.id)
+        more = (*members, peer.id)
         return (
             "bringing the new controller up to date",
-            lambda: driver.propose_members(added),
+            lambda: driver.propose_members(more),
         )
     if replaces is not None and replaces in members:
         rest = tuple(item for item in members if item != replaces)
@@ -122,10 +117,9 @@
             "removing the replaced controller",
             lambda: driver.propose_members(rest),
         )
-    if replaces is not None and replaces in driver.state.controllers:
-        forget = commands.ForgetController(replaces)
-        return (
-            "forgetting the addresses of the replaced controller",
-            lambda: driver.propose(forget),
-        )
+    # Also the addresses of earlier repairs that never came to an end.
+    old = next((item for item in added if item not in members), None)
+    if old is not None:
+        forget = commands.ForgetController(old)
+        return "forgetting old addresses", lambda: driver.propose(forget)
     return None
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -24,6 +24,9 @@
 TICK_S = 0.02
 # Applied entries after which the log is replaced by a snapshot.
 SNAPSHOT_ENTRIES = 512
+# Pause after a snapshot, as a multiple of the time that it took. It bounds the
+# share of snapshots of a large state in the load of disk and processor.
+SNAPSHOT_PAUSE = 10
 # Entries by which a follower that counts as caught up may lag.
 MAX_LAG_ENTRIES = 64
 
@@ -72,6 +75,8 @@
       sync_s: Time spent in writes and syncs, in seconds.
       proposals: Commands proposed.
       unavailable: Proposals that were not known to be committed.
+      dropped: Events and commands that raised an exception.
+      snapshots: Snapshots of the own state.
     """
 
     committed: int = 0
@@ -80,6 +85,8 @@
     sync_s: float = 0.0
     proposals: int = 0
     unavailable: int = 0
+    dropped: int = 0
+    snapshots: int = 0
 
 
 class ReplicaDriver:
@@ -103,7 +110,22 @@
         storage: Any,
         clock: Callable[[], int],
         send: Callable[[str, Any], None],
+        snapshot_offset: int = 0,
     ):
+        """Prepares the driver.
+
+        Args:
+          replica: Replica as created from the storage.
+          snapshot: Snapshot in the storage.
+          storage: The storage.
+          clock: Returns monotonic milliseconds.
+          send: Sends a message to a controller.
+          snapshot_offset: Entries by which the first snapshot comes early, so
+            that the controllers do not write their snapshots together.
+
+        Raises:
+          ValueError: The snapshot cannot be decoded.
+        """
         self.replica = replica
         self.state = data.ReplicatedState()
         self.applied = 0
@@ -125,8 +147,10 @@
         self._leader_commit = 0
         self._compacting: asyncio.Task | None = None
         self._compacted = 0
+        self._next_compact_ms = 0
         if snapshot is not None:
             self._restore(snapshot)
+        self._compacted -= snapshot_offset
 
     # -----------------------------------------------------------------------
     # Life
@@ -220,10 +244,6 @@
             lambda token: consensus.ProposeMembers(members, token)
         )
 
-    def feed(self, event: Any) -> None:
-        """Feeds a further event of consensus."""
-        self._feed(event)
-
     def _submit(self, event: Callable[[int], Any]) -> "asyncio.Future[Outcome]":
         self._next_token += 1
         token = self._next_token
@@ -251,10 +271,14 @@
         was_leader = self.is_leader()
         try:
             step = consensus.step(self.replica, event, self._clock())
+        except Exception as exc:
+            self._drop(event, exc)
+            return
+        try:
             self.replica = step.replica
             self._carry_out(step.effects)
         except Exception as exc:
-            # A replica whose step failed half-way may break its promises.
+            # Effects that were carried out in part may break promises.
             logs.failure("replica_step_failed", exc, step=type(event).__name__)
             self.fail(f"replica step failed: {exc}")
             return
@@ -264,6 +288,14 @@
             self.counts.elections += 1
         self.on_change()
 
+    def _drop(self, event: Any, exc: Exception) -> None:
+        # The step is pure, so a message that it cannot take changes nothing
+        # and counts as lost. Any other event is needed.
+        logs.failure("replica_event_failed", exc, step=type(event).__name__)
+        self.counts.dropped += 1
+        if not isinstance(event, consensus.Received):
+            self.fail(f"replica step failed: {exc}")
+
     def _carry_out(self, effects: consensus.Effects) -> None:
         for item in effects.accepted:
             self._indices[item.index] = (item.term, item.token)
@@ -343,8 +375,7 @@
         if entry.command:
             match commands.CODEC.decode(entry.command):
                 case result.Success(command):
-                    applied = replicated.apply(self.state, command)
-                    self.state, outcome = applied.state, applied.outcome
+                    outcome = self._apply_command(command, entry.index)
                 case result.Failure(error):
                     # All replicas of this version skip the entry alike.
                     logs.event(
@@ -360,6 +391,21 @@
         elif token:
             self._resolve(token, _unavailable("replaced by another entry"))
 
+    def _apply_command(self, command: Any, index: int) -> Any:
+        try:
+            applied = replicated.apply(self.state, command)
+        except (MemoryError, RecursionError):
+            # These depend on the process: other replicas may go on.
+            raise
+        except Exception as exc:
+            # `apply` is pure and deterministic, so every replica skips the
+            # command. To stop instead would stop all of them for good.
+            logs.failure("command_failed", exc, index=index)
+            self.counts.dropped += 1
+            return None
+        self.state = applied.state
+        return applied.outcome
+
     def _restore(self, snapshot: data.Snapshot) -> None:
         match replicated.decode(snapshot.state):
             case result.Success(state):
@@ -371,7 +417,10 @@
                 raise ValueError(f"snapshot is damaged: {error.reason}")
 
     def _compact_if_due(self) -> None:
-        due = self.applied - self._compacted >= SNAPSHOT_ENTRIES
+        due = (
+            self.applied - self._compacted >= SNAPSHOT_ENTRIES
+            and self._clock() >= self._next_compact_ms
+        )
         if due and (self._compacting is None or self._compacting.done()):
             self._compacted = self.applied
             self._compacting = asyncio.ensure_future(
@@ -380,10 +429,18 @@
 
     async def _compact(self, index: int, state: data.ReplicatedState) -> None:
         loop = asyncio.get_running_loop()
+        begin_ms = self._clock()
         try:
             # The state is immutable, so another thread may encode it.
             blob = await loop.run_in_executor(None, replicated.encode, state)
             self._feed(consensus.Compact(index, blob))
+            while self._writing is not None and not self._writing.done():
+                await asyncio.wait([self._writing])
+            end_ms = self._clock()
+            self._next_compact_ms = end_ms + SNAPSHOT_PAUSE * (
+                end_ms - begin_ms
+            )
+            self.counts.snapshots += 1
         except Exception as exc:
             logs.failure("snapshot_failed", exc, index=index)
 
--- a/waxwingrack/daemons/router_sessions.py
+++ b/waxwingrack/daemons/router_sessions.py
@@ -24,8 +24,6 @@
       number: Environment number in force at the router.
       pushed_number: Environment number last pushed on this connection.
       pushed_ms: Time of that push.
-      in_flight: Grants in use, from the scheduler's decisions.
-      unanswered: Whether a report waits for an update.
       reported: Whether a report came on this connection.
     """
 
@@ -36,7 +34,6 @@
     number: int = 0
     pushed_number: int = 0
     pushed_ms: int = 0
-    unanswered: bool = False
     reported: bool = False
 
 
