--- a/waxwingrack/operations/fairness.py
+++ b/waxwingrack/operations/fairness.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 from waxwingrack.core import data
 from waxwingrack.core import registry
@@ -60,8 +59,10 @@
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.SLOT_MS)
-def _time_held(grant: data.GrantRow, now_ms: int) -> float:
-    return float(now_ms - grant.granted_ms)
+def _charge_within_time_held(grant: data.GrantRow, now_ms: int) -> float:
+    # The slot is held until the end is proven, which takes seconds longer than
+    # the request itself; the time held is only an upper bound.
+    return min(grant.charged, float(now_ms - grant.granted_ms))
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.TOKENS)
@@ -120,7 +121,7 @@
     """Raises the counter of a workspace that becomes backlogged."""
     if account.value >= floor:
         return account
-    return dataclasses.replace(account, value=floor)
+    return data.evolve(account, value=floor)
 
 
 def rebase(
@@ -145,7 +146,7 @@
     return tuple(
         (
             workspace,
-            dataclasses.replace(
+            data.evolve(
                 account,
                 value=account.value - virtual
                 if workspace in waiting
