--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""Helpers of the steps."""
+"""Helpers of the integration features."""
