--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -3,7 +3,7 @@
   Scenario Outline: an answer that breaks is never taken for a whole one
   A caller that stores a cut answer loses data without noticing.
     Given a shared router with 2 fake backend servers
-    When the router's caller sends GET /sketch/a?do=<act>
+    When the router's caller requests GET /sketch/a?do=<act>
     Then the router's caller sees a broken transfer
     And the router's backend servers ran 1 request
     And the router reports the outcome <outcome>
@@ -19,7 +19,7 @@
 
   Scenario Outline: whole answers of every form arrive whole
     Given a shared router with 2 fake backend servers
-    When the router's caller sends <method> /sketch/a?do=<act>
+    When the router's caller requests <method> /sketch/a?do=<act>
     Then the router's caller gets <status> with <bytes> bytes
     And the router reports the outcome <outcome>
 
@@ -36,7 +36,7 @@
 
   Scenario: headers of one hop and secrets are not passed on
     Given a router with 2 fake backend servers
-    When the router's caller sends GET /sketch/a?do=headers with {"Connection": "X-Own, keep-alive", "X-Own": "1", "X-Kept": "2", "X-Request-Id": "my-id", "X-Workspace": "other", "TE": "trailers"}
+    When the router's caller requests GET /sketch/a?do=headers with {"Connection": "X-Own, keep-alive", "X-Own": "1", "X-Kept": "2", "X-Request-Id": "my-id", "X-Workspace": "other", "TE": "trailers"}
     Then the router passed on x-kept: 2 and x-request-id: my-id and x-workspace: planners
     And the router did not pass on authorization, x-own, connection, te
     And the router's answer has Set-Cookie: a=1 and Set-Cookie: b=2 and Server: engine and X-Request-Id: my-id
--- /dev/null
+++ b/features/router_control.feature
@@ -0,0 +1,62 @@
+Feature: A router acts only on what a leader said recently
+
+  Scenario: an expired grant is given back and the request wants a new one
+  A grant that is used late adds a request to a server that is full by now.
+    Given a router with 1 fake backend servers
+    And the router's leader grants with an echo 1500 ms old for 0.5 seconds
+    When the router's caller requests GET /sketch/a
+    Then the router's caller gets 200 with its own answer
+    And the router reported not_dispatched for every grant but the last
+
+  Scenario: a frozen router does not dispatch on a grant from before
+    Given a router with 1 fake backend servers
+    When the router is frozen for 2.5 seconds while its grant is on the way
+    Then the router reported not_dispatched for the grant from before
+    And the router's late grants reached no backend server
+
+  Scenario: a router that lost control refuses, keeps running answers and returns
+    Given a router with 1 fake backend servers
+    And the router's leader stops granting
+    And the router passes a stream of 4 seconds and has a waiting request
+    When the router's leader is silent
+    Then the router's waiting request is refused as control_unavailable with not_run within 3 seconds
+    And the router is not ready because of control_unavailable
+    And new requests at the router are refused as control_unavailable
+    And the router's stream arrives whole
+    When the router's leader speaks again
+    Then the router is ready and serves requests
+
+  Scenario: the first report of a connection names grants in use and wants
+  A new leader would otherwise give the same slots away twice.
+    Given a router with 1 fake backend servers
+    And the router's leader stops granting
+    And the router passes a stream of 4 seconds and has a waiting request
+    When the router's leader breaks the connection
+    Then the router's first report names 1 running grant and 1 want
+
+  Scenario: a router follows the hint to the leader
+    Given a router whose first controller points to the second
+    When the router's caller requests GET /sketch/a
+    Then the router's caller gets 200 with its own answer
+
+  Scenario Outline: the number of the environment only grows
+    Given a router with 1 fake backend servers
+    When the router's leader pushes number <number> without routes
+    Then the router's caller gets <status> for GET /sketch/a
+
+    Examples:
+      | number | status |
+      | 0      | 200    |
+      | 1      | 200    |
+      | 2      | 404    |
+
+  Scenario: the router of a drained data centre serves what arrives
+    Given a router with 1 fake backend servers
+    When the router's leader drains the router's data centre
+    Then the router is not ready because of data_centre_drained
+    And the router's caller gets 200 for GET /sketch/a
+
+  Scenario: heartbeats of an idle router are small
+    Given a router with 1 fake backend servers
+    When the router is idle for 2 seconds
+    Then the router sent at most 10 reports and 5 KB/s
--- a/features/router_failures.feature
+++ b/features/router_failures.feature
@@ -6,7 +6,7 @@
   Scenario Outline: a request without an answer is refused truthfully
   A caller that reads "not run" repeats the request, so that must be true, and
   a request that may not be repeated runs at most once.
-    When the router's caller sends <method> <path>?do=<act>
+    When the router's caller requests <method> <path>?do=<act>
     Then the router's caller gets <status> <kind> with execution may_have_run
     And the router's backend servers ran <runs> request
     And the router reports the outcome <outcome>
@@ -24,7 +24,7 @@
 
   Scenario Outline: a failed try goes to the other server where it may
     Given the router's next try fails with <fault>
-    When the router's caller sends <method> <path>
+    When the router's caller requests <method> <path>
     Then the router's caller gets 200 with its own answer
     And the router's backend servers ran <runs> request
     And the router avoided the server that failed
@@ -37,7 +37,7 @@
 
   Scenario Outline: a request that reached no server has not run
     Given the router's backend servers refuse connections
-    When the router's caller sends <method> <path>
+    When the router's caller requests <method> <path>
     Then the router's caller gets 502 backend_connect_failed with execution not_run
 
     Examples:
--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -28,7 +28,7 @@
 
   Scenario Outline: requests without right, route or key are refused
     Given a shared router with small limits
-    When the router's caller sends <request>
+    When the router's caller requests <request>
     Then the router's caller gets <status> <kind> with execution not_run
     And the router's backend servers ran 0 request
 
@@ -46,7 +46,7 @@
   Scenario Outline: refusals of the leader are passed on
     Given a shared router with small limits
     And the router's leader refuses wants with <kind>
-    When the router's caller sends GET /sketch/a
+    When the router's caller requests GET /sketch/a
     Then the router's caller gets <status> <kind> with execution not_run
 
     Examples:
@@ -57,7 +57,7 @@
   Scenario: a request that crashes servers is refused before it waits
     Given a shared router with small limits
     And the router's leader refuses the digest of GET /sketch/crash
-    When the router's caller sends GET /sketch/crash
+    When the router's caller requests GET /sketch/crash
     Then the router's caller gets 422 request_crashes_servers with execution not_run
 
   Scenario: the router asks for an expected body and pipelined requests stay in order
@@ -80,7 +80,7 @@
 
   Scenario: a router without an environment refuses
     Given a router whose leader has no environment
-    When the router's caller sends GET /sketch/a
+    When the router's caller requests GET /sketch/a
     Then the router's caller gets 503 not_ready with execution not_run
 
   Scenario Outline: announcements are checked and forwarded
--- /dev/null
+++ b/features/router_stop.feature
@@ -0,0 +1,28 @@
+Feature: A router stops without cutting requests and shows its state
+
+  Scenario: a graceful stop cuts no request
+    Given a router with 1 fake backend servers
+    And the router's leader stops granting
+    And the router passes a stream of 1.5 seconds and has a waiting request
+    When the router is told to stop
+    Then the router is not ready because of shutting_down
+    And the router accepts requests until the delay is over and refuses later ones as shutting_down
+    And the router's stream and waiting request are answered whole
+    And the router exits with 0
+
+  Scenario: a stop ends requests that outlast the time for it
+    Given a router that may take 1 second to stop
+    When the router is told to stop with a stream of 9 seconds and a waiting request
+    Then the router's waiting request is refused as shutting_down with not_run within 4 seconds
+    And the router's stream is cut
+    And the router exits with 0
+
+  Scenario Outline: the operators' port answers
+    Given a shared router with 1 fake backend servers
+    Then the router's operators get <status> for <path> with text <text>
+
+    Examples:
+      | path     | status | text                                     |
+      | /healthz | 200    | {}                                       |
+      | /readyz  | 200    | {"reason": ""}                           |
+      | /metrics | 200    | waxwingrack_router_environment_number 1  |
--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -24,5 +24,5 @@
       | model/a?do=stream&events=99&pause=.05 |
 
   Scenario: progress of a long request is reported in moderation
-    When the router's caller sends GET /sketch/a?do=slow&pause=2.2
+    When the router's caller requests GET /sketch/a?do=slow&pause=2.2
     Then the router reported progress between 2 and 4 times
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -73,7 +73,7 @@
     context.world.forget()
 
 
-@behave.when("the router's caller sends {method} {target}")
+@behave.when("the router's caller requests {method} {target}")
 def caller_sends(context, method, target):
     target, _, headers = target.partition(" with ")
     send(context, method, target, json.loads(headers or "{}"))
--- /dev/null
+++ b/features/steps/router_control_steps.py
@@ -0,0 +1,299 @@
+"""Steps for the control connection, the environment and the stop."""
+
+import json
+import signal
+import time
+
+import behave
+
+from features.steps import router_answers_steps as answers
+from features.steps import router_fakes
+from waxwingrack.core import data
+
+
+@behave.given(
+    "the router's leader grants with an echo {lag:d} ms old for {seconds:g} "
+    "seconds"
+)
+def grants_old(context, lag, seconds):
+    world = context.world
+    world.leader.echo_lag_ms = lag
+    world.loop.loop.call_soon_threadsafe(
+        world.loop.loop.call_later,
+        seconds,
+        setattr,
+        world.leader,
+        "echo_lag_ms",
+        0,
+    )
+
+
+@behave.then("the router reported not_dispatched for every grant but the last")
+def not_dispatched(context):
+    world = context.world
+    world.wait_for(
+        lambda: (
+            data.Outcome.COMPLETED
+            in {item.outcome for item in world.leader.finished()}
+        ),
+        "the end",
+    )
+    *earlier, last = world.leader.finished()
+    assert earlier, last
+    assert {e.outcome for e in earlier} == {data.Outcome.NOT_DISPATCHED}
+    assert world.runs() == 1, world.runs()
+
+
+@behave.when(
+    "the router is frozen for {seconds:g} seconds while its grant is on the way"
+)
+def frozen(context, seconds):
+    world = context.world
+    world.leader.granting = False
+    context.join = world.send_later("GET", "/sketch/a")
+    world.wait_for(lambda: bool(world.leader.wants), "the want")
+    world.router.signal(signal.SIGSTOP)
+    time.sleep(0.1)
+    world.loop.call(world.leader.grant_all)
+    world.leader.granting = False
+    time.sleep(seconds)
+    world.router.signal(signal.SIGCONT)
+
+
+@behave.then("the router reported not_dispatched for the grant from before")
+def reported_before(context):
+    world = context.world
+    world.wait_for(lambda: bool(world.leader.finished()), "the grant's end")
+    first = world.leader.finished()[0]
+    assert (first.grant, first.outcome) == (1, data.Outcome.NOT_DISPATCHED)
+
+
+@behave.then("the router's late grants reached no backend server")
+def reached_none(context):
+    assert context.world.runs() == 0, context.world.runs()
+    context.world.loop.call(context.world.leader.grant_all)
+    reply = context.join()
+    if reply.status != 200:
+        assert reply.refusal["kind"] == "control_unavailable", reply
+        assert reply.refusal["execution"] == "not_run", reply
+
+
+@behave.given("the router's leader stops granting")
+def stops_granting(context):
+    context.world.leader.granting = False
+
+
+@behave.given(
+    "the router passes a stream of {seconds:g} seconds and has a waiting "
+    "request"
+)
+def stream_and_waiting(context, seconds):
+    world = context.world
+    pauses = round(seconds / 0.05)
+    context.stream = world.send_later(
+        "GET", f"/model/a?do=stream&events={pauses}&pause=0.05"
+    )
+    world.wait_for(lambda: bool(world.leader.wants), "the want of the stream")
+    world.loop.call(world.leader.grant_all)
+    world.leader.granting = False
+    world.wait_for(lambda: world.runs() == 1, "the stream")
+    context.join = world.send_later("GET", "/sketch/waiting")
+    world.wait_for(lambda: bool(world.leader.wants), "the waiting request")
+
+
+@behave.when("the router's leader is silent")
+def leader_silent(context):
+    context.world.loop.call(setattr, context.world.leader, "silent", True)
+    context.started = time.monotonic()
+
+
+@behave.then(
+    "the router's waiting request is refused as {kind} with {execution} within "
+    "{seconds:d} seconds"
+)
+def waiting_refused(context, kind, execution, seconds):
+    reply = context.join()
+    assert time.monotonic() - context.started < seconds
+    assert reply.refusal["kind"] == kind, reply
+    assert reply.refusal["execution"] == execution, reply
+
+
+@behave.then("the router is not ready because of {reason}")
+def not_ready(context, reason):
+    world = context.world
+    world.wait_for(lambda: world.ready() == 503, "not ready", 1.0)
+    for port in (world.router.port, world.router.operators_port):
+        path = "/readyz" if port == world.router.operators_port else "/-/readyz"
+        reply = router_fakes.send(port, "GET", path, token=None)
+        assert json.loads(reply.body) == {"reason": reason}, reply
+
+
+@behave.then("new requests at the router are refused as {kind}")
+def new_refused(context, kind):
+    for method, path, execution in (
+        ("GET", "/sketch/a", "not_run"),
+        ("POST", "/sketch/deposit", "may_have_run"),
+    ):
+        answers.send(context, method, path)
+        answers.gets_refusal(context, 503, kind, execution)
+
+
+@behave.then("the router's stream arrives whole")
+def stream_whole(context):
+    reply = context.stream()
+    assert reply.whole and reply.status == 200, reply
+
+
+@behave.when("the router's leader speaks again")
+def speaks_again(context):
+    leader = context.world.leader
+    leader.granting = True
+    context.world.loop.call(setattr, leader, "silent", False)
+
+
+@behave.then("the router is ready and serves requests")
+def ready_again(context):
+    context.world.wait_for(lambda: context.world.ready() == 200, "ready")
+    assert answers.send(context, "GET", "/sketch/a").status == 200
+
+
+@behave.when("the router's leader breaks the connection")
+def breaks(context):
+    context.world.leader.reports.clear()
+    context.world.loop.call(context.world.leader.drop)
+
+
+@behave.then(
+    "the router's first report names {running:d} running grant and {wants:d} "
+    "want"
+)
+def first_report(context, running, wants):
+    reports = context.world.leader.reports
+    context.world.wait_for(
+        lambda: any(report.first for report in reports), "a first report"
+    )
+    first = next(report for report in reports if report.first)
+    assert len(first.running) == running and len(first.wants) == wants, first
+    assert first.running[0].grant == 1, first
+    context.world.loop.call(context.world.leader.grant_all)
+    assert context.join().status == 200 and context.stream().whole
+
+
+@behave.given("a router whose first controller points to the second")
+def points_to_second(context):
+    world = router_fakes.World()
+    context.add_cleanup(world.close)
+    other = router_fakes.FakeLeader("c0")
+    other.hint = "c1"
+    world.leaders = [other, world.leader]
+    world.start()
+    context.world = world
+
+
+@behave.when("the router's leader pushes number {number:d} without routes")
+def pushes(context, number):
+    leader = context.world.leader
+    changed = router_fakes.environment()
+    changed = type(changed)(
+        **{
+            **{name: getattr(changed, name) for name in changed.__slots__},
+            "services": (),
+        }
+    )
+    context.world.loop.call(
+        lambda: leader.push(number=number, environment=changed)
+    )
+    time.sleep(0.2)
+
+
+@behave.then("the router's caller gets {status:d} for GET {target}")
+def gets_status(context, status, target):
+    assert answers.send(context, "GET", target).status == status, context.reply
+
+
+@behave.when("the router's leader drains the router's data centre")
+def drains(context):
+    leader = context.world.leader
+    context.world.loop.call(lambda: leader.push(number=2, drained=("a",)))
+
+
+@behave.when("the router is told to stop")
+def told_to_stop(context):
+    context.started = time.monotonic()
+    # Connections from before the stop stay usable until they are refused.
+    context.router = context.world.router
+    context.router.signal(signal.SIGTERM)
+
+
+@behave.then(
+    "the router accepts requests until the delay is over and refuses later "
+    "ones as {kind}"
+)
+def accepts_then_refuses(context, kind):
+    world = context.world
+    early = world.send_later("GET", "/sketch/early")
+    time.sleep(0.6)
+    late = answers.send(context, "GET", "/sketch/late")
+    answers.gets_refusal(context, 503, kind, "not_run")
+    assert late.headers["connection"] == "close", late
+    context.early = early
+
+
+@behave.then("the router's stream and waiting request are answered whole")
+def answered_whole(context):
+    context.world.loop.call(context.world.leader.grant_all)
+    for join in (context.stream, context.join, context.early):
+        reply = join()
+        assert reply.whole and reply.status == 200, reply
+
+
+@behave.then("the router exits with {code:d}")
+def exits(context, code):
+    assert context.world.router.process.wait(5) == code
+    events = {line["event"] for line in context.world.router.log()}
+    assert "router_stopped" in events, events
+
+
+@behave.given("a router that may take {seconds:d} second to stop")
+def may_take(context, seconds):
+    answers.start_world(context, shutdown_timeout_s=float(seconds))
+
+
+@behave.when(
+    "the router is told to stop with a stream of {seconds:d} seconds and a "
+    "waiting request"
+)
+def stop_with(context, seconds):
+    stops_granting(context)
+    stream_and_waiting(context, seconds)
+    told_to_stop(context)
+
+
+@behave.then("the router's stream is cut")
+def stream_cut(context):
+    reply = context.stream()
+    assert reply.error and not reply.whole, reply
+
+
+@behave.when("the router is idle for {seconds:d} seconds")
+def idle(context, seconds):
+    leader = context.world.leader
+    leader.reports.clear()
+    context.before = leader.counts.bytes_received
+    time.sleep(seconds)
+    context.rate = (leader.counts.bytes_received - context.before) / seconds
+
+
+@behave.then("the router sent at most {count:d} reports and {limit:d} KB/s")
+def sent_at_most(context, count, limit):
+    assert 0 < len(context.world.leader.reports) <= count
+    assert context.rate <= limit * 1024, context.rate
+
+
+@behave.then(
+    "the router's operators get {status:d} for {path} with text {text}"
+)
+def operators_get(context, status, path, text):
+    port = context.world.router.operators_port
+    reply = router_fakes.send(port, "GET", path, token=None)
+    assert reply.status == status and text in reply.body.decode(), reply
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -720,7 +720,12 @@
 
     def forget(self) -> None:
         """Forgets what the fakes have seen so far."""
-        self.leader.reports.clear()
+        for seen in (
+            self.leader.reports,
+            self.leader.key_state,
+            self.leader.events,
+        ):
+            seen.clear()
         for backend in self.backends:
             for seen in (backend.runs, backend.seen, backend.cancelled):
                 seen.clear()
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -33,6 +33,9 @@
 # Interval at which unconfirmed key messages are sent again.
 REPEAT_MS = 500
 
+# Delay of a tick from which on the process is taken to have been frozen.
+LATE_TICK_MS = 500
+
 
 class LinkLostError(Exception):
     """The connection ended before the answer to a key message arrived."""
@@ -127,7 +130,9 @@
     Attributes:
       following: Whether a leader is connected.
       leader: Node id of the leader that is followed, empty if none.
-      heard_ms: Time of the leader's last message, None before the first.
+      heard_ms: Sending time of the latest report that the leader has echoed,
+        None before the first. The time at which an update arrives would say
+        nothing, as it may have waited in a buffer while the process was frozen.
     """
 
     def __init__(
@@ -153,6 +158,7 @@
         self._opened_ms = 0
         self._sent_ms = 0
         self._urgent_ms = 0
+        self._ticked_ms = clock()
         self._timer: asyncio.TimerHandle | None = None
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
@@ -326,21 +332,21 @@
                 self._hint = message.leader
                 conn.close()
             case messages.ControllerUpdate():
-                self._heard()
+                self._heard(message.echo_ms)
                 self._owner.updated(message)
             case messages.EnvironmentPush():
-                self._heard()
+                self._phases.confirmed()
                 self._owner.pushed(message)
             case messages.KeyAnswer():
-                self._heard()
                 self._answered(message)
             case _:
                 logs.event("unexpected_message", type=type(message).__name__)
 
-    def _heard(self) -> None:
-        self.heard_ms = self._clock()
+    def _heard(self, echo_ms: int) -> None:
+        if echo_ms <= self._clock():
+            self.heard_ms = max(self.heard_ms or 0, echo_ms)
         self._phases.confirmed()
-        if self._lost:
+        if self._lost and self.alive:
             self._lost = False
             self._owner.control_found()
 
@@ -394,6 +400,12 @@
 
     def _tick(self) -> None:
         now_ms = self._clock()
+        late_ms = now_ms - self._ticked_ms - messages.HEARTBEAT_MS
+        self._ticked_ms = now_ms
+        if late_ms > LATE_TICK_MS:
+            # The process was frozen; what arrived meanwhile is handled first.
+            self._send_report()
+            return
         if not self._lost and not self.alive:
             self._lost = True
             logs.event("control_lost", silent_since_ms=self.heard_ms)
