Bound connection attempts, learn added controllers, name refused key dates

An attempt to reach a controller that does not answer took up to 4 s (opening plus handshake), longer than CONTROL_TIMEOUT_MS; it is now given up after 0.6 s, and the transport closes the socket of a cancelled handshake. Controllers that a repair added are taken from the environment push. INVALID leads to idempotency_key_invalid. Failures that twisted would only print are logged and counted, and the features fail when a router logs one.

--- a/features/router_decisions.feature
+++ b/features/router_decisions.feature
@@ -85,6 +85,7 @@
       | lookup  | may_have_run | none      | outcome_unknown                |
       | lookup  | mismatch     | none      | idempotency_key_reused         |
       | lookup  | expired      | none      | idempotency_key_expired        |
+      | lookup  | invalid      | none      | idempotency_key_invalid        |
       | lookup  | unavailable  | none      | control_unavailable unread     |
       | claim   | claimed      | none      | proceed                        |
       | claim   | running      | none      | request_still_running          |
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -735,10 +735,17 @@
         return sum(sum(b.runs.values()) for b in self.backends)
 
     def close(self) -> None:
-        """Ends everything."""
+        """Ends everything; no router may have met an unexpected exception."""
+        failures = [
+            line
+            for router in self.routers
+            for line in router.log()
+            if "traceback" in line
+        ]
         for router in self.routers:
             router.close()
         for part in (*self.leaders, *self.backends):
             self.loop.run(part.close())
         self.loop.run(_cancel_tasks())
         self.loop.loop.call_soon_threadsafe(self.loop.loop.stop)
+        assert not failures, failures
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -51,6 +51,9 @@
     ) -> None:
         """Answers a request with a refusal and logs it."""
 
+    def new_request_id(self) -> str:
+        """Returns an id for a request whose caller gave none."""
+
     def failed(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
 
--- a/waxwingrack/daemons/callers_api.py
+++ b/waxwingrack/daemons/callers_api.py
@@ -8,14 +8,14 @@
 from returns import result
 from twisted.internet import defer
 from twisted.web import resource
+from werkzeug import exceptions
 
 from waxwingrack.core import data
+from waxwingrack.core import errors
 from waxwingrack.daemons import admission
 from waxwingrack.operations import announcements
 from waxwingrack.operations import routing
 
-_ANY_METHOD = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
-
 
 class Host(Protocol):
     """What the resources need from their router."""
@@ -31,6 +31,9 @@
     def announce(self, announcement: data.Announcement) -> bool:
         """Forwards an announcement; False if there is no leader."""
 
+    def failed(self, name: str, exc: BaseException) -> None:
+        """Logs and counts an unexpected exception."""
+
     def render_metrics(self, accept: list[str]) -> tuple[bytes, dict]:
         """Returns body and headers of the metrics."""
 
@@ -46,11 +49,16 @@
     """
     app = klein.Klein()
     app.url_map.merge_slashes = False
+    _handle_errors(app, host)
 
     @app.route("/", branch=True)
     def forward(request: Any) -> defer.Deferred:
         return host.begin(request)
 
+    @app.route("/-/", branch=True)
+    def unknown(request: Any) -> defer.Deferred:
+        return host.begin(request)
+
     @app.route("/-/readyz", methods=["GET", "HEAD"])
     def ready(request: Any) -> bytes:
         return _ready(host, request)
@@ -72,6 +80,7 @@
       A klein resource.
     """
     app = klein.Klein()
+    _handle_errors(app, host)
 
     @app.route("/healthz", methods=["GET", "HEAD"])
     def healthy(request: Any) -> bytes:
@@ -92,6 +101,19 @@
     return app.resource()
 
 
+def _handle_errors(app: klein.Klein, host: Host) -> None:
+    """Answers unknown paths and unexpected exceptions of a resource."""
+
+    @app.handle_errors(exceptions.HTTPException)
+    def unknown_path(request: Any, reason: Any) -> bytes:
+        return _json(request, reason.value.code, {"reason": "unknown_path"})
+
+    @app.handle_errors(Exception)
+    def unexpected(request: Any, reason: Any) -> bytes:
+        host.failed("resource_failed", reason.value)
+        return _json(request, 500, {"reason": errors.ErrorKind.INTERNAL})
+
+
 def _ready(host: Host, request: Any) -> bytes:
     reason = host.unready()
     return _json(request, 503 if reason else 200, {"reason": reason})
@@ -106,10 +128,10 @@
     body = request.content.getvalue()
     match announcements.check(server_id, body, host.tables.environment):
         case result.Failure(faults):
-            errors = [
+            listed = [
                 {"path": fault.path, "rule": fault.rule} for fault in faults
             ]
-            return _json(request, 400, {"errors": errors})
+            return _json(request, 400, {"errors": listed})
         case result.Success(announcement):
             if not host.announce(announcement):
                 return _json(request, 503, {"reason": "control_unavailable"})
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -28,6 +28,9 @@
 # controllers within CONTROL_TIMEOUT_MS.
 BACKOFF_FIRST_MS = 25
 BACKOFF_LIMIT_MS = 500
+# Longest time to connect. Two controllers that do not answer must leave time
+# for the third within CONTROL_TIMEOUT_MS.
+CONNECT_TIMEOUT_S = 0.6
 # A controller that neither leads nor says who does is left after this time.
 CONFIRM_TIMEOUT_MS = 1_000
 # Interval at which unconfirmed key messages are sent again.
@@ -147,7 +150,6 @@
         self.following = False
         self.leader = ""
         self.heard_ms: int | None = None
-        self._settings = settings
         self._identity = identity
         self._owner = owner
         self._clock = clock
@@ -163,7 +165,8 @@
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
         self._hint = ""
-        self._position = rng.randrange(max(1, len(settings.controllers)))
+        self._peers = settings.controllers
+        self._position = rng.randrange(max(1, len(self._peers)))
         self._backoff_ms = BACKOFF_FIRST_MS
         self._lost = True
         self._tasks: list[asyncio.Task] = []
@@ -336,12 +339,19 @@
                 self._owner.updated(message)
             case messages.EnvironmentPush():
                 self._phases.confirmed()
+                self._learn(message.controllers)
                 self._owner.pushed(message)
             case messages.KeyAnswer():
                 self._answered(message)
             case _:
                 logs.event("unexpected_message", type=type(message).__name__)
 
+    def _learn(self, controllers: tuple[data.Peer, ...]) -> None:
+        """Adds controllers that a repair has put in the place of others."""
+        known = {peer.id: peer for peer in self._peers}
+        known |= {peer.id: peer for peer in controllers}
+        self._peers = tuple(known.values())
+
     def _heard(self, echo_ms: int) -> None:
         if echo_ms <= self._clock():
             self.heard_ms = max(self.heard_ms or 0, echo_ms)
@@ -366,11 +376,16 @@
         while True:
             peer, hinted = self._next_peer()
             try:
-                conn = await transport.connect(
-                    peer.control, self._identity, self._counts
+                conn = await asyncio.wait_for(
+                    transport.connect(
+                        peer.control, self._identity, self._counts
+                    ),
+                    CONNECT_TIMEOUT_S,
                 )
                 if conn is not None:
                     await conn.run(self)
+            except TimeoutError:
+                logs.event("controller_unreachable", controller=peer.id)
             except transport.HandshakeError as exc:
                 logs.failure("control_address_refused", exc)
             # A hint is followed at once, but only after a back-off of its own
@@ -384,11 +399,11 @@
 
     def _next_peer(self) -> tuple[data.Peer, bool]:
         hint, self._hint = self._hint, ""
-        for peer in self._settings.controllers:
+        for peer in self._peers:
             if peer.id == hint:
                 return peer, True
-        self._position = (self._position + 1) % len(self._settings.controllers)
-        return self._settings.controllers[self._position], False
+        self._position = (self._position + 1) % len(self._peers)
+        return self._peers[self._position], False
 
     async def _tick_forever(self) -> None:
         while True:
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -236,13 +236,18 @@
                 None if outgoing.body is None else _Body(outgoing.body),
                 persistent=outgoing.reuse,
             )
-            allowed = may_send()
+            usable = conn.state == "QUIESCENT"
+            allowed = usable and may_send()
         except BaseException:
             conn.transport.abortConnection()
             raise
         if not allowed:
             conn.transport.abortConnection()
-            raise NotSentError(queueing.Fault.GRANT_EXPIRED)
+            raise NotSentError(
+                queueing.Fault.GRANT_EXPIRED
+                if usable
+                else queueing.Fault.CONNECT_FAILED
+            )
         return await self._exchange(conn, req, outgoing)
 
     async def _exchange(
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -11,6 +11,7 @@
 from typing import Any
 import uuid
 
+from twisted import logger
 from twisted.internet import defer
 from twisted.web import http
 from twisted.web import http_headers
@@ -115,6 +116,7 @@
         if self.settings.callers is None:
             raise ValueError("a router needs the address of its callers' port")
         self.reactor = reactor
+        logger.globalLogPublisher.addObserver(self._observe)
         self.forwarder = forwarding.Forwarder(reactor)
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
@@ -166,8 +168,15 @@
         for channel in tuple(self._site.channels):
             channel.transport.abortConnection()
         await _as_future(defer.Deferred.fromCoroutine(self.forwarder.close()))
+        logger.globalLogPublisher.removeObserver(self._observe)
         logs.event("router_stopped", cut=len(self._exchanges))
 
+    def _observe(self, event: dict[str, Any]) -> None:
+        """Passes on failures that twisted would only print."""
+        fault = event.get("log_failure")
+        if fault is not None:
+            self.failed("twisted_failure", fault.value)
+
     def _busy(self) -> bool:
         unconfirmed = self.link.unconfirmed if self.link.alive else 0
         return bool(self._exchanges or unconfirmed)
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -349,6 +349,9 @@
         )
         socket.transport.abort()
         return None
+    except asyncio.CancelledError:
+        socket.transport.abort()
+        raise
 
 
 async def _send_hello(
--- a/waxwingrack/operations/idempotency.py
+++ b/waxwingrack/operations/idempotency.py
@@ -53,6 +53,7 @@
     data.KeyState.MAY_HAVE_RUN: errors.ErrorKind.OUTCOME_UNKNOWN,
     data.KeyState.MISMATCH: errors.ErrorKind.IDEMPOTENCY_KEY_REUSED,
     data.KeyState.EXPIRED: errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+    data.KeyState.INVALID: errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
     data.KeyState.STORE_FULL: errors.ErrorKind.IDEMPOTENCY_STORE_FULL,
 }
 
