Add the stand-in backend server

Cause: demo, tests and measurements need backend servers whose faults are switched at run time. Conclusion: runs in process and as a process.

--- /dev/null
+++ b/waxwingrack/daemons/stand_in.py
@@ -0,0 +1,653 @@
+"""Stand-in backend server for the demonstration, tests and measurements.
+
+It behaves as a model engine or a plain service does towards the routers:
+batching, streams, cold starts, a prefix cache, lagging load reports,
+announcements and faults that are switched at run time.
+"""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import random
+import secrets
+import sys
+import time
+from typing import Any
+
+import klein
+import pydantic
+import treq
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.protocols import policies
+from twisted.web import client
+from twisted.web import iweb
+from twisted.web import server
+
+from waxwingrack.core import codec
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.daemons import event_loop
+
+ANNOUNCE_TIMEOUT_S = 0.9
+STOP_TIMEOUT_S = 5.0
+# Bytes of a prompt that make up its prefix.
+PREFIX_BYTES = 256
+# Exit code of a process that crashed on purpose.
+CRASH_EXIT_CODE = 70
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mode:
+    """Faults, switched at run time at `/-/mode`.
+
+    Attributes:
+      errors: Share of requests answered with 500, from 0 to 1.
+      errors_above: Requests in flight above which `errors` applies.
+      error_path: Path prefix on which every request is answered with 500;
+        empty for none.
+      slow: Factor on all delays.
+      crash_on: Text in a request body that crashes the server; empty for none.
+      stall: Whether requests are accepted and never answered.
+      cut: Whether answers break off in the middle.
+      departing: Whether the server announces its departure.
+    """
+
+    errors: float = 0.0
+    errors_above: int = 0
+    error_path: str = ""
+    slow: float = 1.0
+    crash_on: str = ""
+    stall: bool = False
+    cut: bool = False
+    departing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """Configuration of a stand-in.
+
+    Attributes:
+      server_id: Id of the backend server.
+      service: Service that it runs.
+      version: Version that it runs.
+      data_centre: Data centre that it runs in.
+      host: Address to listen on.
+      port: Port; 0 chooses a free one.
+      routers: Callers' addresses of the routers to announce at, in turn.
+      announce_token: Bearer token of the announcements.
+      announce_interval_s: Time between two announcements.
+      engine: Whether it is a model engine; otherwise a plain service.
+      slots: Most requests that it announces to run at once.
+      work_ms: Time of a plain answer.
+      prefill_ms: Time before the first token of a prompt that is not cached.
+      token_ms: Time of a token for a batch of one.
+      token_batch_ms: Further time of a token for each other running request.
+      tokens: Tokens of an answer when the request names no `max_tokens`.
+      cold_start_s: Time after a start during which the server is cold.
+      cold_factor: Factor on all delays while cold.
+      cold_requests: Requests that a cold server runs at once; others are
+        answered with 503.
+      cache_prefixes: Prompt prefixes that the cache holds.
+      cache_delay_s: Delay of cache events.
+      cache_loss: Share of cache events that are lost, from 0 to 1.
+      load_lag_s: Age of the reported load.
+      checks_fencing: Whether orders with an old fencing number are refused.
+      runs_file: File that gets a line per run with an idempotency key; None
+        keeps the counts in memory only.
+      restart_s: Time from a crash to the next start; None stays down.
+      exit_on_crash: Whether a crash ends the process.
+      seed: Seed of the random decisions.
+      mode: Faults from the start on.
+    """
+
+    server_id: str
+    service: str
+    version: str = "v1"
+    data_centre: str = "a"
+    host: str = "127.0.0.1"
+    port: int = 0
+    routers: tuple[data.Address, ...] = ()
+    announce_token: str = ""
+    announce_interval_s: float = 1.0
+    engine: bool = False
+    slots: int = 8
+    work_ms: float = 5.0
+    prefill_ms: float = 20.0
+    token_ms: float = 2.0
+    token_batch_ms: float = 0.2
+    tokens: int = 16
+    cold_start_s: float = 0.0
+    cold_factor: float = 10.0
+    cold_requests: int = 1
+    cache_prefixes: int = 32
+    cache_delay_s: float = 1.0
+    cache_loss: float = 0.1
+    load_lag_s: float = 1.0
+    checks_fencing: bool = True
+    runs_file: str | None = None
+    restart_s: float | None = 1.0
+    exit_on_crash: bool = False
+    seed: int = 1
+    mode: Mode = Mode()
+
+
+CONFIG = pydantic.TypeAdapter(codec.forbid_extra(Config))
+MODE = pydantic.TypeAdapter(codec.forbid_extra(Mode))
+
+
+class PrefixCache:
+    """Cache of prompt prefixes with late and lossy events."""
+
+    def __init__(self, cfg: Config, rng: random.Random):
+        self._cfg = cfg
+        self._rng = rng
+        self._prefixes: dict[str, None] = {}
+        self._events: collections.deque[tuple[float, data.CacheEvent]] = (
+            collections.deque()
+        )
+        self._sequence = 0
+
+    def use(self, prefix: str) -> bool:
+        """Looks a prefix up and stores it.
+
+        Args:
+          prefix: Digest of the prefix.
+
+        Returns:
+          Whether it was cached.
+        """
+        cached = prefix in self._prefixes
+        self._prefixes.pop(prefix, None)
+        self._prefixes[prefix] = None
+        if not cached:
+            self._record(prefix, True)
+        if len(self._prefixes) > self._cfg.cache_prefixes:
+            oldest = next(iter(self._prefixes))
+            del self._prefixes[oldest]
+            self._record(oldest, False)
+        return cached
+
+    def due(self) -> tuple[data.CacheEvent, ...]:
+        """Takes the events whose delay has passed."""
+        limit = time.monotonic() - self._cfg.cache_delay_s
+        taken = []
+        while self._events and self._events[0][0] <= limit:
+            taken.append(self._events.popleft()[1])
+        return tuple(taken)
+
+    def _record(self, prefix: str, stored: bool) -> None:
+        self._sequence += 1
+        if self._rng.random() >= self._cfg.cache_loss:
+            event = data.CacheEvent(self._sequence, prefix, stored)
+            self._events.append((time.monotonic(), event))
+
+
+class StandIn:
+    """A backend server.
+
+    Attributes:
+      config: Configuration.
+      mode: Faults in force.
+      port: Port it listens on, known after `start`.
+      incarnation: Changes with each start.
+      runs: Runs by idempotency key.
+      in_flight: Requests running now.
+      most_in_flight: Most requests that ran at once since the start.
+      overloads: Requests refused because the server was cold.
+      served: Requests answered by the service.
+    """
+
+    _app = klein.Klein()
+
+    def __init__(self, config: Config):
+        self.config = config
+        self.mode = config.mode
+        self.port = config.port
+        self.incarnation = ""
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.overloads = 0
+        self.served = 0
+        self._rng = random.Random(config.seed)
+        self._version = config.version
+        self._fencing = 0
+        self._orders: list[dict] = []
+        self._loads: collections.deque[tuple[float, int]] = collections.deque()
+        self._tasks: set[asyncio.Future] = set()
+        self._listening: Any = None
+        self._announcing: asyncio.Future | None = None
+        self._router = 0
+
+    @property
+    def address(self) -> data.Address:
+        """Address that it listens on."""
+        return data.Address(self.config.host, self.port)
+
+    @property
+    def cold(self) -> bool:
+        """Whether it runs slowly and bears only a few requests."""
+        return time.monotonic() < self._cold_until
+
+    async def start(self) -> None:
+        """Starts listening and announcing, as a new incarnation.
+
+        Raises:
+          twisted.internet.error.CannotListenError: The port is taken.
+        """
+        from twisted.internet import reactor
+
+        self.incarnation = secrets.token_hex(4)
+        self._cache = PrefixCache(self.config, self._rng)
+        self.fall_cold()
+        self._site = policies.WrappingFactory(server.Site(self._app.resource()))
+        endpoint = endpoints.TCP4ServerEndpoint(
+            reactor, self.port, interface=self.config.host
+        )
+        self._listening = await endpoint.listen(self._site).asFuture(
+            asyncio.get_running_loop()
+        )
+        self.port = self._listening.getHost().port
+        self._announcing = asyncio.ensure_future(self._announce_always())
+
+    async def stop(self) -> None:
+        """Announces the departure, lets requests end and closes."""
+        self.mode = dataclasses.replace(self.mode, departing=True)
+        await self.announce()
+        limit = time.monotonic() + STOP_TIMEOUT_S
+        while self.in_flight and time.monotonic() < limit:
+            await asyncio.sleep(0.02)
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Resets all connections and closes, without a notice."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+            self._announcing = None
+        if self._listening is not None:
+            listening, self._listening = self._listening, None
+            for connection in tuple(self._site.protocols):
+                connection.transport.abortConnection()
+            await defer.maybeDeferred(listening.stopListening).asFuture(
+                asyncio.get_running_loop()
+            )
+
+    def fall_cold(self) -> None:
+        """Makes the server cold again without any notice."""
+        self._cold_until = time.monotonic() + self.config.cold_start_s
+
+    # Announcements
+
+    async def _announce_always(self) -> None:
+        while True:
+            await self.announce()
+            await asyncio.sleep(self.config.announce_interval_s)
+
+    async def announce(self) -> bool:
+        """Announces the server at the first router that takes it.
+
+        Returns:
+          Whether a router took the announcement.
+        """
+        routers = self.config.routers
+        body = self._announcement()
+        for _ in routers:
+            router = routers[self._router % len(routers)]
+            self._router += 1
+            if await self._announce_at(router, body):
+                return True
+        return False
+
+    async def _announce_at(self, router: data.Address, body: dict) -> bool:
+        from twisted.internet import reactor
+
+        url = f"http://{router}/-/backend-servers/{self.config.server_id}"
+        try:
+            response = await treq.request(
+                "PUT",
+                url,
+                json=body,
+                headers={
+                    "Authorization": f"Bearer {self.config.announce_token}"
+                },
+                agent=client.Agent(reactor, connectTimeout=ANNOUNCE_TIMEOUT_S),
+                timeout=ANNOUNCE_TIMEOUT_S,
+            ).asFuture(asyncio.get_running_loop())
+        except (
+            error.ConnectError,
+            error.ConnectionLost,
+            client.ResponseFailed,
+            defer.CancelledError,
+        ):
+            return False
+        if response.code not in (204, 503):
+            logs.event(
+                "announcement_refused",
+                router=str(router),
+                status=response.code,
+            )
+        return response.code == 204
+
+    def _announcement(self) -> dict:
+        now = time.monotonic()
+        self._loads.append((now, self.in_flight))
+        limit = now - self.config.load_lag_s
+        while len(self._loads) > 1 and self._loads[1][0] <= limit:
+            self._loads.popleft()
+        in_flight = self._loads[0][1] if self._loads[0][0] <= limit else 0
+        if self.config.load_lag_s == 0:
+            in_flight = self.in_flight
+        return {
+            "incarnation": self.incarnation,
+            "host": self.config.host,
+            "port": self.port,
+            "service": self.config.service,
+            "version": self._version,
+            "data_centre": self.config.data_centre,
+            "slots": self.config.slots,
+            "in_flight": in_flight,
+            "load": min(1.0, in_flight / self.config.slots),
+            "checks_fencing": self.config.checks_fencing,
+            "departing": self.mode.departing,
+            "cache_events": [
+                dataclasses.asdict(event) for event in self._cache.due()
+            ],
+        }
+
+    # Control of the stand-in
+
+    @_app.route("/-/runs", methods=["GET"])
+    def _get_runs(self, req: iweb.IRequest) -> bytes:
+        return _json(
+            req,
+            200,
+            {
+                "runs": self.runs,
+                "in_flight": self.in_flight,
+                "most_in_flight": self.most_in_flight,
+                "overloads": self.overloads,
+                "served": self.served,
+                "incarnation": self.incarnation,
+                "cold": self.cold,
+            },
+        )
+
+    @_app.route("/-/mode", methods=["GET"])
+    def _get_mode(self, req: iweb.IRequest) -> bytes:
+        return _json(req, 200, dataclasses.asdict(self.mode))
+
+    @_app.route("/-/mode", methods=["PUT", "POST"])
+    def _set_mode(self, req: iweb.IRequest) -> bytes:
+        try:
+            change = json.loads(req.content.read())
+            if change.pop("cold", False):
+                self.fall_cold()
+            self.mode = MODE.validate_python(
+                dataclasses.asdict(self.mode) | change
+            )
+        except (ValueError, AttributeError, TypeError) as exc:
+            return _json(req, 400, {"message": str(exc)})
+        if change.get("departing"):
+            self._run(self.announce())
+        return self._get_mode(req)
+
+    @_app.route("/-/orders", methods=["GET"])
+    def _get_orders(self, req: iweb.IRequest) -> bytes:
+        return _json(req, 200, self._order_state())
+
+    @_app.route("/-/orders", methods=["POST"])
+    def _take_order(self, req: iweb.IRequest) -> bytes:
+        try:
+            order = json.loads(req.content.read())
+            fencing, version = int(order["fencing"]), str(order["version"])
+        except (ValueError, KeyError, TypeError) as exc:
+            return _json(req, 400, {"message": f"malformed order: {exc!r}"})
+        if self.config.checks_fencing and fencing < self._fencing:
+            return _json(req, 409, self._order_state())
+        self._fencing = max(fencing, self._fencing)
+        self._version = version
+        self._orders.append({"fencing": fencing, "version": version})
+        return _json(req, 200, self._order_state())
+
+    def _order_state(self) -> dict:
+        return {
+            "fencing": self._fencing,
+            "version": self._version,
+            "orders": self._orders,
+        }
+
+    # Work
+
+    @_app.route("/", branch=True)
+    def _work(self, req: iweb.IRequest) -> defer.Deferred:
+        return defer.Deferred.fromFuture(self._run(self._serve(req)))
+
+    def _run(self, coroutine: Any) -> asyncio.Future:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _serve(self, req: iweb.IRequest) -> bytes:
+        body = req.content.read()
+        if self.cold and self.in_flight >= self.config.cold_requests:
+            self.overloads += 1
+            return _json(req, 503, {"message": "overloaded"})
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            return await self._run_request(req, body)
+        except asyncio.CancelledError:
+            # klein logs every other exception after a lost connection.
+            raise defer.CancelledError from None
+        finally:
+            self.in_flight -= 1
+
+    async def _run_request(self, req: iweb.IRequest, body: bytes) -> bytes:
+        mode = self.mode
+        count = self._count_run(_header(req, "Idempotency-Key"))
+        if mode.crash_on and mode.crash_on.encode() in body:
+            await self._crash()
+        if mode.stall:
+            await asyncio.Event().wait()
+        if self._fails(req.path.decode()):
+            await self._delay(self.config.work_ms)
+            return _json(req, 500, {"message": "failed on purpose"})
+        self.served += 1
+        req.setHeader("X-Stand-In", self.config.server_id)
+        if self.config.engine:
+            return await self._generate(req, body)
+        await self._delay(self.config.work_ms)
+        return await self._finish(req, self._answer(req, body) | {"run": count})
+
+    def _count_run(self, key: str) -> int:
+        if not key:
+            return 0
+        self.runs[key] += 1
+        if self.config.runs_file is not None:
+            with pathlib.Path(self.config.runs_file).open("a") as file:
+                file.write(f"{key}\n")
+        return self.runs[key]
+
+    def _fails(self, path: str) -> bool:
+        mode = self.mode
+        if mode.error_path and path.startswith(mode.error_path):
+            return True
+        return (
+            self.in_flight > mode.errors_above
+            and self._rng.random() < mode.errors
+        )
+
+    async def _crash(self) -> None:
+        logs.event("stand_in_crash", server=self.config.server_id)
+        if self.config.exit_on_crash:
+            os._exit(CRASH_EXIT_CODE)
+        self._run(self._restart())
+        await asyncio.Event().wait()
+
+    async def _restart(self) -> None:
+        await self.kill()
+        if self.config.restart_s is not None:
+            await asyncio.sleep(self.config.restart_s)
+            await self.start()
+
+    async def _delay(self, ms: float) -> None:
+        factor = self.mode.slow * (self.config.cold_factor if self.cold else 1)
+        await asyncio.sleep(ms * factor / 1000)
+
+    async def _generate(self, req: iweb.IRequest, body: bytes) -> bytes:
+        prompt = _parse(body)
+        text = _prompt_text(prompt)
+        prefix = _header(req, "X-Prompt-Prefix") or _digest(
+            text.encode()[:PREFIX_BYTES]
+        )
+        if not self._cache.use(prefix):
+            await self._delay(self.config.prefill_ms)
+        count = int(prompt.get("max_tokens", self.config.tokens))
+        usage = {
+            "prompt_tokens": len(text.split()),
+            "completion_tokens": count,
+            "total_tokens": len(text.split()) + count,
+        }
+        # The words repeat the digest of the body, so that a caller can tell
+        # whether the whole answer belongs to its own request.
+        words = (f"{_digest(body)[:8]}-{number} " for number in range(count))
+        if prompt.get("stream"):
+            return await self._stream(req, words, usage)
+        answer = "".join([word async for word in self._paced(words)])
+        return await self._finish(
+            req,
+            self._answer(req, body)
+            | {
+                "choices": [{"index": 0, "message": {"content": answer}}],
+                "usage": usage,
+            },
+        )
+
+    async def _paced(self, words: Iterator[str]) -> Any:
+        for word in words:
+            batch = max(0, self.in_flight - 1)
+            await self._delay(
+                self.config.token_ms + batch * self.config.token_batch_ms
+            )
+            yield word
+
+    async def _stream(
+        self, req: iweb.IRequest, words: Iterator[str], usage: dict
+    ) -> bytes:
+        req.setHeader("Content-Type", "text/event-stream")
+        name = _header(req, "X-Request-Id")
+        half = usage["completion_tokens"] // 2
+        sent = 0
+        async for word in self._paced(words):
+            if self.mode.cut and sent >= half:
+                return await self._cut(req)
+            choice = {"index": 0, "delta": {"content": word}}
+            req.write(_event({"id": name, "choices": [choice]}))
+            sent += 1
+        req.write(_event({"id": name, "choices": [], "usage": usage}))
+        req.write(b"data: [DONE]\n\n")
+        return b""
+
+    def _answer(self, req: iweb.IRequest, body: bytes) -> dict:
+        return {
+            "server": self.config.server_id,
+            "version": self._version,
+            "data_centre": self.config.data_centre,
+            "method": req.method.decode(),
+            "path": req.path.decode(),
+            "request_id": _header(req, "X-Request-Id"),
+            "workspace": _header(req, "X-Workspace"),
+            "body_digest": _digest(body),
+        }
+
+    async def _finish(self, req: iweb.IRequest, answer: dict) -> bytes:
+        blob = _json(req, 200, answer)
+        if not self.mode.cut:
+            return blob
+        req.setHeader("Content-Length", str(len(blob)))
+        req.write(blob[: len(blob) // 2])
+        return await self._cut(req)
+
+    async def _cut(self, req: iweb.IRequest) -> bytes:
+        req.channel.loseConnection()
+        await asyncio.Event().wait()
+        return b""
+
+
+def _json(req: iweb.IRequest, status: int, value: Any) -> bytes:
+    req.setResponseCode(status)
+    req.setHeader("Content-Type", "application/json")
+    return json.dumps(value).encode()
+
+
+def _event(value: Any) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def _header(req: iweb.IRequest, name: str) -> str:
+    return req.getHeader(name) or ""
+
+
+def _digest(blob: bytes) -> str:
+    return hashlib.sha256(blob).hexdigest()
+
+
+def _parse(body: bytes) -> dict:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _prompt_text(prompt: dict) -> str:
+    messages = prompt.get("messages") or [{}]
+    return str(prompt.get("prompt") or messages[0].get("content", ""))
+
+
+async def _main(config: Config) -> None:
+    stand_in = StandIn(config)
+    await stand_in.start()
+    print(
+        json.dumps(
+            {
+                "server_id": config.server_id,
+                "host": config.host,
+                "port": stand_in.port,
+            }
+        ),
+        flush=True,
+    )
+    await event_loop.stop_signal().wait()
+    await stand_in.stop()
+
+
+def main(text: str) -> int:
+    """Runs a stand-in as a process until SIGTERM or SIGINT.
+
+    Args:
+      text: Configuration as JSON.
+
+    Returns:
+      Exit code: 0, or 2 if the configuration is invalid.
+    """
+    try:
+        config = CONFIG.validate_json(text)
+    except pydantic.ValidationError as exc:
+        print(exc, file=sys.stderr)
+        return 2
+    logs.configure(config.server_id)
+    event_loop.run(_main(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
