--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -94,6 +94,8 @@
       announcements: Announcements of backend servers received.
       crash_suspects: Requests whose connection broke.
       draining: True once the router shuts down.
+      data_centre: Data centre of the router, in the first report on a
+        connection.
     """
 
     sent_ms: int
@@ -107,6 +109,7 @@
     announcements: tuple[data.Announcement, ...] = ()
     crash_suspects: tuple[CrashSuspect, ...] = ()
     draining: bool = False
+    data_centre: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,12 +153,15 @@
       environment: Document.
       drained: Drained data centres.
       refused_digests: Digests refused by the crash guard.
+      controllers: Controllers added by a repair, which the router's settings
+        may not list.
     """
 
     number: int
     environment: data.Environment
     drained: tuple[str, ...] = ()
     refused_digests: tuple[str, ...] = ()
+    controllers: tuple[data.Peer, ...] = ()
 
 
 @MESSAGES.register("key_lookup")
@@ -222,8 +228,8 @@
 
     Attributes:
       call: Number of the message answered.
-      state: For a lookup: ABSENT, RUNNING, ANSWERED, MAY_HAVE_RUN, MISMATCH or
-        EXPIRED.
+      state: For a lookup: ABSENT, RUNNING, ANSWERED, MAY_HAVE_RUN, MISMATCH,
+        EXPIRED, or INVALID if the key's date is too far ahead.
         For a claim: CLAIMED if this router may dispatch, else as for a lookup,
         or STORE_FULL. For an outcome or release: ANSWERED, MAY_HAVE_RUN or
         ABSENT once committed. UNAVAILABLE if the leader could not commit.
@@ -250,22 +256,36 @@
       last_index: Index of the candidate's last entry.
       last_term: Term of the candidate's last entry.
       pre_vote: True for a trial vote, which changes no state at the voter.
+      members: Members of a group whose first election is under way, else
+        empty.
+      disks: Disk ids with which `members` may vote, in the same order; empty
+        while the candidate still collects them.
     """
 
     term: int
     last_index: int
     last_term: int
     pre_vote: bool
+    members: tuple[str, ...] = ()
+    disks: tuple[str, ...] = ()
 
 
 @MESSAGES.register("vote_reply")
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Answer to a vote request."""
+    """Answer to a vote request.
+
+    Attributes:
+      term: Voter's term.
+      granted: Whether the vote was given.
+      pre_vote: Whether the request was a trial vote.
+      disk: Disk id of the voter.
+    """
 
     term: int
     granted: bool
     pre_vote: bool
+    disk: str = ""
 
 
 @MESSAGES.register("append")
@@ -302,12 +322,14 @@
       match: If successful, last index known to equal the leader's log;
         otherwise a hint where to go on.
       round: Round of the request.
+      disk: Disk id of the follower.
     """
 
     term: int
     success: bool
     match: int
     round: int
+    disk: str = ""
 
 
 @MESSAGES.register("install_snapshot")
@@ -318,3 +340,21 @@
     term: int
     snapshot: data.Snapshot
     round: int
+
+
+@MESSAGES.register("frame_part")
+@dataclasses.dataclass(frozen=True, slots=True)
+class FramePart:
+    """Part of the frame of a message that is larger than a frame may be.
+
+    Attributes:
+      frame: Number of the frame at its sender.
+      part: Position of the part, from 0.
+      parts: Number of parts.
+      blob: Bytes of the part.
+    """
+
+    frame: int
+    part: int
+    parts: int
+    blob: bytes
