Add the commands of processes and operators

Cause: operators need one program for the two roles and for every call of the operators' API. Ruled out: one attempt per command, because an answer lost after a commit would leave the operator without the outcome. Change: thin cleo commands over one client that tries the controllers in turn, follows 421 and sends a change again with the same operation id.

--- /dev/null
+++ b/waxwingrack/commands/base.py
@@ -0,0 +1,225 @@
+"""Common parts of the operators' commands."""
+
+import getpass
+import ipaddress
+import json
+import os
+import pathlib
+from typing import Any
+from typing import ClassVar
+import uuid
+
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.inputs import option as option_module
+
+from waxwingrack.commands import operators_client
+from waxwingrack.commands.exit_codes import CommandError
+from waxwingrack.commands.exit_codes import ExitCode
+from waxwingrack.core import data
+from waxwingrack.daemons import event_loop
+
+CONTROLLERS_VARIABLE = "WAXWINGRACK_CONTROLLERS"
+TOKEN_VARIABLE = "WAXWINGRACK_TOKEN_FILE"
+
+
+def value(
+    name: str, text: str, default: str | None = None
+) -> option_module.Option:
+    """Declares an option with a value."""
+    return helpers.option(name, None, text, flag=False, default=default)
+
+
+CALL_OPTIONS = (
+    value(
+        "controllers",
+        f"Operators' addresses, host:port,... (or ${CONTROLLERS_VARIABLE})",
+    ),
+    value("token-file", f"File with the token (or ${TOKEN_VARIABLE})"),
+    value("timeout", "Time limit with all attempts, in seconds", "15"),
+)
+READ_OPTIONS = (
+    *CALL_OPTIONS,
+    helpers.option("json", None, "Print JSON instead of tables"),
+)
+CHANGE_OPTIONS = (
+    *CALL_OPTIONS,
+    value("operator", "Name of the operator; default: the login name"),
+    value("expected", "Number of the environment that the change is based on"),
+    value("operation", "Operation id; repeat it to send a change again"),
+)
+
+
+class OperatorsCommand(command.Command):
+    """A command that calls the operators' API."""
+
+    options: ClassVar[list] = list(READ_OPTIONS)
+
+    def handle(self) -> int:
+        """Runs the command.
+
+        Returns:
+          Exit code.
+        """
+        try:
+            return event_loop.run(self._checked(self.target()))
+        except CommandError as exc:
+            return self.fail(exc)
+
+    async def _checked(self, target: operators_client.Target) -> int:
+        try:
+            await self.operate(target)
+        except CommandError as exc:
+            return self.fail(exc)
+        return ExitCode.DONE
+
+    async def operate(self, target: operators_client.Target) -> None:
+        """Does the work of the command.
+
+        Args:
+          target: Where and as whom to call.
+
+        Raises:
+          CommandError: The command failed.
+        """
+        raise NotImplementedError
+
+    def fail(self, exc: CommandError) -> int:
+        """Prints why the command failed.
+
+        Args:
+          exc: The failure.
+
+        Returns:
+          Exit code.
+        """
+        self.line_error(f"{exc.code.name.lower()}: {exc}")
+        return exc.code
+
+    def target(self) -> operators_client.Target:
+        """Reads the options that say where and as whom to call."""
+        controllers = self._option_or("controllers", CONTROLLERS_VARIABLE)
+        token_file = self._option_or("token-file", TOKEN_VARIABLE)
+        try:
+            token = pathlib.Path(token_file).read_text().strip()
+        except (OSError, ValueError) as exc:
+            raise CommandError(
+                ExitCode.INVALID, f"--token-file cannot be read: {exc}"
+            ) from None
+        return operators_client.Target(
+            tuple(address(text) for text in controllers.split(",")),
+            token,
+            self.number_option("timeout", float),
+            lambda line: self.line_error(line),
+        )
+
+    def _option_or(self, name: str, variable: str) -> str:
+        text = self.option(name) or os.environ.get(variable)
+        if not text:
+            raise CommandError(
+                ExitCode.INVALID, f"--{name} or ${variable} is required"
+            )
+        return text
+
+    def number_option(self, name: str, kind: type) -> Any:
+        """Reads a number that is not negative; None if it is absent."""
+        text = self.option(name)
+        if text is None:
+            return None
+        try:
+            number = kind(text)
+        except ValueError:
+            number = -1
+        if not 0 <= number < float("inf"):
+            raise CommandError(
+                ExitCode.INVALID, f"--{name} must be a number from 0"
+            )
+        return number
+
+    def change(self, **fields: Any) -> dict[str, Any]:
+        """Builds the body of a change and prints its operation id.
+
+        Args:
+          **fields: Further fields of the body.
+
+        Returns:
+          The body.
+        """
+        operation = self.option("operation") or uuid.uuid4().hex
+        self.line_error(f"operation: {operation}")
+        return {
+            "operation": operation,
+            "operator": self.option("operator") or getpass.getuser(),
+            "expected": self.number_option("expected", int),
+            **fields,
+        }
+
+    def report(self, answer: dict) -> None:
+        """Prints the answer to a change."""
+        text = answer.get("message") or "accepted"
+        self.line(f"{text} (number {answer.get('number')})")
+
+    def show(self, document: Any, tables: dict[str, list[dict]]) -> None:
+        """Prints state as tables, or as JSON if asked to.
+
+        Args:
+          document: State for JSON.
+          tables: Rows by title.
+        """
+        if self.option("json"):
+            self.line(json.dumps(document, indent=2))
+            return
+        for title, rows in tables.items():
+            self.line(f"{title}:")
+            for line in table(rows) or ["  none"]:
+                self.line(line)
+
+
+def table(rows: list[dict]) -> list[str]:
+    """Lays rows out in columns.
+
+    Args:
+      rows: Rows with equal keys.
+
+    Returns:
+      Lines: the keys and the rows; none if there are no rows.
+    """
+    if not rows:
+        return []
+    cells = [list(rows[0])] + [
+        ["-" if item is None else str(item) for item in row.values()]
+        for row in rows
+    ]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [
+        "  "
+        + "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    ]
+
+
+def address(text: str) -> data.Address:
+    """Reads `host:port` with an IP number.
+
+    Args:
+      text: The text; an IPv6 number stands in square brackets.
+
+    Returns:
+      The address.
+
+    Raises:
+      CommandError: The text is no such address.
+    """
+    host, _, port = text.strip().rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        if not 0 < int(port) < 65_536:
+            raise ValueError
+    except ValueError:
+        raise CommandError(
+            ExitCode.INVALID, f"{text!r} is not an address host:port"
+        ) from None
+    return data.Address(host, int(port))
--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -6,10 +6,30 @@
 from cleo import application
 from cleo.commands import command
 
+from waxwingrack.commands import apply
+from waxwingrack.commands import check
+from waxwingrack.commands import data_centre
+from waxwingrack.commands import process
+from waxwingrack.commands import repair
+from waxwingrack.commands import rollout
+from waxwingrack.commands import status
+
 
 def commands() -> list[command.Command]:
     """Returns the commands of the program."""
-    return []
+    return [
+        process.RouterCommand(),
+        process.ControllerCommand(),
+        apply.ApplyCommand(),
+        status.StatusCommand(),
+        data_centre.DrainCommand(),
+        data_centre.RestoreCommand(),
+        rollout.StartCommand(),
+        rollout.StatusCommand(),
+        rollout.TakeBackCommand(),
+        repair.RepairCommand(),
+        check.CheckCommand(),
+    ]
 
 
 def main() -> int:
--- /dev/null
+++ b/waxwingrack/commands/operators_client.py
@@ -0,0 +1,185 @@
+"""Client of the operators' API.
+
+It tries the controllers in turn, follows the leader hint, and sends a change
+again with the same operation id while its outcome is unknown.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import json
+import time
+from typing import Any
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+
+from waxwingrack.commands.exit_codes import CommandError
+from waxwingrack.commands.exit_codes import ExitCode
+from waxwingrack.core import data
+
+# Longer than a controller waits for a change to be committed.
+ATTEMPT_TIMEOUT_S = 4.0
+CONNECT_TIMEOUT_S = 1.0
+# Pause after all controllers were tried, longer than a heartbeat of them.
+ROUND_PAUSE_S = 0.2
+
+MISDIRECTED = 421
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where and as whom to call.
+
+    Attributes:
+      controllers: Operators' addresses of the controllers.
+      token: Operators' bearer token.
+      timeout_s: Time limit for a call with all its attempts.
+      notify: Takes lines about attempts.
+    """
+
+    controllers: tuple[data.Address, ...]
+    token: str
+    timeout_s: float
+    notify: Callable[[str], None] = lambda line: None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """Result of one attempt; `body` is None if no answer arrived."""
+
+    status: int
+    body: Any
+    sent: bool
+    text: str
+
+
+async def call(
+    target: Target, method: str, path: str, body: dict | None = None
+) -> Any:
+    """Calls the leader.
+
+    Args:
+      target: Where and as whom to call.
+      method: HTTP method.
+      path: Path of the call.
+      body: JSON body; a body makes the call a change.
+
+    Returns:
+      JSON body of the answer with status 200.
+
+    Raises:
+      CommandError: The call was refused or invalid, no controller could be
+        reached, or the outcome of a change is unknown.
+    """
+    deadline_s = time.monotonic() + target.timeout_s
+    waiting = collections.deque(target.controllers)
+    may_have_run, last = False, ""
+    while time.monotonic() < deadline_s:
+        if not waiting:
+            await asyncio.sleep(ROUND_PAUSE_S)
+            waiting.extend(target.controllers)
+        address = waiting.popleft()
+        attempt = await _attempt(target, address, method, path, body)
+        if attempt.status == MISDIRECTED:
+            _follow(target, attempt.body, waiting)
+            last = f"{address} does not lead"
+            continue
+        if attempt.status and attempt.status < 500:
+            return _result(attempt)
+        last = f"{address}: {attempt.text}"
+        may_have_run |= attempt.sent and body is not None
+        target.notify(f"{last}; trying again")
+    if may_have_run:
+        raise CommandError(
+            ExitCode.UNKNOWN,
+            f"the outcome is unknown ({last}); "
+            "send the command again with the same --operation",
+        )
+    raise CommandError(
+        ExitCode.UNREACHABLE, f"no leading controller can be reached ({last})"
+    )
+
+
+async def _attempt(
+    target: Target,
+    address: data.Address,
+    method: str,
+    path: str,
+    body: dict | None,
+) -> _Attempt:
+    from twisted.internet import reactor
+
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    arguments = {} if body is None else {"json": body}
+    try:
+        response = await _future(
+            treq.request(
+                method,
+                f"http://{host}:{address.port}{path}",
+                headers={"Authorization": f"Bearer {target.token}"},
+                agent=client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S),
+                timeout=ATTEMPT_TIMEOUT_S,
+                **arguments,
+            )
+        )
+        blob = await asyncio.wait_for(
+            _future(response.content()), ATTEMPT_TIMEOUT_S
+        )
+        return _read(response.code, blob)
+    except error.ConnectError as exc:
+        return _Attempt(0, None, False, str(exc) or type(exc).__name__)
+    except (
+        error.ConnectionLost,
+        error.ConnectionDone,
+        client.ResponseFailed,
+        client.PartialDownloadError,
+        defer.CancelledError,
+        TimeoutError,
+    ) as exc:
+        return _Attempt(0, None, True, f"no answer ({type(exc).__name__})")
+
+
+def _future(deferred: defer.Deferred) -> asyncio.Future:
+    return deferred.asFuture(asyncio.get_running_loop())
+
+
+def _read(status: int, blob: bytes) -> _Attempt:
+    try:
+        body = json.loads(blob)
+    except ValueError:
+        body = {"message": blob.decode(errors="replace")[:200]}
+    if not isinstance(body, dict):
+        body = {"message": str(body)}
+    return _Attempt(status, body, True, body.get("message", f"HTTP {status}"))
+
+
+def _follow(
+    target: Target, body: dict, waiting: collections.deque[data.Address]
+) -> None:
+    leader = body.get("leader")
+    if isinstance(leader, dict) and {"host", "port"} <= leader.keys():
+        address = data.Address(leader["host"], leader["port"])
+        target.notify(f"the leader is {leader.get('id')} at {address}")
+        # The hint may be old, so the others stay in turn.
+        waiting.append(address)
+        waiting.rotate(1)
+
+
+def _result(attempt: _Attempt) -> Any:
+    if attempt.status == 200:
+        return attempt.body
+    if attempt.status == 400:
+        faults = [
+            f"{fault.get('path')}: {fault.get('rule')}"
+            for fault in attempt.body.get("errors", ())
+        ]
+        raise CommandError(ExitCode.INVALID, "\n".join(faults) or attempt.text)
+    text = attempt.body.get("message") or f"HTTP {attempt.status}"
+    if attempt.body.get("winner"):
+        text += f"; number {attempt.body.get('number')} was set by "
+        text += attempt.body["winner"]
+    raise CommandError(ExitCode.REFUSED, text)
--- /dev/null
+++ b/waxwingrack/commands/process.py
@@ -0,0 +1,97 @@
+"""Commands `router` and `controller`, which run until they are stopped."""
+
+import random
+import time
+from typing import Any
+from typing import ClassVar
+
+from cleo import helpers
+from cleo.commands import command
+from returns import result
+
+from waxwingrack.commands.exit_codes import ExitCode
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.daemons import controller
+from waxwingrack.daemons import event_loop
+from waxwingrack.daemons import router
+from waxwingrack.daemons import storage
+from waxwingrack.load import settings
+
+
+def monotonic_ms() -> int:
+    """Returns a monotonic clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class _ProcessCommand(command.Command):
+    """Runs a process until SIGTERM or SIGINT.
+
+    Attributes:
+      role: Role of the process.
+    """
+
+    arguments: ClassVar[list] = [
+        helpers.argument("settings", "JSON file with the process settings")
+    ]
+    role: ClassVar[data.Role]
+
+    def handle(self) -> int:
+        """Runs the command.
+
+        Returns:
+          Exit code.
+        """
+        path = self.argument("settings")
+        match settings.load(path):
+            case result.Failure(faults):
+                for fault in faults:
+                    self.line_error(str(fault))
+                return ExitCode.INVALID
+            case result.Success(cfg):
+                if cfg.role != self.role:
+                    self.line_error(f"{path}: $.role: must be {self.role}")
+                    return ExitCode.INVALID
+        logs.configure(cfg.node_id, cfg.log_level)
+        event_loop.run(_serve(self.build(cfg)))
+        return ExitCode.DONE
+
+    def build(self, cfg: data.Settings) -> Any:
+        """Builds the process."""
+        raise NotImplementedError
+
+
+class RouterCommand(_ProcessCommand):
+    """Runs a router."""
+
+    name = "router"
+    description = "Run a router until SIGTERM or SIGINT"
+    role = data.Role.ROUTER
+
+    def build(self, cfg: data.Settings) -> router.Router:
+        """Builds the router."""
+        return router.Router(cfg, router.monotonic_ms, random.Random())
+
+
+class ControllerCommand(_ProcessCommand):
+    """Runs a controller."""
+
+    name = "controller"
+    description = "Run a controller until SIGTERM or SIGINT"
+    role = data.Role.CONTROLLER
+
+    def build(self, cfg: data.Settings) -> controller.Controller:
+        """Builds the controller."""
+        return controller.Controller(
+            cfg,
+            storage.DiskStorage(cfg.data_folder),
+            monotonic_ms,
+            random.Random(),
+        )
+
+
+async def _serve(process: Any) -> None:
+    stopped = event_loop.stop_signal()
+    await process.start()
+    await stopped.wait()
+    await process.stop()
--- /dev/null
+++ b/waxwingrack/commands/status.py
@@ -0,0 +1,39 @@
+"""Command `status`."""
+
+from waxwingrack.commands import base
+from waxwingrack.commands import operators_client
+from waxwingrack.commands import rollout
+
+TABLES = (
+    "controllers",
+    "routers",
+    "data_centres",
+    "backend_servers",
+    "workspaces",
+)
+
+
+class StatusCommand(base.OperatorsCommand):
+    """Shows the state of the fleet."""
+
+    name = "status"
+    description = "Show the state of the fleet"
+
+    async def operate(self, target: operators_client.Target) -> None:
+        """See `OperatorsCommand`."""
+        status = await operators_client.call(target, "GET", "/v1/status")
+        if not self.option("json"):
+            self.line(
+                f"leader {status['leader']}, term {status['term']}, "
+                f"environment number {status['number']}"
+            )
+        self.show(
+            status,
+            {name.replace("_", " "): status[name] for name in TABLES}
+            | {
+                "rollouts": rollout.rows(status["rollouts"]),
+                "refused digests": [
+                    {"digest": digest} for digest in status["refused_digests"]
+                ],
+            },
+        )
