--- /dev/null
+++ b/features/steps/commands_steps.py
@@ -0,0 +1,304 @@
+"""Steps for the command line, with a fake operators' API."""
+
+import copy
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import shlex
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import behave
+
+from features.steps import settings_steps
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+TIMEOUT_S = 20
+OUTCOME = {"accepted": True, "number": 8, "winner": "", "message": ""}
+ROLLOUT = {
+    "plan": {"id": "move-1", "service": "sketch", "version": "v2"},
+    "old_version": "v1",
+    "phase": "trial",
+    "share": 0.05,
+    "elapsed_s": 3.0,
+    "reason": "started",
+}
+STATES = {
+    "/v1/status": {
+        "leader": "c1",
+        "term": 3,
+        "number": 7,
+        "controllers": [],
+        "routers": [
+            {"id": "r1", "data_centre": "a", "number": 6, "lagging": True}
+        ],
+        "backend_servers": [],
+        "workspaces": [],
+        "data_centres": [],
+        "rollouts": [ROLLOUT],
+        "refused_digests": [],
+    },
+    "/v1/rollouts": {"rollouts": [ROLLOUT]},
+}
+ANSWERS = {
+    "accepted": (200, OUTCOME),
+    "refused": (
+        409,
+        OUTCOME | {"accepted": False, "winner": "mary", "message": "too late"},
+    ),
+    "forbidden": (401, {"message": "the bearer token is missing or wrong"}),
+    "invalid": (
+        400,
+        {"errors": [{"path": "$.plan.service", "rule": "is unknown"}]},
+    ),
+    "unavailable": (503, {"message": "not committed in time"}),
+    "broken": (500, {"message": "unexpected error; see the log"}),
+    "no leader": (421, {"leader": None}),
+}
+
+
+def _environment(weight):
+    document = copy.deepcopy(settings_steps.ENVIRONMENT)
+    document["workspaces"][0]["weight"] = weight
+    return document
+
+
+def _fake_controller(context, script):
+    """Starts a server that plays a script; its last answer is repeated."""
+    answers = script.split(" then ")
+    peers = context.fakes
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def _answer(self):
+            length = int(self.headers.get("Content-Length", 0))
+            body = json.loads(self.rfile.read(length) or "null")
+            if body is not None:
+                context.sent.append((self.command, self.path, body))
+            name = answers.pop(0) if len(answers) > 1 else answers[0]
+            if name == "lost":
+                self.close_connection = True
+                return
+            if name == "follower":
+                host, port = peers[1].server_address
+                leader = {"id": "c2", "host": host, "port": port}
+                status, value = 421, {"leader": leader}
+            else:
+                status, value = ANSWERS[name]
+            if status == 200 and body is None:
+                value = _state(self.path)
+            blob = json.dumps(value).encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(blob)))
+            self.end_headers()
+            self.wfile.write(blob)
+
+        do_GET = do_PUT = do_POST = _answer  # noqa: N815
+
+        def log_message(self, *_):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    return server
+
+
+def _state(path):
+    if path == "/v1/environment":
+        return {"number": 7, "environment": _environment(1.0)}
+    return STATES[path]
+
+
+def _free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def _folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    return pathlib.Path(folder.name)
+
+
+def _run(context, line):
+    document = getattr(context, "document_file", None)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "waxwingrack",
+            *shlex.split(line.replace("{document}", str(document))),
+        ],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    context.code, context.output = done.returncode, done.stdout + done.stderr
+
+
+@behave.given("fake controllers that answer {first} and {second}")
+def fake_controllers(context, first, second):
+    context.sent, context.fakes = [], []
+    context.controllers = []
+    for script in (first, second):
+        if script == "none":
+            context.controllers.append(f"127.0.0.1:{_free_port()}")
+            continue
+        context.fakes.append(_fake_controller(context, script))
+        port = context.fakes[-1].server_address[1]
+        context.controllers.append(f"127.0.0.1:{port}")
+    folder = _folder(context)
+    context.token_file = folder / "token"
+    context.token_file.write_text("operator-token\n")
+    context.document_file = folder / "environment.json"
+    context.document_file.write_text(json.dumps(_environment(2)))
+
+
+@behave.when(
+    'the operators\' command "{line}" runs with a time limit of {limit:d} s'
+)
+def run_operators_command(context, line, limit):
+    controllers = ",".join(context.controllers)
+    _run(
+        context,
+        f"{line} --controllers {controllers} --timeout {limit} "
+        f"--token-file {context.token_file}",
+    )
+
+
+@behave.when('the command line "{line}" runs')
+def run_line(context, line):
+    _run(context, line)
+
+
+@behave.then('the command exits with {code:d} and prints "{text}"')
+def command_exits(context, code, text):
+    assert context.code == code, (context.code, context.output)
+    assert text in context.output, context.output
+
+
+@behave.then(
+    "every change sent carries the same operation id, at least {count:d} times"
+)
+def same_operation(context, count):
+    ids = [body["operation"] for _, _, body in context.sent]
+    assert len(ids) >= count, ids
+    assert len(set(ids)) == 1, ids
+
+
+@behave.then("the operation id was printed")
+def operation_printed(context):
+    operation = context.sent[0][2]["operation"]
+    assert f"operation: {operation}" in context.output, context.output
+
+
+@behave.then("the change sent was {method} {path} with")
+def change_sent(context, method, path):
+    assert context.sent == [(method, path, json.loads(context.text))], (
+        context.sent
+    )
+
+
+@behave.then("the change sent expects number {number:d}")
+def change_expects(context, number):
+    assert [body["expected"] for _, _, body in context.sent] == [number]
+
+
+@behave.given("a command line document with {content}")
+def command_document(context, content):
+    environment = _environment(1)
+    process = copy.deepcopy(settings_steps.SETTINGS["router"])
+    match content:
+        case "a valid environment":
+            text = json.dumps(environment)
+        case "valid settings":
+            text = json.dumps(process)
+        case "a zero weight":
+            text = json.dumps(_environment(0))
+        case "no callers' port":
+            del process["callers"]
+            text = json.dumps(process)
+        case "broken text":
+            text = "{"
+    context.document_file = _folder(context) / "document.json"
+    context.document_file.write_text(text)
+
+
+@behave.given("command line settings of a running {role}")
+def running_settings(context, role):
+    folder = _folder(context)
+    (folder / "shared.key").write_text("key")
+    (folder / "token").write_text("operator-token")
+    ports = [_free_port() for _ in range(3)]
+    own = [{"host": "127.0.0.1", "port": port} for port in ports]
+    document = {
+        "role": role,
+        "node_id": "c1",
+        "data_centre": "a",
+        "operators": own[1],
+        "controllers": [{"id": "c1", "control": own[0], "operators": own[1]}],
+        "shared_key_file": str(folder / "shared.key"),
+        "shutdown_delay_s": 0.1,
+    }
+    if role == "router":
+        document |= {"callers": own[2], "node_id": "r1"}
+        document["controllers"][0]["operators"] = own[2]
+    else:
+        document |= {
+            "control": own[0],
+            "data_folder": str(folder / "data"),
+            "operator_token_file": str(folder / "token"),
+        }
+    context.port = ports[1]
+    context.document_file = folder / "settings.json"
+    context.document_file.write_text(json.dumps(document))
+
+
+@behave.when("the {role} process is started and gets {name} once it answers")
+def start_and_signal(context, role, name):
+    process = subprocess.Popen(
+        [sys.executable, "-m", "waxwingrack", role, str(context.document_file)],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        _wait_until_healthy(context.port)
+        process.send_signal(signal.Signals[name])
+        _, context.output = process.communicate(timeout=TIMEOUT_S)
+    finally:
+        process.kill()
+        process.wait()
+    context.code = process.returncode
+
+
+def _wait_until_healthy(port):
+    limit = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < limit:
+        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
+        try:
+            conn.request("GET", "/healthz")
+            if conn.getresponse().status == 200:
+                return
+        except OSError:
+            time.sleep(0.05)
+        finally:
+            conn.close()
+    raise AssertionError("the process does not answer")
+
+
+@behave.then("the process exits with {code:d}")
+def process_exits(context, code):
+    assert context.code == code, (context.code, context.output)
