--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -12,10 +12,7 @@
 from waxwingrack.commands.exit_codes import ExitCode
 from waxwingrack.core import data
 from waxwingrack.core import logs
-from waxwingrack.daemons import controller
 from waxwingrack.daemons import event_loop
-from waxwingrack.daemons import router
-from waxwingrack.daemons import storage
 from waxwingrack.load import settings
 
 
@@ -68,8 +65,11 @@
     description = "Run a router until SIGTERM or SIGINT"
     role = data.Role.ROUTER
 
-    def build(self, cfg: data.Settings) -> router.Router:
+    def build(self, cfg: data.Settings) -> Any:
         """Builds the router."""
+        # Operators' commands must not wait for the import of the daemons.
+        from waxwingrack.daemons import router
+
         return router.Router(cfg, router.monotonic_ms, random.Random())
 
 
@@ -80,8 +80,11 @@
     description = "Run a controller until SIGTERM or SIGINT"
     role = data.Role.CONTROLLER
 
-    def build(self, cfg: data.Settings) -> controller.Controller:
+    def build(self, cfg: data.Settings) -> Any:
         """Builds the controller."""
+        from waxwingrack.daemons import controller
+        from waxwingrack.daemons import storage
+
         return controller.Controller(
             cfg,
             storage.DiskStorage(cfg.data_folder),
