--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -9,6 +9,7 @@
 from waxwingrack.commands import apply
 from waxwingrack.commands import check
 from waxwingrack.commands import data_centre
+from waxwingrack.commands import demo
 from waxwingrack.commands import process
 from waxwingrack.commands import repair
 from waxwingrack.commands import rollout
@@ -29,6 +30,7 @@
         rollout.TakeBackCommand(),
         repair.RepairCommand(),
         check.CheckCommand(),
+        demo.DemoCommand(),
     ]
 
 
