--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -25,6 +25,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.protocols import policies
 from twisted.web import client
 from twisted.web import iweb
 from twisted.web import server
@@ -141,26 +142,6 @@
 MODE = pydantic.TypeAdapter(codec.forbid_extra(Mode))
 
 
-class _Site(server.Site):
-    """HTTP server that can cut all its connections."""
-
-    def __init__(self, resource: Any):
-        super().__init__(resource)
-        self._open: list[Any] = []
-
-    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
-        protocol = super().buildProtocol(addr)
-        self._open.append(protocol)
-        return protocol
-
-    def abort(self) -> None:
-        """Resets every connection."""
-        for protocol in self._open:
-            if protocol.transport is not None:
-                protocol.transport.abortConnection()
-        self._open.clear()
-
-
 class PrefixCache:
     """Cache of prompt prefixes with late and lossy events."""
 
@@ -266,7 +247,7 @@
         self.incarnation = secrets.token_hex(4)
         self._cache = PrefixCache(self.config, self._rng)
         self.fall_cold()
-        self._site = _Site(self._app.resource())
+        self._site = policies.WrappingFactory(server.Site(self._app.resource()))
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, self.port, interface=self.config.host
         )
@@ -292,7 +273,8 @@
             self._announcing = None
         if self._listening is not None:
             listening, self._listening = self._listening, None
-            self._site.abort()
+            for connection in tuple(self._site.protocols):
+                connection.transport.abortConnection()
             await defer.maybeDeferred(listening.stopListening).asFuture(
                 asyncio.get_running_loop()
             )
@@ -462,6 +444,9 @@
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         try:
             return await self._run_request(req, body)
+        except asyncio.CancelledError:
+            # klein logs every other exception after a lost connection.
+            raise defer.CancelledError from None
         finally:
             self.in_flight -= 1
 
@@ -480,7 +465,7 @@
         if self.config.engine:
             return await self._generate(req, body)
         await self._delay(self.config.work_ms)
-        return self._finish(req, self._answer(req, body) | {"run": count})
+        return await self._finish(req, self._answer(req, body) | {"run": count})
 
     def _count_run(self, key: str) -> int:
         if not key:
@@ -537,7 +522,7 @@
         if prompt.get("stream"):
             return await self._stream(req, words, usage)
         answer = "".join([word async for word in self._paced(words)])
-        return self._finish(
+        return await self._finish(
             req,
             self._answer(req, body)
             | {
@@ -583,13 +568,13 @@
             "body_digest": _digest(body),
         }
 
-    def _finish(self, req: iweb.IRequest, answer: dict) -> Any:
+    async def _finish(self, req: iweb.IRequest, answer: dict) -> bytes:
         blob = _json(req, 200, answer)
         if not self.mode.cut:
             return blob
         req.setHeader("Content-Length", str(len(blob)))
         req.write(blob[: len(blob) // 2])
-        return defer.Deferred.fromFuture(self._run(self._cut(req)))
+        return await self._cut(req)
 
     async def _cut(self, req: iweb.IRequest) -> bytes:
         req.channel.loseConnection()
