Run features side by side in the check script

Cause: the fault matrix takes 17 minutes in sequence. Ruled out: fewer cells. Change: each feature runs in its own behave process, four at a time; features that measure times run alone afterwards.

--- a/features/fleet_path.feature
+++ b/features/fleet_path.feature
@@ -1,4 +1,4 @@
-@fixture.fleet
+@fixture.fleet @alone
 Feature: A request runs through separate processes to a backend server
 
   Three controllers, three routers and four stand-in backend servers run as
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -1,10 +1,14 @@
 """Runs every check of the project and counts the results.
 
 Each of formatter, linter and binary build counts as one check; every scenario
-of behave counts as one. Cases listed in KNOWN-RED.txt are excluded by their tag
-`known_red` and printed.
+of behave counts as one. Features run side by side, each in a behave process
+of its own. Cases listed in KNOWN-RED.txt are excluded by their tag `known_red`
+and printed.
+
+Usage: run_checks.py [FEATURE ...]; without features all checks run.
 """
 
+from concurrent import futures
 import json
 import pathlib
 import subprocess
@@ -13,6 +17,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOOLS = pathlib.Path(sys.executable).parent
+# Features that run at the same time; a fleet has about ten processes.
+PARALLEL = 4
+# These measure times, so they run alone after the others.
+ALONE = "@alone"
+# Longest run of one feature, in seconds.
+FEATURE_TIMEOUT_S = 1_500
 
 CHECKS = (
     ("formatter", (str(TOOLS / "ruff"), "format", "--check", ".")),
@@ -39,11 +49,11 @@
     return passed
 
 
-def run_features(arguments: list[str]) -> list[str]:
-    """Runs behave.
+def run_feature(path: pathlib.Path) -> list[str]:
+    """Runs one feature with behave.
 
     Args:
-      arguments: Further arguments for behave.
+      path: Path of the feature.
 
     Returns:
       The status of each scenario that was selected. A run that ends without a
@@ -51,40 +61,80 @@
     """
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
-        subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "behave",
-                "--tags=not known_red",
-                "--format=json",
-                f"--outfile={report}",
-                "--format=progress",
-                "--no-skipped",
-                *arguments,
-            ],
-            cwd=ROOT,
-        )
+        command = [
+            sys.executable,
+            "-m",
+            "behave",
+            "--tags=not known_red",
+            "--format=json",
+            f"--outfile={report}",
+            "--format=progress",
+            "--no-skipped",
+            str(path),
+        ]
         try:
-            features = json.loads(report.read_text())
-        except (OSError, ValueError):
-            return ["failed"]
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=FEATURE_TIMEOUT_S,
+            )
+            output = done.stdout + done.stderr
+            statuses = read_report(report, done.returncode)
+        except subprocess.TimeoutExpired:
+            output = f"no end within {FEATURE_TIMEOUT_S} s"
+            statuses = ["failed"]
+    passed = statuses.count("passed")
+    print(f"{path.name}: {passed} of {len(statuses)} passed", flush=True)
+    if passed < len(statuses):
+        print(output, flush=True)
+    return statuses
+
+
+def read_report(report: pathlib.Path, exit_code: int) -> list[str]:
+    """Reads the statuses of the scenarios from behave's own report.
+
+    Args:
+      report: Path of the JSON report.
+      exit_code: Exit code of behave.
+
+    Returns:
+      The statuses, with a failure added if behave failed and no scenario did.
+    """
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return ["failed"]
     statuses = [
         element.get("status", "failed")
         for feature in features
         for element in feature.get("elements", ())
         if element["type"] == "scenario"
     ]
-    broken = [
-        "failed"
-        for feature in features
-        if feature.get("status") not in ("passed", "skipped")
-        and not any(
-            element.get("status") not in ("passed", "skipped")
-            for element in feature.get("elements", ())
-        )
-    ]
-    return statuses + broken
+    ran = [status for status in statuses if status != "skipped"]
+    if exit_code and all(status == "passed" for status in ran):
+        ran.append("failed")
+    return ran
+
+
+def run_features(paths: list[pathlib.Path]) -> list[str]:
+    """Runs features, most of them side by side.
+
+    Args:
+      paths: Paths of the features.
+
+    Returns:
+      The statuses of all scenarios.
+    """
+    alone = [path for path in paths if ALONE in path.read_text()]
+    together = [path for path in paths if path not in alone]
+    # The fault matrix takes longest, so it starts first.
+    together.sort(key=lambda path: "fault_matrix" not in path.name)
+    with futures.ThreadPoolExecutor(PARALLEL) as pool:
+        results = list(pool.map(run_feature, together))
+    results += [run_feature(path) for path in alone]
+    return [status for statuses in results for status in statuses]
 
 
 def main() -> int:
@@ -93,18 +143,19 @@
     Returns:
       Exit code: 0 if everything passed.
     """
-    results = [run_command(name, command) for name, command in CHECKS]
-    statuses = run_features(sys.argv[1:])
-    results += [
-        status == "passed" for status in statuses if status != "skipped"
-    ]
+    named = [pathlib.Path(name) for name in sys.argv[1:]]
+    results = [] if named else [run_command(*check) for check in CHECKS]
+    statuses = run_features(
+        named or sorted((ROOT / "features").glob("*.feature"))
+    )
+    results += [status == "passed" for status in statuses]
     known_red = ROOT / "KNOWN-RED.txt"
     if known_red.exists():
         print("Known red, not run:\n" + known_red.read_text())
-    failed = results.count(False)
     if not statuses:
         print("no scenario ran")
-        failed += 1
+        results.append(False)
+    failed = results.count(False)
     print(f"{results.count(True)} passed, {failed} failed", flush=True)
     return 1 if failed else 0
 
