--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -167,6 +167,20 @@
             return json.loads(self._process.stdout.readline())
 
 
+class DirectLinks:
+    """Stands for the proxy where times are measured and nothing is cut."""
+
+    def __init__(self):
+        self.links = set()
+
+    def add(self, link, port):
+        """Returns the port itself."""
+        return port
+
+    def stop(self):
+        """Does nothing."""
+
+
 class Member:
     """One process of the fleet.
 
@@ -235,11 +249,12 @@
         routers=3,
         router_settings=None,
         link_delay_ms=0,
+        proxied=True,
     ):
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
         self.folder = pathlib.Path(self._temporary.name)
         self.members = {}
-        self.proxy = Proxy()
+        self.proxy = Proxy() if proxied else DirectLinks()
         self._link_delay_ms = link_delay_ms
         self._router_settings = router_settings or {}
         self._secrets()
