--- a/features/steps/replication_storage_steps.py
+++ b/features/steps/replication_storage_steps.py
@@ -9,6 +9,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.daemons import storage
+from waxwingrack.daemons import storage_files
 from waxwingrack.operations import consensus
 
 HARD = consensus.HardState(7, "b", ("a", "b", "c"), ("x", "y", "z"))
@@ -18,7 +19,7 @@
     """A simulated crash at a call to the file system."""
 
 
-class FailingFiles(storage.Files):
+class FailingFiles(storage_files.Files):
     """Counts calls and fails at one of them.
 
     A crash in an append or a write leaves half of the bytes, as an unsynced
@@ -142,7 +143,7 @@
 @behave.when("its log is cut at every byte offset of the last record")
 def cut_everywhere(context):
     context.offsets = range(context.before_last, len(context.log))
-    assert len(context.offsets) > storage.HEADER.size
+    assert len(context.offsets) > storage_files.HEADER.size
 
 
 @behave.then("each time the replication storage loads the entries 1 to 4")
@@ -170,7 +171,7 @@
 def spoil_last(context, fault):
     keep = context.before_last
     if fault == "zeros after its header":
-        keep += storage.HEADER.size
+        keep += storage_files.HEADER.size
     zeros = bytes(len(context.log) - keep)
     (context.folder / "log").write_bytes(context.log[:keep] + zeros)
 
--- a/waxwingrack/daemons/storage.py
+++ b/waxwingrack/daemons/storage.py
@@ -16,38 +16,21 @@
 file system may write the blocks of one append in any order.
 """
 
-from collections.abc import Iterator
 import dataclasses
 import os
 import pathlib
 import secrets
-import struct
 from typing import Any
-import zlib
 
-import cbor2
 from returns import result
 
 from waxwingrack.core import data
+from waxwingrack.daemons import storage_files
 from waxwingrack.operations import consensus
 
-HEADER = struct.Struct(">III")
 DISK_ID_BYTES = 16
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Damage:
-    """Why a storage cannot be used; its node must not vote.
-
-    Attributes:
-      path: File or folder.
-      offset: Byte offset of the fault, 0 if it concerns the whole file.
-      reason: What is wrong.
-    """
-
-    path: str
-    offset: int
-    reason: str
+Damage = storage_files.Damage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,49 +50,13 @@
     """A write or sync has failed; the process must not go on."""
 
 
-class Files:
-    """Calls to the file system, replaced by tests that inject faults."""
-
-    def append(self, path: pathlib.Path, blob: bytes) -> None:
-        """Adds bytes to a file and syncs it."""
-        with path.open("ab") as file:
-            file.write(blob)
-            file.flush()
-            os.fsync(file.fileno())
-
-    def create(self, path: pathlib.Path, blob: bytes) -> None:
-        """Writes a whole file and syncs it."""
-        with path.open("wb") as file:
-            file.write(blob)
-            file.flush()
-            os.fsync(file.fileno())
-
-    def truncate(self, path: pathlib.Path, size: int) -> None:
-        """Cuts a file off at a size and syncs it."""
-        with path.open("r+b") as file:
-            file.truncate(size)
-            os.fsync(file.fileno())
-
-    def rename(self, source: pathlib.Path, target: pathlib.Path) -> None:
-        """Renames a file over another one."""
-        os.replace(source, target)
-
-    def sync_folder(self, folder: pathlib.Path) -> None:
-        """Makes renames in a folder durable."""
-        descriptor = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
-
 class MemoryStorage:
     """Storage without files; what was not synced is lost by `crash`."""
 
     def __init__(self) -> None:
         self._identity: Identity | None = None
-        self._synced = _Contents()
-        self._contents = _Contents()
+        self._synced = storage_files.Contents()
+        self._contents = storage_files.Contents()
 
     def identify(self, node_id: str) -> result.Result[Identity, Damage]:
         """See `DiskStorage.identify`."""
@@ -155,11 +102,13 @@
     """
 
     def __init__(
-        self, folder: str | os.PathLike[str], files: Files | None = None
+        self,
+        folder: str | os.PathLike[str],
+        files: storage_files.Files | None = None,
     ):
         self.folder = pathlib.Path(folder)
-        self._files = files or Files()
-        self._contents = _Contents()
+        self._files = files or storage_files.Files()
+        self._contents = storage_files.Contents()
         self._pending: list[Any] = []
         self._snapshot_is_new = False
         self._failed = False
@@ -191,7 +140,7 @@
         """Returns the identity and whether the folder held nothing yet."""
         path = self._path("identity")
         if path.exists():
-            payload, fault = _only_frame(path)
+            payload, fault = storage_files.only_frame(path)
             if fault is not None:
                 return result.Failure(fault)
             return result.Success((Identity(*payload), not self._has_state()))
@@ -210,12 +159,14 @@
     def _has_state(self) -> bool:
         """Returns whether the folder holds more than an empty log."""
         log = self._path("log")
-        blank = len(_frame(_base_record(0)))
+        blank = len(storage_files.frame(storage_files.base_record(0)))
         used = log.exists() and log.stat().st_size > blank
         return used or self._path("snapshot").exists()
 
     def _write_identity(self, identity: Identity) -> None:
-        self._replace("identity", _frame([identity.node_id, identity.disk]))
+        self._replace(
+            "identity", storage_files.frame([identity.node_id, identity.disk])
+        )
 
     # -- load ------------------------------------------------------------
 
@@ -234,7 +185,7 @@
             return found
         identity, is_new = found.unwrap()
         self._pending = []
-        self._contents = _Contents()
+        self._contents = storage_files.Contents()
         fault = self._load_snapshot() or self._load_log()
         if fault is not None:
             return result.Failure(fault)
@@ -245,7 +196,7 @@
         path = self._path("snapshot")
         if not path.exists():
             return None
-        payload, fault = _only_frame(path)
+        payload, fault = storage_files.only_frame(path)
         if fault is not None:
             return fault
         index, term, members, state, disks = payload
@@ -260,7 +211,7 @@
             return Damage(str(path), 0, "log is missing")
         blob = path.read_bytes()
         end = 0
-        for start, next_start, payload in _frames(blob):
+        for start, next_start, payload in storage_files.frames(blob):
             if payload is None:
                 return Damage(str(path), start, "frame is damaged")
             for record in payload:
@@ -299,10 +250,12 @@
         """
         self._contents.change(hard, truncate_from, append, snapshot)
         if hard is not None:
-            self._pending.append(_hard_record(hard))
+            self._pending.append(storage_files.hard_record(hard))
         if truncate_from is not None:
             self._pending.append(["truncate", truncate_from])
-        self._pending.extend(_entry_record(entry) for entry in append)
+        self._pending.extend(
+            storage_files.entry_record(entry) for entry in append
+        )
         if snapshot is not None:
             self._snapshot_is_new = True
 
@@ -317,11 +270,13 @@
             raise StorageFailedError("an earlier write has failed")
         try:
             if self._pending:
-                frame = _frame(self._pending)
+                frame = storage_files.frame(self._pending)
                 self._files.append(self._path("log"), frame)
                 self._pending = []
             if self._snapshot_is_new:
-                self._replace("snapshot", _snapshot_frame(self._contents))
+                self._replace(
+                    "snapshot", storage_files.snapshot_frame(self._contents)
+                )
                 self._rewrite_log()
                 self._snapshot_is_new = False
         except OSError as exc:
@@ -331,12 +286,16 @@
     def _rewrite_log(self) -> None:
         """Replaces the log by one without the entries in the snapshot."""
         contents = self._contents
-        frames = _frame(_base_record(contents.snapshot_index))
-        records = [_entry_record(entry) for entry in contents.entries]
+        frames = storage_files.frame(
+            storage_files.base_record(contents.snapshot_index)
+        )
+        records = [
+            storage_files.entry_record(entry) for entry in contents.entries
+        ]
         if contents.hard != consensus.HardState():
-            records.insert(0, _hard_record(contents.hard))
+            records.insert(0, storage_files.hard_record(contents.hard))
         if records:
-            frames += _frame(records)
+            frames += storage_files.frame(records)
         self._replace("log", frames)
 
     def _replace(self, name: str, blob: bytes) -> None:
@@ -350,108 +309,6 @@
         return self.folder / name
 
 
-class _Contents:
-    """Hard state, snapshot and entries in memory.
-
-    Attributes:
-      hard: Hard state.
-      snapshot: Latest snapshot.
-      entries: Entries after it.
-      base: Index of the snapshot that the log needs.
-    """
-
-    def __init__(self) -> None:
-        self.hard = consensus.HardState()
-        self.snapshot: data.Snapshot | None = None
-        self.entries: list[data.LogEntry] = []
-        self.base = 0
-
-    @property
-    def snapshot_index(self) -> int:
-        """Index of the snapshot, or 0."""
-        return self.snapshot.index if self.snapshot else 0
-
-    def copy(self) -> "_Contents":
-        """Returns a copy that later changes do not affect."""
-        other = _Contents()
-        other.hard = self.hard
-        other.snapshot = self.snapshot
-        other.entries = list(self.entries)
-        return other
-
-    def persisted(self, disk: str) -> consensus.Persisted:
-        """Returns the contents as the replica takes them."""
-        is_new = (
-            self.hard == consensus.HardState()
-            and self.snapshot is None
-            and not self.entries
-        )
-        return consensus.Persisted(
-            self.hard, self.snapshot, tuple(self.entries), disk, is_new
-        )
-
-    def change(
-        self,
-        hard: consensus.HardState | None,
-        truncate_from: int | None,
-        append: tuple[data.LogEntry, ...],
-        snapshot: data.Snapshot | None,
-    ) -> None:
-        """Carries out the writes of a step in order."""
-        if hard is not None:
-            self.hard = hard
-        if truncate_from is not None:
-            self._truncate(truncate_from)
-        self.entries.extend(append)
-        if snapshot is not None:
-            self.snapshot = snapshot
-            self._drop_up_to(snapshot.index)
-
-    def replay(self, record: list[Any]) -> str | None:
-        """Carries out a record of the log file.
-
-        Returns:
-          What is wrong with the record, or None.
-        """
-        match record:
-            case ["base", index]:
-                self.base = index
-            case ["hard", term, voted_for, members, disks]:
-                self.hard = consensus.HardState(
-                    term, voted_for, tuple(members), tuple(disks)
-                )
-            case ["truncate", index]:
-                self._truncate(index)
-            case ["entry", index, term, command, members, disks]:
-                if self.entries and index != self.entries[-1].index + 1:
-                    return f"entry {index} is out of order"
-                changed = None if members is None else tuple(members)
-                self.entries.append(
-                    data.LogEntry(index, term, command, changed, tuple(disks))
-                )
-            case _:
-                return "record of an unknown kind"
-        return None
-
-    def check(self) -> str | None:
-        """Drops entries that the snapshot includes and looks for gaps."""
-        index = self.snapshot_index
-        if self.base > index:
-            return f"the snapshot at {self.base} is missing"
-        self._drop_up_to(index)
-        if self.entries and self.entries[0].index != index + 1:
-            return f"entry {index + 1} is missing"
-        return None
-
-    def _truncate(self, index: int) -> None:
-        if self.entries:
-            del self.entries[max(0, index - self.entries[0].index) :]
-
-    def _drop_up_to(self, index: int) -> None:
-        if self.entries:
-            del self.entries[: max(0, index + 1 - self.entries[0].index)]
-
-
 def _new_disk_id() -> str:
     return secrets.token_hex(DISK_ID_BYTES)
 
@@ -464,73 +321,3 @@
     return result.Failure(
         Damage(path, 0, f"the disk belongs to node {identity.node_id!r}")
     )
-
-
-# ---------------------------------------------------------------------------
-# Frames and records
-# ---------------------------------------------------------------------------
-
-
-def _base_record(index: int) -> list[Any]:
-    return [["base", index]]
-
-
-def _hard_record(hard: consensus.HardState) -> list[Any]:
-    members, disks = list(hard.members), list(hard.disks)
-    return ["hard", hard.term, hard.voted_for, members, disks]
-
-
-def _entry_record(entry: data.LogEntry) -> list[Any]:
-    members = None if entry.members is None else list(entry.members)
-    disks = list(entry.disks)
-    return ["entry", entry.index, entry.term, entry.command, members, disks]
-
-
-def _snapshot_frame(contents: _Contents) -> bytes:
-    snap = contents.snapshot
-    members, disks = list(snap.members), list(snap.disks)
-    return _frame([snap.index, snap.term, members, snap.state, disks])
-
-
-def _frame(payload: Any) -> bytes:
-    blob = cbor2.dumps(payload)
-    sizes = struct.pack(">II", len(blob), zlib.crc32(blob))
-    return sizes + struct.pack(">I", zlib.crc32(sizes)) + blob
-
-
-def _frames(blob: bytes) -> Iterator[tuple[int, int, Any]]:
-    """Iterates over the frames of a file.
-
-    Yields:
-      Start, end and payload of each frame; the payload is None where a frame
-      is damaged. An interrupted last frame ends the iteration without a yield.
-    """
-    start = 0
-    while len(blob) - start >= HEADER.size:
-        length, checksum, header_checksum = HEADER.unpack_from(blob, start)
-        if zlib.crc32(blob[start : start + 8]) != header_checksum:
-            # Blocks that were allocated but never written read as zeros.
-            if any(blob[start:]):
-                yield start, start, None
-            return
-        end = start + HEADER.size + length
-        payload = blob[start + HEADER.size : end]
-        if len(payload) < length:
-            return
-        if zlib.crc32(payload) != checksum:
-            if end < len(blob):
-                yield start, start, None
-            return
-        yield start, end, cbor2.loads(payload)
-        start = end
-
-
-def _only_frame(path: pathlib.Path) -> tuple[Any, Damage | None]:
-    """Reads a file of one frame, which was renamed into place when whole."""
-    blob = path.read_bytes()
-    frames = list(_frames(blob))
-    if len(frames) == 1:
-        _, end, payload = frames[0]
-        if payload is not None and end == len(blob):
-            return payload, None
-    return None, Damage(str(path), 0, "file is damaged")
