--- a/features/replication_consensus.feature
+++ b/features/replication_consensus.feature
@@ -156,6 +156,40 @@
       | 2    |
       | 3    |
 
+  Scenario Outline: a replica votes with the disk that the replicated members name
+    Given a replica of the members with a <disk> disk
+    Then its replicated vote is <vote>
+
+    Examples:
+      | disk     | vote    |
+      | named    | granted |
+      | new      | refused |
+
+  Scenario Outline: a replicated vote or acknowledgement counts with the named disk only
+    Given a replicated candidate that needs one more <kind>
+    When the replicated <kind> arrives from a <disk> disk
+    Then the replicated reply or <kind> ends as <result>
+
+    Examples:
+      | kind            | disk  | result      |
+      | vote            | named | counted     |
+      | vote            | new   | not counted |
+      | acknowledgement | named | counted     |
+      | acknowledgement | new   | not counted |
+
+  Scenario Outline: a learner counts once it has caught up with the replicated log
+    Given a replicated leader of 3 with 200 committed entries
+    When it is asked to add d, which has the replicated entries up to <index>
+    Then the replicated reply or change ends as <result>
+
+    Examples:
+      | index | result   |
+      | 0     | waiting  |
+      | 100   | waiting  |
+      | 135   | waiting  |
+      | 136   | accepted |
+      | 200   | accepted |
+
   Scenario Outline: a replaced controller counts before a second one is lost
     Given a replicated group of 3 controllers with seed <seed>
     And 20 replicated commands are committed
@@ -178,7 +212,7 @@
   Scenario Outline: a change of the replicated members is refused
     Given a replicated group of 3 controllers with seed 1
     When the replicated leader is asked for the members <members>
-    Then the replicated change is rejected
+    Then the proposed replicated members are rejected
 
     Examples:
       | members |
--- a/features/replication_operators.feature
+++ b/features/replication_operators.feature
@@ -102,7 +102,7 @@
   Scenario Outline: a replicated change that is not possible is refused
     Given a replicated environment at number 1
     When ann sends <change> expecting number 1
-    Then the replicated change is refused with "<message>" at number 1
+    Then the replicated operation fails with "<message>" at number 1
 
     Examples:
       | change                     | message                  |
--- a/features/steps/replication_group_steps.py
+++ b/features/steps/replication_group_steps.py
@@ -212,7 +212,7 @@
     group.handle(group.leader(), event)
 
 
-@behave.then("the replicated change is rejected")
+@behave.then("the proposed replicated members are rejected")
 def change_rejected(context):
     node = cluster(context).nodes[context.replication_leader]
     assert node.rejected == ["change"], node.rejected
--- a/features/steps/replication_replica_steps.py
+++ b/features/steps/replication_replica_steps.py
@@ -165,3 +165,80 @@
 @behave.then("the second change of the replicated members is rejected")
 def second_rejected(context):
     assert context.replica_effects.rejected == ("second",)
+
+
+@behave.given("a replica of the members with a {disk} disk")
+def replica_with_disk(context, disk):
+    context.replica_disk = "disk a" if disk == "named" else "disk x"
+
+
+@behave.then("its replicated vote is {vote}")
+def its_vote(context, vote):
+    hard = consensus.HardState(3, "")
+    stored = consensus.Persisted(hard, None, (FIRST,), context.replica_disk)
+    for pre_vote in (True, False):
+        replica = consensus.create("a", MEMBERS, stored, 0, 1)
+        request = messages.VoteRequest(4, 1, 1, pre_vote, MEMBERS, DISKS)
+        _, effects = feed(replica, reply("c", request), 10_000)
+        granted = effects.send_after_sync[0].message.granted
+        assert granted == (vote == "granted")
+
+
+@behave.given("a replicated candidate that needs one more {kind}")
+def candidate(context, kind):
+    if kind == "vote":
+        replica = consensus.create("a", MEMBERS, persisted(1), 0, 1)
+        replica, _ = feed(replica, consensus.Tick(), 1_250)
+        vote = messages.VoteReply(2, True, True, "disk b")
+        replica, _ = feed(replica, reply("b", vote), 1_250)
+        assert replica.role is consensus.ReplicaRole.CANDIDATE
+    else:
+        replica = make_leader((FIRST,), 2, 1_250)
+        replica, _ = feed(replica, consensus.Synced(2, 2), 1_250)
+    context.replica = replica
+
+
+@behave.when("the replicated {kind} arrives from a {disk} disk")
+def arrives(context, kind, disk):
+    disk_id = "disk c" if disk == "named" else "disk x"
+    if kind == "vote":
+        message = messages.VoteReply(2, True, False, disk_id)
+    else:
+        message = messages.AppendReply(2, True, 2, 1_250, disk_id)
+    context.replica, _ = feed(context.replica, reply("c", message), 1_251)
+
+
+@behave.then("the replicated reply or {kind} ends as {result}")
+def counted(context, kind, result):
+    if kind == "change":
+        accepted = [item.token for item in context.replica_effects.accepted]
+        assert accepted == ["change"] * (result == "accepted")
+        return
+    replica = context.replica
+    if kind == "vote":
+        found = replica.role is consensus.ReplicaRole.LEADER
+    else:
+        found = replica.commit == 2
+        assert consensus.has_lease(replica, 1_252) == found
+    assert found == (result == "counted")
+
+
+@behave.given("a replicated leader of 3 with {count:d} committed entries")
+def leader_with_entries(context, count):
+    entries = [FIRST] + [data.LogEntry(i, 1, b"x") for i in range(2, count)]
+    replica = make_leader(entries, 2, 1_250)
+    replica, _ = feed(replica, consensus.Synced(count, 2), 1_250)
+    replica = acknowledge(replica, "b", count, 1_250, 1_251)
+    assert replica.commit == count
+    context.replica = replica
+
+
+@behave.when(
+    "it is asked to add d, which has the replicated entries up to {index:d}"
+)
+def add_learner(context, index):
+    event = consensus.ProposeMembers((*MEMBERS, "d"), "change")
+    replica, effects = feed(context.replica, event, 1_260)
+    assert [item.receiver for item in effects.send] == ["d"]
+    answer = messages.AppendReply(2, True, index, 1_260, "disk d")
+    _, context.replica_effects = feed(replica, reply("d", answer), 1_261)
--- a/features/steps/replication_state_steps.py
+++ b/features/steps/replication_state_steps.py
@@ -216,7 +216,7 @@
 
 
 @behave.then(
-    'the replicated change is refused with "{message}" at number {number:d}'
+    'the replicated operation fails with "{message}" at number {number:d}'
 )
 def change_refused(context, message, number):
     outcome = context.outcome
