Send replication messages through the codec in group scenarios

Cause: the simulated network handed records over as they were, so a field that the codec refuses would not have shown. Change: group scenarios encode and decode each message; the random test does not, as it would take longer.

--- a/features/steps/replication_cluster.py
+++ b/features/steps/replication_cluster.py
@@ -71,6 +71,7 @@
       loss: Probability that a message is lost.
       duplicates: Probability that a message arrives twice.
       delay_ms: Shortest and longest delay; a spread reorders messages.
+      encodes: Whether messages are encoded and decoded on their way.
       checks: Invariants, checked at each step.
     """
 
@@ -83,6 +84,7 @@
         self.loss = 0.0
         self.duplicates = 0.0
         self.delay_ms = (1, 1)
+        self.encodes = False
         self.checks = Checks()
         self._wire: list[tuple[int, int, str, str, object]] = []
         self._sent = 0
@@ -189,9 +191,10 @@
             copies = 2
         for _ in range(copies):
             delay_ms = self.rng.randint(*self.delay_ms)
-            self._put(
-                self.now_ms + delay_ms, sender, receiver, envelope.message
-            )
+            message = envelope.message
+            if self.encodes:
+                message = on_wire(message)
+            self._put(self.now_ms + delay_ms, sender, receiver, message)
 
     def _put(self, at_ms, sender, receiver, message) -> None:
         self._sent += 1
--- a/features/steps/replication_group_steps.py
+++ b/features/steps/replication_group_steps.py
@@ -22,6 +22,7 @@
 def start_group(context, size, seed):
     names = tuple("abcdefg"[:size])
     context.replication = replication_cluster.Cluster(names, seed)
+    context.replication.encodes = True
     context.replication_digests = []
     group = cluster(context)
     assert group.run_until(lambda: group.leader() is not None, 8_000)
