--- a/features/steps/replication_group_steps.py
+++ b/features/steps/replication_group_steps.py
@@ -22,6 +22,7 @@
 def start_group(context, size, seed):
     names = tuple("abcdefg"[:size])
     context.replication = replication_cluster.Cluster(names, seed)
+    context.replication.encodes = True
     context.replication_digests = []
     group = cluster(context)
     assert group.run_until(lambda: group.leader() is not None, 8_000)
@@ -212,7 +213,7 @@
     group.handle(group.leader(), event)
 
 
-@behave.then("the replicated change is rejected")
+@behave.then("the proposed replicated members are rejected")
 def change_rejected(context):
     node = cluster(context).nodes[context.replication_leader]
     assert node.rejected == ["change"], node.rejected
