--- a/features/steps/scheduler_fairness_steps.py
+++ b/features/steps/scheduler_fairness_steps.py
@@ -1,19 +1,14 @@
 """Steps for fairness and work conservation of the scheduler."""
 
 import collections
-import os
-import sys
 
 import behave
+import scheduler_simulation as simulation
 
-sys.path.insert(0, os.path.dirname(__file__))
-
-import scheduler_simulation as simulation  # noqa: E402
-
-from waxwingrack.core import data  # noqa: E402
-from waxwingrack.core import errors  # noqa: E402
-from waxwingrack.operations import placement  # noqa: E402
-from waxwingrack.operations import scheduler  # noqa: E402
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.operations import placement
+from waxwingrack.operations import scheduler
 
 
 @behave.given(
@@ -44,16 +39,6 @@
     load.avoid = (server,)
 
 
-def start(context, delay_ms=0):
-    """Creates the simulation once the table of workspaces is complete."""
-    if context.simulation is None:
-        context.simulation = simulation.Simulation(
-            context.seed, context.loads, context.servers, delay_ms=delay_ms
-        )
-        context.idle = []
-    return context.simulation
-
-
 def watch_idle(context):
     """Records steps in which a free slot and a want for it were both left."""
 
@@ -80,7 +65,7 @@
 @behave.when('the simulation runs {seconds:d} s with the trouble "{trouble}"')
 def run_with_trouble(context, seconds, trouble):
     delay_ms = 60 if trouble == "delayed reports" else 0
-    sim = start(context, delay_ms)
+    sim = simulation.start(context, delay_ms)
     greedy = sim.loads.get("greedy")
     if trouble == "one router":
         greedy.routers = (0,)
@@ -101,7 +86,7 @@
 
 @behave.when("the simulation runs {seconds:d} s from its start")
 def run_from_start(context, seconds):
-    sim = start(context)
+    sim = simulation.start(context)
     context.since_ms = sim.now_ms
     sim.run(seconds, watch_idle(context))
 
@@ -110,7 +95,9 @@
     'only "{early}" has wants for {alone:d} s and then both have for {both:d} s'
 )
 def run_alone_first(context, early, alone, both):
-    sim = start(context)
+    sim = simulation.start(context)
+    # Both have a counter from earlier on.
+    sim.run(3)
     late = [load for load in context.loads if load.name != early]
     for load in late:
         load.window = 0
@@ -127,7 +114,7 @@
     " both have for {both:d} s"
 )
 def run_alone_and_change(context, early, alone, both):
-    sim = start(context)
+    sim = simulation.start(context)
     for load in context.loads:
         if load.name != early:
             load.window = 0
@@ -144,7 +131,7 @@
 
 @behave.when("the simulated leader starts with all counters at {value:g}")
 def start_with_counters(context, value):
-    sim = start(context)
+    sim = simulation.start(context)
     rows = [data.CounterRow("s", load.name, value) for load in context.loads]
     rows.append(data.CounterRow("s", "", value))
     sim.tables = scheduler.empty(1, sim.now_ms, rows, ())
--- a/features/steps/scheduler_simulation.py
+++ b/features/steps/scheduler_simulation.py
@@ -386,3 +386,13 @@
         slots = sum(server.slots for server in self.servers.values())
         lowest = min(self.loads[one].weight, self.loads[other].weight)
         return 2 * slots * self.largest_ms / lowest
+
+
+def start(context, delay_ms=0):
+    """Creates the simulation once the scenario's tables are complete."""
+    if context.simulation is None:
+        context.simulation = Simulation(
+            context.seed, context.loads, context.servers, delay_ms=delay_ms
+        )
+        context.idle = []
+    return context.simulation
--- a/features/steps/scheduler_slots_steps.py
+++ b/features/steps/scheduler_slots_steps.py
@@ -1,20 +1,15 @@
 """Steps for slot limits, announcements and slots of lost grants."""
 
-import os
 import random
-import sys
 
 import behave
+import scheduler_simulation as simulation
 
-sys.path.insert(0, os.path.dirname(__file__))
-
-import scheduler_fairness_steps as fairness_steps  # noqa: E402
-
-from waxwingrack.core import data  # noqa: E402
-from waxwingrack.core import messages  # noqa: E402
-from waxwingrack.operations import placement  # noqa: E402
-from waxwingrack.operations import scheduler  # noqa: E402
-from waxwingrack.operations import slots  # noqa: E402
+from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.operations import placement
+from waxwingrack.operations import scheduler
+from waxwingrack.operations import slots
 
 ROUTER = data.RouterRef("r0", "a", "a")
 POLICY = data.Policy(
@@ -32,7 +27,7 @@
     " for {rest:d} s"
 )
 def suffer(context, trouble, seconds, rest):
-    sim = fairness_steps.start(context, 60 if "delay" in trouble else 0)
+    sim = simulation.start(context, 60 if "delay" in trouble else 0)
     sim.record = False
     for server in sim.servers.values():
         server.lag_ms = 1_000
@@ -150,7 +145,7 @@
     " {seconds:d} s"
 )
 def become_slower(context, names, factor, seconds):
-    sim = fairness_steps.start(context)
+    sim = simulation.start(context)
     sim.record = False
     sim.run(seconds)
     for name in names.split():
@@ -173,7 +168,7 @@
     'the simulated server "{name}" undergoes "{change}" after {seconds:d} s'
 )
 def undergo(context, name, change, seconds):
-    sim = fairness_steps.start(context)
+    sim = simulation.start(context)
     sim.run(seconds)
     server = sim.servers[name]
     if change == "drain":
@@ -230,7 +225,7 @@
     " restored {second:d} s later"
 )
 def drain_and_restore(context, name, first, second):
-    sim = fairness_steps.start(context)
+    sim = simulation.start(context)
     sim.run(first)
     assert sim.tables.servers["b0"].ramp.limit == 4
     sim.policy = data.Policy(sim.environment, drained=frozenset((name,)))
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -157,10 +157,10 @@
         seen_ms=now_ms,
         connected=True,
     )
-    for seen in report.announcements:
-        servers.announce(work, seen)
     for found in report.crash_suspects:
         servers.suspect(work, found)
+    for seen in report.announcements:
+        servers.announce(work, seen)
     for ended in report.finished:
         _finish(work, router.node_id, ended)
     for progress in report.progress:
@@ -357,14 +357,10 @@
         work.routers[grant.router] = data.evolve(
             router, grants=router.grants.delete(key)
         )
-    servers.finish_suspect(work, grant.digest, key)
-    pool = work.pools.get(grant.service)
-    if pool is not None and key in pool.solos:
-        work.pools[grant.service] = data.evolve(
-            pool, solos=pool.solos.delete(key)
-        )
+    servers.finish_solo(work, grant, key)
     row = work.servers.get(grant.server_id)
     if row is None:
+        servers.forget_grant(work, grant.server_id, key)
         return
     if key in row.grants:
         tables_module.store(
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -359,6 +359,20 @@
     tables_module.store(work, row)
 
 
+def forget_grant(
+    work: Work, server_id: str, key: tables_module.GrantKey
+) -> None:
+    """Drops an ended grant of a server that has not been announced."""
+    waiting = work.unannounced.get(server_id)
+    if waiting is None or key not in waiting:
+        return
+    waiting = waiting.delete(key)
+    if waiting:
+        work.unannounced[server_id] = waiting
+    else:
+        del work.unannounced[server_id]
+
+
 def _settle_orphans(work: Work, row: data.ServerRow) -> data.ServerRow:
     """Lowers the number of orphans by an announcement."""
     if work.now_ms < row.orphans_ms:
@@ -426,7 +440,7 @@
         work.routers[grant.router] = data.evolve(
             router, grants=router.grants.delete(key)
         )
-    finish_suspect(work, grant.digest, key)
+    finish_solo(work, grant, key)
 
 
 def close_account(work: Work, grant: data.GrantRow, cost: float) -> None:
@@ -504,19 +518,21 @@
         return
     server = (found.server_id, found.incarnation)
     row = work.servers.get(found.server_id)
+    reported = crashes.report(
+        work.suspicions.get(found.digest), server, work.now_ms
+    )
+    if reported is work.suspicions.get(found.digest):
+        return
+    # Once the incarnation has been replaced, what else ran on it is unknown.
     present = row is not None and (
         row.announcement.incarnation == found.incarnation
     )
-    suspicion = work.suspicions.get(found.digest)
-    reported = crashes.report(suspicion, server, work.now_ms)
-    if reported is suspicion:
-        return
     work.suspicions[found.digest] = reported
     work.broken = crashes.add_broken(
         work.broken,
         server,
         found.digest,
-        present and _others(work, row, found.digest),
+        not present or _others(work, row, found.digest),
         work.now_ms,
     )
     tables_module.set_timer(
@@ -525,8 +541,6 @@
     tables_module.set_timer(
         work, work.now_ms + crashes.MEMORY_MS, "evidence", found.digest
     )
-    if row is not None and not present:
-        settle_broken(work, server, True, "came back")
 
 
 def _others(work: Work, row: data.ServerRow, digest: str) -> bool:
@@ -608,13 +622,20 @@
     del work.suspicions[digest]
 
 
-def finish_suspect(
-    work: Work, digest: str, key: tables_module.GrantKey
+def finish_solo(
+    work: Work, grant: data.GrantRow, key: tables_module.GrantKey
 ) -> None:
     """Notes that the run of a suspected digest on its own has ended."""
-    suspicion = work.suspicions.get(digest)
+    suspicion = work.suspicions.get(grant.digest)
     if suspicion is not None and suspicion.running == key:
-        work.suspicions[digest] = dataclasses.replace(suspicion, running=None)
+        work.suspicions[grant.digest] = dataclasses.replace(
+            suspicion, running=None
+        )
+    pool = work.pools.get(grant.service)
+    if pool is not None and key in pool.solos:
+        work.pools[grant.service] = data.evolve(
+            pool, solos=pool.solos.delete(key)
+        )
 
 
 # ---------------------------------------------------------------------------
@@ -694,12 +715,13 @@
 
 
 def _cut(work: Work, row: data.ServerRow, reason: str) -> data.ServerRow:
-    work.event(
-        "limit_cut",
-        reason,
-        server=row.announcement.server_id,
-        before=row.ramp.limit,
-    )
+    if row.ramp.limit > 1:
+        work.event(
+            "limit_cut",
+            reason,
+            server=row.announcement.server_id,
+            before=row.ramp.limit,
+        )
     return data.evolve(row, ramp=slots.cut(row.ramp, work.now_ms))
 
 
