--- a/features/scheduler_slots.feature
+++ b/features/scheduler_slots.feature
@@ -183,3 +183,20 @@
       | one is missing   | a b     | a        | True  | 10   | no      |
       | missing for long | a b     | a        | True  | 1000 | yes     |
       | other incarnation | a b    | a c      | True  | 999  | no      |
+
+  Scenario Outline: a new leader resumes the limit of a server that runs <running> known and <in_flight> announced requests
+    Guards against a leader change that cuts every server to one slot, and
+    against slots of requests that no router reports being given again.
+
+    Given a new scheduler to which a router lists <running> running requests
+    When the server announces <in_flight> requests in flight and 8 slots
+    Then the server has the limit <limit> and <used> slots in use
+
+    Examples:
+      | running | in_flight | limit | used |
+      | 0       | 0         | 1     | 0    |
+      | 0       | 1         | 1     | 1    |
+      | 3       | 3         | 3     | 3    |
+      | 2       | 5         | 5     | 5    |
+      | 4       | 2         | 4     | 4    |
+      | 0       | 9         | 8     | 9    |
--- a/features/steps/scheduler_slots_steps.py
+++ b/features/steps/scheduler_slots_steps.py
@@ -443,3 +443,30 @@
     context.at_ms += ms
     granted = bool(_tick(context).grants)
     assert granted == (answer == "yes")
+
+
+@behave.given(
+    "a new scheduler to which a router lists {count:d} running requests"
+)
+def new_scheduler_with_running(context, count):
+    context.at_ms = 100_000
+    context.tables = scheduler.empty(2, context.at_ms, (), ("a",))
+    running = tuple(
+        data.Running(1, number, "x", "i1", "v1", "w", "s", "r", "", 5.0)
+        for number in range(count)
+    )
+    _report(context, first=True, running=running)
+
+
+@behave.when(
+    "the server announces {in_flight:d} requests in flight and {count:d} slots"
+)
+def server_announces(context, in_flight, count):
+    seen = _announcement("i1", count, in_flight=in_flight)
+    _report(context, announcements=(seen,))
+
+
+@behave.then("the server has the limit {limit:d} and {used:d} slots in use")
+def limit_and_use(context, limit, used):
+    row = context.tables.servers["x"]
+    assert (row.ramp.limit, placement.in_use(row)) == (limit, used), row
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -90,7 +90,11 @@
         if key in work.grants
         and work.grants[key].incarnation == seen.incarnation
     )
-    return _with_excess(work, _fresh_row(work, seen, grants))
+    row = _with_excess(work, _fresh_row(work, seen, grants))
+    # What a server runs already it can bear: a new leader resumes its ramp
+    # there. A server that has just started runs nothing.
+    ramp = slots.resume(row.ramp, placement.in_use(row))
+    return data.evolve(row, ramp=ramp)
 
 
 def _fresh_row(
--- a/waxwingrack/operations/slots.py
+++ b/waxwingrack/operations/slots.py
@@ -50,6 +50,12 @@
     return data.Ramp(limit=min(1, slots), slots=slots)
 
 
+def resume(ramp: data.Ramp, running: int) -> data.Ramp:
+    """Raises the limit of a server that a new leader meets under load."""
+    limit = min(ramp.slots, max(ramp.limit, running))
+    return data.evolve(ramp, limit=limit)
+
+
 def announce(ramp: data.Ramp, slots: int) -> data.Ramp:
     """Applies the announced slots."""
     if ramp.slots == slots:
