--- a/features/scheduler_crashes.feature
+++ b/features/scheduler_crashes.feature
@@ -43,6 +43,13 @@
       | 6       | 4     |
       | 3       | 6     |
 
+  Scenario: a popular request on several servers that fail together is not refused
+    Guards against refusing a frequent request because a data centre failed.
+
+    Given a crash guard with 6 servers of 4 slots
+    When 3 servers crash at once while each runs "popular" beside other requests
+    Then the crash guard refuses "nothing"
+
   Scenario: a digest waits while its second broken connection is not judged
     Guards against fast resends that take down servers before the first crash
     is confirmed.
--- a/features/scheduler_placement.feature
+++ b/features/scheduler_placement.feature
@@ -22,6 +22,14 @@
       | 8       | 0         | 0.5   | 0      | 0.00-0.00 |
       | 0       | 8         | 0.05  | 0      | 0.00-0.05 |
 
+  Scenario: a candidate version without servers saves up at most one request
+    Guards against a burst on the candidate version once it can run requests.
+
+    Given a scheduler with servers of version "v1" with 8 slots and "v2" with 0 slots
+    And a share of 0.5 for the version "v2"
+    When 200 requests are granted before a server of version "v2" appears and 200 after
+    Then in each window of grants the version "v2" gets at most its share plus one request
+
   Scenario: unused grants do not pay for requests on the candidate version
     Guards against a share that grows because grants of the current version
     came back undispatched.
--- a/features/steps/scheduler_crashes_steps.py
+++ b/features/steps/scheduler_crashes_steps.py
@@ -264,6 +264,37 @@
     assert context.guard.refused, "no bad request was refused"
 
 
+@behave.when(
+    '{count:d} servers crash at once while each runs "{digest}" beside other'
+    " requests"
+)
+def crash_together(context, count, digest):
+    guard = context.guard
+    # Warms the servers up, so that each takes several requests.
+    for number in range(200):
+        guard.want(f"warm{number}")
+
+    def complete():
+        for key, run in list(guard.running.items()):
+            if run[0].startswith("warm"):
+                guard.finish(key, data.Outcome.COMPLETED)
+
+    guard.run(4_000, complete)
+    for number in range(24):
+        guard.want(digest if number % 2 else f"other{number}")
+    guard.run(100)
+    hosts = [
+        server_id
+        for server_id in guard.incarnations
+        if {digest}
+        < {run[0] for run in guard.running.values() if run[1] == server_id}
+    ]
+    assert len(hosts) >= count, guard.running
+    for server_id in hosts[:count]:
+        guard.crash(server_id)
+    guard.run(6_000)
+
+
 @behave.when(
     'the digest "{digest}" crashes each server at once and is sent again at'
     " once up to {times:d} times"
--- a/features/steps/scheduler_placement_steps.py
+++ b/features/steps/scheduler_placement_steps.py
@@ -100,8 +100,26 @@
     " undispatched"
 )
 def grant_requests(context, count, unused):
-    rng = random.Random(17)
     context.versions = []
+    _grant_until(context, count, unused)
+
+
+@behave.when(
+    "{before:d} requests are granted before a server of version"
+    ' "v2" appears and {after:d} after'
+)
+def grant_before_and_after(context, before, after):
+    context.versions = []
+    _grant_until(context, before, 0)
+    seen = _announcement("b-v2", "v2", slots=8)
+    _report(context, announcements=(seen,))
+    _warm(context, seen.server_id)
+    _grant_until(context, before + after, 0)
+    assert "v2" in context.versions
+
+
+def _grant_until(context, count, unused):
+    rng = random.Random(17)
     running = []
     for _ in range(20 * count):
         context.at_ms += 5
--- a/features/steps/scheduler_simulation.py
+++ b/features/steps/scheduler_simulation.py
@@ -180,7 +180,8 @@
         key = (item.grant.term, item.grant.id)
         if item.router.running.pop(key, None) is None:
             return
-        took = float(self.now_ms - item.start_ms)
+        # The exact end, as rounding to steps would favour long requests.
+        took = float(item.end_ms - item.start_ms)
         item.router.finished.append(
             data.Finished(*key, outcome, took, took, took)
         )
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -934,6 +934,7 @@
       digest: Digest of the request.
       weight: Weight of the workspace at the grant.
       charged: Cost charged so far.
+      cost: Cost reported so far.
       granted_ms: Time of the grant.
       echo_ms: Router's clock that the life of the grant counts from.
       running: Whether the router has reported the grant in use.
@@ -955,6 +956,7 @@
     charged: float
     granted_ms: int
     echo_ms: int
+    cost: float = 0.0
     running: bool = False
     candidate: bool = False
     share: float = 0.0
--- a/waxwingrack/operations/fairness.py
+++ b/waxwingrack/operations/fairness.py
@@ -36,7 +36,7 @@
 SERVICE_ACCOUNT = ""
 
 Reservation = Callable[[float, float, float], float]
-UnknownCost = Callable[[data.GrantRow, int], float]
+UnknownCost = Callable[[data.GrantRow, float, int], float]
 
 RESERVATIONS: registry.Registry[data.CostMeter, Reservation] = (
     registry.Registry("reservation")
@@ -59,16 +59,41 @@
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.SLOT_MS)
-def _charge_within_time_held(grant: data.GrantRow, now_ms: int) -> float:
+def _mean_within_time_held(
+    grant: data.GrantRow, mean: float, now_ms: int
+) -> float:
     # The slot is held until the end is proven, which takes seconds longer than
     # the request itself; the time held is only an upper bound.
-    return min(grant.charged, float(now_ms - grant.granted_ms))
+    return min(max(grant.cost, mean), float(now_ms - grant.granted_ms))
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.TOKENS)
-def _charge_so_far(grant: data.GrantRow, now_ms: int) -> float:
+def _mean_or_more(grant: data.GrantRow, mean: float, now_ms: int) -> float:
     del now_ms
-    return grant.charged
+    return max(grant.cost, mean)
+
+
+def unknown_cost(
+    grant: data.GrantRow,
+    account: data.Account,
+    meter: data.CostMeter,
+    now_ms: int,
+) -> float:
+    """Computes the cost of a request whose end was never reported.
+
+    The reservation is not used, as a hint may have moved it.
+
+    Args:
+      grant: Grant of the request.
+      account: Account of the workspace.
+      meter: Cost meter of the service.
+      now_ms: Present time.
+
+    Returns:
+      Cost in the unit of the meter.
+    """
+    mean = account.mean if account.largest > 0 else grant.charged
+    return UNKNOWN_COSTS[meter](grant, mean, now_ms)
 
 
 def reserve(
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -226,6 +226,7 @@
             digest=running.digest,
             weight=0.0,
             charged=_clean(running.cost),
+            cost=_clean(running.cost),
             granted_ms=work.now_ms,
             echo_ms=sent_ms,
             running=True,
@@ -264,12 +265,7 @@
         grant=key[1],
         term=key[0],
     )
-    if grant.running:
-        cost = fairness.UNKNOWN_COSTS[work.scope.meter(grant.service)](
-            grant, work.now_ms
-        )
-    else:
-        cost = 0.0
+    cost = servers.unknown_cost(work, grant) if grant.running else 0.0
     _close(work, key, cost)
 
 
@@ -298,10 +294,11 @@
             cost - grant.charged,
             grant.weight or work.scope.weight(grant.workspace),
         )
-    elif grant.running:
-        return
     work.grants[key] = data.evolve(
-        grant, running=True, charged=max(cost, grant.charged)
+        grant,
+        running=True,
+        cost=max(cost, grant.cost),
+        charged=max(cost, grant.charged),
     )
 
 
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -436,9 +436,7 @@
     grant = work.grants.pop(key, None)
     if grant is None:
         return
-    meter = work.scope.meter(grant.service)
-    cost = fairness.UNKNOWN_COSTS[meter](grant, work.now_ms)
-    close_account(work, grant, cost)
+    close_account(work, grant, unknown_cost(work, grant))
     router = work.routers.get(grant.router)
     if router is not None and key in router.grants:
         work.routers[grant.router] = data.evolve(
@@ -447,6 +445,16 @@
     finish_solo(work, grant, key)
 
 
+def unknown_cost(work: Work, grant: data.GrantRow) -> float:
+    """Returns the cost to charge for a grant whose end was not reported."""
+    return fairness.unknown_cost(
+        grant,
+        tables_module.account(work, grant.service, grant.workspace),
+        work.scope.meter(grant.service),
+        work.now_ms,
+    )
+
+
 def close_account(work: Work, grant: data.GrantRow, cost: float) -> None:
     """Corrects the charge of an ended grant."""
     place = (grant.service, grant.workspace)
