Start rollouts at the trial share and time each step of the share

Cause: the replicated state started a rollout at share 0, while the rollout decisions expect the trial share, so no request reached the new version and no rollout ever moved. It also kept phase_elapsed_s over steps within the ramp, while the decisions take it as the time since the last step, as their own simulation does.

Ruled out: a first move by the leader to the trial share, which costs a commit and leaves a state without traffic.

Change: the share starts at rollouts.TRIAL_SHARE; every committed move resets phase_elapsed_s.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -487,7 +487,8 @@
       phase: Phase.
       share: Share of traffic for the new version, from 0 to 1.
       elapsed_s: Leader-counted time since the start.
-      phase_elapsed_s: Leader-counted time in the phase.
+      phase_elapsed_s: Leader-counted time since the last change of phase or
+        share.
       reason: Why the last transition happened.
     """
 
--- a/waxwingrack/operations/replicated_rollouts.py
+++ b/waxwingrack/operations/replicated_rollouts.py
@@ -5,6 +5,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.operations import replicated_outcomes
+from waxwingrack.operations import rollouts as rollouts_module
 
 # Finished rollouts kept; more are kept only while the document declares them,
 # as a declared rollout that is unknown would start again.
@@ -64,7 +65,8 @@
     old_version = state.versions[plan.service]
     if old_version == plan.version:
         return Refused(f"{plan.version!r} has the traffic already")
-    return _add(state, data.Rollout(plan, old_version, Phase.TRIAL, 0.0))
+    share = rollouts_module.TRIAL_SHARE
+    return _add(state, data.Rollout(plan, old_version, Phase.TRIAL, share))
 
 
 def record_done(
@@ -180,9 +182,8 @@
         rollout,
         phase=phase,
         share=shares.get(phase, min(1.0, max(0.0, share))),
-        phase_elapsed_s=(
-            rollout.phase_elapsed_s if phase is rollout.phase else 0.0
-        ),
+        # Each step of the share has its own shortest time.
+        phase_elapsed_s=0.0,
         reason=reason,
     )
     versions = state.versions
