Test the replica driver against slow and failing disks

Cause: replies before a sync, failed writes and exceptions had no test. Change: a feature on the driver in-process with a disk that can be held up.

--- /dev/null
+++ b/features/controller_driver.feature
@@ -0,0 +1,47 @@
+Feature: The replica driver keeps its promises when the disk is slow or fails
+
+  Scenario: a reply leaves only after the entries are synced
+    A reply before the sync would let the leader count an entry that a crash
+    of this controller loses.
+
+    Given a replica driver that follows "c1" with a disk that is held up
+    When the driven replica receives an entry from "c1"
+    Then the driven replica has sent no reply and the event loop still runs
+    When the held-up disk goes on
+    Then the driven replica has replied after the sync
+
+  Scenario: writes that queue up behind a sync share the next one
+    Given a replica driver that leads alone with a disk that is held up
+    When 50 commands are proposed to the driven replica
+    And the held-up disk goes on
+    Then all 50 commands are committed after at most 2 syncs
+
+  Scenario Outline: a disk whose <call> fails ends the replica's part
+    A replica that went on could promise what its disk does not hold.
+
+    Given a replica driver that leads alone with a disk whose <call> will fail
+    When 1 commands are proposed to the driven replica
+    Then the proposals are answered as unavailable
+    And the driven replica names the fault, may not act and sends nothing more
+
+    Examples:
+      | call  |
+      | write |
+      | sync  |
+
+  Scenario: a message that the replica cannot take is dropped and counted
+    Given a replica driver that leads alone with a good disk
+    When the driven replica receives a message that raises an exception
+    Then the driven replica counts 1 dropped event and commits the next command
+
+  Scenario: a command that the state machine cannot apply is skipped
+    A replica that stopped at it would stop again after each restart.
+
+    Given a replica driver that leads alone with a good disk
+    When a command that cannot be applied is committed
+    Then the driven replica counts 1 dropped event and commits the next command
+
+  Scenario: an exception in a handler is counted and the controller goes on
+    Given a controller object whose handler of reports raises an exception
+    When the controller object receives a report twice
+    Then the controller object counts 2 handler failures
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -51,6 +51,11 @@
         self.loop.close()
 
 
+def clock_ms() -> int:
+    """Returns monotonic milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
 def wait_for(check, timeout_s: float = 8.0, pause_s: float = 0.02):
     """Polls until a check is true; returns its value and fails in time."""
     deadline = time.monotonic() + timeout_s
