Wait for the record of every end of a keyed request; keep own headers

Headers that only the router sets are no longer taken from backend servers: X-Request-Id of a crossed answer hid the crossing, and X-Execution could have promised something untrue.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -49,6 +49,11 @@
     When the router serves 24 requests in turn with "twice ok late_copy ok"
     Then every router's caller got its own answer
 
+  Scenario: a late copy of an answer is not taken for the next answer
+    Given a router with 1 fake backend servers
+    When the router serves 6 requests in turn with "late_copy slow&pause=0.2 ok"
+    Then every router's caller got its own answer
+
   Scenario: answers do not cross under load
     Given a router with 2 fake backend servers
     When 12 router's callers send 20 requests each at the same time
--- a/features/router_keys.feature
+++ b/features/router_keys.feature
@@ -48,12 +48,18 @@
     When the router's caller sends another deposit with the key of a running one
     Then the router's caller gets 422 idempotency_key_reused with execution not_run
 
-  Scenario: the caller sees the end only once the answer is recorded
+  Scenario Outline: the caller sees the end only once the answer is recorded
   A caller that saw the end and then asks another router must find the record.
     Given a router with 1 fake backend servers
     And the router's leader ignores the first KeyOutcome
-    When the router's caller requests POST /sketch/deposit?do=stream
-    Then the router's caller waited for the second KeyOutcome and got a whole answer
+    When the router's caller requests POST /sketch/deposit?do=<act>
+    Then the router's caller waited for the second KeyOutcome and got <status>
+
+    Examples:
+      | act             | status |
+      | stream          | 200    |
+      | ok              | 200    |
+      | status&code=204 | 204    |
 
   Scenario: an outcome is repeated after the control connection was lost
     Given a router with 1 fake backend servers
@@ -61,12 +67,17 @@
     Then the router's caller gets 200 with its own answer
     And the router's leader has the answer in its record
 
-  Scenario: a running request with a key goes on when its caller leaves
+  Scenario Outline: a running request with a key goes on when its caller leaves
     Given a router with 1 fake backend servers
-    When the router's caller leaves during a deposit and sends it again later
+    When the router's caller leaves during a deposit with do=<act> and asks again
     Then the router's caller gets the stored answer
     And the router's backend servers ran 1 request
 
+    Examples:
+      | act                       |
+      | slow&pause=0.4            |
+      | stream&events=8&pause=.05 |
+
   Scenario Outline: a claim whose request was not sent is released first
   A claim that is left behind would block its key for good, and a second claim
   before the release is confirmed could be released while its request runs.
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -253,14 +253,18 @@
     context.sent = sum(b.sent_bytes for b in context.world.backends)
 
 
-def open_request(context, target):
+def open_request(context, target, method="GET", headers=None):
     conn = socket.create_connection(
         ("127.0.0.1", context.world.router.port), timeout=router_fakes.WAIT_S
     )
-    conn.sendall(
-        f"GET {target} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
-        f"{router_fakes.TOKEN}\r\n\r\n".encode()
-    )
+    fields = {
+        "Host": "x",
+        "Authorization": f"Bearer {router_fakes.TOKEN}",
+        "Content-Length": "0",
+        **(headers or {}),
+    }
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    conn.sendall(f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode())
     return conn
 
 
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -245,6 +245,8 @@
     for join in (context.stream, context.join, context.early):
         reply = join()
         assert reply.whole and reply.status == 200, reply
+    # Its answer began after the delay; the caller must connect elsewhere.
+    assert context.join().headers["connection"] == "close"
 
 
 @behave.then("the router exits with {code:d}")
--- a/features/steps/router_keys_steps.py
+++ b/features/steps/router_keys_steps.py
@@ -111,11 +111,10 @@
 
 
 @behave.then(
-    "the router's caller waited for the second KeyOutcome and got a whole "
-    "answer"
+    "the router's caller waited for the second KeyOutcome and got {status:d}"
 )
-def waited(context):
-    assert context.reply.whole and context.reply.status == 200, context.reply
+def waited(context, status):
+    assert context.reply.whole and context.reply.status == status
     assert context.reply.seconds >= 0.5, context.reply.seconds
     assert sent_names(context.world).count("KeyOutcome") == 2
     assert recorded(context.world), context.world.leader.records
@@ -153,17 +152,17 @@
 
 
 @behave.when(
-    "the router's caller leaves during a deposit and sends it again later"
+    "the router's caller leaves during a deposit with do={act} and asks again"
 )
-def leaves_and_resends(context):
+def leaves_and_resends(context, act):
     world, headers = context.world, {"Idempotency-Key": answers.new_key()}
-    target = f"{DEPOSIT}?do=slow&pause=0.4"
-    gone = world.send(
-        "POST", target, headers=headers, body=b"1", timeout_s=0.15
-    )
-    assert gone.error, gone
+    target = f"{DEPOSIT}?do={act}"
+    conn = answers.open_request(context, target, "POST", headers)
+    world.wait_for(lambda: world.runs() == 1, "the deposit")
+    time.sleep(0.1)
+    conn.close()
     world.wait_for(lambda: bool(recorded(world)), "the recorded answer")
-    answers.send(context, "POST", target, headers, body=b"1")
+    answers.send(context, "POST", target, headers, body=b"")
 
 
 @behave.then("the router's caller gets the stored answer")
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -316,7 +316,7 @@
                 raise dispatch.CallerGoneError from None
             return exc.fault
         except forwarding.BrokenError as exc:
-            return self._broken(admitted, lease, exc.fault)
+            return await self._broken(admitted, lease, exc.fault)
         return await self._answer(admitted, lease, head)
 
     async def _send(
@@ -377,7 +377,7 @@
             or headers.hasHeader(b"Transfer-Encoding")
         )
 
-    def _broken(
+    async def _broken(
         self, admitted: _Admitted, lease: dispatch.Lease, fault: queueing.Fault
     ) -> queueing.Fault:
         if self._gone and admitted.key is None:
@@ -387,7 +387,7 @@
             self._host.dispatcher.suspect(lease)
         self._end_lease(lease, _OUTCOMES[fault])
         if admitted.key is not None:
-            self._record(admitted, None)
+            await self._wait_recorded(self._record(admitted, None))
         return fault
 
     # -- answer -------------------------------------------------------------
@@ -459,8 +459,7 @@
         if admitted.key is not None:
             kept = None if end.fault else pump.stored_answer(head.headers)
             recorded = self._record(admitted, kept)
-            if self._host.link.following and not end.fault:
-                await _until(self._host.reactor, recorded, CONFIRM_WAIT_S)
+            await self._wait_recorded(recorded)
         if end.fault is None:
             side.finish()
             raise _EndedError
@@ -605,6 +604,11 @@
         self._keep_key_until(recorded)
         return recorded
 
+    async def _wait_recorded(self, recorded: defer.Deferred) -> None:
+        """Lets a caller that asks again at once find the record."""
+        if self._host.link.following:
+            await _until(self._host.reactor, recorded, CONFIRM_WAIT_S)
+
     def _keep_key_until(self, confirmed: defer.Deferred) -> None:
         self._unconfirmed.append(confirmed)
         # The router stops: the record stays with its claim.
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -61,6 +61,15 @@
     b"x-forwarded-for",
 }
 
+# Answer headers that only the router sets.
+_OWN_ANSWER_HEADERS = HOP_BY_HOP | {
+    b"x-request-id",
+    b"x-backend-server",
+    b"x-backend-version",
+    b"x-execution",
+    b"x-idempotent-replay",
+}
+
 
 class NotSentError(Exception):
     """No byte of the request was written.
@@ -348,7 +357,7 @@
 
 def _head(response: Any, parser: Any, conn: BackendConnection) -> Head:
     control = parser.connHeaders
-    dropped = HOP_BY_HOP | _connection_tokens(
+    dropped = _OWN_ANSWER_HEADERS | _connection_tokens(
         control.getRawHeaders(b"Connection")
     )
     length = response.length
