--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -275,7 +275,7 @@
         text=True,
     )
     try:
-        _wait_until_healthy(context.port)
+        wait_until_healthy(context.port)
         process.send_signal(signal.Signals[name])
         _, context.output = process.communicate(timeout=TIMEOUT_S)
     finally:
@@ -284,7 +284,7 @@
     context.code = process.returncode
 
 
-def _wait_until_healthy(port):
+def wait_until_healthy(port):
     limit = time.monotonic() + TIMEOUT_S
     while time.monotonic() < limit:
         conn = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
--- /dev/null
+++ b/features/steps/settings_pages_steps.py
@@ -0,0 +1,198 @@
+"""Steps that compare pages and examples with the code."""
+
+import ast
+import dataclasses
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+import behave
+from returns import result
+
+from features.steps import commands_steps
+from waxwingrack.commands import exit_codes
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.load import environment
+from waxwingrack.load import settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Names that the code passes in variables.
+COMMANDS = {
+    "ApplyEnvironment",
+    "SetDataCentre",
+    "StartRollout",
+    "TakeBackRollout",
+}
+
+
+def _rows(page, title):
+    """Returns the cells of the first table below a heading."""
+    text = (ROOT / "docs" / page).read_text()
+    section = re.split(rf"^#+ {re.escape(title)}$", text, flags=re.M)[1]
+    section = re.split(r"^#", section, flags=re.M)[0]
+    lines = re.findall(r"^\|(.*)\|$", section, re.M)[2:]
+    return [
+        [cell.strip().strip("`") for cell in line.split("|")] for line in lines
+    ]
+
+
+def _default(field):
+    if field.default is dataclasses.MISSING:
+        return "required"
+    return json.dumps(field.default)
+
+
+@behave.then(
+    "the settings page lists exactly the fields and defaults of {name}"
+)
+def page_lists_fields(_, name):
+    expected = {
+        (field.name, _default(field))
+        for field in dataclasses.fields(getattr(data, name))
+    }
+    found = {(row[0], row[2]) for row in _rows("settings.md", name)}
+    assert found == expected, found ^ expected
+
+
+@behave.then(
+    "the refusals page lists exactly the error kinds with status and execution"
+)
+def page_lists_kinds(_):
+    expected = {
+        (str(kind), str(answer.status), str(answer.execution))
+        for kind, answer in errors.ANSWERS.items()
+    }
+    rows = _rows("refusals.md", "Refusals to callers")
+    found = {tuple(row[:3]) for row in rows}
+    assert found == expected, found ^ expected
+    assert set(errors.ANSWERS) == set(errors.ErrorKind)
+
+
+def _logged_events():
+    for path in sorted((ROOT / "waxwingrack").rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and isinstance(node.func.value, ast.Name)
+                and node.func.value.id == "logs"
+                and node.func.attr in ("event", "decision", "failure")
+                and isinstance(node.args[0], ast.Constant)
+            ):
+                yield node.args[0].value
+
+
+@behave.then("the refusals page lists exactly the events that the code logs")
+def page_lists_events(_):
+    expected = {*_logged_events()} | COMMANDS
+    found = {row[0] for row in _rows("refusals.md", "Log lines")}
+    assert found == expected, found ^ expected
+
+
+@behave.then("the operations page lists exactly the exit codes")
+def page_lists_codes(_):
+    text = (ROOT / "docs/operations.md").read_text()
+    table = text.split("| exit code |")[1].split("\n\n")[0]
+    found = {int(code) for code in re.findall(r"^\| (\d+) ", table, re.M)}
+    assert found == {int(code) for code in exit_codes.ExitCode}, found
+
+
+@behave.then("the example {file} has no fault")
+def example_is_valid(_, file):
+    path = ROOT / "examples" / file
+    module = settings if "role" in json.loads(path.read_text()) else environment
+    checked = module.load(str(path))
+    assert isinstance(checked, result.Success), checked
+
+
+def _example(name):
+    return environment.load(str(ROOT / f"examples/{name}.json")).unwrap()
+
+
+@behave.then(
+    "the example environment {name} has {count:d} workspaces in {places:d} "
+    "data centres of {region}"
+)
+def example_size(_, name, count, places, region):
+    document = _example(name)
+    assert len(document.workspaces) == count
+    regions = [centre.region for centre in document.data_centres]
+    assert regions == [region] * places, regions
+
+
+@behave.then(
+    "the digests of the example environment {name} are those of the "
+    "documented tokens"
+)
+def example_digests(_, name):
+    document = _example(name)
+    owners = {item.id: item.token_digests for item in document.workspaces}
+    owners["announce"] = document.announce_token_digests
+    for owner, digests in owners.items():
+        token = f"example-{name}-{owner}"
+        assert digests == (hashlib.sha256(token.encode()).hexdigest(),), owner
+
+
+@behave.then(
+    "in the example environment {name} only {route} may not be repeated"
+)
+def example_routes(_, name, route):
+    found = {
+        f"{service.id}.{item.id}"
+        for service in _example(name).services
+        for item in service.routes
+        if not item.idempotent
+    }
+    assert found == {route}, found
+
+
+@behave.when("the metrics of the started {role} process are read")
+def read_metrics(context, role):
+    process = subprocess.Popen(
+        [sys.executable, "-m", "waxwingrack", role, str(context.document_file)],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        commands_steps.wait_until_healthy(context.port)
+        conn = http.client.HTTPConnection("127.0.0.1", context.port, timeout=5)
+        conn.request("GET", "/metrics")
+        text = conn.getresponse().read().decode()
+        conn.close()
+    finally:
+        process.kill()
+        process.wait()
+    context.metrics = set(re.findall(r"^# TYPE (waxwingrack_\w+)", text, re.M))
+
+
+def _metrics_in_code():
+    for path in (ROOT / "waxwingrack").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in ("add", "set", "set_total")
+                and len(node.args) > 1
+                and isinstance(node.args[0], ast.Constant)
+            ):
+                yield f"waxwingrack_{node.args[0].value}"
+
+
+@behave.then("the refusals page lists these metrics")
+def page_lists_metrics(context):
+    listed = {
+        row[0]
+        for title in ("Controller", "Router")
+        for row in _rows("refusals.md", title)
+    }
+    assert context.metrics, "no metric was served"
+    # Some metrics are served only once they have a value.
+    context.metrics |= set(_metrics_in_code())
+    assert context.metrics <= listed, context.metrics - listed
