--- a/features/steps/settings_pages_steps.py
+++ b/features/steps/settings_pages_steps.py
@@ -179,6 +179,7 @@
                 isinstance(node, ast.Call)
                 and isinstance(node.func, ast.Attribute)
                 and node.func.attr in ("add", "set", "set_total")
+                and ast.unparse(node.func.value).endswith("metrics")
                 and len(node.args) > 1
                 and isinstance(node.args[0], ast.Constant)
             ):
