Do not report a change as done when the output is closed

Cause: cleo ends a command with 0 on a broken pipe; apply prints the changes before it sends them, so 'apply FILE | head' could exit with 0 without a change. Change: commands that make changes exit with 4 in this case. Conclusion: exit code 0 of a change means that it was accepted.

--- a/features/commands_resend.feature
+++ b/features/commands_resend.feature
@@ -32,6 +32,11 @@
     Then the command exits with 0 and prints "$.workspaces[north].weight: 1.0 -> 2.0"
     And the change sent expects number 7
 
+  Scenario: a change whose output is closed is not reported as done
+    Given fake controllers that answer accepted and none
+    When the operators' command apply runs with its output closed
+    Then the command exits with 4 and prints "the output was closed"
+
   Scenario Outline: state is printed as a table or as JSON
     Given fake controllers that answer accepted and none
     When the operators' command "<command>" runs with a time limit of 2 s
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -176,6 +176,35 @@
     )
 
 
+@behave.when("the operators' command apply runs with its output closed")
+def run_with_closed_output(context):
+    reader, writer = os.pipe()
+    os.close(reader)
+    try:
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "waxwingrack",
+                "apply",
+                str(context.document_file),
+                "--controllers",
+                context.controllers[0],
+                "--token-file",
+                str(context.token_file),
+            ],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+            stdout=writer,
+            stderr=subprocess.PIPE,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    finally:
+        os.close(writer)
+    context.code, context.output = done.returncode, done.stderr
+
+
 @behave.when('the command line "{line}" runs')
 def run_line(context, line):
     _run(context, line)
--- a/waxwingrack/commands/base.py
+++ b/waxwingrack/commands/base.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import sys
 from typing import Any
 from typing import ClassVar
 import uuid
@@ -65,6 +66,19 @@
             return event_loop.run(self._checked(self.target()))
         except CommandError as exc:
             return self.fail(exc)
+        except BrokenPipeError:
+            if not self.definition.has_option("operation"):
+                raise
+            # The library ends a command with 0 once its output is closed, which
+            # would report a change as done that was not sent.
+            with open(os.devnull, "w") as nothing:
+                os.dup2(nothing.fileno(), sys.stdout.fileno())
+            return self.fail(
+                CommandError(
+                    ExitCode.UNKNOWN,
+                    "the output was closed before the change was confirmed",
+                )
+            )
 
     async def _checked(self, target: operators_client.Target) -> int:
         try:
