Give stand-in engines of the bench a batch that saturates

Cause: the baseline's engines gained throughput from unlimited batches. Ruled out: more slots alone. Change: 1.5 ms per token for each other running request.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -90,6 +90,7 @@
             engine=pool.engine,
             slots=slots,
             token_ms=deployments.TOKEN_MS,
+            token_batch_ms=deployments.TOKEN_BATCH_MS,
             data_centre="abc"[number % 3],
             mode=mode or {},
         ).ports["requests"]
@@ -250,6 +251,8 @@
         "the end of the rollout",
     )
     seconds = time.monotonic() - start
+    if not any(answer[4] == version for answer in callers_load.answers):
+        print(json.dumps(cluster.status()), file=sys.stderr)
     time.sleep(1)
     callers_load.stop()
     to_new = sum(
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -3,9 +3,12 @@
 import dataclasses
 
 # Slots of a stand-in; the real engines have more.
-ENGINE_SLOTS = 4
+ENGINE_SLOTS = 8
 PLAIN_SLOTS = 8
+# Time of a token for a batch of one, and for each other running request. With
+# these, a batch beyond the slots adds little throughput.
 TOKEN_MS = 4.0
+TOKEN_BATCH_MS = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
