Start request timers only where a request is not whole at once

Change: the time limit of a request starts when a read leaves it unfinished, which now also covers a slow request line, and the idle timer of an answer starts when the answer is not whole yet. A scenario covers the slow request line.

--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -16,6 +16,7 @@
       | large_body       | 413    | body_too_large    |
       | large_chunks     | 413    | body_too_large    |
       | large_expected   | 413    | body_too_large    |
+      | slow_line        | 408    | body_timeout      |
       | slow_headers     | 408    | body_timeout      |
       | slow_body        | 408    | body_timeout      |
       | garbage          | 400    | bad_request       |
--- a/features/steps/router_limits_steps.py
+++ b/features/steps/router_limits_steps.py
@@ -27,6 +27,7 @@
     "large_chunks": _CHUNKED + ("400\r\n" + "x" * 1024 + "\r\n") * 5,
     "large_expected": f"{_POST}Content-Length: 5000\r\n"
     "Expect: 100-continue\r\n\r\n",
+    "slow_line": "POST /sketch",
     "slow_headers": _POST,
     "slow_body": f"{_POST}Content-Length: 10\r\n\r\nx",
     "garbage": "GARBAGE\r\n\r\n",
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -92,6 +92,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.overflow = False
+        self._begun = False
         self._deadline: Any = None
         self._refused = False
         self._header_bytes = 0
@@ -117,16 +118,22 @@
         self._cancel_deadline()
         super().connectionLost(reason)
 
-    def lineReceived(self, line: bytes) -> None:
-        """Counts header bytes and starts the time limit of the request."""
-        if self._refused:
-            return
-        if self._deadline is None and line:
+    def dataReceived(self, data: bytes) -> None:
+        """Starts the time limit of a request that is not whole yet."""
+        super().dataReceived(data)
+        partial = self._begun or (self._buffer and not self._handlingRequest)
+        if partial and self._deadline is None and not self._refused:
             self._deadline = self.callLater(
                 self.site.front.settings.body_timeout_s,
                 self.refuse,
                 errors.ErrorKind.BODY_TIMEOUT,
             )
+
+    def lineReceived(self, line: bytes) -> None:
+        """Counts header bytes."""
+        if self._refused:
+            return
+        self._begun = self._begun or bool(line)
         self._header_bytes += len(line) + 2
         if self._header_bytes > self.site.front.settings.max_header_bytes:
             self.refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
@@ -167,6 +174,7 @@
     def allContentReceived(self) -> None:
         """Ends the time limit of the request."""
         if not self._refused:
+            self._begun = False
             self._cancel_deadline()
             super().allContentReceived()
 
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -202,10 +202,12 @@
         Returns:
           `ended`.
         """
-        self._timer = self._reactor.callLater(
-            self._idle_timeout_s, self._check_idle
-        )
         self._head.response.deliverBody(self)
+        # A short answer is whole by now and needs no timer.
+        if not self._done:
+            self._timer = self._reactor.callLater(
+                self._idle_timeout_s, self._check_idle
+            )
         return self.ended
 
     def dataReceived(self, chunk: bytes) -> None:
