--- a/features/scheduler_fairness.feature
+++ b/features/scheduler_fairness.feature
@@ -104,3 +104,35 @@
       | seconds | refused |
       | 2       | no      |
       | 5       | some    |
+
+  Scenario Outline: a reservation follows the real cost and a hint only within bounds
+    Guards against hints that move charges without limit.
+
+    Given a fairness account with mean cost <mean> and largest cost <largest>
+    Then a hint of <hint> leads to a reservation of <reservation>
+
+    Examples:
+      | mean | largest | hint | reservation |
+      | 100  | 400     | 0    | 100         |
+      | 100  | 400     | 150  | 150         |
+      | 100  | 400     | 1    | 10          |
+      | 100  | 400     | 300  | 300         |
+      | 100  | 5000    | 1e9  | 1000        |
+      | 100  | 400     | 1e9  | 400         |
+      | 0    | 0       | 1e9  | 1           |
+
+  Scenario Outline: a request whose end is not reported costs its mean, not its hint
+    Guards against callers that lower their charge by a wrong hint whenever a
+    router dies, and against charging the seconds until the loss is proven.
+
+    Given a fairness account with mean cost <mean> and largest cost 400
+    Then a lost request with reservation <reserved>, progress <progress> and <held> ms on a slot costs <cost> by "<meter>"
+
+    Examples:
+      | mean | reserved | progress | held | cost | meter   |
+      | 100  | 10       | 0        | 9000 | 100  | slot_ms |
+      | 100  | 400      | 0        | 9000 | 100  | slot_ms |
+      | 100  | 10       | 250      | 9000 | 250  | slot_ms |
+      | 100  | 10       | 0        | 60   | 60   | slot_ms |
+      | 100  | 10       | 0        | 60   | 100  | tokens  |
+      | 100  | 10       | 250      | 60   | 250  | tokens  |
--- a/features/steps/scheduler_fairness_steps.py
+++ b/features/steps/scheduler_fairness_steps.py
@@ -7,6 +7,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.operations import fairness
 from waxwingrack.operations import placement
 from waxwingrack.operations import scheduler
 
@@ -197,3 +198,45 @@
     kinds = {refusal.kind for _, _, refusal in context.simulation.refusals}
     expected = {errors.ErrorKind.NO_BACKEND_SERVER} if some == "some" else set()
     assert kinds == expected, kinds
+
+
+@behave.given(
+    "a fairness account with mean cost {mean:g} and largest cost {largest:g}"
+)
+def fairness_account(context, mean, largest):
+    context.account = data.Account(0.0, mean, largest)
+
+
+@behave.then("a hint of {hint:g} leads to a reservation of {expected:g}")
+def reservation_for_hint(context, hint, expected):
+    found = fairness.reserve(
+        context.account, data.Account(), data.CostMeter.SLOT_MS, hint
+    )
+    assert found == expected, found
+
+
+@behave.then(
+    "a lost request with reservation {reserved:g}, progress {progress:g} and"
+    ' {held:d} ms on a slot costs {cost:g} by "{meter}"'
+)
+def lost_request_cost(context, reserved, progress, held, cost, meter):
+    grant = data.GrantRow(
+        router="r0",
+        server_id="x",
+        incarnation="i",
+        version="v1",
+        data_centre="a",
+        workspace="w",
+        service="s",
+        route="r",
+        digest="",
+        weight=1.0,
+        charged=max(reserved, progress),
+        granted_ms=1_000,
+        echo_ms=0,
+        cost=progress,
+    )
+    found = fairness.unknown_cost(
+        grant, context.account, data.CostMeter(meter), 1_000 + held
+    )
+    assert found == cost, found
