Let a router connect over slow links; judge latency before the trial ends

Change: the bound doubles for a controller that did not answer, up to 2.4 s; a phase ends early only with warm samples.

--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import random
@@ -29,8 +30,11 @@
 BACKOFF_FIRST_MS = 25
 BACKOFF_LIMIT_MS = 500
 # Longest time to connect. Two controllers that do not answer must leave time
-# for the third within CONTROL_TIMEOUT_MS.
+# for the third within CONTROL_TIMEOUT_MS. The time doubles, up to the limit,
+# for a controller that did not answer: over a slow link the handshake alone
+# takes longer than the first time.
 CONNECT_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_LIMIT_S = 2.4
 # A controller that neither leads nor says who does is left after this time.
 CONFIRM_TIMEOUT_MS = 1_000
 # Interval at which unconfirmed key messages are sent again.
@@ -168,6 +172,7 @@
         self._peers = settings.controllers
         self._position = rng.randrange(max(1, len(self._peers)))
         self._backoff_ms = BACKOFF_FIRST_MS
+        self._timed_out: collections.Counter[str] = collections.Counter()
         self._lost = True
         self._tasks: list[asyncio.Task] = []
 
@@ -380,11 +385,13 @@
                     transport.connect(
                         peer.control, self._identity, self._counts
                     ),
-                    CONNECT_TIMEOUT_S,
+                    self._connect_timeout_s(peer),
                 )
                 if conn is not None:
+                    del self._timed_out[peer.id]
                     await conn.run(self)
             except TimeoutError:
+                self._timed_out[peer.id] += 1
                 logs.event("controller_unreachable", controller=peer.id)
             except transport.HandshakeError as exc:
                 logs.failure("control_address_refused", exc)
@@ -397,6 +404,10 @@
             )
             self._backoff_ms = min(BACKOFF_LIMIT_MS, self._backoff_ms * 2)
 
+    def _connect_timeout_s(self, peer: data.Peer) -> float:
+        doubled_s = CONNECT_TIMEOUT_S * 2 ** self._timed_out[peer.id]
+        return min(CONNECT_TIMEOUT_LIMIT_S, doubled_s)
+
     def _next_peer(self) -> tuple[data.Peer, bool]:
         hint, self._hint = self._hint, ""
         for peer in self._peers:
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -49,6 +49,19 @@
     move_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Good:
+    """Good answers of the new version in the phase.
+
+    Attributes:
+      answers: All of them.
+      warm: Those whose latency the judges can compare.
+    """
+
+    answers: int
+    warm: int
+
+
 def unfinished(rollout: data.Rollout) -> bool:
     """Tells whether a rollout is under way."""
     return rollout.phase in _UNFINISHED
@@ -124,15 +137,18 @@
     if fault:
         return _take_back(rollout, fault)
     start_ms = now_ms - int(clock.phase_elapsed_s * 1000)
-    good = _good_since(new, start_ms)
+    good = _Good(
+        answers=_count_since(new, start_ms, warm=False),
+        warm=_count_since(new, start_ms, warm=True),
+    )
     if clock.elapsed_s >= plan.deadline_s:
         return _at_deadline(rollout, clock, good)
     return _PHASE_DECISIONS[rollout.phase](rollout, clock, good)
 
 
-def _good_since(new: version_judges.Samples, start_ms: int) -> int:
+def _count_since(new: version_judges.Samples, start_ms: int, warm: bool) -> int:
     return sum(
-        not ended.failed
+        ended.latency_ms is not None if warm else not ended.failed
         for all_ended in new.values()
         for ended in version_samples.since(all_ended, start_ms)
     )
@@ -149,10 +165,10 @@
 
 
 def _at_deadline(
-    rollout: data.Rollout, clock: _Clock, good: int
+    rollout: data.Rollout, clock: _Clock, good: _Good
 ) -> commands.MoveRollout:
     watched = clock.phase_elapsed_s >= rollout.plan.watch_s
-    if rollout.phase is data.RolloutPhase.WATCHING and watched and good:
+    if rollout.phase is data.RolloutPhase.WATCHING and watched and good.answers:
         return _move(
             rollout, data.RolloutPhase.DONE, 1.0, "deadline, no fault seen"
         )
@@ -160,15 +176,16 @@
 
 
 def _may_advance(
-    clock: _Clock, good: int, min_samples: int, parts: tuple[float, float]
+    clock: _Clock, good: _Good, min_samples: int, parts: tuple[float, float]
 ) -> bool:
     shortest_s, longest_s = (clock.move_s * part for part in parts)
-    enough = good >= min_samples and clock.phase_elapsed_s >= shortest_s
-    return enough or (good > 0 and clock.phase_elapsed_s >= longest_s)
+    # Without warm samples a slow version could pass the trial unjudged.
+    enough = good.warm >= min_samples and clock.phase_elapsed_s >= shortest_s
+    return enough or (good.answers > 0 and clock.phase_elapsed_s >= longest_s)
 
 
 def _decide_trial(
-    rollout: data.Rollout, clock: _Clock, good: int
+    rollout: data.Rollout, clock: _Clock, good: _Good
 ) -> commands.MoveRollout | None:
     if not _may_advance(
         clock, good, MIN_TRIAL_SAMPLES, (MIN_TRIAL_PART, MAX_TRIAL_PART)
@@ -178,19 +195,19 @@
         rollout,
         data.RolloutPhase.RAMPING,
         STEPS[0],
-        f"trial passed with {good} good answers",
+        f"trial passed with {good.answers} good answers",
     )
 
 
 def _decide_ramping(
-    rollout: data.Rollout, clock: _Clock, good: int
+    rollout: data.Rollout, clock: _Clock, good: _Good
 ) -> commands.MoveRollout | None:
     position = sum(step <= rollout.share for step in STEPS)
     if not _may_advance(
         clock, good, MIN_STEP_SAMPLES, (MIN_STEP_PART, MAX_STEP_PART)
     ):
         return None
-    reason = f"{good} good answers at share {rollout.share:g}"
+    reason = f"{good.answers} good answers at share {rollout.share:g}"
     if position < len(STEPS):
         return _move(
             rollout, data.RolloutPhase.RAMPING, STEPS[position], reason
@@ -199,15 +216,15 @@
 
 
 def _decide_watching(
-    rollout: data.Rollout, clock: _Clock, good: int
+    rollout: data.Rollout, clock: _Clock, good: _Good
 ) -> commands.MoveRollout | None:
-    if clock.phase_elapsed_s < rollout.plan.watch_s or not good:
+    if clock.phase_elapsed_s < rollout.plan.watch_s or not good.answers:
         return None
     return _move(
         rollout,
         data.RolloutPhase.DONE,
         1.0,
-        f"no fault in the watch period, {good} good answers",
+        f"no fault in the watch period, {good.answers} good answers",
     )
 
 
