--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -28,6 +29,7 @@
 TOKEN = "operator-token"
 KEY = b"shared-key-of-the-test"
 HOST = "127.0.0.1"
+PORTS = (12_000, 32_000)
 
 
 class Loop:
@@ -68,14 +70,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns free TCP ports on the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Returns free TCP ports on the loopback address.
+
+    They lie below the range for outgoing connections. A port from that range
+    can be taken by any connection on the machine before a process opens it.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.socket() as item:
+            item.bind((HOST, port))
+            found.append(port)
+    return found
 
 
 class Forwarder:
