--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -73,7 +73,6 @@
 def _fake_controller(context, script):
     """Starts a server that plays a script; its last answer is repeated."""
     answers = script.split(" then ")
-    peers = context.fakes
 
     class Handler(http.server.BaseHTTPRequestHandler):
         def _answer(self):
@@ -86,8 +85,9 @@
                 self.close_connection = True
                 return
             if name == "follower":
-                host, port = peers[1].server_address
-                leader = {"id": "c2", "host": host, "port": port}
+                # The leader is not among the addresses given to the command.
+                host, port = context.leader.server_address
+                leader = {"id": "c9", "host": host, "port": port}
                 status, value = 421, {"leader": leader}
             else:
                 status, value = ANSWERS[name]
@@ -129,7 +129,7 @@
     return pathlib.Path(folder.name)
 
 
-def _run(context, line):
+def _run(context, line, timeout=TIMEOUT_S):
     document = getattr(context, "document_file", None)
     done = subprocess.run(
         [
@@ -142,21 +142,20 @@
         env=os.environ | {"PYTHONPATH": str(ROOT)},
         capture_output=True,
         text=True,
-        timeout=TIMEOUT_S,
+        timeout=timeout,
     )
     context.code, context.output = done.returncode, done.stdout + done.stderr
 
 
 @behave.given("fake controllers that answer {first} and {second}")
 def fake_controllers(context, first, second):
-    context.sent, context.fakes = [], []
-    context.controllers = []
+    context.sent, context.controllers = [], []
+    context.leader = _fake_controller(context, "accepted")
     for script in (first, second):
         if script == "none":
             context.controllers.append(f"127.0.0.1:{_free_port()}")
             continue
-        context.fakes.append(_fake_controller(context, script))
-        port = context.fakes[-1].server_address[1]
+        port = _fake_controller(context, script).server_address[1]
         context.controllers.append(f"127.0.0.1:{port}")
     folder = _folder(context)
     context.token_file = folder / "token"
@@ -177,11 +176,45 @@
     )
 
 
+@behave.when("the operators' command apply runs with its output closed")
+def run_with_closed_output(context):
+    reader, writer = os.pipe()
+    os.close(reader)
+    try:
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "waxwingrack",
+                "apply",
+                str(context.document_file),
+                "--controllers",
+                context.controllers[0],
+                "--token-file",
+                str(context.token_file),
+            ],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+            stdout=writer,
+            stderr=subprocess.PIPE,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    finally:
+        os.close(writer)
+    context.code, context.output = done.returncode, done.stderr
+
+
 @behave.when('the command line "{line}" runs')
 def run_line(context, line):
     _run(context, line)
 
 
+@behave.when('the command line "{line}" runs for at most {limit:d} s')
+def run_line_within(context, line, limit):
+    _run(context, line, limit)
+
+
 @behave.then('the command exits with {code:d} and prints "{text}"')
 def command_exits(context, code, text):
     assert context.code == code, (context.code, context.output)
@@ -275,7 +308,7 @@
         text=True,
     )
     try:
-        _wait_until_healthy(context.port)
+        wait_until_healthy(context.port)
         process.send_signal(signal.Signals[name])
         _, context.output = process.communicate(timeout=TIMEOUT_S)
     finally:
@@ -284,7 +317,7 @@
     context.code = process.returncode
 
 
-def _wait_until_healthy(port):
+def wait_until_healthy(port):
     limit = time.monotonic() + TIMEOUT_S
     while time.monotonic() < limit:
         conn = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
