Start a rollout when a document names another version

Cause: a document that named a new version of a service gave it all traffic at once, unjudged, against the bound for bad versions. Ruled out: refusing such documents, as operators promote one document from trial to production. Change: the document starts a rollout with default times; the virtual time of a service survives a new document. Conclusion: every move of traffic is judged.

--- a/features/replication_operators.feature
+++ b/features/replication_operators.feature
@@ -62,12 +62,14 @@
     Examples:
       | history                                        | version |
       | doc v1                                         | v1      |
-      | doc v2                                         | v2      |
+      | doc v2                                         | v1      |
+      | doc v2, done                                   | v2      |
+      | doc v2, done, doc v1                           | v2      |
       | start v2                                       | v1      |
       | start v2, done                                 | v2      |
       | start v2, done, doc v1                         | v2      |
       | start v2, done, doc v2, doc v1                 | v2      |
-      | start v2, done, doc v3                         | v3      |
+      | start v2, done, doc v3                         | v2      |
       | start v2, taken_back                           | v1      |
       | start v2, taken_back, doc v2                   | v1      |
       | start v2, doc v3                               | v1      |
@@ -86,6 +88,9 @@
     Examples:
       | history                             | phase      | others |
       | start v2                            | trial      | none   |
+      | doc v2                              | trial      | none   |
+      | doc v2, doc v3                      | trial      | none   |
+      | doc v2, taken_back, doc v1, doc v2  | taken_back | none   |
       | start v2, ramping                   | ramping    | none   |
       | start v2, ramping, trial            | ramping    | none   |
       | start v2, watching, done            | done       | none   |
--- a/waxwingrack/operations/replicated_environment.py
+++ b/waxwingrack/operations/replicated_environment.py
@@ -4,11 +4,12 @@
 
 * A service that is new takes the version in its document.
 * A rollout that ends as done moves the traffic to its version.
-* A document moves the traffic only if it names another version for the service
-  than the document before it, no rollout of the service is unfinished, and no
-  rollout has moved the traffic away from that version or was taken back from
-  it. Such a version returns by a rollout only, so an old document that is
-  applied again reverts nothing, and a faulty version never gets all traffic.
+* A document that names another version for a service than the document before
+  it starts a rollout with default times, unless one of the service is
+  unfinished: a version that has not been judged never gets all traffic at once.
+* It starts none if a rollout has moved the traffic away from that version or
+  was taken back from it. Such a version returns by a declared rollout only, so
+  an old document that is applied again reverts nothing.
 """
 
 import dataclasses
@@ -45,8 +46,9 @@
     ]
     moving = {plan.service for plan in declared}
     moving |= replicated_rollouts.unfinished(state).keys()
-    state = _follow_versions(state, before, moving)
-    for plan in declared:
+    implied = _implied_rollouts(state, before, moving)
+    state = _set_versions(state)
+    for plan in (*declared, *implied):
         if state.versions.get(plan.service) == plan.version:
             state = replicated_rollouts.record_done(state, plan)
             continue
@@ -102,7 +104,8 @@
 
 def _kept_counters(state: data.ReplicatedState, document: data.Environment):
     services = {item.id for item in document.services}
-    workspaces = {item.id for item in document.workspaces}
+    # The row without a workspace is the virtual time of the service.
+    workspaces = {item.id for item in document.workspaces} | {""}
     counters = state.counters
     for key in state.counters:
         if key[0] not in services or key[1] not in workspaces:
@@ -110,24 +113,36 @@
     return counters
 
 
-def _follow_versions(
+def _implied_rollouts(
     state: data.ReplicatedState,
     before: data.Environment | None,
     moving: set[str],
-) -> data.ReplicatedState:
-    """Sets the versions by the rules in the module's docstring."""
+) -> tuple[data.RolloutPlan, ...]:
+    """Plans a rollout for each service whose document version changed."""
     earlier = (
         {item.id: item.version for item in before.services} if before else {}
     )
+    return tuple(
+        data.RolloutPlan(
+            id=f"{service.id}-{service.version}-{state.number + 1}",
+            service=service.id,
+            version=service.version,
+        )
+        for service in state.environment.services
+        if service.id in state.versions
+        and service.version != earlier.get(service.id, service.version)
+        and service.version != state.versions[service.id]
+        and service.id not in moving
+        and service.version
+        not in replicated_rollouts.left_versions(state, service.id)
+    )
+
+
+def _set_versions(state: data.ReplicatedState) -> data.ReplicatedState:
+    """Sets the versions of new services and drops those of removed ones."""
     versions = state.versions
     for service in state.environment.services:
-        current = versions.get(service.id)
-        if current is None or (
-            service.version != earlier.get(service.id)
-            and service.id not in moving
-            and service.version
-            not in replicated_rollouts.left_versions(state, service.id)
-        ):
+        if service.id not in versions:
             versions = versions.set(service.id, service.version)
     declared = {service.id for service in state.environment.services}
     for service_id in state.versions:
