Name routers that are not connected in the status

Cause: the status listed connected routers only, so a change looked in force everywhere while a router was cut off. Ruled out: the lagging flag alone, as a lost router had no row. Change: a row with connected=false for an hour after the connection ended. Conclusion: a leader elected after the loss still does not name the router.

--- a/features/fleet_path.feature
+++ b/features/fleet_path.feature
@@ -57,3 +57,10 @@
       | leader  | w3        |
       | r2      | w4        |
       | leader  | w5        |
+
+  Scenario: the status names a router that is cut off
+    Without it, operators take a change for in force everywhere.
+
+    When the fleet's r3 is cut off and a change is accepted
+    Then the fleet's status names r3 as not connected and lagging
+    And r3 has the change within 9 s after the cut
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -187,3 +187,30 @@
         9,
         f"{workspace} served by {router}",
     )
+
+
+@behave.when("the fleet's {router} is cut off and a change is accepted")
+def cut_and_change(context, router):
+    context.fleet.isolate(router)
+    answer = context.fleet.change(
+        "PUT", "/v1/data-centres/c", state="in_service"
+    )
+    assert answer.status == 200, answer
+
+
+@behave.then("the fleet's status names {router} as not connected and lagging")
+def named_in_status(context, router):
+    fleet.wait_until(
+        lambda: any(
+            row["id"] == router and row["lagging"] and not row["connected"]
+            for row in context.fleet.status()["routers"]
+        ),
+        5,
+        f"{router} named in the status",
+    )
+
+
+@behave.then("{router} has the change within {limit:d} s after the cut")
+def has_change(context, router, limit):
+    context.fleet.heal()
+    fleet.wait_until(context.fleet.in_force, limit, f"{router} up to date")
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -398,7 +398,7 @@
         current = {
             router["id"]
             for router in status["routers"]
-            if not router["lagging"] and router["number"] == status["number"]
+            if router["connected"] and router["number"] == status["number"]
         }
         return running <= current
 
--- a/waxwingrack/core/logs.py
+++ b/waxwingrack/core/logs.py
@@ -62,6 +62,8 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # The library logs each opened and closed connection as information.
+    logging.getLogger("websockets").setLevel(logging.WARNING)
 
 
 def decision(name: str, reason: str, **fields: Any) -> None:
--- a/waxwingrack/daemons/fleet_status.py
+++ b/waxwingrack/daemons/fleet_status.py
@@ -74,10 +74,15 @@
 def _routers(controller: Any, now_ms: int) -> list[dict[str, Any]]:
     number = controller.driver.state.number
     rows = controller.leader.tables.routers
+    sessions = [(session, True) for session in controller.sessions]
+    sessions += [
+        (session, False) for session in controller.sessions.ended(now_ms)
+    ]
     return [
         {
             "id": session.ref.node_id,
             "data_centre": session.ref.data_centre,
+            "connected": connected,
             "number": session.number,
             "lagging": session.number < number,
             "in_flight": len(rows[session.ref.node_id].grants)
@@ -85,7 +90,7 @@
             else 0,
             "seen_ms_ago": now_ms - session.seen_ms,
         }
-        for session in controller.sessions
+        for session, connected in sessions
     ]
 
 
--- a/waxwingrack/daemons/router_sessions.py
+++ b/waxwingrack/daemons/router_sessions.py
@@ -10,6 +10,9 @@
 
 # Time after which a push that did not take effect is repeated.
 PUSH_REPEAT_MS = 1_000
+# Time for which the status names a router whose connection has ended. Regions
+# may lose each other for an hour.
+REMEMBER_MS = 3_600_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +45,7 @@
 
     def __init__(self):
         self._by_node: dict[str, Session] = {}
+        self._ended: dict[str, Session] = {}
 
     def __iter__(self) -> Iterator[Session]:
         return iter(tuple(self._by_node.values()))
@@ -70,6 +74,7 @@
         """
         peer = conn.peer
         old = self._by_node.get(peer.node_id)
+        self._ended.pop(peer.node_id, None)
         ref = data.RouterRef(peer.node_id, peer.incarnation, "")
         self._by_node[peer.node_id] = Session(conn, ref, now_ms)
         return old
@@ -86,8 +91,19 @@
         if self._by_node.get(session.ref.node_id) is not session:
             return False
         del self._by_node[session.ref.node_id]
+        if session.reported:
+            self._ended[session.ref.node_id] = session
         return True
 
+    def ended(self, now_ms: int) -> tuple[Session, ...]:
+        """Returns the sessions of routers that are not connected any more."""
+        self._ended = {
+            node_id: session
+            for node_id, session in self._ended.items()
+            if now_ms - session.seen_ms <= REMEMBER_MS
+        }
+        return tuple(self._ended.values())
+
     def silent(self, now_ms: int) -> tuple[Session, ...]:
         """Returns the sessions without a report for too long."""
         limit_ms = messages.CONTROL_TIMEOUT_MS
