Read processor time in nanoseconds and measure memory of key records

Cause: the 10 ms units of /proc/PID/stat are 0.17% of a core over 6 s, about half of what an idle router uses. Change: cpu_s adds up the threads' schedstat; the log measurement shows the memory of idempotency records, one process for each size. Seen: 955 bytes of memory a record (1,000, 10,000 and 50,000 records).

--- a/capacity/common.py
+++ b/capacity/common.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import hashlib
-import os
 import pathlib
 import secrets
 import time
@@ -22,8 +21,6 @@
 DATA_CENTRES = 8
 REQUESTS_PER_S = 3_800
 
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
 
 def digest(text: str) -> str:
     """Returns the SHA-256 digest of a text in hexadecimal."""
@@ -101,10 +98,26 @@
 
 
 def cpu_s(pid: int) -> float:
-    """Returns the processor time of a process so far, in seconds."""
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    """Returns the processor time of a process so far, in seconds.
+
+    It adds up the threads from `schedstat`, which counts nanoseconds, as the
+    10 ms units of `/proc/PID/stat` are coarse for an idle process. Threads that
+    have ended are not included; the measured processes keep theirs.
+
+    Args:
+      pid: Process id.
+
+    Returns:
+      Time of all present threads on a processor.
+    """
+    threads = pathlib.Path(f"/proc/{pid}/task").iterdir()
+    return (
+        sum(
+            int((thread / "schedstat").read_text().split()[0])
+            for thread in threads
+        )
+        / 1e9
+    )
 
 
 def rss_mb(pid: int) -> float:
--- a/capacity/log_cost.py
+++ b/capacity/log_cost.py
@@ -1,6 +1,9 @@
 """Syncs, bytes of commands and snapshots of the replicated log."""
 
+from concurrent import futures
 import functools
+import multiprocessing
+import os
 import pathlib
 import tempfile
 import time
@@ -123,8 +126,31 @@
     return len(blob), encoded, decoded, applied
 
 
+def _state_mb(records: int) -> float:
+    """Returns the memory that a state takes in this process, in MB."""
+    before = common.rss_mb(os.getpid())
+    state = _state(records, common.WORKSPACES)
+    taken = common.rss_mb(os.getpid()) - before
+    assert len(state.keys) == records, "the store refused records"
+    return taken
+
+
+def _memory() -> None:
+    points = []
+    # A process for each size, as freed memory stays with its process.
+    with futures.ProcessPoolExecutor(
+        1, multiprocessing.get_context("spawn"), max_tasks_per_child=1
+    ) as pool:
+        for count in RECORDS:
+            points.append((count, pool.submit(_state_mb, count).result()))
+            print(f"state of {count:6} records: {points[-1][1]:.1f} MB")
+    gradient, _ = common.slope(points)
+    print(f"slope of a record: {gradient * 1e6:.0f} bytes of memory")
+
+
 def main() -> None:
     """Prints the figures of the log."""
+    _memory()
     _sizes()
     _syncs()
     points = [(count, _snapshot(count, 350)) for count in RECORDS]
