--- a/capacity/router_cost.py
+++ b/capacity/router_cost.py
@@ -9,7 +9,7 @@
 WORKSPACES = (16, 100, 350)
 # Stand-ins that announce themselves once a second at the router.
 SERVERS = (0, 4, 8, 16)
-SECONDS = 6.0
+SECONDS = 5.0
 TRAFFIC = r"waxwingrack_\w*bytes\w*"
 
 
@@ -65,7 +65,7 @@
             for number in range(found[-1][0] if found else 0, size):
                 cluster.add_server(f"b{number}", f"s{number % 15}")
             # The stand-ins need a moment of processor time to start.
-            time.sleep(3 if size else 0)
+            time.sleep(2 if size else 0)
             found.append((size, _usage(cluster)))
             _print("servers", *found[-1])
         _series("servers", found)
--- a/capacity/scheduler_load.py
+++ b/capacity/scheduler_load.py
@@ -14,14 +14,41 @@
 # Slot limits grow from 1 with each completion and need several request
 # durations to reach the announced slots.
 WARM_DURATIONS = 6
+# Below capacity, the queue of the ramp must drain as well.
+DRAIN_DURATIONS = 18
 STEPS = 500
-
-
-def _measure(size: scheduler_cost.Size, saturated: bool) -> tuple[float, ...]:
-    fleet = scheduler_cost._Fleet(size, saturated, common.SEED)
+# Waiting requests of a workspace and router at the target's size. With the 32
+# that a router may report, filling the queues takes over half a minute.
+TARGET_WANTS = 8
+
+
+class _ShortQueues(scheduler_cost._Fleet):
+    """Fleet with fewer waiting requests of a workspace and router."""
+
+    def start(self) -> None:
+        """Connects the routers and fills the queues."""
+        saturated, self.saturated = self.saturated, False
+        super().start()
+        self.saturated = saturated
+        if not saturated:
+            return
+        for router in self.routers:
+            wants = [
+                self.want(router, workspace)
+                for workspace in range(self.size.workspaces // 10)
+                for _ in range(TARGET_WANTS)
+            ]
+            self.report(router, wants=tuple(wants))
+
+
+def _measure(
+    size: scheduler_cost.Size,
+    saturated: bool,
+    kind: type[scheduler_cost._Fleet] = scheduler_cost._Fleet,
+) -> tuple[float, ...]:
+    fleet = kind(size, saturated, common.SEED)
     fleet.start()
-    # Below capacity, the queue of the ramp must drain as well.
-    durations = WARM_DURATIONS if saturated else 3 * WARM_DURATIONS
+    durations = WARM_DURATIONS if saturated else DRAIN_DURATIONS
     warm = durations * fleet.duration_ms / scheduler_cost.STEP_MS
     for _ in range(int(warm)):
         fleet.step()
@@ -75,7 +102,7 @@
         common.SERVICES,
         common.REQUESTS_PER_S,
     )
-    print(_text(_measure(size, saturated)))
+    print(_text(_measure(size, saturated, _ShortQueues)))
 
 
 def target() -> None:
