Send reports that no caller waits for after the coalescing time

Cause: the end of a request was reported before the last bytes of its answer. Ruled out: dropping the report; a later one delays freed slots.

--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -227,7 +227,9 @@
         if not self.following or (self._timer and not urgent):
             return
         now_ms = self._clock()
-        last_ms = self._urgent_ms if urgent else self._sent_ms
+        # A report that nobody waits for must not take the loop's next turn
+        # from the answer whose end it tells.
+        last_ms = self._urgent_ms if urgent else now_ms
         wait_ms = last_ms + COALESCE_MS - now_ms
         if wait_ms <= 0:
             if urgent:
