Cross configuration changes with faults

Cause: no feature with real processes guards I11 against a fault between the operator's request and the push to the routers. Ruled out: a check of the status alone, as it hides what a restarted controller shows. New faults: leader cut for 8 s, all controllers restart.

--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -10,6 +10,8 @@
 # control timeout (2 s) and the lifetime of a grant (1 s).
 FAULT_S = 3.0
 SLOW_LINK_MS = 600
+# Durations of the faults that last longer than FAULT_S, in seconds.
+DURATIONS_S = {"leader cut for 8 s": 8.0}
 
 FAULTS = registry.Registry("fault")
 
@@ -29,7 +31,7 @@
     repair = FAULTS[name](cluster, router, server)
     if repair is None:
         return lambda: None
-    timer = threading.Timer(FAULT_S, repair)
+    timer = threading.Timer(DURATIONS_S.get(name, FAULT_S), repair)
     timer.start()
     return timer.join
 
@@ -125,6 +127,20 @@
     return cluster.heal
 
 
+@FAULTS.register("leader cut for 8 s")
+def _leader_cut_long(cluster, router, server):
+    cluster.isolate(cluster.last_leader)
+    return cluster.heal
+
+
+@FAULTS.register("all controllers restart")
+def _controllers_restart(cluster, router, server):
+    for name in cluster.controllers:
+        cluster.members[name].kill()
+    for name in cluster.controllers:
+        cluster.members[name].start()
+
+
 @FAULTS.register("leader frozen")
 def _leader_frozen(cluster, router, server):
     member = cluster.members[cluster.last_leader]
