Show no environment number before a controller's state is confirmed

Ruled out: readiness, which allows a lag of some entries; applying the entries on disk at the start, as they may not be committed. Change: the metric is 0 until the state holds an entry of the current term and all that the leader has committed, as a started router shows 0 as well. The status was right before, as only a leader with its own entry committed answers.

--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -63,8 +63,8 @@
         ),
         (
             "environment_number",
-            "Environment number in force.",
-            driver.state.number,
+            "Environment number in force; 0 until confirmed after a start.",
+            driver.number_in_force(),
         ),
         (
             "leading",
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -150,6 +150,7 @@
         self._tokens: dict[int, asyncio.Future] = {}
         self._indices: dict[int, tuple[int, int]] = {}
         self._leader_commit = 0
+        self._confirmed = False
         self._compacting: asyncio.Task | None = None
         self._compacted = 0
         self._next_compact_ms = 0
@@ -228,6 +229,21 @@
             return self.may_act()
         return self.applied + MAX_LAG_ENTRIES >= self._leader_commit
 
+    def number_in_force(self) -> int:
+        """Returns the environment number, or 0 until the state is confirmed.
+
+        After a start the state is that of the last snapshot, which may be older
+        than what this controller showed before. It is confirmed once it holds
+        an entry of the current term and all that the leader has committed.
+        """
+        if not self._confirmed and self.applied_term == self.replica.term:
+            self._confirmed = (
+                self.may_act()
+                if self.is_leader()
+                else 0 < self._leader_commit <= self.applied
+            )
+        return self.state.number if self._confirmed else 0
+
     # -----------------------------------------------------------------------
     # Inputs
     # -----------------------------------------------------------------------
