Let routers connect to controllers over slow links

Cause: since a connection attempt ends after 0.6 s, but with links of 150 ms each way the handshakes take longer, so that no router could join (handshake_failed at every controller) and the fixture of features/fault_matrix_request_*.feature failed twice with "not within 9 s: the environment in force everywhere". Ruled out: a longer fixed time, as two controllers that do not answer must leave time for the third within CONTROL_TIMEOUT_MS. Change: the time doubles, up to 2.4 s, once as many attempts in a row as there are controllers timed out, and is then twice the time of the last connection. Conclusion: routers join over slow links again; the first join takes longer.

--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -29,8 +29,11 @@
 BACKOFF_FIRST_MS = 25
 BACKOFF_LIMIT_MS = 500
 # Longest time to connect. Two controllers that do not answer must leave time
-# for the third within CONTROL_TIMEOUT_MS.
+# for the third within CONTROL_TIMEOUT_MS. A connection takes two round trips
+# after TCP's, so that a slow link needs more: the time doubles up to the limit
+# once no controller could be reached, and follows the time of the last one.
 CONNECT_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_LIMIT_S = 2.4
 # A controller that neither leads nor says who does is left after this time.
 CONFIRM_TIMEOUT_MS = 1_000
 # Interval at which unconfirmed key messages are sent again.
@@ -373,18 +376,29 @@
     # -- loops --------------------------------------------------------------
 
     async def _connect_forever(self) -> None:
+        connect_s, timeouts = CONNECT_TIMEOUT_S, 0
         while True:
             peer, hinted = self._next_peer()
+            start_ms = self._clock()
             try:
                 conn = await asyncio.wait_for(
                     transport.connect(
                         peer.control, self._identity, self._counts
                     ),
-                    CONNECT_TIMEOUT_S,
+                    connect_s,
                 )
+                timeouts = 0
                 if conn is not None:
+                    took_s = (self._clock() - start_ms) / 1000
+                    connect_s = min(
+                        max(CONNECT_TIMEOUT_S, 2 * took_s),
+                        CONNECT_TIMEOUT_LIMIT_S,
+                    )
                     await conn.run(self)
             except TimeoutError:
+                timeouts += 1
+                if timeouts % len(self._peers) == 0:
+                    connect_s = min(2 * connect_s, CONNECT_TIMEOUT_LIMIT_S)
                 logs.event("controller_unreachable", controller=peer.id)
             except transport.HandshakeError as exc:
                 logs.failure("control_address_refused", exc)
