Write the fault matrix page from behave reports

Ruled out: a hand-written table of results. Cells that no feature defines are marked as left out; a cell that failed in one report has failed.

--- /dev/null
+++ b/scripts/fault_matrix_page.py
@@ -0,0 +1,272 @@
+"""Writes docs/fault-matrix.md from behave's reports of the fault matrix.
+
+Usage: fault_matrix_page.py REPORT.json ...
+
+The reports come from `behave --format=json --outfile=REPORT.json` runs of
+features/fault_matrix_*.feature. A cell without a result in them is "not run".
+"""
+
+import collections
+import json
+import pathlib
+import sys
+
+from behave import parser
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from features.support import faults  # noqa: E402
+
+PAGE = ROOT / "docs" / "fault-matrix.md"
+NOT_RUN = "not run"
+RESULTS = {"passed": "passed", "failed": "failed", "error": "failed"}
+
+# Invariant, mechanism, features that test it, and what a commit body says
+# about a run without the mechanism.
+INVARIANTS = (
+    (
+        "I1",
+        "virtual counters charged at the grant, one scheduler for the fleet",
+        ("scheduler_fairness",),
+        "not shown",
+    ),
+    (
+        "I2",
+        "lowest counter is served next; queue limits per workspace",
+        ("scheduler_fairness", "router_limits"),
+        "not shown",
+    ),
+    (
+        "I3",
+        "slot limit of 1 after each new incarnation, cut on cold starts",
+        ("scheduler_slots", "stand_in"),
+        "not shown",
+    ),
+    (
+        "I4",
+        "placement skips drained data centres; grants expire after 1 s",
+        ("scheduler_slots", "router_control", "fault_matrix_drain"),
+        "edda42c: without the filter of drained data centres the matrix cell"
+        " without a fault fails; expiry of grants: not shown",
+    ),
+    (
+        "I5",
+        "judges, steps of the share, deadline",
+        (
+            "rollout_decisions",
+            "controller_rollouts",
+            "fault_matrix_rollout",
+            "fault_matrix_rollout_bad",
+        ),
+        "5a2c922: 9 scenarios fail without the errors judge, 3 without the"
+        " latency judge, 2 when latencies are compared across data centres;"
+        " 3d213cd: 3 fail with rates pooled over data centres; a26ac77:"
+        " samples that are not observed are caught; 8bce6c7: without the judges"
+        " a matrix cell fails",
+    ),
+    (
+        "I6",
+        "whole answers only, check of the echoed request id",
+        ("router_answers", "router_streams"),
+        "5929f35: removal of the held end of sized answers and of the check"
+        " of the echoed request id each fail a scenario",
+    ),
+    (
+        "I7",
+        "execution from the closed table of error kinds",
+        (
+            "router_failures",
+            "router_decisions",
+            "fault_matrix_request_*",
+        ),
+        "not shown",
+    ),
+    (
+        "I8",
+        "key claimed on a majority before the first byte is sent",
+        (
+            "replication_keys",
+            "controller_keys",
+            "router_keys",
+            "fault_matrix_request_*",
+        ),
+        "f63e6de: random test without the key floor fails at seed 1, with"
+        " release by anyone at seed 1; the claim itself: not shown",
+    ),
+    (
+        "I9",
+        "no grants to a departing server",
+        ("scheduler_slots", "stand_in"),
+        "not shown",
+    ),
+    (
+        "I10",
+        "graceful stop of the router",
+        ("router_stop",),
+        "5929f35: removal of Connection: close on answers begun while closing"
+        " fails a scenario; the rest: not shown",
+    ),
+    (
+        "I11",
+        "replicated log, expected numbers, lower numbers refused",
+        (
+            "replication_consensus",
+            "replication_operators",
+            "replication_random",
+            "replication_storage",
+            "controller_group",
+            "controller_routers",
+            "router_control",
+            "fault_matrix_configuration*",
+        ),
+        "f63e6de: random test fails without a sync before acknowledgement"
+        " (seeds 36 and 20), with votes to any log (seed 2), with a lease"
+        " before the first own entry (seed 3), with the expected number"
+        " ignored (seed 1); 1a142a7: without refusal of votes during a lease"
+        " (seed 13); 381b5e6: matrix cells fail with the expected number or the"
+        " operation id ignored; refusal of lower numbers at routers: not shown",
+    ),
+)
+
+
+def cell(name):
+    """Splits the name of a scenario.
+
+    Args:
+      name: Name of an outline's scenario: kind | step | fault.
+
+    Returns:
+      Kind, step and fault, or None for another scenario.
+    """
+    parts = tuple(part.strip() for part in name.split(" -- @")[0].split(" | "))
+    return parts if len(parts) == 3 else None
+
+
+def defined_cells():
+    """Returns the cells of the fault matrix features, in their order."""
+    paths = sorted((ROOT / "features").glob("fault_matrix_*.feature"))
+    names = (
+        scenario.name
+        for path in paths
+        for scenario in parser.parse_file(str(path)).walk_scenarios()
+    )
+    return [found for found in map(cell, names) if found]
+
+
+def read_results(paths):
+    """Reads reports.
+
+    Args:
+      paths: Paths of the reports; an empty one holds no result.
+
+    Returns:
+      "passed" or "failed" by cell; a cell that failed once has failed.
+    """
+    results = {}
+    for path in paths:
+        text = pathlib.Path(path).read_text().strip()
+        for feature in json.loads(text) if text else ():
+            for element in feature.get("elements", ()):
+                found = cell(element["name"])
+                result = RESULTS.get(element.get("status"))
+                if found and result and results.get(found) != "failed":
+                    results[found] = result
+    return results
+
+
+def matrix(kind, defined, results):
+    """Returns the lines of one kind of cell."""
+    own = [found for found in defined if found[0] == kind]
+    steps = list(dict.fromkeys(step for _, step, _ in own))
+    rows = list(faults.FAULTS)
+    seen = collections.Counter(results.get(found, NOT_RUN) for found in own)
+    left_out = len(steps) * len(rows) - len(own)
+    return [
+        f"## {kind[:1].upper()}{kind[1:]}",
+        "",
+        f"{seen['passed']} passed, {seen['failed']} failed,"
+        f" {seen[NOT_RUN]} not run; {left_out} further cells left out.",
+        "",
+        _row("fault", *steps),
+        _row(*["---"] * (len(steps) + 1)),
+        *(
+            _row(
+                fault,
+                *(_mark((kind, step, fault), own, results) for step in steps),
+            )
+            for fault in rows
+        ),
+        "",
+    ]
+
+
+def _mark(found, own, results):
+    if found in results:
+        return results[found]
+    return NOT_RUN if found in own else f"{NOT_RUN} (left out)"
+
+
+def invariants():
+    """Returns the lines of the section of the invariants.
+
+    Raises:
+      FileNotFoundError: A feature does not exist.
+    """
+    return [
+        "## Invariants",
+        "",
+        "The last column quotes commit bodies; `not shown` means that none"
+        " tells of a run without the mechanism.",
+        "",
+        _row("id", "mechanism", "features", "without the mechanism"),
+        _row(*["---"] * 4),
+        *(
+            _row(name, mechanism, _features(patterns), shown)
+            for name, mechanism, patterns, shown in INVARIANTS
+        ),
+    ]
+
+
+def _features(patterns):
+    names = []
+    for pattern in patterns:
+        paths = sorted((ROOT / "features").glob(f"{pattern}.feature"))
+        if not paths:
+            raise FileNotFoundError(pattern)
+        names += [f"`{path.name}`" for path in paths]
+    return ", ".join(names)
+
+
+def _row(*values):
+    return f"| {' | '.join(values)} |"
+
+
+def main():
+    """Writes the page.
+
+    Returns:
+      Exit code.
+    """
+    if not sys.argv[1:]:
+        print(__doc__)
+        return 2
+    defined = defined_cells()
+    results = read_results(sys.argv[1:])
+    kinds = dict.fromkeys(kind for kind, _, _ in defined)
+    lines = [
+        "# Fault matrix",
+        "",
+        "Written by `scripts/fault_matrix_page.py` from behave reports."
+        " `not run` is a cell without a result in them; `left out` marks a"
+        " cell that no feature defines.",
+        "",
+    ]
+    for kind in kinds:
+        lines += matrix(kind, defined, results)
+    PAGE.write_text("\n".join([*lines, *invariants()]) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
