--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -24,6 +24,7 @@
       | cold_at_start          | 50   | 7    | done | no fault |
       | hit_by_one_crash       | 50   | 8    | done | no fault |
       | as_faulty_as_old       | 50   | 9    | done | no fault |
+      | slower_under_full_load | 50   | 26   | done | no fault |
 
     Examples: bad versions
       | kind                   | rate | seed | end        | reason   |
@@ -36,6 +37,7 @@
       | slow                   | 50   | 17   | taken_back | latency  |
       | slow_late              | 50   | 18   | taken_back | latency  |
       | slow_on_one_route      | 50   | 19   | taken_back | latency  |
+      | slow_at_full_share     | 50   | 27   | taken_back | latency  |
       | absent                 | 50   | 20   | taken_back | deadline |
 
   Scenario Outline: little traffic reaches a version that is bad from the start
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -90,6 +90,8 @@
     "slow": _slow(3),
     "slow_late": _slow(3, lambda req: req.at_ms > _LATE_MS),
     "slow_on_one_route": _slow(3, lambda req: req.route == "draft"),
+    "slower_under_full_load": _slow(1.8, lambda req: req.share >= 1),
+    "slow_at_full_share": _slow(4, lambda req: req.share >= 1),
     "absent": _good,
 }
 
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 import dataclasses
 import random
@@ -30,9 +29,9 @@
 BACKOFF_FIRST_MS = 25
 BACKOFF_LIMIT_MS = 500
 # Longest time to connect. Two controllers that do not answer must leave time
-# for the third within CONTROL_TIMEOUT_MS. The time doubles, up to the limit,
-# for a controller that did not answer: over a slow link the handshake alone
-# takes longer than the first time.
+# for the third within CONTROL_TIMEOUT_MS. A connection takes two round trips
+# after TCP's, so that a slow link needs more: the time doubles up to the limit
+# once no controller could be reached, and follows the time of the last one.
 CONNECT_TIMEOUT_S = 0.6
 CONNECT_TIMEOUT_LIMIT_S = 2.4
 # A controller that neither leads nor says who does is left after this time.
@@ -172,7 +171,6 @@
         self._peers = settings.controllers
         self._position = rng.randrange(max(1, len(self._peers)))
         self._backoff_ms = BACKOFF_FIRST_MS
-        self._timed_out: collections.Counter[str] = collections.Counter()
         self._lost = True
         self._tasks: list[asyncio.Task] = []
 
@@ -380,20 +378,29 @@
     # -- loops --------------------------------------------------------------
 
     async def _connect_forever(self) -> None:
+        connect_s, timeouts = CONNECT_TIMEOUT_S, 0
         while True:
             peer, hinted = self._next_peer()
+            start_ms = self._clock()
             try:
                 conn = await asyncio.wait_for(
                     transport.connect(
                         peer.control, self._identity, self._counts
                     ),
-                    self._connect_timeout_s(peer),
+                    connect_s,
                 )
+                timeouts = 0
                 if conn is not None:
-                    del self._timed_out[peer.id]
+                    took_s = (self._clock() - start_ms) / 1000
+                    connect_s = min(
+                        max(CONNECT_TIMEOUT_S, 2 * took_s),
+                        CONNECT_TIMEOUT_LIMIT_S,
+                    )
                     await conn.run(self)
             except TimeoutError:
-                self._timed_out[peer.id] += 1
+                timeouts += 1
+                if timeouts % len(self._peers) == 0:
+                    connect_s = min(2 * connect_s, CONNECT_TIMEOUT_LIMIT_S)
                 logs.event("controller_unreachable", controller=peer.id)
             except transport.HandshakeError as exc:
                 logs.failure("control_address_refused", exc)
@@ -406,10 +413,6 @@
             )
             self._backoff_ms = min(BACKOFF_LIMIT_MS, self._backoff_ms * 2)
 
-    def _connect_timeout_s(self, peer: data.Peer) -> float:
-        doubled_s = CONNECT_TIMEOUT_S * 2 ** self._timed_out[peer.id]
-        return min(CONNECT_TIMEOUT_LIMIT_S, doubled_s)
-
     def _next_peer(self) -> tuple[data.Peer, bool]:
         hint, self._hint = self._hint, ""
         for peer in self._peers:
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -133,7 +133,7 @@
     )
     new = version_samples.of_version(stats, plan.service, plan.version)
     old = version_samples.of_version(stats, plan.service, rollout.old_version)
-    fault = version_judges.judge(version_judges.Comparison(new, old, now_ms))
+    fault = version_judges.judge(version_judges.Comparison(new, old))
     if fault:
         return _take_back(rollout, fault)
     start_ms = now_ms - int(clock.phase_elapsed_s * 1000)
