--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from bench import deployments
 from bench import load
 from features.support import fleet
+from features.support import loopback
 
 FLOOD_CALLERS = 40
 SMALL_CALLERS = 4
@@ -319,7 +320,7 @@
     try:
         pool = deployment.pools[0]
         ports = add_servers(cluster, pool, "v1")
-        router_ports = fleet.free_ports(deployment.routers)
+        router_ports = loopback.free_ports(deployment.routers)
         names = ",".join(str(port) for port in ports)
         routers = [
             subprocess.Popen(
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -8,11 +8,9 @@
 import json
 import os
 import pathlib
-import random
 import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +19,7 @@
 
 import websockets.exceptions
 
+from features.support import loopback
 from waxwingrack.core import data
 from waxwingrack.core import messages
 from waxwingrack.daemons import transport
@@ -29,7 +28,6 @@
 TOKEN = "operator-token"
 KEY = b"shared-key-of-the-test"
 HOST = "127.0.0.1"
-PORTS = (12_000, 32_000)
 
 
 class Loop:
@@ -69,21 +67,6 @@
         time.sleep(pause_s)
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns free TCP ports on the loopback address.
-
-    They lie below the range for outgoing connections. A port from that range
-    can be taken by any connection on the machine before a process opens it.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(*PORTS)
-        with contextlib.suppress(OSError), socket.socket() as item:
-            item.bind((HOST, port))
-            found.append(port)
-    return found
-
-
 class Forwarder:
     """TCP forwarder from one controller to another that can be cut."""
 
@@ -159,7 +142,7 @@
 
     def add(self, node_id: str) -> Node:
         """Chooses the ports of a controller."""
-        control, operators = free_ports(2)
+        control, operators = loopback.free_ports(2)
         self.nodes[node_id] = Node(node_id, control, operators)
         return self.nodes[node_id]
 
@@ -167,7 +150,7 @@
         for source in self.nodes:
             for target in self.nodes:
                 if source != target:
-                    (port,) = free_ports(1)
+                    (port,) = loopback.free_ports(1)
                     forwarder = Forwarder(
                         self.loop, port, self.nodes[target].control
                     )
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -11,7 +11,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +18,8 @@
 import time
 import uuid
 
+from features.support import loopback
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 OPERATOR_TOKEN = "operator-token"
 ANNOUNCE_TOKEN = "announce-token"
@@ -30,15 +31,6 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
-def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def address(port):
     """Returns a loopback address as settings hold it."""
     return {"host": "127.0.0.1", "port": port}
@@ -260,7 +252,7 @@
         self._secrets()
         self.controllers = [f"c{n + 1}" for n in range(controllers)]
         self.routers = [f"r{n + 1}" for n in range(routers)]
-        ports = iter(free_ports(2 * controllers + 2 * routers))
+        ports = iter(loopback.free_ports(2 * controllers + 2 * routers))
         self._control = {name: next(ports) for name in self.controllers}
         self._operators = {
             name: next(ports) for name in self.controllers + self.routers
@@ -301,7 +293,7 @@
         Returns:
           The member.
         """
-        port = free_ports(1)[0]
+        port = loopback.free_ports(1)[0]
         config = {
             "server_id": server_id,
             "service": service,
