--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -1,6 +1,5 @@
 """Commands `router` and `controller`, which run until they are stopped."""
 
-import gc
 import random
 import time
 from typing import Any
@@ -16,9 +15,6 @@
 from waxwingrack.daemons import event_loop
 from waxwingrack.load import settings
 
-# New objects that start a collection of the youngest generation.
-GC_THRESHOLD = 10_000
-
 
 def monotonic_ms() -> int:
     """Returns a monotonic clock in milliseconds."""
@@ -100,10 +96,5 @@
 async def _serve(process: Any) -> None:
     stopped = event_loop.stop_signal()
     await process.start()
-    # Modules and settings stay for the life of the process; scanning them in
-    # every full collection delays requests.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
     await stopped.wait()
     await process.stop()
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -19,7 +19,6 @@
 
 from returns import result
 from websockets import exceptions
-from websockets import protocol
 from websockets.asyncio import client
 from websockets.asyncio import connection as ws_connection
 from websockets.asyncio import server as ws_server
@@ -144,8 +143,6 @@
         """Queues a message that is encoded already; see `send`."""
         if self._closed or self._last:
             return False
-        if not self._unsent and self._write_now(frame):
-            return True
         if self._unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
             logs.event("peer_too_slow", peer=self.peer.node_id)
             self.close()
@@ -155,22 +152,6 @@
         self._wake.set()
         return True
 
-    def _write_now(self, frame: bytes) -> bool:
-        """Writes a frame if the socket takes it at once.
-
-        A turn of the event loop less for each message matters: a grant costs a
-        caller two messages.
-        """
-        socket = self._socket
-        idle = socket.transport.get_write_buffer_size() == 0
-        if not idle or socket.protocol.state is not protocol.OPEN:
-            return False
-        socket.protocol.send_binary(frame)
-        socket.send_data()
-        self._counts.bytes_sent += len(frame)
-        self._counts.messages_sent += 1
-        return True
-
     def send_last(self, message: Any) -> None:
         """Queues a message and closes the connection once it was sent.
 
@@ -179,7 +160,6 @@
         """
         if self.send(message):
             self._last = True
-            self._wake.set()
 
     def close(self) -> None:
         """Closes the connection at once; unsent messages are dropped."""
