--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,7 +16,9 @@
 from features.support import loopback
 
 FLOOD_CALLERS = 40
-SMALL_CALLERS = 4
+# Callers of a small workspace for each slot of its fair share, so that it is
+# backlogged too.
+SMALL_CALLERS_PER_SLOT = 2
 DRAIN_S = 6.0
 DRAIN_BOUND_S = 2.0
 ROLLOUT_DEADLINE_S = 40
@@ -118,8 +120,10 @@
       Figures by name.
     """
     names = deployment.workspace_ids()
+    slots = deployments.ENGINE_SLOTS * len(server_ports)
+    small = max(4, SMALL_CALLERS_PER_SLOT * slots // len(names))
     callers = {
-        name: FLOOD_CALLERS if index < deployment.large else SMALL_CALLERS
+        name: FLOOD_CALLERS if index < deployment.large else small
         for index, name in enumerate(names)
     }
     service = deployment.pools[0].service
