Use one check for the environment in force in all fleet features

Cause: the harness had this check twice, and the twin in fleet_watch took a router that is no longer connected for one with the newest environment, since the status keeps such rows. Ruled out: a second filter in the twin. Change: Fleet.in_force returns the number and serves the matrix features too; the twin is gone. The check is stricter there than before.

--- a/features/steps/fault_matrix_configuration_steps.py
+++ b/features/steps/fault_matrix_configuration_steps.py
@@ -47,7 +47,7 @@
 def _begin(context):
     cluster = context.fleet
     context.number = fleet.wait_until(
-        lambda: fleet_watch.in_force(cluster), 15, "the environment in force"
+        cluster.in_force, 15, "the environment in force"
     )
     cluster.last_leader = cluster.leader()
     for link in cluster.proxy.links:
@@ -78,7 +78,7 @@
         finally:
             _repair(context)
         context.settled = fleet.wait_until(
-            lambda: fleet_watch.in_force(cluster),
+            cluster.in_force,
             IN_FORCE_S,
             "the newest number in force at every running router",
         )
@@ -105,9 +105,7 @@
             _strike(context, fault)
         sending.join(30)
         if step == "in_force":
-            fleet.wait_until(
-                lambda: fleet_watch.in_force(cluster), IN_FORCE_S, "in force"
-            )
+            fleet.wait_until(cluster.in_force, IN_FORCE_S, "in force")
         if step != "proposed":
             _strike(context, fault)
 
--- a/features/steps/fault_matrix_drain_steps.py
+++ b/features/steps/fault_matrix_drain_steps.py
@@ -93,9 +93,7 @@
 def strike_drain(context, fault, change, answer):
     cluster, lost = context.fleet, answer == "lost"
     context.fault = fault
-    fleet.wait_until(
-        lambda: fleet_watch.in_force(cluster), 15, "the environment in force"
-    )
+    fleet.wait_until(cluster.in_force, 15, "the environment in force")
     context.wait_for_repair = lambda: None
     with (
         fleet_watch.Load(cluster) as context.load,
--- a/features/steps/fault_matrix_rollout_steps.py
+++ b/features/steps/fault_matrix_rollout_steps.py
@@ -165,6 +165,4 @@
         cluster.members[leaders[-1]].start()
     assert len(set(leaders)) == 2, leaders
     faults.restore(cluster)
-    fleet.wait_until(
-        lambda: fleet_watch.in_force(cluster), 15, "the environment in force"
-    )
+    fleet.wait_until(cluster.in_force, 15, "the environment in force")
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -384,15 +384,17 @@
         return answer
 
     def in_force(self):
-        """Whether every running router has the newest environment."""
+        """Returns the newest number once every running router has it."""
         status = self.status()
+        if status is None:
+            return None
         running = {name for name in self.routers if self.members[name].alive}
         current = {
             router["id"]
             for router in status["routers"]
             if router["connected"] and router["number"] == status["number"]
         }
-        return running <= current
+        return status["number"] if running <= current else None
 
     def call(self, router, method, path, body=b"", headers=None, **options):
         """Sends a caller's request through a router."""
--- a/features/support/fleet_watch.py
+++ b/features/support/fleet_watch.py
@@ -194,17 +194,3 @@
         return None
 
     return fleet.wait_until(attempt, timeout_s, f"outcome of {method} {path}")
-
-
-def in_force(cluster):
-    """Returns the newest number once every running router has it."""
-    status = cluster.status()
-    if status is None:
-        return None
-    running = {n for n in cluster.routers if cluster.members[n].alive}
-    current = {
-        router["id"]
-        for router in status["routers"]
-        if router["number"] == status["number"]
-    }
-    return status["number"] if running <= current else None
