Raise a slot limit only on latencies near the usual one

A completion below 4 times the usual latency counted as good, two of them in all raised the limit. The usual latency contains the delay of the router's own event loop, so on a busy machine a server that works 5 times slower while cold answers in less than 4 times the usual time and is given a second request.

Change: a completion is good below 2 times the usual latency, good ones have to follow each other, and after 60 s answers of up to 4 times count as well, so that a slower VM reaches its slots. The check script prints the messages of failed steps, which the progress format leaves out.

--- a/features/scheduler_slots.feature
+++ b/features/scheduler_slots.feature
@@ -40,6 +40,31 @@
       | 1     | 100  | 1     |
       | 0     | 0    | 0     |
 
+  Scenario Outline: answers <factor> times the usual latency leave the limit at <limit>
+    Guards against a cold server that is given more requests because its
+    answers are slow but not slow enough for a cut, and against a server on a
+    slower VM that never reaches its slots.
+
+    Given a slot ramp of a fresh server with 8 slots
+    When answers of <factor> times the usual latency are observed for <seconds> s
+    Then the limit of the slot ramp is <limit>
+
+    Examples:
+      | factor | seconds | limit |
+      | 1.9    | 1       | 8     |
+      | 2.1    | 4       | 1     |
+      | 3.9    | 4       | 1     |
+      | 3.9    | 59      | 1     |
+      | 2.1    | 62      | 8     |
+      | 3.9    | 62      | 8     |
+
+  Scenario: slow answers between good ones do not add up to growth
+    Guards against a limit that grows on the rare fast answers of a cold server.
+
+    Given a slot ramp of a fresh server with 8 slots
+    When the results "completed moderate completed slow completed moderate completed server_error completed" are observed on the slot ramp
+    Then the limit of the slot ramp is 1
+
   Scenario Outline: a slot limit is cut by <results>
     Guards against a server that is kept at its limit while it fails, and
     against cuts from ordinary spread.
--- a/features/steps/scheduler_slots_steps.py
+++ b/features/steps/scheduler_slots_steps.py
@@ -93,14 +93,33 @@
         )
 
 
+@behave.when(
+    "answers of {factor:g} times the usual latency are observed for"
+    " {seconds:d} s"
+)
+def slower_results(context, factor, seconds):
+    for _ in range(seconds * 20):
+        context.at_ms += 50
+        context.ramp = slots.observe(
+            context.ramp,
+            data.Outcome.COMPLETED,
+            factor,
+            context.at_ms - 5,
+            context.at_ms,
+        )
+
+
+# Latencies of completed requests as multiples of the usual one.
+SLOWNESS = {"moderate": 3.0, "slow": 6.0}
+
+
 def _observe(context, results, granted_ms):
     for name in results.split():
         context.at_ms += 10
-        slow = name == "slow"
         context.ramp = slots.observe(
             context.ramp,
-            data.Outcome.COMPLETED if slow else data.Outcome(name),
-            6.0 if slow else 1.0,
+            data.Outcome.COMPLETED if name in SLOWNESS else data.Outcome(name),
+            SLOWNESS.get(name, 1.0),
             granted_ms if granted_ms is not None else context.at_ms - 5,
             context.at_ms,
         )
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -9,6 +9,7 @@
 """
 
 from concurrent import futures
+import itertools
 import json
 import pathlib
 import subprocess
@@ -82,6 +83,8 @@
             )
             output = done.stdout + done.stderr
             statuses = read_report(report, done.returncode)
+            # The progress format leaves the messages of failed steps out.
+            output += "\n".join(read_messages(report))
         except subprocess.TimeoutExpired:
             output = f"no end within {FEATURE_TIMEOUT_S} s"
             statuses = ["failed"]
@@ -118,6 +121,36 @@
     return ran
 
 
+def read_messages(report: pathlib.Path) -> list[str]:
+    """Reads the messages of failed steps from behave's own report.
+
+    Args:
+      report: Path of the JSON report.
+
+    Returns:
+      One text for each failed step, empty if there is no report.
+    """
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return []
+    elements = itertools.chain.from_iterable(
+        feature.get("elements", ()) for feature in features
+    )
+    return [
+        f"{element['location']} {step['name']}\n"
+        + _text(step["result"].get("error_message", "no message"))
+        for element in elements
+        for step in element.get("steps", ())
+        if step.get("result", {}).get("status") in ("failed", "error")
+    ]
+
+
+def _text(message: str | list[str]) -> str:
+    # The JSON report holds longer messages as a list of lines.
+    return message if isinstance(message, str) else "\n".join(message)
+
+
 def run_features(paths: list[pathlib.Path]) -> list[str]:
     """Runs features, most of them side by side.
 
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -757,9 +757,11 @@
     Attributes:
       limit: Most grants in use at once.
       slots: Announced slots, the most that the limit can reach.
-      good: Good completions since the limit last changed.
+      good: Consecutive good completions since the limit last changed.
       failures: Consecutive failures.
       cut_ms: Time of the last cut; results of older grants do not count.
+      answered_ms: Time of the first answer after the start or last cut; -1
+        without one.
       slow: Consecutive latencies far above the usual, as multiples of it.
       slow_since_ms: Time of the first of these.
       ratio: Latest latency as a multiple of the usual one.
@@ -771,6 +773,7 @@
     good: int = 0
     failures: int = 0
     cut_ms: int = -1
+    answered_ms: int = -1
     slow: tuple[float, ...] = ()
     slow_since_ms: int = 0
     ratio: float = 0.0
--- a/waxwingrack/operations/slots.py
+++ b/waxwingrack/operations/slots.py
@@ -1,11 +1,14 @@
 """Slot limit of a backend server.
 
-The limit starts at 1 and grows by one per `GROWTH` good completions, so by half
-in each round of requests, up to the announced slots. It is cut to 1
-on consecutive failures and when a cold start shows: the latest latencies are
-all several times the usual one of the service, version, data centre and route,
-and the server's peers do not show the same. Results of requests granted before
-a cut count neither for growth nor for another cut.
+The limit starts at 1 and grows by one per `GROWTH` good completions in a row,
+up to the announced slots. A completion is good if its latency is near the usual
+one. A server that stays slower without failures is taken as warm after
+`SETTLE_MS`, as its VM may just be slower than others.
+
+The limit is cut to 1 on consecutive failures and when a cold start shows: the
+latest latencies are all several times the usual one of the service, version,
+data centre and route, and the server's peers do not show the same. Results of
+requests granted before a cut count neither for growth nor for another cut.
 """
 
 from collections.abc import Iterable
@@ -14,8 +17,16 @@
 
 from waxwingrack.core import data
 
-# Good completions that raise the limit by one.
+# Consecutive good completions that raise the limit by one.
 GROWTH = 2
+# Latency above the usual, as a factor, from which on a completion does not
+# raise the limit. With SLOW_FACTOR as the bound a server that ran 5 times
+# slower while cold was given a second request as soon as the usual latency
+# held a few milliseconds that do not depend on the server.
+MAX_GOOD_FACTOR = 2.0
+# Time since the first answer after a start or cut after which answers between
+# MAX_GOOD_FACTOR and SLOW_FACTOR raise the limit too.
+SETTLE_MS = 60_000
 # Latency above the usual, as a factor, that counts as slow.
 SLOW_FACTOR = 4.0
 # Consecutive slow answers that show a cold start. With a log-normal spread of
@@ -118,25 +129,30 @@
     if granted_ms < ramp.cut_ms:
         return ramp
     if outcome in _FAILURES:
-        return data.evolve(ramp, failures=ramp.failures + 1)
+        return data.evolve(ramp, failures=ramp.failures + 1, good=0)
     if outcome is not data.Outcome.COMPLETED:
         return ramp
+    if ramp.answered_ms < 0:
+        ramp = data.evolve(ramp, answered_ms=now_ms)
     if slowness >= SLOW_FACTOR:
         return data.evolve(
             ramp,
+            good=0,
             failures=0,
             slow=(*ramp.slow, slowness)[-SLOW_ANSWERS:],
             slow_since_ms=ramp.slow_since_ms if ramp.slow else now_ms,
             ratio=slowness,
             ratio_ms=now_ms,
         )
-    good = ramp.good + 1
+    settled = now_ms - ramp.answered_ms >= SETTLE_MS
+    good = ramp.good + 1 if slowness < MAX_GOOD_FACTOR or settled else 0
     grown = good >= GROWTH and ramp.limit < ramp.slots
     return data.Ramp(
         limit=ramp.limit + 1 if grown else ramp.limit,
         slots=ramp.slots,
         good=0 if grown else min(good, GROWTH),
         cut_ms=ramp.cut_ms,
+        answered_ms=ramp.answered_ms,
         ratio=slowness,
         ratio_ms=now_ms,
     )
