--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -54,6 +54,9 @@
     def new_request_id(self) -> str:
         """Returns an id for a request whose caller gave none."""
 
+    def begin(self, req: "CallersRequest") -> Any:
+        """Handles a request that is to be forwarded."""
+
     def failed(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
 
@@ -273,17 +276,18 @@
                 "request_line_or_host",
             )
             return
-        self.prepath = []
-        # Only the router's own paths are looked up by klein; all others are
-        # matched by the tables of the environment, byte for byte.
-        own = self.path.startswith(OWN_PREFIX)
-        self.postpath = (
-            [urllib.parse.unquote_to_bytes(part) for part in self._segments()]
-            if own
-            else [b""]
-        )
         try:
-            self.render(self.site.resource)
+            # Only the router's own paths are looked up by klein; all others
+            # are matched by the tables of the environment, byte for byte.
+            if self.path.startswith(OWN_PREFIX):
+                self.prepath = []
+                self.postpath = [
+                    urllib.parse.unquote_to_bytes(part)
+                    for part in self._segments()
+                ]
+                self.render(self.site.resource)
+            else:
+                self.site.front.begin(self)
         except Exception:  # noqa: BLE001
             self.processingFailed(failure.Failure())
 
