Move idempotency keys of a router's requests to a module of their own

Ruled out: moving the answer part, which shares more state with a try. Change: lookup, claim, release and record of a key are the base class KeyedRequest in daemons/keyed_requests.py; no behaviour changes.

--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -5,11 +5,8 @@
 uses one grant; every way out of a try reports it.
 """
 
-import collections
 import dataclasses
-import random
 from typing import Any
-from typing import Protocol
 
 from returns import result
 from twisted.internet import defer
@@ -17,23 +14,16 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import logs
-from waxwingrack.core import messages
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import answers
-from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
-from waxwingrack.daemons import router_metrics
+from waxwingrack.daemons import keyed_requests
 from waxwingrack.operations import costs
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import queueing
 from waxwingrack.operations import routing
 
-# Longest wait for the confirmation of a key message while a caller waits.
-CONFIRM_WAIT_S = messages.CONTROL_TIMEOUT_MS / 1000
-# Pause before a key is looked up again after the leader changed.
-LOOKUP_AGAIN_S = 0.05
-
 _OUTCOMES = {
     queueing.Fault.CONNECT_FAILED: data.Outcome.CONNECT_FAILED,
     queueing.Fault.CONNECTION_LOST: data.Outcome.CONNECTION_LOST,
@@ -43,63 +33,16 @@
 }
 
 
-class Host(Protocol):
-    """What a request needs from its router."""
-
-    settings: data.Settings
-    reactor: Any
-    rng: random.Random
-    tables: routing.Tables | None
-    dispatcher: dispatch.Dispatcher
-    link: control_link.ControlLink
-    forwarder: forwarding.Forwarder
-    metrics: router_metrics.RouterMetrics
-    closing: bool
-    keys: dict[tuple[str, str], str]
-    open_by_workspace: collections.Counter
-
-    def clock(self) -> int:
-        """Returns the monotonic clock in milliseconds."""
-
-    def write_refusal(
-        self,
-        req: admission.CallersRequest,
-        kind: errors.ErrorKind,
-        stated: errors.Execution,
-        reason: str,
-        **fields: Any,
-    ) -> None:
-        """Answers a request with a refusal and logs it."""
-
-    def failed(self, name: str, exc: BaseException) -> None:
-        """Logs and counts an unexpected exception."""
-
-
-class _EndedError(Exception):
-    """The answer has been written."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Admitted:
-    """What is known of a request once it is admitted."""
-
-    workspace: data.Workspace
-    service: data.Service
-    route: data.Route
-    body: bytes
-    want: data.Want
-    key: str | None
-    deadline_ms: int
-
-
-class Exchange:
+class Exchange(keyed_requests.KeyedRequest):
     """One request of a caller.
 
     Attributes:
       waiting_sequence: Sequence of its want while it waits, None otherwise.
     """
 
-    def __init__(self, host: Host, req: admission.CallersRequest):
+    def __init__(
+        self, host: keyed_requests.Host, req: admission.CallersRequest
+    ):
         self.waiting_sequence: int | None = None
         self._host = host
         self._req = req
@@ -119,7 +62,7 @@
         """Handles the request to its end; raises nothing."""
         try:
             await self._run()
-        except _EndedError:
+        except keyed_requests.EndedError:
             pass
         except dispatch.CallerGoneError:
             logs.decision("ended", "caller_gone", **self._fields())
@@ -145,7 +88,7 @@
 
     # -- admission ----------------------------------------------------------
 
-    def _admit(self) -> _Admitted:
+    def _admit(self) -> keyed_requests.Admitted:
         host, req = self._host, self._req
         kinds = errors.ErrorKind
         if host.closing:
@@ -179,7 +122,7 @@
             raise dispatch.RefusedError(
                 kinds.CONTROL_UNAVAILABLE, record_unread=key is not None
             )
-        return _Admitted(
+        return keyed_requests.Admitted(
             workspace=workspace,
             service=found.service,
             route=found.route,
@@ -245,7 +188,10 @@
                 )
 
     def _decide(
-        self, admitted: _Admitted, fault: queueing.Fault, tries: int
+        self,
+        admitted: keyed_requests.Admitted,
+        fault: queueing.Fault,
+        tries: int,
     ) -> queueing.Decision:
         dispatcher = self._host.dispatcher
         dispatcher.budgets, decision = queueing.decide_retry(
@@ -261,7 +207,10 @@
         return decision
 
     async def _wait(
-        self, admitted: _Admitted, want: data.Want, place: int | None
+        self,
+        admitted: keyed_requests.Admitted,
+        want: data.Want,
+        place: int | None,
     ) -> dispatch.Lease:
         host = self._host
         if self._gone:
@@ -290,7 +239,7 @@
         return self._lease
 
     async def _try(
-        self, admitted: _Admitted, lease: dispatch.Lease
+        self, admitted: keyed_requests.Admitted, lease: dispatch.Lease
     ) -> queueing.Fault:
         """Uses one grant.
 
@@ -298,7 +247,7 @@
           How the try failed, so that the request may be tried again.
 
         Raises:
-          _EndedError: The answer was written or cut.
+          keyed_requests.EndedError: The answer was written or cut.
           RefusedError: The request ends with a refusal.
           CallerGoneError: The caller left and the request does not go on.
         """
@@ -320,7 +269,7 @@
         return await self._answer(admitted, lease, head)
 
     async def _send(
-        self, admitted: _Admitted, lease: dispatch.Lease
+        self, admitted: keyed_requests.Admitted, lease: dispatch.Lease
     ) -> forwarding.Head:
         host, req, keyed = self._host, self._req, admitted.key is not None
         outgoing = forwarding.Outgoing(
@@ -369,7 +318,7 @@
         finally:
             self._cancel = None
 
-    def _has_body(self, admitted: _Admitted) -> bool:
+    def _has_body(self, admitted: keyed_requests.Admitted) -> bool:
         headers = self._req.requestHeaders
         return bool(
             admitted.body
@@ -378,7 +327,10 @@
         )
 
     async def _broken(
-        self, admitted: _Admitted, lease: dispatch.Lease, fault: queueing.Fault
+        self,
+        admitted: keyed_requests.Admitted,
+        lease: dispatch.Lease,
+        fault: queueing.Fault,
     ) -> queueing.Fault:
         if self._gone and admitted.key is None:
             self._end_lease(lease, data.Outcome.CANCELLED)
@@ -393,7 +345,10 @@
     # -- answer -------------------------------------------------------------
 
     async def _answer(
-        self, admitted: _Admitted, lease: dispatch.Lease, head: forwarding.Head
+        self,
+        admitted: keyed_requests.Admitted,
+        lease: dispatch.Lease,
+        head: forwarding.Head,
     ) -> queueing.Fault:
         host, req, keyed = self._host, self._req, admitted.key is not None
         first_ms = host.clock() - lease.sent_ms
@@ -435,7 +390,7 @@
 
     async def _conclude(
         self,
-        admitted: _Admitted,
+        admitted: keyed_requests.Admitted,
         lease: dispatch.Lease,
         head: forwarding.Head,
         pump: answers.Pump,
@@ -462,13 +417,13 @@
             await self._wait_recorded(recorded)
         if end.fault is None:
             side.finish()
-            raise _EndedError
+            raise keyed_requests.EndedError
         if outcome is data.Outcome.CANCELLED:
             side.abort()
-            raise _EndedError
+            raise keyed_requests.EndedError
         if side.started:
             side.abort()
-            raise _EndedError
+            raise keyed_requests.EndedError
         return end.fault
 
     def _set_own_headers(self, lease: dispatch.Lease) -> None:
@@ -488,156 +443,6 @@
             headers.setRawHeaders(b"Connection", [b"close"])
             self._req.channel.persistent = False
 
-    # -- idempotency keys ---------------------------------------------------
-
-    async def _look_up(self, admitted: _Admitted) -> None:
-        self._take_key(admitted)
-        answer = await self._read_record(admitted)
-        match idempotency.after_lookup(answer.state, answer.answer):
-            case idempotency.Replay(stored):
-                self._replay(stored)
-            case idempotency.Refuse(kind, record_unread):
-                raise dispatch.RefusedError(kind, "key_record", record_unread)
-
-    def _take_key(self, admitted: _Admitted) -> None:
-        """Keeps a second request with the key away from this router's claim.
-
-        The leader cannot tell two requests of one router incarnation apart.
-        """
-        entry = (admitted.workspace.id, admitted.key)
-        digest = self._host.keys.get(entry)
-        if digest is not None:
-            raise dispatch.RefusedError(
-                errors.ErrorKind.REQUEST_STILL_RUNNING
-                if digest == admitted.want.digest
-                else errors.ErrorKind.IDEMPOTENCY_KEY_REUSED,
-                "key_in_use",
-            )
-        self._host.keys[entry] = admitted.want.digest
-        self._key = entry
-
-    async def _read_record(self, admitted: _Admitted) -> messages.KeyAnswer:
-        host = self._host
-        while True:
-            call = host.link.call(
-                messages.KeyLookup,
-                workspace=admitted.workspace.id,
-                key=admitted.key,
-                digest=admitted.want.digest,
-            )
-            self._cancel = call.cancel
-            try:
-                return await call
-            except control_link.LinkLostError:
-                pass
-            except defer.CancelledError:
-                raise dispatch.CallerGoneError from None
-            finally:
-                self._cancel = None
-            if (
-                not host.link.alive
-                or host.closing
-                or host.clock() >= admitted.deadline_ms
-            ):
-                raise dispatch.RefusedError(
-                    errors.ErrorKind.CONTROL_UNAVAILABLE, record_unread=True
-                )
-            if self._gone:
-                raise dispatch.CallerGoneError
-            await _sleep(host.reactor, LOOKUP_AGAIN_S)
-
-    async def _claim(self, admitted: _Admitted, lease: dispatch.Lease) -> bool:
-        """Records the key before the request is sent.
-
-        Returns:
-          True if the request may be sent, False if the claim has to be
-          released and made again.
-        """
-        try:
-            answer = await self._host.link.call(
-                messages.KeyClaim,
-                workspace=admitted.workspace.id,
-                key=admitted.key,
-                digest=admitted.want.digest,
-            )
-        except control_link.LinkLostError:
-            return False
-        match idempotency.after_claim(answer.state, answer.answer):
-            case idempotency.Proceed():
-                return True
-            case idempotency.Replay(stored):
-                self._return(lease)
-                self._replay(stored)
-            case idempotency.Refuse(kind, record_unread):
-                self._return(lease)
-                raise dispatch.RefusedError(kind, "key_record", record_unread)
-        return False
-
-    async def _release(self, admitted: _Admitted) -> None:
-        """Removes a claim whose request was not sent."""
-        released = self._host.link.call(
-            messages.KeyRelease,
-            persistent=True,
-            workspace=admitted.workspace.id,
-            key=admitted.key,
-        )
-        self._keep_key_until(released)
-        if not await _until(self._host.reactor, released, CONFIRM_WAIT_S):
-            raise dispatch.RefusedError(
-                errors.ErrorKind.CONTROL_UNAVAILABLE,
-                "release_unconfirmed",
-                record_unread=True,
-            )
-        self._unconfirmed.remove(released)
-
-    def _record(
-        self, admitted: _Admitted, answer: data.StoredAnswer | None
-    ) -> defer.Deferred:
-        """Records how the request ended, however long that takes."""
-        recorded = self._host.link.call(
-            messages.KeyOutcome,
-            persistent=True,
-            workspace=admitted.workspace.id,
-            key=admitted.key,
-            answer=answer,
-        )
-        self._keep_key_until(recorded)
-        return recorded
-
-    async def _wait_recorded(self, recorded: defer.Deferred) -> None:
-        """Lets a caller that asks again at once find the record."""
-        if self._host.link.following:
-            await _until(self._host.reactor, recorded, CONFIRM_WAIT_S)
-
-    def _keep_key_until(self, confirmed: defer.Deferred) -> None:
-        self._unconfirmed.append(confirmed)
-        # The router stops: the record stays with its claim.
-        confirmed.addErrback(
-            lambda fault: fault.trap(control_link.LinkLostError)
-        )
-
-    def _replay(self, stored: data.StoredAnswer) -> None:
-        side = answers.CallerSide(self._req, hold_end=False)
-        if not self._gone:
-            self._set_connection_headers()
-            self._req.setHeader(b"X-Idempotent-Replay", b"true")
-            side.start(
-                stored.status,
-                None,
-                tuple(
-                    (name.encode("latin-1"), value.encode("latin-1"))
-                    for name, value in stored.headers
-                ),
-                len(stored.body),
-            )
-            side.write(stored.body)
-            side.finish()
-        logs.decision(
-            "ended", "stored_answer", **self._fields(), status=stored.status
-        )
-        self._host.metrics.ended("replayed")
-        raise _EndedError
-
     # -- ends ---------------------------------------------------------------
 
     def _return(self, lease: dispatch.Lease) -> None:
@@ -736,33 +541,3 @@
             return value
         case result.Failure(kind):
             raise dispatch.RefusedError(kind)
-
-
-def _sleep(reactor: Any, seconds: float) -> defer.Deferred:
-    pause: defer.Deferred = defer.Deferred()
-    reactor.callLater(seconds, pause.callback, None)
-    return pause
-
-
-async def _until(reactor: Any, awaited: defer.Deferred, seconds: float) -> bool:
-    """Waits for a Deferred without cancelling it.
-
-    Args:
-      reactor: Source of timers.
-      awaited: What to wait for.
-      seconds: Longest wait.
-
-    Returns:
-      Whether it fired in time.
-    """
-    done: defer.Deferred = defer.Deferred()
-    timer = reactor.callLater(seconds, done.callback, False)
-
-    def fired(value: Any) -> Any:
-        if timer.active():
-            timer.cancel()
-            done.callback(True)
-        return value
-
-    awaited.addBoth(fired)
-    return await done
