Bound the bytes that a router holds, with a share per workspace

Cause: request bodies were limited one by one only; 4,096 connections of one workspace could hold 4 GiB at the default limits. Answers to keyed requests wait in memory for the leader's confirmation and had no common limit either. Ruled out: shares by weight (one heavy workspace would take nearly all, and weights govern service); fixed shares (a lone workspace could use 1/16 only); counting Content-Length (a head alone would claim a body's bytes); waiting instead of refusing (slow bodies would hold up others). Bodies count as they arrive and are released when both connection and exchange have ended. Refusal buffer_full (429, not run, Retry-After), metric waxwingrack_router_buffered_bytes, checked setting max_buffered_bytes (64 MiB). An answer over the share is recorded without its body. The settings check demands 4 bodies of the largest size.

--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -96,3 +96,48 @@
       | {"departing": true}        | announce-token | 204    | 1     |
       | {"slots": 0, "colour": 1}  | announce-token | 400    | 0     |
       | {}                         | planners-token | 401    | 0     |
+
+  Scenario Outline: <bodies> bodies of one workspace do not keep others out
+  Bodies without a common limit would fill the memory of the router, and a
+  limit without shares would let one workspace refuse all others.
+    Given a router that may hold 256 KiB in bodies of up to 32 KiB each
+    When the router's raw callers begin 20 <bodies> bodies of 30000 bytes
+    Then the router refused 16 of them as buffer_full and holds 120000 bytes
+    And the router's caller of painters gets its answer to a body of 30000 bytes
+    And the router holds no bytes once its raw callers have left
+
+    Examples:
+      | bodies     |
+      | slow       |
+      | chunked    |
+
+  Scenario Outline: the bytes of a body are released when it is <end>
+  Bytes that are never released shrink the limit until the router restarts.
+    Given a shared router that may hold 256 KiB in bodies
+    When a body of 20000 bytes to the router is <end>
+    Then the router holds no bytes at the end
+
+    Examples:
+      | end                          |
+      | answered                     |
+      | refused                      |
+      | refused in the queue         |
+      | too large                    |
+      | left while it arrives        |
+      | left in the queue            |
+      | left while it runs           |
+      | left with a key              |
+
+  Scenario Outline: an answer with a key is held until the leader has recorded it
+  Answers that wait for a leader could fill the memory of the router.
+    Given a router that may hold <limit> KiB in bodies of up to 8 KiB each
+    And the router's leader does not confirm outcomes
+    When the router's caller requests POST /sketch/deposit?do=large&bytes=60000
+    Then the router's caller gets 200 with 60000 bytes
+    And the router sends a record with <recorded> bytes and holds <held> bytes
+    And the router holds no bytes once the leader confirms
+
+    Examples:
+      | limit | recorded | held  |
+      | 256   | 60000    | 60000 |
+      | 64    | 0        | 0     |
--- a/features/settings_process.feature
+++ b/features/settings_process.feature
@@ -54,6 +54,9 @@
       | router     | $.body_timeout_s        | 0      | $.body_timeout_s        | seconds           |
       | router     | $.max_body_bytes        | 0      | $.max_body_bytes        | bytes             |
       | router     | $.max_header_bytes      | 16     | $.max_header_bytes      | bytes             |
+      | router     | $.max_buffered_bytes    | 0      | $.max_buffered_bytes    | bytes             |
+      | router     | $.max_buffered_bytes    | 4194303 | $.max_buffered_bytes   | 4 times max_body  |
+      | router     | $.max_body_bytes        | 16777217 | $.max_buffered_bytes  | 4 times max_body  |
       | router     | $.max_open_connections  | 0      | $.max_open_connections  | connections       |
       | router     | $.log_level             | "info" | $.log_level             | must be one of    |
 
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -263,7 +263,11 @@
         "Content-Length": "0",
         **(headers or {}),
     }
-    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    lines = "".join(
+        f"{name}: {value}\r\n"
+        for name, value in fields.items()
+        if value is not None
+    )
     conn.sendall(f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode())
     return conn
 
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -217,6 +217,8 @@
       shutdown_delay_s: Time between SIGTERM and closing the callers' port.
       shutdown_timeout_s: Longest wait for running requests after that.
       max_body_bytes: Largest request body.
+      max_buffered_bytes: Most bytes of request bodies, and of answers to be
+        recorded, that a router holds at one time.
       max_header_bytes: Largest request header block.
       body_timeout_s: Longest time to receive a request body.
       max_open_connections: Most open caller connections.
@@ -237,6 +239,7 @@
     shutdown_delay_s: float = 2.0
     shutdown_timeout_s: float = 120.0
     max_body_bytes: int = 1_048_576
+    max_buffered_bytes: int = 67_108_864
     max_header_bytes: int = 16_384
     body_timeout_s: float = 20.0
     max_open_connections: int = 4_096
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -24,6 +24,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TIMEOUT = "body_timeout"
     QUEUE_FULL = "queue_full"
+    BUFFER_FULL = "buffer_full"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     QUEUE_TIMEOUT = "queue_timeout"
     CONTROL_UNAVAILABLE = "control_unavailable"
@@ -90,6 +91,9 @@
     ErrorKind.QUEUE_FULL: Answer(
         429, _NOT_RUN, 2.0, "The workspace has too many waiting requests."
     ),
+    ErrorKind.BUFFER_FULL: Answer(
+        429, _NOT_RUN, 2.0, "The workspace has too many bytes in this router."
+    ),
     ErrorKind.TOO_MANY_CONNECTIONS: Answer(
         429, _NOT_RUN, 2.0, "The workspace has too many open requests."
     ),
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -20,6 +20,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import routing
 
 # Caller connections without a request are closed after this time, in seconds.
@@ -41,6 +42,10 @@
 
     settings: data.Settings
     reactor: Any
+    held: held_bytes.HeldBytes
+
+    def owner_of(self, req: "CallersRequest") -> str:
+        """Returns for whom the body of a request is held."""
 
     def write_refusal(
         self,
@@ -233,6 +238,8 @@
     Attributes:
       request_id: Id of the request, from the caller or made by the router.
       request_id_valid: Whether the caller's id may be used.
+      body_in_use: Whether the body is needed longer than the connection; it
+        is then released by `release_body`.
     """
 
     defaultContentType = None
@@ -243,11 +250,15 @@
         super().__init__(channel, False, parsePOSTFormSubmission=False)
         self.request_id = ""
         self.request_id_valid = True
+        self.body_in_use = False
         self._received = 0
+        self._hold: held_bytes.Hold | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Prepares for the body."""
         self.content = io.BytesIO()
+        front = self.channel.site.front
+        self._hold = front.held.open(front.owner_of(self))
 
     def parseCookies(self) -> None:
         """Leaves cookies to the backend servers."""
@@ -258,8 +269,31 @@
         if self._received > self.channel.site.front.settings.max_body_bytes:
             self.channel.refuse(errors.ErrorKind.BODY_TOO_LARGE)
             return
+        if not self._hold.add(len(data)):
+            self.channel.refuse(errors.ErrorKind.BUFFER_FULL)
+            return
         self.content.write(data)
 
+    def finish(self) -> None:
+        """Ends the answer."""
+        super().finish()
+        self._ended()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Handles the loss of the caller."""
+        super().connectionLost(reason)
+        self._ended()
+
+    def release_body(self) -> None:
+        """Gives the bytes of the body back; it is not needed any more."""
+        self.content = io.BytesIO()
+        if self._hold:
+            self._hold.release()
+
+    def _ended(self) -> None:
+        if not self.body_in_use:
+            self.release_body()
+
     def process(self) -> None:
         """Checks the request line and passes the request on."""
         self.site = self.channel.site
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -18,6 +18,7 @@
 from waxwingrack.core import data
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import costs
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import queueing
@@ -169,7 +170,7 @@
         side: CallerSide,
         meter: costs.Meter,
         idle_timeout_s: float,
-        keep: bool,
+        kept: held_bytes.Hold | None,
     ):
         """Prepares a transfer.
 
@@ -179,7 +180,7 @@
           side: The caller's end.
           meter: Cost meter of the request.
           idle_timeout_s: Longest pause of either side.
-          keep: Whether to keep the body for resends.
+          kept: Counts the bytes kept for resends; None keeps none.
         """
         self.ended: defer.Deferred = defer.Deferred()
         self.caller_too_slow = False
@@ -188,7 +189,8 @@
         self._side = side
         self._meter = meter
         self._idle_timeout_s = idle_timeout_s
-        self._kept = bytearray() if keep else None
+        self._hold = kept
+        self._kept = None if kept is None else bytearray()
         self._truncated = False
         self._paused = False
         self._done = False
@@ -215,12 +217,18 @@
         self._active_s = self._reactor.seconds()
         self._meter.feed(chunk)
         if self._kept is not None and not self._truncated:
-            self._kept += chunk
-            if len(self._kept) > idempotency.MAX_ANSWER_BYTES:
-                self._truncated = True
-                self._kept.clear()
+            self._keep(chunk)
         self._side.write(chunk)
 
+    def _keep(self, chunk: bytes) -> None:
+        size = len(self._kept) + len(chunk)
+        if size <= idempotency.MAX_ANSWER_BYTES and self._hold.add(len(chunk)):
+            self._kept += chunk
+            return
+        self._truncated = True
+        self._kept.clear()
+        self._hold.release()
+
     def connectionLost(self, reason: failure.Failure) -> None:
         """Handles the end of the body."""
         if self._done:
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -18,6 +18,7 @@
 from waxwingrack.daemons import answers
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import held_bytes
 from waxwingrack.daemons import keyed_requests
 from waxwingrack.operations import costs
 from waxwingrack.operations import idempotency
@@ -56,6 +57,8 @@
         self._workspace = ""
         self._service = ""
         self._pump: answers.Pump | None = None
+        self._kept: held_bytes.Hold | None = None
+        req.body_in_use = True
         req.notifyFinish().addErrback(lambda _: self._caller_gone())
 
     async def run(self) -> None:
@@ -362,13 +365,15 @@
         )
         lease.meter = costs.create(admitted.service.cost_meter, content_type)
         side = self._side = answers.CallerSide(req, hold_end=keyed)
+        if keyed:
+            self._kept = host.held.open(admitted.workspace.id)
         pump = self._pump = answers.Pump(
             host.reactor,
             head,
             side,
             lease.meter,
             admitted.service.idle_timeout_s,
-            keep=keyed,
+            kept=self._kept,
         )
         if self._gone:
             side.detach()
@@ -506,6 +511,7 @@
         return self._key is None
 
     def _clean_up(self) -> None:
+        self._req.release_body()
         if self._lease is not None:
             # Only an unexpected exception leaves a lease behind.
             self._host.dispatcher.finish(
@@ -518,15 +524,20 @@
             self._host.open_by_workspace[self._workspace] -= 1
         if self._key is None:
             return
-        entry, keys = self._key, self._host.keys
         pending = [call for call in self._unconfirmed if not call.called]
         if not pending:
-            keys.pop(entry, None)
+            self._end_key()
             return
         defer.DeferredList(pending, consumeErrors=True).addBoth(
-            lambda _: keys.pop(entry, None)
+            lambda _: self._end_key()
         )
 
+    def _end_key(self) -> None:
+        """Forgets the key; its outcome is recorded or was not claimed."""
+        self._host.keys.pop(self._key, None)
+        if self._kept:
+            self._kept.release()
+
     def _fields(self) -> dict[str, Any]:
         return {
             "request_id": self._req.request_id,
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -21,6 +21,7 @@
 from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import held_bytes
 from waxwingrack.daemons import router_metrics
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import routing
@@ -42,6 +43,7 @@
     link: control_link.ControlLink
     forwarder: forwarding.Forwarder
     metrics: router_metrics.RouterMetrics
+    held: held_bytes.HeldBytes
     closing: bool
     keys: dict[tuple[str, str], str]
     open_by_workspace: collections.Counter
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -12,6 +12,7 @@
 from typing import Any
 import uuid
 
+from returns import result
 from twisted import logger
 from twisted.internet import defer
 from twisted.web import http
@@ -28,12 +29,16 @@
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import exchanges
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import held_bytes
 from waxwingrack.daemons import router_metrics
 from waxwingrack.daemons import transport
 from waxwingrack.operations import routing
 
 # Interval at which a stopping router looks for the end of its requests.
 STOP_CHECK_S = 0.05
+# Owners of bodies beside the workspaces; no id of a workspace is like these.
+UNKNOWN_OWNER = "*unknown"
+ANNOUNCERS_OWNER = "*announcers"
 # Time for which ended connections are given to send their last bytes.
 STOP_LINGER_S = 0.2
 
@@ -62,6 +67,7 @@
       metrics: Counters.
       keys: Digest of the request by idempotency key in use at this router.
       open_by_workspace: Number of open requests.
+      held: Bytes of bodies and of answers to be recorded.
       closing: Whether new requests are refused.
       draining: Whether the router shuts down.
     """
@@ -87,6 +93,7 @@
         self.dispatcher = dispatch.Dispatcher(clock, self._poke)
         self.keys: dict[tuple[str, str], str] = {}
         self.open_by_workspace: collections.Counter = collections.Counter()
+        self.held = held_bytes.HeldBytes(settings.max_buffered_bytes)
         self.closing = False
         self.draining = False
         self.link = control_link.ControlLink(
@@ -260,6 +267,25 @@
         self._request_ids += 1
         return f"{self._request_prefix}-{self._request_ids}"
 
+    def owner_of(self, req: admission.CallersRequest) -> str:
+        """Returns for whom the body of a request is held.
+
+        Callers without a known token share one part, backend servers that
+        announce themselves another one.
+
+        Args:
+          req: Request whose headers have been received.
+        """
+        header = req.getHeader("Authorization")
+        if self.tables is None:
+            return UNKNOWN_OWNER
+        if routing.token_digest(header) in self.tables.announcers:
+            return ANNOUNCERS_OWNER
+        match routing.authenticate(self.tables, header):
+            case result.Success(workspace):
+                return workspace.id
+        return UNKNOWN_OWNER
+
     def begin(self, req: admission.CallersRequest) -> defer.Deferred:
         """Handles a caller's request.
 
@@ -353,6 +379,7 @@
         return self.metrics.render(
             {
                 "open_requests": len(self._exchanges),
+                "buffered_bytes": self.held.table.total,
                 "waiting_requests": len(self.dispatcher.queues.rows),
                 "grants_in_use": len(self.dispatcher.leases),
                 "caller_connections": len(self._site.channels),
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -1,6 +1,7 @@
 """Settings of one process."""
 
 from collections.abc import Iterator
+import dataclasses
 import itertools
 from typing import Any
 
@@ -34,11 +35,20 @@
 }
 BYTE_LIMITS = {
     "$.max_body_bytes": (1, 1_073_741_824),
+    "$.max_buffered_bytes": (1, 68_719_476_736),
     "$.max_header_bytes": (256, 1_048_576),
 }
 COUNT_LIMITS = {"$.max_open_connections": (1, 1_000_000)}
+# A workspace alone may hold half of the buffered bytes, one of two a third.
+BODIES_BUFFERED = 4
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
+_BYTE_FIELDS = tuple(
+    field
+    for field in dataclasses.fields(data.Settings)
+    if field.name in ("max_body_bytes", "max_buffered_bytes")
+)
+
 
 def load(path: str) -> result.Result[data.Settings, tuple[SettingError, ...]]:
     """Reads the settings of a process from a file.
@@ -160,6 +170,23 @@
     yield from documents.ranges(document, COUNT_LIMITS, "connections")
 
 
+@RULES.register("buffered_bodies")
+def _buffered_bodies(document: Any) -> Faults:
+    if not isinstance(document, dict):
+        return
+    path = "$.max_buffered_bytes"
+    sizes = {field.name: field.default for field in _BYTE_FIELDS}
+    for name in sizes:
+        for _, size in documents.select(document, f"$.{name}", int):
+            sizes[name] = size
+    if (
+        0
+        < sizes["max_buffered_bytes"]
+        < (BODIES_BUFFERED * sizes["max_body_bytes"])
+    ):
+        yield path, f"must be at least {BODIES_BUFFERED} times max_body_bytes"
+
+
 @RULES.register("log_level")
 def _log_level(document: Any) -> Faults:
     for path, level in documents.select(document, "$.log_level", str):
