Leave nothing behind after an exception in a router; settable idle times

Cause: the internal refusal and the close of idle connections had no scenario. Injected exceptions showed faults: a claimed key stayed claimed, so resends were refused as still running until the router restarted; a queue entry stayed until its deadline; the connection to the backend server stayed open; an exception while an answer was passed on left the caller without an end and was known to twisted's log only; one before the exchange got an undocumented body. A connection that was closed without keep-alive waited for its caller forever, and a pause within a request longer than the idle time would have closed it without the 408. Ruled out: stating not_run for internal where nothing was sent; the closed table says may_have_run, which is never false. Change: the claim is released (nothing sent) or recorded as may_have_run, the queue entry is given up, the backend connection closed, an exception in the transfer ends the request. Settings idle_connection_s (75 s) and close_timeout_s (15 s). router_process.py lets one named call fail.

--- a/features/settings_process.feature
+++ b/features/settings_process.feature
@@ -52,6 +52,8 @@
       | router     | $.shutdown_delay_s      | -1     | $.shutdown_delay_s      | seconds           |
       | router     | $.shutdown_timeout_s    | 120000 | $.shutdown_timeout_s    | seconds           |
       | router     | $.body_timeout_s        | 0      | $.body_timeout_s        | seconds           |
+      | router     | $.idle_connection_s     | 75000  | $.idle_connection_s     | seconds           |
+      | router     | $.close_timeout_s       | 0      | $.close_timeout_s       | seconds           |
       | router     | $.max_body_bytes        | 0      | $.max_body_bytes        | bytes             |
       | router     | $.max_header_bytes      | 16     | $.max_header_bytes      | bytes             |
       | router     | $.max_buffered_bytes    | 0      | $.max_buffered_bytes    | bytes             |
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -247,6 +247,11 @@
         for conn in self.conns:
             self.answer(conn)
 
+    @property
+    def granted(self) -> int:
+        """Returns the number of grants so far."""
+        return self._grant
+
     def finished(self) -> list[data.Finished]:
         """Returns all ended grants."""
         return [item for report in self.reports for item in report.finished]
@@ -580,7 +585,9 @@
 class RouterProcess:
     """A router in a process of its own."""
 
-    def __init__(self, controllers: list[FakeLeader], **settings: Any):
+    def __init__(
+        self, controllers: list[FakeLeader], fault: str = "", **settings: Any
+    ):
         self.folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self.folder.name)
         (folder / "key").write_text(KEY)
@@ -613,6 +620,7 @@
                 sys.executable,
                 str(pathlib.Path(__file__).with_name("router_process.py")),
                 json.dumps(document),
+                *filter(None, [fault]),
             ],
             stdout=subprocess.PIPE,
             stderr=self._log,
@@ -740,7 +748,7 @@
             line
             for router in self.routers
             for line in router.log()
-            if "traceback" in line
+            if "injected fault" not in line.get("traceback", "injected fault")
         ]
         for router in self.routers:
             router.close()
--- a/features/steps/router_limits_steps.py
+++ b/features/steps/router_limits_steps.py
@@ -199,6 +199,60 @@
         assert reply.status == 200 or "retry-after" in reply.headers, reply
 
 
+@behave.given("a router that closes idle connections after {seconds:g} seconds")
+def closes_idle(context, seconds):
+    answers.start_world(
+        context,
+        environment={"timeouts": {"answer_timeout_s": 9.0}},
+        idle_connection_s=seconds,
+        body_timeout_s=1.5,
+    )
+
+
+@behave.when(
+    "a caller of the router connects and sends nothing, another one has an "
+    "answer and a third waits 2 seconds for one"
+)
+def idle_callers(context):
+    port = context.world.router.port
+    join = context.world.send_later("GET", "/sketch/a?do=slow&pause=2")
+    silent = socket.create_connection(("127.0.0.1", port), timeout=8)
+    served = answers.open_request(context, "/sketch/a?do=ok")
+    assert served.recv(65536).startswith(b"HTTP/1.1 200 ")
+    context.idle, context.join = (silent, served), join
+    context.started = time.monotonic()
+
+
+@behave.then(
+    "the router closes the idle connections after {seconds:g} seconds and "
+    "answers the third"
+)
+def idle_closed(context, seconds):
+    for conn in context.idle:
+        assert conn.recv(65536) == b""
+        conn.close()
+    # The default of 75 s would let the callers' own time limit of 8 s pass.
+    passed = time.monotonic() - context.started
+    assert passed > seconds / 2, passed
+    reply = context.join()
+    assert reply.status == 200 and reply.whole, reply
+
+
+@behave.then(
+    "the router refuses a pause within a request as {kind} after {seconds:g} "
+    "seconds"
+)
+def pause_refused(context, kind, seconds):
+    conn = answers.open_request(
+        context, "/sketch/a", "POST", {"Content-Length": "10"}
+    )
+    started = time.monotonic()
+    answer = conn.recv(65536)
+    assert f'"{kind}"'.encode() in answer, answer
+    assert time.monotonic() - started > seconds * 0.9
+    conn.close()
+
+
 @behave.given("a router whose leader has no environment")
 def no_environment(context):
     world = router_fakes.World()
--- a/features/steps/router_process.py
+++ b/features/steps/router_process.py
@@ -1,14 +1,38 @@
 """Runs one router as a process for the tests.
 
-Reads the settings as JSON from its first argument and prints the ports.
+Reads the settings as JSON from its first argument and prints the ports. The
+second argument names a function whose first call fails, as
+`module:name:argument`; the argument limits it to calls with that value.
 """
 
 import asyncio
+import functools
+import importlib
 import json
+import operator
 import signal
 import sys
 
 
+def fail_once(place: str) -> None:
+    """Lets the first call of a function fail."""
+    module, name, argument = place.split(":")
+    path, _, leaf = name.rpartition(".")
+    owner = importlib.import_module(module)
+    if path:
+        owner = operator.attrgetter(path)(owner)
+    real, left = getattr(owner, leaf), [1]
+
+    @functools.wraps(real)
+    def failing(*args, **fields):
+        if left and (not argument or argument in args):
+            left.clear()
+            raise RuntimeError("injected fault")
+        return real(*args, **fields)
+
+    setattr(owner, leaf, failing)
+
+
 def main() -> None:
     """Runs a router until SIGTERM."""
     loop = asyncio.new_event_loop()
@@ -25,6 +49,8 @@
 
     settings = pydantic.TypeAdapter(data.Settings).validate_json(sys.argv[1])
     logs.configure(settings.node_id, settings.log_level)
+    if len(sys.argv) > 2:
+        fail_once(sys.argv[2])
     host = router.Router(settings)
 
     async def run() -> None:
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -221,6 +221,10 @@
         recorded, that a router holds at one time.
       max_header_bytes: Largest request header block.
       body_timeout_s: Longest time to receive a request body.
+      idle_connection_s: Time after which a caller's connection without a
+        request is closed.
+      close_timeout_s: Longest time for which a caller takes nothing of the
+        last bytes of an ended connection.
       max_open_connections: Most open caller connections.
       log_level: Level of the log.
     """
@@ -242,6 +246,8 @@
     max_buffered_bytes: int = 67_108_864
     max_header_bytes: int = 16_384
     body_timeout_s: float = 20.0
+    idle_connection_s: float = 75.0
+    close_timeout_s: float = 15.0
     max_open_connections: int = 4_096
     log_level: str = "INFO"
 
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -23,8 +23,6 @@
 from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import routing
 
-# Caller connections without a request are closed after this time, in seconds.
-IDLE_CONNECTION_S = 75
 # Time for which a refused caller's remaining bytes are discarded, in seconds.
 LINGER_S = 2.0
 # Connections above the limit that are kept open just to be refused.
@@ -73,7 +71,9 @@
 
     def __init__(self, resource: Any, front: Front):
         super().__init__(
-            resource, requestFactory=CallersRequest, timeout=IDLE_CONNECTION_S
+            resource,
+            requestFactory=CallersRequest,
+            timeout=front.settings.idle_connection_s,
         )
         self.protocol = CallersChannel
         self.displayTracebacks = False
@@ -100,11 +100,13 @@
         self._begun = False
         self._deadline: Any = None
         self._refused = False
+        self._unsent_before = 0
         self._header_bytes = 0
 
     def connectionMade(self) -> None:
         """Registers the connection."""
         settings = self.site.front.settings
+        self.abortTimeout = settings.close_timeout_s
         # The base class answers its own limits with 400; they are set so that
         # the checks below come first.
         self.totalHeadersSize = settings.max_header_bytes * 2
@@ -128,6 +130,8 @@
         super().dataReceived(data)
         partial = self._begun or (self._buffer and not self._handlingRequest)
         if partial and self._deadline is None and not self._refused:
+            # A pause within a request ends with a refusal, not with a close.
+            self.setTimeout(None)
             self._deadline = self.callLater(
                 self.site.front.settings.body_timeout_s,
                 self.refuse,
@@ -181,6 +185,8 @@
         if not self._refused:
             self._begun = False
             self._cancel_deadline()
+            # The base class restores this time once the request is answered.
+            self.setTimeout(self.timeOut)
             super().allContentReceived()
 
     def _respondToBadRequestAndDisconnect(self) -> None:
@@ -210,16 +216,37 @@
         """Ends the connection; lingers if the caller may still be sending."""
         if not self._refused:
             super().loseConnection()
+            self._limit_close(self._unsent_bytes())
             return
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
         self.callLater(LINGER_S, self.transport.abortConnection)
 
+    def forceAbortClient(self) -> None:
+        """Resets the connection if its caller has stopped reading."""
+        unsent, self._abortingCall = self._unsent_bytes(), None
+        if unsent < self._unsent_before:
+            self._limit_close(unsent)
+        else:
+            self.transport.abortConnection()
+
+    def _limit_close(self, unsent: int) -> None:
+        """Bounds the time in which the caller takes nothing."""
+        self._unsent_before = unsent
+        if self._abortingCall is None:
+            self._abortingCall = self.callLater(
+                self.site.front.settings.close_timeout_s, self.forceAbortClient
+            )
+
+    def _unsent_bytes(self) -> int:
+        conn = self.transport
+        return len(conn.dataBuffer) - conn.offset + conn._tempDataLen
+
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is open on it."""
         self.persistent = False
         if not self.requests:
-            super().loseConnection()
+            self.loseConnection()
 
     def _placeholder(self) -> "CallersRequest":
         req = CallersRequest(self)
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -159,7 +159,8 @@
     """Passes the body of an answer on, at the pace of the caller.
 
     Attributes:
-      ended: Fires with an `End` when the body has ended.
+      ended: Fires with an `End` when the body has ended; fails with an
+        unexpected exception.
       caller_too_slow: Whether the caller took nothing for too long.
     """
 
@@ -214,12 +215,28 @@
 
     def dataReceived(self, chunk: bytes) -> None:
         """Handles a part of the body."""
+        if self._done:
+            return
+        try:
+            self._pass_on(chunk)
+        except Exception:  # noqa: BLE001
+            # Twisted would log it only, and the request would not know.
+            self._stop()
+            self._head.conn.abort()
+            self.ended.errback(failure.Failure())
+
+    def _pass_on(self, chunk: bytes) -> None:
         self._active_s = self._reactor.seconds()
         self._meter.feed(chunk)
         if self._kept is not None and not self._truncated:
             self._keep(chunk)
         self._side.write(chunk)
 
+    def _stop(self) -> None:
+        self._done = True
+        if self._timer and self._timer.active():
+            self._timer.cancel()
+
     def _keep(self, chunk: bytes) -> None:
         size = len(self._kept) + len(chunk)
         if size <= idempotency.MAX_ANSWER_BYTES and self._hold.add(len(chunk)):
@@ -233,9 +250,7 @@
         """Handles the end of the body."""
         if self._done:
             return
-        self._done = True
-        if self._timer and self._timer.active():
-            self._timer.cancel()
+        self._stop()
         whole = reason.check(client.ResponseDone) or (
             reason.check(http.PotentialDataLoss) and self._closed_cleanly()
         )
--- a/waxwingrack/daemons/callers_api.py
+++ b/waxwingrack/daemons/callers_api.py
@@ -49,7 +49,7 @@
     """
     app = klein.Klein()
     app.url_map.merge_slashes = False
-    _handle_errors(app, host)
+    _handle_errors(app, host, admission.OWN_PREFIX)
 
     @app.route("/", branch=True)
     def forward(request: Any) -> defer.Deferred:
@@ -101,8 +101,15 @@
     return app.resource()
 
 
-def _handle_errors(app: klein.Klein, host: Host) -> None:
-    """Answers unknown paths and unexpected exceptions of a resource."""
+def _handle_errors(app: klein.Klein, host: Host, own: bytes = b"/") -> None:
+    """Answers unknown paths and unexpected exceptions of a resource.
+
+    Args:
+      app: The resource.
+      host: The router.
+      own: Prefix of the paths answered here. Exceptions of other paths reach
+        `admission.CallersRequest.processingFailed`.
+    """
 
     @app.handle_errors(exceptions.HTTPException)
     def unknown_path(request: Any, reason: Any) -> bytes:
@@ -110,6 +117,8 @@
 
     @app.handle_errors(Exception)
     def unexpected(request: Any, reason: Any) -> bytes:
+        if not request.path.startswith(own):
+            return reason
         host.failed("resource_failed", reason.value)
         return _json(request, 500, {"reason": errors.ErrorKind.INTERNAL})
 
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -49,6 +49,7 @@
         self._req = req
         self._gone = False
         self._sent = False
+        self._claimed = False
         self._cancel: Any = None
         self._lease: dispatch.Lease | None = None
         self._side: answers.CallerSide | None = None
@@ -73,6 +74,7 @@
             self._refuse(exc)
         except Exception as exc:  # noqa: BLE001
             self._host.failed("exchange_failed", exc)
+            self._settle_claim()
             self._refuse(dispatch.RefusedError(errors.ErrorKind.INTERNAL))
         finally:
             self._clean_up()
@@ -223,17 +225,22 @@
         sequence, granted = host.dispatcher.wait(
             want, admitted.deadline_ms, admitted.workspace.max_queue, place
         )
-        logs.decision(
-            "queued",
-            "needs_grant",
-            **self._fields(),
-            want=sequence,
-            digest=want.digest,
-        )
         self.waiting_sequence = sequence
         self._cancel = lambda: host.dispatcher.give_up(
             sequence, dispatch.CallerGoneError()
         )
+        try:
+            logs.decision(
+                "queued",
+                "needs_grant",
+                **self._fields(),
+                want=sequence,
+                digest=want.digest,
+            )
+        except Exception:
+            granted.addErrback(lambda _: None)
+            self._cancel()
+            raise
         try:
             self._lease = await granted
         finally:
@@ -256,14 +263,14 @@
         """
         if admitted.key is not None and not await self._claim(admitted, lease):
             self._return(lease)
-            await self._release(admitted)
+            await self._release()
             return queueing.Fault.CLAIM_LOST
         try:
             head = await self._send(admitted, lease)
         except forwarding.NotSentError as exc:
             self._end_lease(lease, _OUTCOMES[exc.fault])
             if admitted.key is not None:
-                await self._release(admitted)
+                await self._release()
             if self._gone:
                 raise dispatch.CallerGoneError from None
             return exc.fault
@@ -295,12 +302,6 @@
             now_ms = host.clock()
             if self._gone or not queueing.grant_valid(lease.echo_ms, now_ms):
                 return False
-            self._sent = True
-            lease.sent_ms = lease.reported_ms = now_ms
-            lease.meter = costs.create(admitted.service.cost_meter, "")
-            if keyed:
-                # It runs to its end, whether or not its caller waits for it.
-                self._cancel = None
             logs.decision(
                 "dispatched",
                 "granted",
@@ -310,6 +311,12 @@
                 grant=lease.grant.id,
                 term=lease.grant.term,
             )
+            self._sent = True
+            lease.sent_ms = lease.reported_ms = now_ms
+            lease.meter = costs.create(admitted.service.cost_meter, "")
+            if keyed:
+                # It runs to its end, whether or not its caller waits for it.
+                self._cancel = None
             return True
 
         sending = defer.Deferred.fromCoroutine(
@@ -342,7 +349,7 @@
             self._host.dispatcher.suspect(lease)
         self._end_lease(lease, _OUTCOMES[fault])
         if admitted.key is not None:
-            await self._wait_recorded(self._record(admitted, None))
+            await self._wait_recorded(self._record(None))
         return fault
 
     # -- answer -------------------------------------------------------------
@@ -353,8 +360,30 @@
         lease: dispatch.Lease,
         head: forwarding.Head,
     ) -> queueing.Fault:
-        host, req, keyed = self._host, self._req, admitted.key is not None
+        host, req = self._host, self._req
         first_ms = host.clock() - lease.sent_ms
+        try:
+            pump = self._start_answer(admitted, lease, head)
+        except Exception:
+            # Nobody else would read the answer or close the connection.
+            head.conn.abort()
+            self._pump = None
+            raise
+        try:
+            end = await pump.run()
+        finally:
+            self._pump = None
+        if not self._gone and req.producer:
+            req.unregisterProducer()
+        return await self._conclude(admitted, lease, head, pump, end, first_ms)
+
+    def _start_answer(
+        self,
+        admitted: keyed_requests.Admitted,
+        lease: dispatch.Lease,
+        head: forwarding.Head,
+    ) -> answers.Pump:
+        host, req, keyed = self._host, self._req, admitted.key is not None
         content_type = next(
             (
                 value.decode("latin-1")
@@ -387,11 +416,7 @@
                 head.length,
                 head.content_length,
             )
-        end = await pump.run()
-        self._pump = None
-        if not self._gone and req.producer:
-            req.unregisterProducer()
-        return await self._conclude(admitted, lease, head, pump, end, first_ms)
+        return pump
 
     async def _conclude(
         self,
@@ -418,7 +443,7 @@
         self._end_lease(lease, outcome, first_ms, status=head.status)
         if admitted.key is not None:
             kept = None if end.fault else pump.stored_answer(head.headers)
-            recorded = self._record(admitted, kept)
+            recorded = self._record(kept)
             await self._wait_recorded(recorded)
         if end.fault is None:
             side.finish()
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -94,6 +94,8 @@
     _cancel: Any
     _key: tuple[str, str] | None
     _unconfirmed: list[defer.Deferred]
+    _claimed: bool
+    _sent: bool
 
     async def _look_up(self, admitted: Admitted) -> None:
         self._take_key(admitted)
@@ -158,6 +160,7 @@
           True if the request may be sent, False if the claim has to be
           released and made again.
         """
+        self._claimed = True
         try:
             answer = await self._host.link.call(
                 messages.KeyClaim,
@@ -178,15 +181,9 @@
                 raise dispatch.RefusedError(kind, "key_record", record_unread)
         return False
 
-    async def _release(self, admitted: Admitted) -> None:
+    async def _release(self) -> None:
         """Removes a claim whose request was not sent."""
-        released = self._host.link.call(
-            messages.KeyRelease,
-            persistent=True,
-            workspace=admitted.workspace.id,
-            key=admitted.key,
-        )
-        self._keep_key_until(released)
+        released = self._tell(messages.KeyRelease)
         if not await _until(self._host.reactor, released, CONFIRM_WAIT_S):
             raise dispatch.RefusedError(
                 errors.ErrorKind.CONTROL_UNAVAILABLE,
@@ -195,19 +192,30 @@
             )
         self._unconfirmed.remove(released)
 
-    def _record(
-        self, admitted: Admitted, answer: data.StoredAnswer | None
-    ) -> defer.Deferred:
+    def _record(self, answer: data.StoredAnswer | None) -> defer.Deferred:
         """Records how the request ended, however long that takes."""
-        recorded = self._host.link.call(
-            messages.KeyOutcome,
-            persistent=True,
-            workspace=admitted.workspace.id,
-            key=admitted.key,
-            answer=answer,
+        return self._tell(messages.KeyOutcome, answer=answer)
+
+    def _settle_claim(self) -> None:
+        """Ends a claim that an unexpected exception left behind.
+
+        Without this the key would stay claimed, and its resends refused as
+        still running, as long as the router runs.
+        """
+        if self._claimed and self._sent:
+            self._tell(messages.KeyOutcome, answer=None)
+        elif self._claimed:
+            self._tell(messages.KeyRelease)
+
+    def _tell(self, kind: type, **fields: Any) -> defer.Deferred:
+        """Sends the end of a claim until the leader confirms it."""
+        workspace, key = self._key
+        told = self._host.link.call(
+            kind, persistent=True, workspace=workspace, key=key, **fields
         )
-        self._keep_key_until(recorded)
-        return recorded
+        self._claimed = False
+        self._keep_key_until(told)
+        return told
 
     async def _wait_recorded(self, recorded: defer.Deferred) -> None:
         """Lets a caller that asks again at once find the record."""
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -32,6 +32,8 @@
     "$.shutdown_delay_s": (0.0, 300.0),
     "$.shutdown_timeout_s": (0.01, 7_200.0),
     "$.body_timeout_s": (0.01, 3_600.0),
+    "$.idle_connection_s": (0.01, 3_600.0),
+    "$.close_timeout_s": (0.01, 3_600.0),
 }
 BYTE_LIMITS = {
     "$.max_body_bytes": (1, 1_073_741_824),
