--- a/features/settings_process.feature
+++ b/features/settings_process.feature
@@ -52,8 +52,13 @@
       | router     | $.shutdown_delay_s      | -1     | $.shutdown_delay_s      | seconds           |
       | router     | $.shutdown_timeout_s    | 120000 | $.shutdown_timeout_s    | seconds           |
       | router     | $.body_timeout_s        | 0      | $.body_timeout_s        | seconds           |
+      | router     | $.idle_connection_s     | 75000  | $.idle_connection_s     | seconds           |
+      | router     | $.close_timeout_s       | 0      | $.close_timeout_s       | seconds           |
       | router     | $.max_body_bytes        | 0      | $.max_body_bytes        | bytes             |
       | router     | $.max_header_bytes      | 16     | $.max_header_bytes      | bytes             |
+      | router     | $.max_buffered_bytes    | 0      | $.max_buffered_bytes    | bytes             |
+      | router     | $.max_buffered_bytes    | 4194303 | $.max_buffered_bytes   | 4 times max_body  |
+      | router     | $.max_body_bytes        | 16777217 | $.max_buffered_bytes  | 4 times max_body  |
       | router     | $.max_open_connections  | 0      | $.max_open_connections  | connections       |
       | router     | $.log_level             | "info" | $.log_level             | must be one of    |
 
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -20,10 +20,9 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import routing
 
-# Caller connections without a request are closed after this time, in seconds.
-IDLE_CONNECTION_S = 75
 # Time for which a refused caller's remaining bytes are discarded, in seconds.
 LINGER_S = 2.0
 # Connections above the limit that are kept open just to be refused.
@@ -41,6 +40,10 @@
 
     settings: data.Settings
     reactor: Any
+    held: held_bytes.HeldBytes
+
+    def owner_of(self, req: "CallersRequest") -> str:
+        """Returns for whom the body of a request is held."""
 
     def write_refusal(
         self,
@@ -71,7 +74,9 @@
 
     def __init__(self, resource: Any, front: Front):
         super().__init__(
-            resource, requestFactory=CallersRequest, timeout=IDLE_CONNECTION_S
+            resource,
+            requestFactory=CallersRequest,
+            timeout=front.settings.idle_connection_s,
         )
         self.protocol = CallersChannel
         self.displayTracebacks = False
@@ -98,11 +103,13 @@
         self._begun = False
         self._deadline: Any = None
         self._refused = False
+        self._unsent_before = 0
         self._header_bytes = 0
 
     def connectionMade(self) -> None:
         """Registers the connection."""
         settings = self.site.front.settings
+        self.abortTimeout = settings.close_timeout_s
         # The base class answers its own limits with 400; they are set so that
         # the checks below come first.
         self.totalHeadersSize = settings.max_header_bytes * 2
@@ -126,6 +133,8 @@
         super().dataReceived(data)
         partial = self._begun or (self._buffer and not self._handlingRequest)
         if partial and self._deadline is None and not self._refused:
+            # A pause within a request ends with a refusal, not with a close.
+            self.setTimeout(None)
             self._deadline = self.callLater(
                 self.site.front.settings.body_timeout_s,
                 self.refuse,
@@ -179,6 +188,8 @@
         if not self._refused:
             self._begun = False
             self._cancel_deadline()
+            # The base class restores this time once the request is answered.
+            self.setTimeout(self.timeOut)
             super().allContentReceived()
 
     def _respondToBadRequestAndDisconnect(self) -> None:
@@ -208,16 +219,37 @@
         """Ends the connection; lingers if the caller may still be sending."""
         if not self._refused:
             super().loseConnection()
+            self._limit_close(self._unsent_bytes())
             return
         self._networkProducer.unregisterProducer()
         self.transport.loseWriteConnection()
         self.callLater(LINGER_S, self.transport.abortConnection)
 
+    def forceAbortClient(self) -> None:
+        """Resets the connection if its caller has stopped reading."""
+        unsent, self._abortingCall = self._unsent_bytes(), None
+        if unsent < self._unsent_before:
+            self._limit_close(unsent)
+        else:
+            self.transport.abortConnection()
+
+    def _limit_close(self, unsent: int) -> None:
+        """Bounds the time in which the caller takes nothing."""
+        self._unsent_before = unsent
+        if self._abortingCall is None:
+            self._abortingCall = self.callLater(
+                self.site.front.settings.close_timeout_s, self.forceAbortClient
+            )
+
+    def _unsent_bytes(self) -> int:
+        conn = self.transport
+        return len(conn.dataBuffer) - conn.offset + conn._tempDataLen
+
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is open on it."""
         self.persistent = False
         if not self.requests:
-            super().loseConnection()
+            self.loseConnection()
 
     def _placeholder(self) -> "CallersRequest":
         req = CallersRequest(self)
@@ -236,6 +268,8 @@
     Attributes:
       request_id: Id of the request, from the caller or made by the router.
       request_id_valid: Whether the caller's id may be used.
+      body_in_use: Whether the body is needed longer than the connection; it
+        is then released by `release_body`.
     """
 
     defaultContentType = None
@@ -246,11 +280,15 @@
         super().__init__(channel, False, parsePOSTFormSubmission=False)
         self.request_id = ""
         self.request_id_valid = True
+        self.body_in_use = False
         self._received = 0
+        self._hold: held_bytes.Hold | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Prepares for the body."""
         self.content = io.BytesIO()
+        front = self.channel.site.front
+        self._hold = front.held.open(front.owner_of(self))
 
     def parseCookies(self) -> None:
         """Leaves cookies to the backend servers."""
@@ -261,8 +299,31 @@
         if self._received > self.channel.site.front.settings.max_body_bytes:
             self.channel.refuse(errors.ErrorKind.BODY_TOO_LARGE)
             return
+        if not self._hold.add(len(data)):
+            self.channel.refuse(errors.ErrorKind.BUFFER_FULL)
+            return
         self.content.write(data)
 
+    def finish(self) -> None:
+        """Ends the answer."""
+        super().finish()
+        self._ended()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Handles the loss of the caller."""
+        super().connectionLost(reason)
+        self._ended()
+
+    def release_body(self) -> None:
+        """Gives the bytes of the body back; it is not needed any more."""
+        self.content = io.BytesIO()
+        if self._hold:
+            self._hold.release()
+
+    def _ended(self) -> None:
+        if not self.body_in_use:
+            self.release_body()
+
     def process(self) -> None:
         """Checks the request line and passes the request on."""
         self.site = self.channel.site
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -19,6 +19,7 @@
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import costs
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import queueing
@@ -162,7 +163,8 @@
     """Passes the body of an answer on, at the pace of the caller.
 
     Attributes:
-      ended: Fires with an `End` when the body has ended.
+      ended: Fires with an `End` when the body has ended; fails with an
+        unexpected exception.
       caller_too_slow: Whether the caller took nothing for too long.
     """
 
@@ -173,7 +175,7 @@
         side: CallerSide,
         meter: costs.Meter,
         idle_timeout_s: float,
-        keep: bool,
+        kept: held_bytes.Hold | None,
     ):
         """Prepares a transfer.
 
@@ -183,7 +185,7 @@
           side: The caller's end.
           meter: Cost meter of the request.
           idle_timeout_s: Longest pause of either side.
-          keep: Whether to keep the body for resends.
+          kept: Counts the bytes kept for resends; None keeps none.
         """
         self.ended: defer.Deferred = defer.Deferred()
         self.caller_too_slow = False
@@ -192,7 +194,8 @@
         self._side = side
         self._meter = meter
         self._idle_timeout_s = idle_timeout_s
-        self._kept = bytearray() if keep else None
+        self._hold = kept
+        self._kept = None if kept is None else bytearray()
         self._truncated = False
         self._paused = False
         self._done = False
@@ -216,22 +219,42 @@
 
     def dataReceived(self, chunk: bytes) -> None:
         """Handles a part of the body."""
+        if self._done:
+            return
+        try:
+            self._pass_on(chunk)
+        except Exception:  # noqa: BLE001
+            # Twisted would log it only, and the request would not know.
+            self._stop()
+            self._head.conn.abort()
+            self.ended.errback(failure.Failure())
+
+    def _pass_on(self, chunk: bytes) -> None:
         self._active_s = self._reactor.seconds()
         self._meter.feed(chunk)
         if self._kept is not None and not self._truncated:
-            self._kept += chunk
-            if len(self._kept) > idempotency.MAX_ANSWER_BYTES:
-                self._truncated = True
-                self._kept.clear()
+            self._keep(chunk)
         self._side.write(chunk)
 
+    def _stop(self) -> None:
+        self._done = True
+        if self._timer and self._timer.active():
+            self._timer.cancel()
+
+    def _keep(self, chunk: bytes) -> None:
+        size = len(self._kept) + len(chunk)
+        if size <= idempotency.MAX_ANSWER_BYTES and self._hold.add(len(chunk)):
+            self._kept += chunk
+            return
+        self._truncated = True
+        self._kept.clear()
+        self._hold.release()
+
     def connectionLost(self, reason: failure.Failure) -> None:
         """Handles the end of the body."""
         if self._done:
             return
-        self._done = True
-        if self._timer and self._timer.active():
-            self._timer.cancel()
+        self._stop()
         whole = reason.check(client.ResponseDone) or (
             reason.check(http.PotentialDataLoss) and self._closed_cleanly()
         )
