Check the times of a rollout that an operator starts

The operators' API checked only the types of the plan. Ruled out: the check of documents; it refuses the same plan in an environment. Test: two rows in controller_operators.feature; both failed without the check (2 of 38 failed), 38 of 38 scenarios pass with it.

--- a/features/controller_operators.feature
+++ b/features/controller_operators.feature
@@ -29,6 +29,8 @@
       | PUT    | /v1/data-centres/zz        | with state drained           | 409    | zz                    |
       | PUT    | /v1/data-centres/b         | with state drained           | 200    | accepted              |
       | POST   | /v1/rollouts               | with an unknown plan field   | 400    | $.plan.extra          |
+      | POST   | /v1/rollouts               | with a watch past the deadline | 400  | $.plan.watch_s        |
+      | POST   | /v1/rollouts               | with a deadline of 10 days   | 400    | $.plan.deadline_s     |
       | POST   | /v1/rollouts/zz/take-back  | with a change                | 409    | zz                    |
       | PUT    | /v1/controllers/c9         | with c9 replacing c9         | 409    | itself                |
 
--- a/features/steps/controller_operators_steps.py
+++ b/features/steps/controller_operators_steps.py
@@ -69,10 +69,24 @@
     return {"body": found}
 
 
+def _plan_body(**fields):
+    plan = {"id": "r", "service": "desk", "version": "v2", **fields}
+    return {"body": change(plan=plan)}
+
+
 @body("with an unknown plan field")
 def plan_field(number):
-    plan = {"id": "r", "service": "desk", "version": "v2", "extra": 1}
-    return {"body": change(plan=plan)}
+    return _plan_body(extra=1)
+
+
+@body("with a watch past the deadline")
+def long_watch(number):
+    return _plan_body(deadline_s=5.0, watch_s=60.0)
+
+
+@body("with a deadline of 10 days")
+def long_deadline(number):
+    return _plan_body(deadline_s=864_000.0)
 
 
 @body("with c9 replacing c9")
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -35,6 +35,7 @@
 
 MISDIRECTED = 421
 _DOCUMENT_FIELD = "$.environment"
+_PLAN_FIELD = "$.plan"
 
 _Text = pydantic.constr(
     min_length=1, max_length=MAX_OPERATION_CHARACTERS, strict=True
@@ -263,6 +264,12 @@
         self, request: iweb.IRequest, body: RolloutBody
     ) -> bytes:
         """Starts a rollout."""
+        faults = tuple(
+            (path.replace("$", _PLAN_FIELD, 1), rule)
+            for path, rule in environment_module.check_plan(body.plan)
+        )
+        if faults:
+            return _invalid(request, faults)
         command = commands.StartRollout(
             body.operation, body.operator, body.expected, body.plan
         )
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -70,6 +70,21 @@
     return documents.check(document, source, data.Environment, RULES)
 
 
+def check_plan(plan: data.RolloutPlan) -> Faults:
+    """Checks a rollout outside a document by the rules of a document.
+
+    Args:
+      plan: The rollout; whether its service is declared is not checked.
+
+    Yields:
+      JSON path below the plan and rule of each fault.
+    """
+    document = {"rollouts": [dataclasses.asdict(plan)]}
+    for rule in (_ids, _times, _watch_within_deadline):
+        for path, text in rule(document):
+            yield path.replace("$.rollouts[0]", "$"), text
+
+
 @RULES.register("ids")
 def _ids(document: Any) -> Faults:
     return documents.ids(
