End wrong use of the command line with exit code 2

Cause: cleo ends an unknown command, option or missing argument with 1, which docs/operations.md defines as a change that was refused; a script could not tell the two apart. A command that meets a stopped controller printed the text of the library twice in a line, and the line again on each round. Change: CleoError ends with 2; each fault of an address is printed once, as the system words it.

--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -4,7 +4,9 @@
 import sys
 
 from cleo import application
+from cleo import exceptions
 from cleo.commands import command
+from cleo.io import io as io_module
 
 from waxwingrack.commands import apply
 from waxwingrack.commands import check
@@ -14,6 +16,22 @@
 from waxwingrack.commands import repair
 from waxwingrack.commands import rollout
 from waxwingrack.commands import status
+from waxwingrack.commands.exit_codes import ExitCode
+
+
+class _Application(application.Application):
+    """Command line whose exit code tells invalid use from a refusal.
+
+    The library ends with 1 for an unknown command or option, which would read
+    as a change that was refused.
+    """
+
+    def _run(self, io: io_module.IO) -> int:
+        try:
+            return super()._run(io)
+        except exceptions.CleoError as exc:
+            self.render_error(exc, io)
+            return ExitCode.INVALID
 
 
 def commands() -> list[command.Command]:
@@ -40,9 +58,7 @@
     Returns:
       Exit code of the command.
     """
-    app = application.Application(
-        "waxwingrack", importlib.metadata.version("waxwingrack")
-    )
+    app = _Application("waxwingrack", importlib.metadata.version("waxwingrack"))
     for cmd in commands():
         app.add(cmd)
     app.auto_exits(False)
--- a/waxwingrack/commands/operators_client.py
+++ b/waxwingrack/commands/operators_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import dataclasses
 import json
+import os
 import time
 from typing import Any
 
@@ -77,7 +78,8 @@
     """
     deadline_s = time.monotonic() + target.timeout_s
     waiting = collections.deque(target.controllers)
-    may_have_run, last = False, ""
+    may_have_run, last = False, "no time for an attempt"
+    notified: set[str] = set()
     while time.monotonic() < deadline_s:
         if not waiting:
             await asyncio.sleep(ROUND_PAUSE_S)
@@ -92,7 +94,9 @@
             return _result(attempt)
         last = f"{address}: {attempt.text}"
         may_have_run |= attempt.sent and body is not None
-        target.notify(f"{last}; trying again")
+        if last not in notified:
+            notified.add(last)
+            target.notify(f"{last}; trying again")
     if may_have_run:
         raise CommandError(
             ExitCode.UNKNOWN,
@@ -131,7 +135,7 @@
         )
         return _read(response.code, blob)
     except error.ConnectError as exc:
-        return _Attempt(0, None, False, str(exc) or type(exc).__name__)
+        return _Attempt(0, None, False, _cause(exc))
     except (
         error.ConnectionLost,
         error.ConnectionDone,
@@ -143,6 +147,13 @@
         return _Attempt(0, None, True, f"no answer ({type(exc).__name__})")
 
 
+def _cause(exc: error.ConnectError) -> str:
+    # The text of the library repeats itself; the system's text is enough.
+    if isinstance(exc.osError, int):
+        return os.strerror(exc.osError)
+    return str(exc) or type(exc).__name__
+
+
 def _future(deferred: defer.Deferred) -> asyncio.Future:
     return deferred.asFuture(asyncio.get_running_loop())
 
