Say why a process cannot start; lock the data folder

Cause: an empty key file was accepted, so any process with an empty key could join; a start failure printed a bare OSError without the settings file; a second controller on the same data folder read the log before it met the used port, and reading cuts off a last record that looks torn, which the first one may just be writing. Change: empty secrets are an error; a start failure names the settings file and ends with 1; the controller command holds a lock on its data folder. The lock is not in DiskStorage, which tests open twice in one process on purpose. Test: five rows in commands_documents.feature; four of them failed before (the missing key file already printed its name).

--- a/features/commands_documents.feature
+++ b/features/commands_documents.feature
@@ -26,6 +26,35 @@
       | router     | no callers' port | $.callers: is required   |
       | controller | valid settings   | $.role: must be          |
 
+  Scenario Outline: a process that cannot start says why
+    An operator or supervisor must see the file or port at fault. A second
+    process on a data folder would cut off a record that the first one writes.
+
+    Given command line settings of a running <role>
+    And the command line settings have <fault>
+    When the command line "<role> {document}" runs
+    Then the command exits with 1 and prints "<text>"
+
+    Examples:
+      | role       | fault                  | text                             |
+      | router     | a port in use          | cannot start: Couldn't listen on |
+      | router     | no key file            | No such file or directory        |
+      | controller | an empty key file      | shared.key is empty              |
+      | controller | an empty token file    | token is empty                   |
+      | controller | a data folder in use   | is in use by another process     |
+
+  Scenario Outline: wrong use of the command line counts as invalid input
+    The exit code 1 would read as a change that was refused.
+
+    When the command line "<line>" runs
+    Then the command exits with 2 and prints "<text>"
+
+    Examples:
+      | line           | text                          |
+      | drain          | missing: "data_centre"        |
+      | drain a --none | "--none" does not exist       |
+      | rollout        | rollout start                 |
+
   Scenario Outline: a signal stops a process gracefully
     Given command line settings of a running <role>
     When the <role> process is started and gets <signal> once it answers
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -18,6 +18,7 @@
 import behave
 
 from features.steps import settings_steps
+from waxwingrack.daemons import storage
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TIMEOUT_S = 20
@@ -298,6 +299,27 @@
     context.document_file.write_text(json.dumps(document))
 
 
+@behave.given("the command line settings have {fault}")
+def faulty_settings(context, fault):
+    folder = context.document_file.parent
+    match fault:
+        case "a port in use":
+            port = json.loads(context.document_file.read_text())["callers"]
+            sock = socket.create_server(("127.0.0.1", port["port"]))
+            context.add_cleanup(sock.close)
+        case "no key file":
+            (folder / "shared.key").unlink()
+        case "an empty key file":
+            (folder / "shared.key").write_text("\n")
+        case "an empty token file":
+            (folder / "token").write_text("")
+        case "a data folder in use":
+            held = storage.lock(folder / "data")
+            context.add_cleanup(held.close)
+        case _:
+            raise ValueError(fault)
+
+
 @behave.when("the {role} process is started and gets {name} once it answers")
 def start_and_signal(context, role, name):
     process = subprocess.Popen(
--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -1,6 +1,7 @@
 """Commands `router` and `controller`, which run until they are stopped."""
 
 import abc
+from collections.abc import Callable
 import random
 import time
 from typing import Any
@@ -9,6 +10,7 @@
 from cleo import helpers
 from cleo.commands import command
 from returns import result
+from twisted.internet import error
 
 from waxwingrack.commands.exit_codes import ExitCode
 from waxwingrack.core import data
@@ -22,6 +24,10 @@
     return time.monotonic_ns() // 1_000_000
 
 
+class StartError(Exception):
+    """A process could not start: a file, the data folder or a port."""
+
+
 class _ProcessCommand(command.Command, abc.ABC):
     """Runs a process until SIGTERM or SIGINT.
 
@@ -51,7 +57,11 @@
                     self.line_error(f"{path}: $.role: must be {self.role}")
                     return ExitCode.INVALID
         logs.configure(cfg.node_id, cfg.log_level)
-        event_loop.run(_serve(self.build(cfg)))
+        try:
+            event_loop.run(_serve(lambda: self.build(cfg)))
+        except StartError as exc:
+            self.line_error(f"{path}: cannot start: {exc}")
+            return ExitCode.REFUSED
         return ExitCode.DONE
 
     @abc.abstractmethod
@@ -86,6 +96,7 @@
         from waxwingrack.daemons import controller
         from waxwingrack.daemons import storage
 
+        self._lock = storage.lock(cfg.data_folder)
         return controller.Controller(
             cfg,
             storage.DiskStorage(cfg.data_folder),
@@ -94,8 +105,12 @@
         )
 
 
-async def _serve(process: Any) -> None:
+async def _serve(build: Callable[[], Any]) -> None:
     stopped = event_loop.stop_signal()
-    await process.start()
+    try:
+        process = build()
+        await process.start()
+    except (OSError, ValueError, error.CannotListenError) as exc:
+        raise StartError(exc) from exc
     await stopped.wait()
     await process.stop()
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import logging
-import pathlib
 import random
 import secrets
 from typing import Any
@@ -101,7 +100,7 @@
             role=data.Role.CONTROLLER,
             node_id=settings.node_id,
             incarnation=secrets.token_hex(8),
-            shared_key=_read_secret(settings.shared_key_file),
+            shared_key=transport.read_secret(settings.shared_key_file),
             tls=settings.tls,
         )
         self.links = peer_links.PeerLinks(
@@ -143,7 +142,7 @@
         self._port = reactor.listenTCP(
             self.settings.operators.port,
             operators_api.site(
-                self, _read_secret(self.settings.operator_token_file)
+                self, transport.read_secret(self.settings.operator_token_file)
             ),
             interface=self.settings.operators.host,
         )
@@ -393,7 +392,3 @@
 
 
 _MACHINE = _life_cycle()
-
-
-def _read_secret(path: str | None) -> bytes:
-    return pathlib.Path(path).read_bytes().strip() if path else b""
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -6,7 +6,6 @@
 import dataclasses
 import json
 import logging
-import pathlib
 import random
 import time
 from typing import Any
@@ -365,14 +364,11 @@
 
 
 def _identity(settings: data.Settings) -> transport.Identity:
-    key = b""
-    if settings.shared_key_file:
-        key = pathlib.Path(settings.shared_key_file).read_bytes().strip()
     return transport.Identity(
         role=data.Role.ROUTER,
         node_id=settings.node_id,
         incarnation=uuid.uuid4().hex,
-        shared_key=key,
+        shared_key=transport.read_secret(settings.shared_key_file),
         tls=settings.tls,
     )
 
--- a/waxwingrack/daemons/storage.py
+++ b/waxwingrack/daemons/storage.py
@@ -17,6 +17,7 @@
 """
 
 import dataclasses
+import fcntl
 import os
 import pathlib
 import secrets
@@ -321,3 +322,29 @@
     return result.Failure(
         Damage(path, 0, f"the disk belongs to node {identity.node_id!r}")
     )
+
+
+def lock(folder: str | os.PathLike[str]) -> Any:
+    """Reserves a data folder for this process until it ends.
+
+    A second process on the folder would cut off a record that the first one is
+    just writing, as it looks like a torn one.
+
+    Args:
+      folder: The data folder; created if absent.
+
+    Returns:
+      An open file; the lock lasts as long as it is kept.
+
+    Raises:
+      OSError: Another process uses the folder, or it cannot be written.
+    """
+    place = pathlib.Path(folder)
+    place.mkdir(parents=True, exist_ok=True)
+    held = (place / "lock").open("ab")
+    try:
+        fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        held.close()
+        raise OSError(f"{folder} is in use by another process") from None
+    return held
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -11,6 +11,7 @@
 import dataclasses
 import hmac
 import ipaddress
+import pathlib
 import secrets
 import ssl
 from typing import Any
@@ -457,3 +458,24 @@
         raise HandshakeError(f"{hello.node_id} has another shared key")
     if not expected and identity.tls is None:
         raise HandshakeError("neither TLS files nor a shared key are set")
+
+
+def read_secret(path: str | None) -> bytes:
+    """Reads a key or token.
+
+    Args:
+      path: Path of the file; None for no secret.
+
+    Returns:
+      The secret without surrounding white space; empty for no path.
+
+    Raises:
+      OSError: The file cannot be read.
+      ValueError: The file is empty; anybody would know such a secret.
+    """
+    if path is None:
+        return b""
+    secret = pathlib.Path(path).read_bytes().strip()
+    if not secret:
+        raise ValueError(f"{path} is empty")
+    return secret
