--- a/waxwingrack/commands/base.py
+++ b/waxwingrack/commands/base.py
@@ -202,8 +202,7 @@
     if not rows:
         return []
     cells = [list(rows[0])] + [
-        ["-" if item is None else str(item) for item in row.values()]
-        for row in rows
+        [_cell(item) for item in row.values()] for row in rows
     ]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     return [
@@ -215,6 +214,12 @@
     ]
 
 
+def _cell(item: Any) -> str:
+    if item is None:
+        return "-"
+    return f"{item:.6g}" if isinstance(item, float) else str(item)
+
+
 def address(text: str) -> data.Address:
     """Reads `host:port` with an IP number.
 
--- a/waxwingrack/commands/status.py
+++ b/waxwingrack/commands/status.py
@@ -29,7 +29,7 @@
             )
         self.show(
             status,
-            {name.replace("_", " "): status[name] for name in TABLES}
+            {name.replace("_", " "): _ordered(status[name]) for name in TABLES}
             | {
                 "rollouts": rollout.rows(status["rollouts"]),
                 "refused digests": [
@@ -37,3 +37,8 @@
                 ],
             },
         )
+
+
+def _ordered(rows: list[dict]) -> list[dict]:
+    # The leader lists rows in no fixed order, which differs between two calls.
+    return sorted(rows, key=lambda row: (row.get("service", ""), row["id"]))
