Add the settings of a fleet on one machine

Cause: a new operator had no settings that run on one machine (the examples need TLS files and three networks) and no command for the stand-in backend servers.

--- a/features/settings_pages.feature
+++ b/features/settings_pages.feature
@@ -39,6 +39,13 @@
       | controller-1.json |
       | controller-2.json |
       | controller-3.json |
+      | loopback/controller-1.json |
+      | loopback/controller-2.json |
+      | loopback/controller-3.json |
+      | loopback/controller-4.json |
+      | loopback/router-1.json     |
+      | loopback/router-2.json     |
+      | loopback/router-3.json     |
 
   Scenario Outline: an example environment has the size and routes of its deployment
     Then the example environment <name> has 16 workspaces in 3 data centres of <region>
