Send router and leader messages as compact frames

Field names and strings that repeat in every frame (workspace, service, route, server id, incarnation, address, version, digests as hex) made up most of it.

Ruled out: shorter field names in the present encoding (the repeated strings stay); websocket compression (a window for each of 380 connections at the leader, and processor time for each frame); changes of announcements against an explicit acknowledgement (a connection delivers in order or breaks, so what was sent on it is what the receiver has).

Change: `core/wire.py` encodes the messages between routers and the leader as positional arrays with a mask of optional fields, digests as bytes, whole floats as integers, strings as references after their first use, and announcements as changes against the last one of the same server on the connection. Both tables are bounded, belong to one direction of one connection and end with it. Frames carry a running number, so that a lost frame or one of another connection cannot shift references; a refused compact frame is counted and ends its connection. All fields are checked against the declared types. Messages between controllers, environment pushes and hellos keep their encoding. `capacity codec` measures frames on a connection that has carried the message before.

--- a/capacity/codec_cost.py
+++ b/capacity/codec_cost.py
@@ -1,5 +1,6 @@
 """Processor time and bytes of messages against their sizes."""
 
+import itertools
 import json
 import time
 
@@ -8,6 +9,7 @@
 from capacity import common
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.core import wire
 from waxwingrack.daemons import transport
 from waxwingrack.load import environment
 
@@ -41,15 +43,21 @@
 
 
 def _line(name: str, size: int, message: object) -> tuple[int, float, float]:
-    frame = messages.CODEC.encode(message)
-    encode = common.per_call_us(lambda: messages.CODEC.encode(message), 0.2)
-    decode = common.per_call_us(lambda: messages.CODEC.decode(frame), 0.2)
+    """Measures a message on a connection that has carried it before."""
+    encoder, decoder = wire.Encoder(), wire.Decoder()
+    frames = [encoder.encode(message) for _ in range(2 * wire.FRAME_NUMBERS)]
+    for frame in frames[: wire.FRAME_NUMBERS]:
+        decoder.decode(frame).unwrap()
+    later = itertools.cycle(frames[wire.FRAME_NUMBERS :])
+    encode = common.per_call_us(lambda: encoder.encode(message), 0.2)
+    decode = common.per_call_us(lambda: decoder.decode(next(later)), 0.2)
+    assert not decoder.broken
     print(
-        f"{name:32} {size:4}: {len(frame):7} bytes,"
+        f"{name:32} {size:4}: {len(frames[-1]):7} bytes,"
         f" encode {encode:8.1f} us, decode {decode:8.1f} us",
         flush=True,
     )
-    return len(frame), encode, decode
+    return len(frames[-1]), encode, decode
 
 
 def _series(name: str, sizes: tuple[int, ...], make) -> None:
--- /dev/null
+++ b/features/steps/codec_compact_steps.py
@@ -0,0 +1,344 @@
+"""Steps for the compact frames between a router and the leader."""
+
+import asyncio
+import dataclasses
+import enum
+import itertools
+import types
+import typing
+import unittest
+
+import behave
+import cbor2
+from returns import result
+from websockets.asyncio import client
+
+from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.core import wire
+from waxwingrack.daemons import transport
+
+TIMEOUT_S = 10
+HOST = "127.0.0.1"
+WANT = data.Want(1, "planners", "sketch", "draft", "ab" * 32, hint=2.5)
+SERVER = data.Announcement(
+    "s1", "a", data.Address(HOST, 80), "sketch", "v1", "a", 4, 2, 0.3
+)
+EVENT = (data.CacheEvent(1, "ab12", True),)
+CHANGES = {
+    "nothing changes": {},
+    "its load changes": {"load": 0.7, "in_flight": 3},
+    "it leaves": {"departing": True, "in_flight": 0},
+    "it restarts": {"incarnation": "b", "in_flight": 0},
+    "it reports a cache event": {"cache_events": EVENT},
+}
+
+
+def _report(**fields):
+    return messages.RouterReport(5, 3, **fields)
+
+
+def _sample(hint, name="text"):
+    """Builds a value of a type in which no field has its default."""
+    origin, args = typing.get_origin(hint), typing.get_args(hint)
+    if origin is tuple:
+        repeated = args[-1] is Ellipsis
+        items = args[:1] * 2 if repeated else args
+        return tuple(_sample(item, name) for item in items)
+    if origin is types.UnionType:
+        return _sample(args[0], name)
+    if dataclasses.is_dataclass(hint):
+        hints = typing.get_type_hints(hint)
+        return hint(**{key: _sample(item, key) for key, item in hints.items()})
+    if issubclass(hint, enum.Enum):
+        return tuple(hint)[-1]
+    plain = {int: 300, float: 1.37, bool: True, bytes: b"\x00\xff"}
+    return plain.get(hint, f"a longer {name}")
+
+
+class _Pair:
+    """Encoder and decoder of one direction of a connection."""
+
+    def __init__(self):
+        self.encoder, self.decoder = wire.Encoder(), wire.Decoder()
+        self.sent, self.received, self.sizes = [], [], []
+
+    def send(self, message):
+        frame = self.encoder.encode(message)
+        self.sizes.append(len(frame))
+        self.sent.append(message)
+        self.received.append(self.decoder.decode(frame).unwrap())
+
+
+@behave.when("a sample of every message is sent three times on one connection")
+def send_samples(context):
+    context.pair = _Pair()
+    for _, (_, cls) in itertools.product(range(3), messages.MESSAGES.items()):
+        context.pair.send(_sample(cls))
+
+
+@behave.then("every received message equals the sent one")
+def received_equal(context):
+    pairs = zip(context.pair.received, context.pair.sent, strict=True)
+    for received, sent in pairs:
+        assert received == sent, (received, sent)
+
+
+@behave.when("a backend server announces itself twice and {change}")
+def announce_twice(context, change):
+    first, second = SERVER, SERVER
+    if change == "its cache event was first":
+        first = dataclasses.replace(SERVER, cache_events=EVENT)
+    else:
+        second = dataclasses.replace(SERVER, **CHANGES[change])
+    context.pair = _Pair()
+    for seen in (first, second, second):
+        context.pair.send(_report(announcements=(seen,)))
+
+
+@behave.then("the second frame has at most {count:d} bytes")
+def second_short(context, count):
+    assert context.pair.sizes[1] <= count, context.pair.sizes
+
+
+@behave.when("{count:d} backend servers announce themselves twice")
+def announce_many(context, count):
+    context.pair = _Pair()
+    starts = [*range(0, count, 100)] * 2
+    for start in (*starts, starts[-1], starts[-1]):
+        seen = tuple(
+            dataclasses.replace(
+                SERVER, server_id=f"s{number}", cache_events=EVENT
+            )
+            for number in range(start, start + 100)
+        )
+        context.pair.send(_report(announcements=seen))
+
+
+@behave.then("neither end keeps more than the bounds of the tables")
+def bounded(context):
+    sent = context.pair.encoder._sent
+    received = context.pair.decoder._received
+    assert len(sent.numbers) == len(received.texts) <= wire.MAX_REFERENCES
+    assert sent.announced == received.announced
+    assert len(sent.announced) <= wire.MAX_BASELINES
+    kept = [seen for seen in sent.announced.values() if seen.cache_events]
+    assert not kept, kept
+
+
+@behave.then("servers that announce themselves next are still referred to")
+def still_referred(context):
+    # Nothing but the cache event and the server is sent.
+    assert context.pair.sizes[-1] < 20 * 100, context.pair.sizes[-1]
+
+
+@behave.when("a report that cannot be encoded fails between two good ones")
+def fail_between(context):
+    context.pair = _Pair()
+    context.pair.send(_report(wants=(WANT,)))
+    unsent = dataclasses.replace(WANT, workspace="never sent", hint="text")
+    try:
+        context.pair.encoder.encode(_report(wants=(unsent,)))
+    except TypeError:
+        pass
+    else:
+        raise AssertionError("a wrong type was encoded")
+    other = dataclasses.replace(WANT, workspace="other")
+    context.pair.send(_report(wants=(other,)))
+    context.pair.send(_report(wants=(WANT, other)))
+
+
+# ---------------------------------------------------------------------------
+# Refused frames
+# ---------------------------------------------------------------------------
+
+# Frames after a first report, whose table holds three strings. The mask of a
+# report names `wants` by 2, `finished` by 16 and `announcements` by 64.
+FAULTS = {
+    "an unknown reference": [1, 1, 5, 3, 2, [[2, 0, 1, 3]]],
+    "a negative reference": [1, 1, 5, 3, 2, [[2, 0, 1, -1]]],
+    "an unknown type": [99, 1, 5, 3],
+    "a missing field": [1, 1, 5],
+    "an unknown field": [1, 1, 5, 3, 1 << 12, 1],
+    "fewer values than named fields": [1, 1, 5, 3, 3, True],
+    "more values than named fields": [1, 1, 5, 3, 1, True, 1],
+    "a field of wrong type": [1, 1, "soon", 3],
+    "an unknown member of an enumeration": [
+        *(1, 1, 5, 3, 16),
+        [[1, 2, 7, 1.0, 1.0, 1.0]],
+    ],
+    "a change of a server never announced": [1, 1, 5, 3, 64, [["s9", 16, 2]]],
+    "text in place of a list": [1, 1, 5, 3, 2, "wants"],
+}
+
+
+@behave.given("a connection on which a report was received")
+def report_received(context):
+    context.pair = _Pair()
+    context.pair.send(_report(wants=(WANT,)))
+
+
+def _faulty_frame(encoder, fault):
+    if fault == "references of an earlier connection":
+        earlier = wire.Encoder()
+        for _ in range(2):
+            earlier.encode(_report(wants=(WANT,)))
+        return earlier.encode(_report(wants=(WANT,)))
+    if fault == "a frame before it lost":
+        lost = dataclasses.replace(WANT, workspace="lost")
+        encoder.encode(_report(wants=(lost,)))
+        return encoder.encode(_report(wants=(lost,)))
+    return cbor2.dumps(FAULTS[fault])
+
+
+@behave.when("it receives a compact frame with {fault}")
+def receive_fault(context, fault):
+    frame = _faulty_frame(context.pair.encoder, fault)
+    context.decoded = context.pair.decoder.decode(frame)
+
+
+@behave.then('the frame is refused with a reason that contains "{reason}"')
+def refused(context, reason):
+    assert isinstance(context.decoded, result.Failure), context.decoded
+    assert reason in context.decoded.failure().reason, context.decoded
+
+
+@behave.then("no later compact frame of the connection is accepted")
+def none_later(context):
+    for tag, number in itertools.product((1, -1), range(wire.FRAME_NUMBERS)):
+        decoded = context.pair.decoder.decode(cbor2.dumps([tag, number, 5, 3]))
+        assert isinstance(decoded, result.Failure), decoded
+
+
+@behave.when("a report is cut after each of its bytes")
+def cut_report(context):
+    frame = wire.Encoder().encode(
+        _report(wants=(WANT,), announcements=(SERVER,))
+    )
+    context.cut = [frame[:end] for end in range(len(frame))]
+
+
+@behave.then("every cut frame is refused")
+def cuts_refused(context):
+    for frame in context.cut:
+        decoded = wire.Decoder().decode(frame)
+        assert isinstance(decoded, result.Failure), (frame, decoded)
+
+
+# ---------------------------------------------------------------------------
+# Connections
+# ---------------------------------------------------------------------------
+
+
+ENDING = {
+    "an unknown reference": FAULTS["an unknown reference"],
+    "a frame of an earlier connection": [1, 7, 5, 3, 2, [[2, 0, 1, 2]]],
+}
+
+
+class _Listener:
+    """Keeps what a process receives."""
+
+    def __init__(self):
+        self.conns, self.messages, self.ended = [], [], asyncio.Event()
+
+    def connected(self, conn):
+        self.conns.append(conn)
+
+    def received(self, conn, message):
+        self.messages.append(message)
+
+    def disconnected(self, conn):
+        self.ended.set()
+
+
+def _identity(role):
+    return transport.Identity(role, f"the-{role}", "i1", b"key")
+
+
+class _Serving:
+    """A listening process."""
+
+    async def __aenter__(self):
+        self.listener, self.counts = _Listener(), transport.Counts()
+        self._server = await transport.serve(
+            data.Address(HOST, 0),
+            _identity(data.Role.CONTROLLER),
+            self.listener,
+            self.counts,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def connect(self):
+        """Connects; returns the connection and the task that runs it."""
+        conn = await transport.connect(
+            data.Address(HOST, self.port),
+            _identity(data.Role.ROUTER),
+            transport.Counts(),
+        )
+        return conn, asyncio.ensure_future(conn.run(_Listener()))
+
+
+async def _present(version):
+    """Sends a hello; returns why the process closed the connection."""
+    hello = messages.Hello(version, data.Role.ROUTER, "old", "i1", b"nonce")
+    async with _Serving() as serving:
+        url = f"ws://{HOST}:{serving.port}/"
+        async with client.connect(url, proxy=None) as socket:
+            await socket.send(messages.CODEC.encode(hello))
+            async with asyncio.timeout(TIMEOUT_S):
+                await socket.wait_closed()
+            return socket.close_reason
+
+
+@behave.when("a process with protocol version {version:d} connects")
+def connect_version(context, version):
+    with unittest.TestCase().assertLogs("waxwingrack") as logged:
+        reason = asyncio.run(_present(version))
+    lines = "; ".join(record.fields["reason"] for record in logged.records)
+    context.named = [reason, lines]
+
+
+@behave.then('both ends name "{text}"')
+def both_name(context, text):
+    assert all(text in named for named in context.named), context.named
+
+
+@behave.when("a process sends {what} to another one")
+def one_sends(context, what):
+    frame = cbor2.dumps(ENDING[what])
+
+    async def run():
+        async with _Serving() as serving:
+            conn, running = await serving.connect()
+            conn.send(_report(wants=(WANT,)))
+            conn.send_frame(frame)
+            async with asyncio.timeout(TIMEOUT_S):
+                await serving.listener.ended.wait()
+                await running
+            context.malformed = serving.counts.malformed
+            conn, running = await serving.connect()
+            conn.send_last(_report(wants=(WANT,)))
+            async with asyncio.timeout(TIMEOUT_S):
+                await running
+            context.messages = serving.listener.messages
+
+    asyncio.run(run())
+
+
+@behave.then(
+    "the receiver counts {count:d} malformed frame and the connection ends"
+)
+def counted(context, count):
+    assert context.malformed == count, context.malformed
+
+
+@behave.then("a new connection of the two carries reports")
+def carries_reports(context):
+    expected = [_report(wants=(WANT,))] * 2
+    assert context.messages == expected, context.messages
--- a/waxwingrack/core/codec.py
+++ b/waxwingrack/core/codec.py
@@ -73,9 +73,17 @@
           of a wrong type.
         """
         try:
-            tag, fields = cbor2.loads(blob)
+            parts = cbor2.loads(blob)
+        except (cbor2.CBORError, ValueError, TypeError) as exc:
+            return result.Failure(DecodeError(f"not a known record: {exc}"))
+        return self.decode_parts(parts)
+
+    def decode_parts(self, parts: Any) -> result.Result[Any, DecodeError]:
+        """Checks a record whose CBOR is decoded; see `decode`."""
+        try:
+            tag, fields = parts
             adapter = self._adapters[tag]
-        except (cbor2.CBORError, ValueError, TypeError, KeyError) as exc:
+        except (ValueError, TypeError, KeyError) as exc:
             return result.Failure(DecodeError(f"not a known record: {exc}"))
         try:
             return result.Success(adapter.validate_python(fields))
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -19,6 +19,7 @@
 
 from returns import result
 from websockets import exceptions
+from websockets import frames
 from websockets.asyncio import client
 from websockets.asyncio import connection as ws_connection
 from websockets.asyncio import server as ws_server
@@ -26,6 +27,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import logs
 from waxwingrack.core import messages
+from waxwingrack.core import wire
 
 # Longest time for the hello exchange, in seconds.
 HELLO_TIMEOUT_S = 2.0
@@ -40,6 +42,10 @@
     """The peer did not authenticate or speaks another protocol version."""
 
 
+class VersionError(HandshakeError):
+    """The peer speaks another protocol version."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
     """How this process presents itself.
@@ -109,6 +115,9 @@
         self.remote = str(socket.remote_address)
         self._socket = socket
         self._counts = counts
+        # References live and end with the connection.
+        self._encoder = wire.Encoder()
+        self._decoder = wire.Decoder()
         self._unsent: collections.deque[bytes] = collections.deque()
         self._unsent_bytes = 0
         self._wake = asyncio.Event()
@@ -137,10 +146,10 @@
         """
         if self._closed or self._last:
             return False
-        return self.send_frame(messages.CODEC.encode(message))
+        return self.send_frame(self._encoder.encode(message))
 
     def send_frame(self, frame: bytes) -> bool:
-        """Queues a message that is encoded already; see `send`."""
+        """Queues a message encoded by `messages.CODEC`; see `send`."""
         if self._closed or self._last:
             return False
         if self._unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
@@ -189,7 +198,7 @@
         async for frame in self._socket:
             blob = frame.encode() if isinstance(frame, str) else frame
             self._counts.bytes_received += len(blob)
-            match messages.CODEC.decode(_expand(blob)):
+            match self._decoder.decode(_expand(blob)):
                 case result.Success(message):
                     self._counts.messages_received += 1
                     listener.received(self, message)
@@ -200,6 +209,9 @@
                         peer=self.peer.node_id,
                         reason=error.reason,
                     )
+            if self._decoder.broken:
+                # Later frames may refer to what the refused one defined.
+                return
 
     async def _write(self) -> None:
         while not self._closed:
@@ -373,7 +385,11 @@
             remote=str(socket.remote_address),
             reason=str(exc) or type(exc).__name__,
         )
-        socket.transport.abort()
+        if isinstance(exc, VersionError):
+            # The peer logs the reason, so that both ends name the fault.
+            await socket.close(frames.CloseCode.PROTOCOL_ERROR, str(exc))
+        else:
+            socket.transport.abort()
         return None
     except asyncio.CancelledError:
         socket.transport.abort()
@@ -427,7 +443,7 @@
     ):
         case result.Success(messages.Hello() as hello):
             if hello.protocol != messages.PROTOCOL_VERSION:
-                raise HandshakeError(
+                raise VersionError(
                     f"protocol version {hello.protocol}, "
                     f"expected {messages.PROTOCOL_VERSION}"
                 )
