Declare orders to model engines in the environment document

Cause: engines accept orders to load versions, but no document could ask for them, so operators had to move engines by hand.

Ruled out: a limit of loading engines per service. The weight store is shared, so the limit stands on the environment (max_loading).

Change: optional 'orders' of a service (min_serving_share, answer_timeout_s, load_timeout_s) and 'max_loading' of the environment, with limits and unknown fields as faults with their JSON path. A document without them is encoded as before. The records of orders in the replicated state are declared too.

Conclusion: the settings exist; nothing acts on them yet.

--- a/features/settings_environment.feature
+++ b/features/settings_environment.feature
@@ -43,6 +43,15 @@
       | $.rollouts[0].watch_s         | 600      | $.rollouts[0].watch_s         | shorter than deadline_s |
       | $.key_retention_s             | 86400000 | $.key_retention_s             | seconds                 |
 
+    Examples: orders to model engines
+      | place                         | value    | path                          | rule                    |
+      | $.services[0].orders          | {"pace": 1} | $.services[0].orders.pace  | is not a known field    |
+      | $.services[0].orders          | 3        | $.services[0].orders          | must be an object       |
+      | $.services[0].orders          | {"min_serving_share": 1.5} | $.services[0].orders.min_serving_share | must be from 0 |
+      | $.services[0].orders          | {"answer_timeout_s": 10000} | $.services[0].orders.answer_timeout_s | seconds |
+      | $.services[0].orders          | {"load_timeout_s": 0} | $.services[0].orders.load_timeout_s | seconds |
+      | $.max_loading                 | 0        | $.max_loading                 | must be from 1          |
+
     Examples: ids, references and digests
       | place                         | value    | path                          | rule                    |
       | $.workspaces[1].id            | "north"  | $.workspaces[1].id            | equals $.workspaces[0].id |
--- a/features/settings_pages.feature
+++ b/features/settings_pages.feature
@@ -15,6 +15,7 @@
       | Environment |
       | Workspace   |
       | Service     |
+      | OrderSettings |
       | Route       |
       | DataCentre  |
       | RolloutPlan |
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -67,6 +67,24 @@
     idempotent: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """How a service's model engines are told to load versions.
+
+    Attributes:
+      min_serving_share: Least share of the service's slots that must keep
+        serving while engines load, from 0 to 1.
+      answer_timeout_s: Longest wait for an engine's answer to an order or a
+        read-back, in seconds.
+      load_timeout_s: Longest time from an order until the engine announces the
+        version, in seconds; an order that is over may then be repeated.
+    """
+
+    min_serving_share: float = 0.5
+    answer_timeout_s: float = 10.0
+    load_timeout_s: float = 600.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A pool of backend servers that run the same program.
@@ -79,6 +97,8 @@
       queue_timeout_s: Longest wait for a grant, in seconds.
       answer_timeout_s: Longest wait for the first answer byte, in seconds.
       idle_timeout_s: Longest pause within an answer, in seconds.
+      orders: How its model engines are told to load versions; None sends no
+        orders.
     """
 
     id: str
@@ -88,6 +108,7 @@
     queue_timeout_s: float = 30.0
     answer_timeout_s: float = 60.0
     idle_timeout_s: float = 30.0
+    orders: OrderSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +158,8 @@
       announce_token_digests: SHA-256 digests (hex) of the tokens with which
         backend servers announce themselves.
       key_retention_s: Shortest life of an idempotency record, in seconds.
+      max_loading: Most model engines of all services that load a version at
+        once, as the weight store is rate-limited.
     """
 
     name: str
@@ -146,6 +169,7 @@
     rollouts: tuple[RolloutPlan, ...] = ()
     announce_token_digests: tuple[str, ...] = ()
     key_retention_s: float = 86_400.0
+    max_loading: int = 2
 
 
 # ---------------------------------------------------------------------------
@@ -501,6 +525,46 @@
     reason: str = ""
 
 
+class OrderState(enum.StrEnum):
+    """What is known of an order to a model engine.
+
+    An outstanding order may still reach the engine. All other states are final.
+    """
+
+    OUTSTANDING = "outstanding"
+    APPLIED = "applied"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    RESTARTED = "restarted"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineOrder:
+    """Order to a model engine to load a version.
+
+    Attributes:
+      service: Service of the engine.
+      server_id: Backend server id of the engine.
+      incarnation: Incarnation of the engine that the order is for.
+      version: Version to load.
+      fencing: Fencing number; no two orders have the same.
+      checks_fencing: Whether the engine refuses old fencing numbers.
+      issuer: Period of leadership that issued the order.
+      state: What is known of it.
+      reason: Why it is in this state.
+    """
+
+    service: str
+    server_id: str
+    incarnation: str
+    version: str
+    fencing: int
+    checks_fencing: bool
+    issuer: str
+    state: OrderState = OrderState.OUTSTANDING
+    reason: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperationOutcome:
     """Answer to an operator's command, kept for resends.
@@ -562,6 +626,8 @@
         to but not including `key_next`; released keys leave gaps.
       key_sequences: Sequence of the claim by (workspace, key).
       stored_bytes: Size of the stored answers.
+      orders: Latest order to each model engine, by server id.
+      fencing: Highest fencing number that was given or seen.
     """
 
     number: int = 0
@@ -589,6 +655,8 @@
     key_first: int = 0
     key_next: int = 0
     stored_bytes: int = 0
+    orders: immutables.Map = immutables.Map()
+    fencing: int = 0
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -23,6 +23,8 @@
     "$.services[*].queue_timeout_s": (0.01, 3_600.0),
     "$.services[*].answer_timeout_s": (0.01, 14_400.0),
     "$.services[*].idle_timeout_s": (0.01, 3_600.0),
+    "$.services[*].orders.answer_timeout_s": (0.01, 600.0),
+    "$.services[*].orders.load_timeout_s": (0.1, 86_400.0),
     "$.rollouts[*].deadline_s": (0.1, 172_800.0),
     "$.rollouts[*].watch_s": (0.01, 43_200.0),
     "$.key_retention_s": (1.0, 2_678_400.0),
@@ -31,6 +33,8 @@
     "$.workspaces[*].max_queue": (1, 1_000_000),
     "$.workspaces[*].max_connections": (1, 1_000_000),
 }
+ENGINE_LIMITS = {"$.max_loading": (1, 10_000)}
+SHARE_LIMITS = {"$.services[*].orders.min_serving_share": (0.0, 1.0)}
 # A larger ratio of weights leaves the smaller workspace without a share that
 # it could notice.
 MAX_WEIGHT = 1_000_000.0
@@ -128,6 +132,12 @@
     return documents.ranges(document, COUNT_LIMITS, "requests")
 
 
+@RULES.register("orders")
+def _orders(document: Any) -> Faults:
+    yield from documents.ranges(document, ENGINE_LIMITS, "engines")
+    yield from documents.ranges(document, SHARE_LIMITS, "of the slots")
+
+
 @RULES.register("watch_within_deadline")
 def _watch_within_deadline(document: Any) -> Faults:
     defaults = {
