Keep orders to model engines in the replicated state

Cause: an order must survive the leader that sends it, and its fencing number must be above all earlier ones at every later leader.

Ruled out: numbers made of term and counter at the leader. Two periods of leadership can share a term, and a group that was rebuilt starts at a low term while engines remember high numbers.

Change: the commands issue_order and record_order. The state machine gives the numbers, starting above what an engine has shown, and refuses an order to an engine that ignores numbers while one is outstanding there.

--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -171,3 +171,49 @@
     """Drops the recorded addresses of a controller that was replaced."""
 
     controller: str
+
+
+@COMMANDS.register("issue_order")
+@dataclasses.dataclass(frozen=True, slots=True)
+class IssueOrder:
+    """Records an order to a model engine before it is sent.
+
+    The state machine gives it the next fencing number.
+
+    Attributes:
+      service: Service of the engine.
+      server_id: Backend server id of the engine.
+      incarnation: Incarnation of the engine.
+      version: Version to load.
+      checks_fencing: Whether the engine refuses old fencing numbers.
+      issuer: Period of leadership that sends the order.
+      seen_fencing: Highest fencing number that the engine has shown.
+    """
+
+    service: str
+    server_id: str
+    incarnation: str
+    version: str
+    checks_fencing: bool
+    issuer: str
+    seen_fencing: int = 0
+
+
+@COMMANDS.register("record_order")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordOrder:
+    """Records the result of an order.
+
+    Attributes:
+      server_id: Backend server id of the engine.
+      fencing: Fencing number of the order.
+      state: A final state.
+      reason: How the result is known.
+      seen_fencing: Highest fencing number that the engine has shown.
+    """
+
+    server_id: str
+    fencing: int
+    state: data.OrderState
+    reason: str
+    seen_fencing: int = 0
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -16,6 +16,7 @@
 from waxwingrack.operations import replicated_environment
 from waxwingrack.operations import replicated_image
 from waxwingrack.operations import replicated_keys
+from waxwingrack.operations import replicated_orders
 from waxwingrack.operations import replicated_outcomes
 from waxwingrack.operations import replicated_rollouts
 
@@ -50,6 +51,8 @@
 HANDLERS.register(commands.ForgetController)(
     replicated_controllers.forget_controller
 )
+HANDLERS.register(commands.IssueOrder)(replicated_orders.issue_order)
+HANDLERS.register(commands.RecordOrder)(replicated_orders.record_order)
 
 
 def apply(state: data.ReplicatedState, command: Any) -> Applied:
@@ -64,7 +67,8 @@
       `data.OperationOutcome`. For key commands it is the `data.KeyRecord` if
       the key is claimed just now, answered or may have run, and otherwise a
       `data.KeyState`; a claim is granted if and only if the outcome is a record
-      whose state is CLAIMED. It is None for all other commands.
+      whose state is CLAIMED. For orders it is the `data.EngineOrder`, or None
+      if the command had no effect. It is None for all other commands.
 
     Raises:
       KeyError: The type of the command is unknown.
--- a/waxwingrack/operations/replicated_image.py
+++ b/waxwingrack/operations/replicated_image.py
@@ -46,6 +46,8 @@
     key_first: int
     key_next: int
     controllers: tuple[data.Peer, ...] = ()
+    orders: tuple[data.EngineOrder, ...] = ()
+    fencing: int = 0
 
 
 CODEC = codec.Codec(IMAGES)
@@ -91,6 +93,8 @@
         controllers=tuple(
             state.controllers[key] for key in sorted(state.controllers.keys())
         ),
+        orders=tuple(state.orders[key] for key in sorted(state.orders.keys())),
+        fencing=state.fencing,
     )
     rows = [
         _row(sequence, state.keys[place])
@@ -199,4 +203,6 @@
         controllers=immutables.Map(
             {peer.id: peer for peer in image.controllers}
         ),
+        orders=immutables.Map({row.server_id: row for row in image.orders}),
+        fencing=image.fencing,
     )
--- /dev/null
+++ b/waxwingrack/operations/replicated_orders.py
@@ -0,0 +1,104 @@
+"""Orders to model engines in the replicated state.
+
+The latest order to each engine is kept. The state machine gives the fencing
+numbers, so they strictly increase over leader changes. It refuses an order to
+an engine that ignores the number while another one is outstanding there,
+whatever the proposing leader believes.
+"""
+
+import dataclasses
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.operations import replicated_outcomes
+
+# Engines whose latest order is kept; the oldest final one gives way.
+MAX_ORDERS = 4_096
+
+_OUTSTANDING = data.OrderState.OUTSTANDING
+
+
+def issue_order(
+    state: data.ReplicatedState, command: commands.IssueOrder
+) -> replicated_outcomes.Applied:
+    """Gives an order the next fencing number and records it.
+
+    Args:
+      state: State before the command.
+      command: The order.
+
+    Returns:
+      The new state and the `data.EngineOrder`; None as the outcome if an order
+      is outstanding at an engine that ignores the number, or if too many
+      orders are outstanding.
+    """
+    old = state.orders.get(command.server_id)
+    if old is not None and not may_follow(old, command.checks_fencing):
+        return replicated_outcomes.Applied(state, None)
+    orders = state.orders
+    if old is None and len(orders) >= MAX_ORDERS:
+        final = [row for row in orders.values() if row.state != _OUTSTANDING]
+        if not final:
+            return replicated_outcomes.Applied(state, None)
+        oldest = min(final, key=lambda row: row.fencing)
+        orders = orders.delete(oldest.server_id)
+    fencing = max(state.fencing, command.seen_fencing) + 1
+    order = data.EngineOrder(
+        service=command.service,
+        server_id=command.server_id,
+        incarnation=command.incarnation,
+        version=command.version,
+        fencing=fencing,
+        checks_fencing=command.checks_fencing,
+        issuer=command.issuer,
+    )
+    state = dataclasses.replace(
+        state, fencing=fencing, orders=orders.set(order.server_id, order)
+    )
+    return replicated_outcomes.Applied(state, order)
+
+
+def may_follow(old: data.EngineOrder, checks_fencing: bool) -> bool:
+    """Tells whether a newer order may follow an order to the same engine.
+
+    Args:
+      old: Latest order to the engine.
+      checks_fencing: Whether the engine says now that it refuses old numbers.
+
+    Returns:
+      True if the old order is over or cannot take effect after a newer one.
+    """
+    if old.state is not _OUTSTANDING:
+        return True
+    return old.checks_fencing and checks_fencing
+
+
+def record_order(
+    state: data.ReplicatedState, command: commands.RecordOrder
+) -> replicated_outcomes.Applied:
+    """Records the result of an outstanding order; a final state stays.
+
+    Args:
+      state: State before the command.
+      command: The result.
+
+    Returns:
+      The new state, and the changed `data.EngineOrder` or None as the outcome.
+    """
+    state = dataclasses.replace(
+        state, fencing=max(state.fencing, command.seen_fencing)
+    )
+    order = state.orders.get(command.server_id)
+    if (
+        order is None
+        or order.fencing != command.fencing
+        or order.state is not _OUTSTANDING
+    ):
+        return replicated_outcomes.Applied(state, None)
+    order = dataclasses.replace(
+        order, state=command.state, reason=command.reason
+    )
+    state = dataclasses.replace(
+        state, orders=state.orders.set(order.server_id, order)
+    )
+    return replicated_outcomes.Applied(state, order)
