Count refused peers, read TLS files once, run a fleet over mutual TLS

Cause: mutual TLS had never run in a fleet. The first runs showed faults: a peer that the server's handshake refused was neither logged nor counted, as asyncio drops it without a word; a controller refused by a router's own check was not logged either; the files were read again at each connect, so a router that reconnected while its files were being replaced met an SSL error outside the handled ones and lost its control link until a restart. Ruled out: telling a refused client the reason; asyncio's server closes without an alert, so the client sees only the end of the connection (tried with a reporting read).

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from features.support import certificates
 from features.support import fleet
 
 
@@ -69,9 +70,42 @@
         context.fleet.stop()
 
 
+@behave.fixture
+def tls_fleet(context):
+    """Three controllers, two routers and a booking desk over TLS."""
+    first, second = (certificates.Authority(x) for x in ("first", "second"))
+    first.trusted = second.trusted = (first, second)
+    context.second = second
+    context.fleet = fleet.Fleet(
+        routers=2,
+        authority=first,
+        router_settings={"shutdown_delay_s": 1.0},
+    )
+    try:
+        context.fleet.start()
+        context.fleet.apply(fleet.environment())
+        context.runs = context.fleet.folder / "booking-1.runs"
+        context.fleet.add_server(
+            "booking-1", "booking", slots=4, runs_file=str(context.runs)
+        )
+        for router in context.fleet.routers:
+            fleet.wait_until(
+                lambda name=router: (
+                    context.fleet.call(name, "GET", "/booking/free").status
+                    == 200
+                ),
+                20,
+                f"{router} serves",
+            )
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
 FIXTURES = {
     "fixture.fleet": running_fleet,
     "fixture.slow_fleet": slow_fleet,
+    "fixture.tls_fleet": tls_fleet,
 }
 
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -242,12 +242,14 @@
         router_settings=None,
         link_delay_ms=0,
         proxied=True,
+        authority=None,
     ):
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
         self.folder = pathlib.Path(self._temporary.name)
         self.members = {}
         self.proxy = Proxy() if proxied else DirectLinks()
         self._link_delay_ms = link_delay_ms
+        self.authority = authority
         self._router_settings = router_settings or {}
         self._secrets()
         self.controllers = [f"c{n + 1}" for n in range(controllers)]
@@ -270,6 +272,25 @@
         wait_until(self.leader, START_TIMEOUT_S, "a leader")
         self.heal()
 
+    def add_router(self, name, **settings):
+        """Adds a router that the servers do not know, without its start."""
+        ports = loopback.free_ports(2)
+        self._operators[name], self._callers[name] = ports
+        self._add_router(name, **settings)
+        return self.members[name]
+
+    def metric(self, name, metric):
+        """Returns a metric of a process without labels."""
+        body = request(self._operators[name], "GET", "/metrics").body
+        for line in body.decode().splitlines():
+            if line.startswith(f"waxwingrack_{metric} "):
+                return float(line.split()[1])
+        raise ConnectionError(f"{name} serves no {metric}")
+
+    def ready(self, name):
+        """Whether a process is ready, at its operators' port."""
+        return request(self._operators[name], "GET", "/readyz").status == 200
+
     def stop(self):
         """Ends all processes and removes their files."""
         for member in self.members.values():
@@ -468,7 +489,7 @@
         }
         self._add(name, settings, {"control": self._control[name]})
 
-    def _add_router(self, name):
+    def _add_router(self, name, **more):
         settings = {
             "role": "router",
             "node_id": name,
@@ -476,15 +497,20 @@
             "callers": address(self._callers[name]),
             "shutdown_delay_s": 0.5,
             **self._router_settings,
+            **more,
         }
         self._add(name, settings, {"callers": self._callers[name]})
 
     def _add(self, name, settings, ports):
-        settings |= {
+        settings = {
             "operators": address(self._operators[name]),
             "controllers": self._peers(name),
-            "shared_key_file": str(self.folder / "key"),
+            **settings,
         }
+        if self.authority is None:
+            settings["shared_key_file"] = str(self.folder / "key")
+        elif "tls" not in settings:
+            settings["tls"] = self.authority.issue(self.folder, name)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         command = [
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -26,6 +26,7 @@
 from waxwingrack.daemons import repair
 from waxwingrack.daemons import replica_driver
 from waxwingrack.daemons import router_sessions
+from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import consensus
 
@@ -97,6 +98,9 @@
         self._rng = rng
         self._damage = ""
         self._life: _LifeCycle = _MACHINE(self)
+        if settings.tls is not None:
+            # Files that cannot be read end the process now, not at a reconnect.
+            tls.client_context(settings.tls)
         self._identity = transport.Identity(
             role=data.Role.CONTROLLER,
             node_id=settings.node_id,
--- a/waxwingrack/daemons/metrics.py
+++ b/waxwingrack/daemons/metrics.py
@@ -102,6 +102,11 @@
                 "Frames that could not be decoded.",
                 counts.malformed,
             ),
+            (
+                "refused_peers_total",
+                "Connections whose peer did not authenticate.",
+                counts.refused,
+            ),
         ):
             metrics.set_total(
                 name, f"{doc} Traffic between processes only.", value
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -31,6 +31,7 @@
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
 from waxwingrack.daemons import router_metrics
+from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import routing
 
@@ -395,6 +396,9 @@
     key = b""
     if settings.shared_key_file:
         key = pathlib.Path(settings.shared_key_file).read_bytes().strip()
+    if settings.tls is not None:
+        # Files that cannot be read end the process now, not at a reconnect.
+        tls.client_context(settings.tls)
     return transport.Identity(
         role=data.Role.ROUTER,
         node_id=settings.node_id,
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -9,10 +9,10 @@
 import collections
 from collections.abc import Awaitable
 import dataclasses
+import functools
 import hmac
 import ipaddress
 import secrets
-import ssl
 from typing import Any
 from typing import Protocol
 import zlib
@@ -26,6 +26,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import logs
 from waxwingrack.core import messages
+from waxwingrack.daemons import tls
 
 # Longest time for the hello exchange, in seconds.
 HELLO_TIMEOUT_S = 2.0
@@ -69,6 +70,7 @@
       messages_sent: Sent messages.
       messages_received: Received messages.
       malformed: Frames that could not be decoded.
+      refused: Connections whose peer did not authenticate.
     """
 
     bytes_sent: int = 0
@@ -76,6 +78,7 @@
     messages_sent: int = 0
     messages_received: int = 0
     malformed: int = 0
+    refused: int = 0
 
 
 class Listener(Protocol):
@@ -267,16 +270,23 @@
 
     async def handle(socket: ws_server.ServerConnection) -> None:
         peer = await _handshake(
-            _accept_hello(socket, identity), socket, "accept"
+            _accept_hello(socket, identity), socket, counts, "accept"
         )
         if peer is not None:
             await Connection(socket, peer, counts).run(listener)
 
+    context = None
+    if identity.tls is not None:
+        context = tls.server_context(
+            identity.tls,
+            # The address of the peer is not known within the handshake.
+            functools.partial(_refused, counts, "accept", None),
+        )
     return await ws_server.serve(
         handle,
         address.host,
         address.port,
-        ssl=_tls_context(identity, ssl.Purpose.CLIENT_AUTH),
+        ssl=context,
         compression=None,
         max_size=messages.MAX_FRAME_BYTES,
         ping_interval=None,
@@ -305,12 +315,12 @@
       HandshakeError: The address is not loopback and no TLS files are set.
     """
     require_protection(address, identity)
-    tls = _tls_context(identity, ssl.Purpose.SERVER_AUTH)
-    scheme = "wss" if tls else "ws"
+    context = identity.tls and tls.client_context(identity.tls)
+    scheme = "wss" if context else "ws"
     try:
         socket = await client.connect(
             f"{scheme}://{address.host}:{address.port}/",
-            ssl=tls,
+            ssl=context,
             proxy=None,
             compression=None,
             max_size=messages.MAX_FRAME_BYTES,
@@ -318,9 +328,14 @@
             open_timeout=HELLO_TIMEOUT_S,
             close_timeout=HELLO_TIMEOUT_S,
         )
-    except (OSError, TimeoutError, exceptions.WebSocketException):
+    except (OSError, TimeoutError, exceptions.WebSocketException) as exc:
+        fault = tls.fault_of(exc)
+        if fault is not None:
+            _refused(counts, "connect", str(address), fault)
         return None
-    peer = await _handshake(_send_hello(socket, identity), socket, "connect")
+    peer = await _handshake(
+        _send_hello(socket, identity), socket, counts, "connect"
+    )
     return None if peer is None else Connection(socket, peer, counts)
 
 
@@ -341,22 +356,22 @@
         raise HandshakeError(f"{address} needs TLS files: not loopback")
 
 
-def _tls_context(
-    identity: Identity, purpose: ssl.Purpose
-) -> ssl.SSLContext | None:
-    files = identity.tls
-    if files is None:
-        return None
-    context = ssl.create_default_context(purpose, cafile=files.authority)
-    context.load_cert_chain(files.certificate, files.private_key)
-    context.verify_mode = ssl.CERT_REQUIRED
-    context.minimum_version = ssl.TLSVersion.TLSv1_3
-    return context
+def _refused(
+    counts: Counts, side: str, remote: str | None, reason: BaseException
+) -> None:
+    counts.refused += 1
+    logs.event(
+        "handshake_failed",
+        side=side,
+        remote=remote,
+        reason=str(reason) or type(reason).__name__,
+    )
 
 
 async def _handshake(
     exchange: Awaitable[messages.Hello],
     socket: ws_connection.Connection,
+    counts: Counts,
     side: str,
 ) -> messages.Hello | None:
     try:
@@ -367,12 +382,7 @@
         OSError,
         exceptions.ConnectionClosed,
     ) as exc:
-        logs.event(
-            "handshake_failed",
-            side=side,
-            remote=str(socket.remote_address),
-            reason=str(exc) or type(exc).__name__,
-        )
+        _refused(counts, side, str(socket.remote_address), exc)
         socket.transport.abort()
         return None
     except asyncio.CancelledError:
