Tell routers the address of the leader, not only its id

Change: NotLeader carries the peer and the router learns it. The protocol version stays: a release without the field drops the message and asks the next controller.

--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -34,11 +34,19 @@
     When the router's leader breaks the connection
     Then the router's first report names 1 running grant and 1 want
 
-  Scenario: a router follows the hint to the leader
-    Given a router whose first controller points to the second
+  Scenario Outline: a router follows the hint to a leader that it <knows>
+    A repair adds controllers that the settings of a router do not name. The
+    router may have missed them while it was cut off.
+
+    Given a router that <knows> the leader which its first controller names
     When the router's caller requests GET /sketch/a
     Then the router's caller gets 200 with its own answer
 
+    Examples:
+      | knows         |
+      | knows         |
+      | does not know |
+
   Scenario Outline: the number of the environment only grows
     Given a router with 1 fake backend servers
     When the router's leader pushes number <number> without routes
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -179,12 +179,15 @@
     assert context.join().status == 200 and context.stream().whole
 
 
-@behave.given("a router whose first controller points to the second")
-def points_to_second(context):
+@behave.given(
+    "a router that {knows} the leader which its first controller names"
+)
+def hinted(context, knows):
     world = router_fakes.World()
     context.add_cleanup(world.close)
+    world.listed = {"knows": 2, "does not know": 1}[knows]
     other = router_fakes.FakeLeader("c0")
-    other.hint = "c1"
+    other.hint = world.leader
     world.leaders = [other, world.leader]
     world.start()
     context.world = world
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -111,7 +111,7 @@
         self.term = 1
         self.granting = True
         self.silent = False
-        self.hint: str | None = None
+        self.hint: FakeLeader | None = None
         self.echo_lag_ms = 0
         self.refusal: errors.ErrorKind | None = None
         self.key_state: dict[str, data.KeyState] = {}
@@ -143,6 +143,14 @@
         self.port = self._server.sockets[0].getsockname()[1]
         return self.port
 
+    def peer(self) -> data.Peer:
+        """Returns the addresses; the operators' API is nowhere."""
+        return data.Peer(
+            self.node_id,
+            data.Address("127.0.0.1", self.port),
+            data.Address("127.0.0.1", 1),
+        )
+
     async def close(self) -> None:
         """Closes the port and all connections."""
         self._server.close()
@@ -167,7 +175,7 @@
         if self.silent:
             return
         if self.hint is not None:
-            conn.send(messages.NotLeader(self.hint))
+            conn.send(messages.NotLeader(self.hint.node_id, self.hint.peer()))
             return
         if isinstance(message, messages.RouterReport):
             self._report(conn, message)
@@ -584,7 +592,6 @@
         self.folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self.folder.name)
         (folder / "key").write_text(KEY)
-        nowhere = data.Address("127.0.0.1", 1)
         document = {
             "role": "router",
             "node_id": "r1",
@@ -592,14 +599,7 @@
             "operators": {"host": "127.0.0.1", "port": 0},
             "callers": {"host": "127.0.0.1", "port": 0},
             "controllers": [
-                dataclasses.asdict(
-                    data.Peer(
-                        leader.node_id,
-                        data.Address("127.0.0.1", leader.port),
-                        nowhere,
-                    )
-                )
-                for leader in controllers
+                dataclasses.asdict(leader.peer()) for leader in controllers
             ],
             "shared_key_file": str(folder / "key"),
             "shutdown_delay_s": 0.3,
@@ -664,6 +664,8 @@
         self.leader = FakeLeader()
         self.routers: list[RouterProcess] = []
         self.leaders = [self.leader]
+        # Number of leaders that the settings name; None names all.
+        self.listed: int | None = None
         self.backends: list[FakeBackend] = []
 
     def start(self, servers: int = 1, **settings: Any) -> None:
@@ -676,7 +678,9 @@
             self.loop.run(backend.open())
             self.backends.append(backend)
         self.leader.servers = list(self.backends)
-        self.routers.append(RouterProcess(self.leaders, **settings))
+        self.routers.append(
+            RouterProcess(self.leaders[: self.listed], **settings)
+        )
         if ready:
             self.wait_for(lambda: self.ready() == 200, "the router is ready")
 
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -57,9 +57,13 @@
 
     Attributes:
       leader: Node id of the leader, empty if unknown.
+      peer: Addresses of the leader, None if unknown. The settings of the
+        receiver may not name a leader that a repair has added. A release
+        without this field drops the message and asks the next controller.
     """
 
     leader: str
+    peer: data.Peer | None = None
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -338,6 +338,8 @@
         match message:
             case messages.NotLeader():
                 self._hint = message.leader
+                if message.peer is not None:
+                    self._learn((message.peer,))
                 conn.close()
             case messages.ControllerUpdate():
                 self._heard(message.echo_ms)
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -246,6 +246,10 @@
         leader = self.driver.replica.leader
         return "" if leader == self.settings.node_id else leader
 
+    def _not_leader(self) -> messages.NotLeader:
+        leader = self.leader_id()
+        return messages.NotLeader(leader, self.peer(leader))
+
     def peer(self, node_id: str) -> data.Peer | None:
         """Returns the addresses of a controller, or None."""
         return {peer.id: peer for peer in self._peers}.get(node_id)
@@ -307,7 +311,7 @@
         self.leader = None
         for session in self.sessions:
             self.sessions.close(session)
-            session.conn.send_last(messages.NotLeader(self.leader_id()))
+            session.conn.send_last(self._not_leader())
 
     # -----------------------------------------------------------------------
     # transport.Listener
@@ -333,7 +337,7 @@
             session = self.sessions.of(conn)
             self.leader.opened(session, replaced)
         else:
-            conn.send_last(messages.NotLeader(self.leader_id()))
+            conn.send_last(self._not_leader())
 
     def _received(self, conn: transport.Connection, message: Any) -> None:
         if conn.peer.role is data.Role.CONTROLLER:
