Send orders to model engines and read engines back

Cause: orders were decided in the model only; no process sent them.

Ruled out: treq's connection pool, which repeats a call whose connection broke; each call has a connection of its own. Ruled out: a term as the name of a period of leadership, as a controller that loses its lease and regains it leads again in the same term without the memory of what it sent.

Change: daemons/engine_orders.py at the leader records orders and results and calls the engines with a time limit, outside the state machine. A call that did not connect is 'not sent'; a timeout, a broken connection or a 5xx is an unknown outcome. Status shows orders, settings and why orders are withheld. The stand-in names its incarnation, refuses orders for another one, forgets orders at a restart and can hold orders.

Conclusion: both kinds of engine follow a rollout over a leader change.

--- /dev/null
+++ b/features/steps/engine_orders_steps.py
@@ -0,0 +1,170 @@
+"""Steps for orders between real controllers and stand-in engines."""
+
+import json
+
+import behave
+
+from features.support import fleet as fleet_module
+
+wait_until = fleet_module.wait_until
+ENGINES = ("checks", "ignores")
+WAIT_S = 25
+
+
+def engine_state(context, name):
+    port = context.fleet.members[name].ports["requests"]
+    return json.loads(fleet_module.request(port, "GET", "/-/orders").body)
+
+
+def servers(context):
+    rows = (context.fleet.status() or {}).get("backend_servers", ())
+    return {row["id"]: row["version"] for row in rows}
+
+
+def decisions(context, controller, event):
+    return [
+        line
+        for line in context.fleet.members[controller].decisions()
+        if line.get("event") == event
+    ]
+
+
+@behave.given(
+    'a fleet with the engines "checks" and "ignores" that {verb} orders'
+)
+def start_fleet(context, verb):
+    fleet = fleet_module.Fleet(routers=1, proxied=False)
+    context.fleet = fleet
+    context.add_cleanup(fleet.stop)
+    fleet.start()
+    for name in ENGINES:
+        fleet.add_server(
+            name,
+            "sketch",
+            engine=True,
+            checks_fencing=name == "checks",
+            mode={"hold_orders": verb == "hold"},
+        )
+    fleet.add_server("plain", "booking")
+
+
+@behave.when('the environment wants "{version}" of all services')
+def wants_version(context, version):
+    services = fleet_module.default_services()
+    for service in services:
+        service["version"] = version
+    services[0]["orders"] = {"min_serving_share": 0.0}
+    context.fleet.apply(fleet_module.environment(services=services))
+    wait_until(lambda: len(servers(context)) == 3, WAIT_S, "three servers")
+
+
+@behave.when("the leader is killed once both engines have an order")
+def kill_between(context):
+    wait_until(
+        lambda: all(engine_state(context, name)["pending"] for name in ENGINES),
+        WAIT_S,
+        "an order at both engines",
+    )
+    context.former = context.fleet.leader()
+    context.fleet.members[context.former].kill()
+
+
+@behave.then(
+    'both engines run "{version}", as the status of the new leader says'
+)
+def both_run(context, version):
+    def done():
+        status = context.fleet.status() or {"orders": (), "backend_servers": ()}
+        announced = {
+            (row["id"], row["version"]) for row in status["backend_servers"]
+        }
+        applied = {
+            (row["server_id"], row["version"])
+            for row in status["orders"]
+            if row["state"] == "applied"
+        }
+        return {(name, version) for name in ENGINES} <= announced & applied
+
+    wait_until(done, WAIT_S, f"{version} at both engines")
+    (settings,) = context.fleet.status()["order_settings"]
+    assert settings["max_loading"] == 2, settings
+
+
+@behave.then(
+    '"{name}" has applied {count:d} order and has never had 2 at a time'
+)
+def applied_once(context, name, count):
+    state = engine_state(context, name)
+    assert len(state["orders"]) == count, state
+    assert state["most_pending"] == 1, state
+
+
+@behave.then('"{name}" has ended at the order with the highest number')
+def ended_at_highest(context, name):
+    state = engine_state(context, name)
+    numbers = [order["fencing"] for order in state["orders"]]
+    assert numbers == sorted(numbers) and numbers[-1] == state["fencing"], state
+
+
+@behave.when("the engines go on once the new leader has read both back")
+def go_on(context):
+    context.leader = wait_until(context.fleet.leader, WAIT_S, "a new leader")
+
+    def read_back():
+        lines = decisions(context, context.leader, "order_read_back")
+        return {line["server"] for line in lines} == set(ENGINES)
+
+    wait_until(read_back, WAIT_S, "read-backs of both engines")
+    # The checking engine gets a newer order while it still holds the first.
+    wait_until(
+        lambda: engine_state(context, "checks")["pending"] == 2,
+        WAIT_S,
+        "a newer order at the engine that checks",
+    )
+    for name in ENGINES:
+        port = context.fleet.members[name].ports["requests"]
+        mode = {"hold_orders": False}
+        fleet_module.request(port, "PUT", "/-/mode", mode)
+
+
+@behave.then('the new leader has given no order to "{name}"')
+def no_further_order(context, name):
+    lines = decisions(context, context.leader, "order")
+    assert name not in {line["server"] for line in lines}, lines
+
+
+@behave.then("the server of the service without orders got no order")
+def no_order(context):
+    state = engine_state(context, "plain")
+    assert state["orders"] == [] and state["version"] == "v1", state
+
+
+@behave.when('an operator starts a rollout of the engines to "{version}"')
+def start_rollout(context, version):
+    plan = {"id": "move", "service": "sketch", "version": version}
+    answer = context.fleet.change("POST", "/v1/rollouts", plan=plan)
+    assert answer.status == 200, answer
+
+
+@behave.when("an operator takes the rollout of the engines back")
+def take_back(context):
+    answer = context.fleet.change("POST", "/v1/rollouts/move/take-back")
+    assert answer.status == 200, answer
+
+
+@behave.then(
+    '{count:d} {word} "{version}" and the orders have a reason in the log'
+)
+def some_announce(context, count, word, version):
+    def settled():
+        found = list(servers(context).values()).count(version)
+        orders = context.fleet.status()["orders"]
+        return found == count and all(
+            row["state"] == "applied" for row in orders
+        )
+
+    wait_until(settled, WAIT_S, f"{count} {word} {version}")
+    leader = context.fleet.leader()
+    for event in ("order", "order_result"):
+        lines = decisions(context, leader, event)
+        assert lines and all(line["reason"] for line in lines), lines
--- a/waxwingrack/commands/status.py
+++ b/waxwingrack/commands/status.py
@@ -10,6 +10,8 @@
     "data_centres",
     "backend_servers",
     "workspaces",
+    "order_settings",
+    "orders",
 )
 
 
--- /dev/null
+++ b/waxwingrack/daemons/engine_orders.py
@@ -0,0 +1,347 @@
+"""Orders to model engines, carried out by the leader over HTTP.
+
+`operations.orders` decides; this module records orders and results in the
+replicated log and calls the engines. Nothing here is part of the replicated
+state machine. A call is made only while this controller may act as leader.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import functools
+from typing import Annotated
+from typing import Any
+
+import immutables
+import pydantic
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.operations import orders
+from waxwingrack.operations import placement
+from waxwingrack.operations import tables as tables_module
+
+TICK_MS = 200
+PATH = "/-/orders"
+
+# The connection was not made, so no byte of the order has left.
+_NOT_CONNECTED = (error.ConnectError, error.TimeoutError)
+# Larger numbers are not exact in every JSON reader; a group that took one over
+# would give numbers that such an engine cannot tell apart.
+_Fencing = Annotated[int, pydantic.Field(ge=0, lt=2**53)]
+
+
+class _Applied(pydantic.BaseModel):
+    fencing: _Fencing
+
+
+class _Answer(pydantic.BaseModel):
+    incarnation: str
+    fencing: _Fencing
+    orders: list[_Applied]
+
+
+class EngineOrders:
+    """Orders of one period of leadership.
+
+    Attributes:
+      withheld: Why wanted orders are not given, by service.
+    """
+
+    def __init__(self, services: Any):
+        """Prepares the orders.
+
+        Args:
+          services: The `leader.Services` of the controller.
+        """
+        self.withheld = immutables.Map()
+        self._services = services
+        # Two periods of leadership of one controller can share a term.
+        term = services.driver.replica.term
+        self._issuer = f"{term}-{services.rng.getrandbits(64):016x}"
+        self._contacts = orders.Contacts()
+        self._next_ms = 0
+        self._read_reasons: dict[str, str] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._ended = False
+
+    def end(self) -> None:
+        """Breaks off all calls; the next leader reads the engines back."""
+        self._ended = True
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def run(self, tables: tables_module.Tables, now_ms: int) -> None:
+        """Decides what is due and starts to carry it out.
+
+        Args:
+          tables: Tables of the scheduler.
+          now_ms: Monotonic clock.
+        """
+        if now_ms < self._next_ms or not self._may_act():
+            return
+        self._next_ms = now_ms + TICK_MS
+        state = self._services.driver.state
+        if not orders.wanted(state):
+            return
+        view = orders.View(state, engines(tables, state), self._issuer)
+        plan = orders.decide(view, self._contacts, now_ms)
+        self._contacts = plan.contacts
+        for decision in plan.decisions:
+            _ACTIONS[type(decision)](self, decision)
+        for service, reason in plan.withheld.items():
+            if self.withheld.get(service) != reason:
+                logs.decision("order_withheld", reason, service=service)
+        self.withheld = plan.withheld
+
+    def _may_act(self) -> bool:
+        return not self._ended and self._services.driver.may_act()
+
+    # -----------------------------------------------------------------------
+    # Log
+    # -----------------------------------------------------------------------
+
+    def _issue(self, item: orders.Issue) -> None:
+        def done(outcome: Any) -> None:
+            if isinstance(outcome, data.EngineOrder):
+                logs.decision("order", item.reason, **_fields(outcome))
+
+        self._propose(item.command, item.token, done)
+
+    def _record(self, command: commands.RecordOrder, token: int) -> None:
+        def done(outcome: Any) -> None:
+            if isinstance(outcome, data.EngineOrder):
+                logs.decision(
+                    "order_result", outcome.reason, **_fields(outcome)
+                )
+                self._services.metrics.add(
+                    "orders_total",
+                    "Ended orders to model engines.",
+                    result=outcome.state.value,
+                )
+
+        self._propose(command, token, done)
+
+    def _propose(
+        self, command: Any, token: int, done: Callable[[Any], None]
+    ) -> None:
+        fut = self._services.driver.propose(command)
+        fut.add_done_callback(
+            functools.partial(self._proposed, command, token, done)
+        )
+
+    def _proposed(
+        self,
+        command: Any,
+        token: int,
+        done: Callable[[Any], None],
+        fut: asyncio.Future,
+    ) -> None:
+        outcome = fut.result().value_or(None)
+        if outcome is None:
+            logs.event(
+                "order_not_committed",
+                command=type(command).__name__,
+                server=command.server_id,
+            )
+        done(outcome)
+        self._contacts = orders.proposed(
+            self._contacts,
+            command.server_id,
+            token,
+            outcome is not None,
+            self._services.clock(),
+        )
+        # The order that was recorded is sent at the next tick of the leader.
+        self._next_ms = 0
+
+    # -----------------------------------------------------------------------
+    # Calls
+    # -----------------------------------------------------------------------
+
+    def _send(self, item: orders.Send) -> None:
+        self._start(self._send_order(item))
+
+    async def _send_order(self, item: orders.Send) -> None:
+        order = item.order
+        if self._may_act():
+            body = {
+                "fencing": order.fencing,
+                "version": order.version,
+                "incarnation": order.incarnation,
+            }
+            reply = await _call("POST", item.address, item.timeout_s, body)
+        else:
+            reply = orders.Reply(
+                orders.ReplyKind.NOT_SENT, "the lease ended before the call"
+            )
+        if reply.kind is orders.ReplyKind.UNKNOWN:
+            logs.event("order_unknown", reason=reply.reason, **_fields(order))
+        self._note(
+            orders.answered(
+                self._contacts, order, item.token, reply, self._services.clock()
+            ),
+            item.token,
+        )
+
+    def _read_back(self, item: orders.ReadBack) -> None:
+        # An engine that cannot be read back is asked again every second.
+        if self._read_reasons.get(item.server_id) != item.reason:
+            self._read_reasons[item.server_id] = item.reason
+            logs.decision("order_read_back", item.reason, server=item.server_id)
+        self._start(self._read_engine(item))
+
+    async def _read_engine(self, item: orders.ReadBack) -> None:
+        reply = await _call("GET", item.address, item.timeout_s)
+        self._note(
+            orders.read_back(
+                self._contacts,
+                item.server_id,
+                self._services.driver.state.orders.get(item.server_id),
+                item.token,
+                reply,
+                self._services.clock(),
+            ),
+            item.token,
+        )
+
+    def _note(self, noted: orders.Noted, token: int) -> None:
+        self._contacts = noted.contacts
+        self._next_ms = 0
+        if noted.command is not None:
+            self._record(noted.command, token)
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.failure("order_call_failed", task.exception())
+
+
+_ACTIONS = {
+    orders.Issue: EngineOrders._issue,
+    orders.Send: EngineOrders._send,
+    orders.ReadBack: EngineOrders._read_back,
+}
+
+
+def engines(
+    tables: tables_module.Tables, state: data.ReplicatedState
+) -> tuple[orders.Engine, ...]:
+    """Returns the announced backend servers that stay, as engines.
+
+    Args:
+      tables: Tables of the scheduler.
+      state: Replicated state.
+
+    Returns:
+      One record for each server that is neither aged out nor departing.
+    """
+    return tuple(
+        orders.Engine(
+            server_id=seen.server_id,
+            incarnation=seen.incarnation,
+            address=seen.address,
+            service=seen.service,
+            version=seen.version,
+            slots=seen.slots,
+            in_use=placement.in_use(row),
+            checks_fencing=seen.checks_fencing,
+            placeable=not row.blocked and seen.data_centre not in state.drained,
+        )
+        for row in tables.servers.values()
+        if tables_module.usable(row)
+        for seen in (row.announcement,)
+    )
+
+
+async def _call(
+    method: str, address: data.Address, timeout_s: float, body: Any = None
+) -> orders.Reply:
+    """Calls an engine once.
+
+    Args:
+      method: HTTP method.
+      address: Address of the engine.
+      timeout_s: Longest time of the whole call, in seconds.
+      body: Value to send as JSON, or None.
+
+    Returns:
+      How the call ended.
+    """
+    try:
+        return await asyncio.wait_for(
+            _exchange(method, address, timeout_s, body), timeout_s
+        )
+    except _NOT_CONNECTED as exc:
+        return orders.Reply(orders.ReplyKind.NOT_SENT, f"not connected: {exc}")
+    except (TimeoutError, defer.CancelledError):
+        return orders.Reply(
+            orders.ReplyKind.UNKNOWN, f"no answer within {timeout_s:g} s"
+        )
+    except Exception as exc:
+        # Whatever broke the call, the engine may have taken the order.
+        return orders.Reply(orders.ReplyKind.UNKNOWN, f"call broke: {exc!r}")
+
+
+async def _exchange(
+    method: str, address: data.Address, timeout_s: float, body: Any
+) -> orders.Reply:
+    # Importing the reactor installs one; the program chooses it first.
+    from twisted.internet import reactor
+
+    loop = asyncio.get_running_loop()
+    # A new connection for each call: the pool of treq would repeat a call
+    # whose connection broke.
+    response = await treq.request(
+        method,
+        f"http://{_host(address)}{PATH}",
+        agent=client.Agent(reactor, connectTimeout=timeout_s),
+        allow_redirects=False,
+        **({} if body is None else {"json": body}),
+    ).asFuture(loop)
+    blob = await treq.content(response).asFuture(loop)
+    reason = f"the engine answered {response.code}"
+    kinds = orders.ReplyKind
+    if response.code == 200:
+        return orders.Reply(kinds.ANSWERED, reason, _readout(blob))
+    if 400 <= response.code < 500:
+        return orders.Reply(kinds.REFUSED, reason, _readout(blob))
+    return orders.Reply(kinds.UNKNOWN, reason)
+
+
+def _host(address: data.Address) -> str:
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
+def _readout(blob: bytes) -> orders.Readout | None:
+    try:
+        answer = _Answer.model_validate_json(blob)
+    except pydantic.ValidationError:
+        return None
+    return orders.Readout(
+        answer.incarnation,
+        answer.fencing,
+        frozenset(applied.fencing for applied in answer.orders),
+    )
+
+
+def _fields(order: data.EngineOrder) -> dict[str, Any]:
+    return {
+        "service": order.service,
+        "server": order.server_id,
+        "incarnation": order.incarnation,
+        "version": order.version,
+        "fencing": order.fencing,
+        "state": order.state,
+    }
--- a/waxwingrack/daemons/fleet_status.py
+++ b/waxwingrack/daemons/fleet_status.py
@@ -3,6 +3,7 @@
 import functools
 from typing import Any
 
+import immutables
 import pydantic
 
 from waxwingrack.core import data
@@ -48,6 +49,8 @@
         "workspaces": view["workspaces"],
         "data_centres": _data_centres(state),
         "rollouts": rollouts(state),
+        "orders": [to_json(row) for _, row in sorted(state.orders.items())],
+        "order_settings": _order_settings(state, leader.orders.withheld),
         "refused_digests": sorted(state.refused_digests),
     }
 
@@ -94,6 +97,22 @@
     ]
 
 
+def _order_settings(
+    state: data.ReplicatedState, withheld: immutables.Map
+) -> list[dict[str, Any]]:
+    environment = state.environment
+    return [
+        {
+            "service": service.id,
+            "max_loading": environment.max_loading,
+            **to_json(service.orders),
+            "withheld": withheld.get(service.id, ""),
+        }
+        for service in (environment.services if environment else ())
+        if service.orders is not None
+    ]
+
+
 def _data_centres(state: data.ReplicatedState) -> list[dict[str, Any]]:
     declared = state.environment.data_centres if state.environment else ()
     states = data.DataCentreState
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -19,6 +19,7 @@
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.core import registry
+from waxwingrack.daemons import engine_orders
 from waxwingrack.daemons import metrics as metrics_module
 from waxwingrack.daemons import replica_driver
 from waxwingrack.daemons import router_sessions
@@ -65,6 +66,7 @@
       services: Parts of the controller.
       tables: Tables of the scheduler.
       since_ms: Start of the leadership.
+      orders: Orders to model engines.
     """
 
     def __init__(self, services: Services):
@@ -76,6 +78,7 @@
             tuple(self.state.counters.values()),
             tuple(sorted(self.state.routers)),
         )
+        self.orders = engine_orders.EngineOrders(services)
         # Routers of the last checkpoint that have not been lost since.
         self._former_routers = self.state.routers
         self._stats = rollouts.Stats()
@@ -104,6 +107,7 @@
     def end(self) -> None:
         """Ends the leadership; scheduled ticks do nothing any more."""
         self._ended = True
+        self.orders.end()
 
     # -----------------------------------------------------------------------
     # Routers
@@ -344,6 +348,7 @@
         if now_ms >= self._next_rollout_tick_ms:
             self._next_rollout_tick_ms = now_ms + ROLLOUT_TICK_MS
             self._move_rollouts(now_ms)
+        self.orders.run(self.tables, now_ms)
         if now_ms >= self._next_checkpoint_ms:
             self._next_checkpoint_ms = now_ms + CHECKPOINT_MS
             if self._checkpoint is None and self._checkpoint_needed():
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -37,6 +37,7 @@
 
 ANNOUNCE_TIMEOUT_S = 0.9
 STOP_TIMEOUT_S = 5.0
+HOLD_POLL_S = 0.02
 # Bytes of a prompt that make up its prefix.
 PREFIX_BYTES = 256
 # Exit code of a process that crashed on purpose.
@@ -57,6 +58,7 @@
       stall: Whether requests are accepted and never answered.
       cut: Whether answers break off in the middle.
       departing: Whether the server announces its departure.
+      hold_orders: Whether orders neither take effect nor are answered.
     """
 
     errors: float = 0.0
@@ -67,6 +69,7 @@
     stall: bool = False
     cut: bool = False
     departing: bool = False
+    hold_orders: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,9 +220,8 @@
         self.overloads = 0
         self.served = 0
         self._rng = random.Random(config.seed)
-        self._version = config.version
-        self._fencing = 0
-        self._orders: list[dict] = []
+        self._pending_orders = 0
+        self._most_pending_orders = 0
         self._loads: collections.deque[tuple[float, int]] = collections.deque()
         self._tasks: set[asyncio.Future] = set()
         self._listening: Any = None
@@ -245,6 +247,9 @@
         from twisted.internet import reactor
 
         self.incarnation = secrets.token_hex(4)
+        self._version = self.config.version
+        self._fencing = 0
+        self._orders: list[dict] = []
         self._cache = PrefixCache(self.config, self._rng)
         self.fall_cold()
         self._site = policies.WrappingFactory(server.Site(self._app.resource()))
@@ -403,21 +408,55 @@
         return _json(req, 200, self._order_state())
 
     @_app.route("/-/orders", methods=["POST"])
-    def _take_order(self, req: iweb.IRequest) -> bytes:
+    def _take_order(self, req: iweb.IRequest) -> Any:
         try:
             order = json.loads(req.content.read())
             fencing, version = int(order["fencing"]), str(order["version"])
-        except (ValueError, KeyError, TypeError) as exc:
+            incarnation = order.get("incarnation", self.incarnation)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
             return _json(req, 400, {"message": f"malformed order: {exc!r}"})
-        if self.config.checks_fencing and fencing < self._fencing:
+        if incarnation != self.incarnation or self._is_old(fencing):
             return _json(req, 409, self._order_state())
         self._fencing = max(fencing, self._fencing)
+        # A caller that goes away does not call the order back.
+        task = self._run(self._load(incarnation, fencing, version))
+        return defer.Deferred.fromFuture(
+            self._run(self._answer_order(req, task))
+        )
+
+    def _is_old(self, fencing: int) -> bool:
+        return self.config.checks_fencing and fencing < self._fencing
+
+    async def _load(self, incarnation: str, fencing: int, version: str) -> bool:
+        self._pending_orders += 1
+        self._most_pending_orders = max(
+            self._most_pending_orders, self._pending_orders
+        )
+        while self.mode.hold_orders:
+            await asyncio.sleep(HOLD_POLL_S)
+        self._pending_orders -= 1
+        if incarnation != self.incarnation or self._is_old(fencing):
+            return False
         self._version = version
         self._orders.append({"fencing": fencing, "version": version})
-        return _json(req, 200, self._order_state())
+        self._run(self.announce())
+        return True
+
+    async def _answer_order(
+        self, req: iweb.IRequest, task: asyncio.Future
+    ) -> bytes:
+        try:
+            taken = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # klein logs every other exception after a lost connection.
+            raise defer.CancelledError from None
+        return _json(req, 200 if taken else 409, self._order_state())
 
     def _order_state(self) -> dict:
         return {
+            "incarnation": self.incarnation,
+            "pending": self._pending_orders,
+            "most_pending": self._most_pending_orders,
             "fencing": self._fencing,
             "version": self._version,
             "orders": self._orders,
