--- a/features/steps/fleet_tls_steps.py
+++ b/features/steps/fleet_tls_steps.py
@@ -44,6 +44,15 @@
     ]
 
 
+def log_names(context, name, reason):
+    """Waits for a refusal in a log; lines follow their event by 10 ms."""
+    fleet.wait_until(
+        lambda: any(reason in line for line in logged(context, name)[-1:]),
+        5,
+        f"{reason} as the last refusal in the log of {name}",
+    )
+
+
 @behave.when("a deposit is confirmed through the fleet over TLS")
 def confirm_deposit(context):
     context.key = fleet.key("tls")
@@ -104,7 +113,7 @@
         5,
         "one more refused peer",
     )
-    assert reason in logged(context, "c1")[-1], logged(context, "c1")
+    log_names(context, "c1", reason)
 
 
 @behave.when("a router with {certificate} starts in the fleet")
@@ -128,7 +137,7 @@
             20,
             f"a refusal at {name}",
         )
-        assert reason in logged(context, name)[-1], logged(context, name)
+        log_names(context, name, reason)
     answer = context.fleet.call(context.name, "GET", "/booking/free")
     assert answer.status == 503, answer
     assert answer.error["kind"] == kind, answer
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -338,8 +338,7 @@
         match message:
             case messages.NotLeader():
                 self._hint = message.leader
-                if message.peer is not None:
-                    self._learn((message.peer,))
+                self._learn_unknown(message.peer)
                 conn.close()
             case messages.ControllerUpdate():
                 self._heard(message.echo_ms)
@@ -359,6 +358,15 @@
         known |= {peer.id: peer for peer in controllers}
         self._peers = tuple(known.values())
 
+    def _learn_unknown(self, leader: data.Peer | None) -> None:
+        """Adds a leader that the settings do not name.
+
+        An address from the settings stays: the controller that sent the hint
+        may reach the leader by another one.
+        """
+        if leader and all(peer.id != leader.id for peer in self._peers):
+            self._learn((leader,))
+
     def _heard(self, echo_ms: int) -> None:
         if echo_ms <= self._clock():
             self.heard_ms = max(self.heard_ms or 0, echo_ms)
