Let a rollout wait for its engines before it ends as done

Cause: a rollout could end as done while most engines still had the old version. The end takes the traffic from that version at once, so less than min_serving_share of the slots could be left.

Ruled out: waiting beyond the deadline, as a rollout must end by then, and waiting with other moves, which take no capacity away or must not wait.

The reason is logged once.

Conclusion: min_serving_share also holds at the end of a rollout that ends before its deadline.

--- a/features/order_decisions.feature
+++ b/features/order_decisions.feature
@@ -24,6 +24,22 @@
       | bad version left in place    | a:v2:4:0 b:v2:4:0 c:v1:4:3      | 4    | 0.5   | back  | a:v1 b:v1 |
       | drained engine left behind   | a:v1:4:0:drained b:v2:4:0       | 4    | 0.5   | done  | a:v2      |
 
+  Scenario Outline: a rollout waits with its end for engines
+    Guards against an end that takes the traffic from most slots at once. Taking
+    back and the deadline of 600 s must not wait.
+
+    Given a service at version "v1" with the engines <engines>
+    And at most 2 engines load and 0.5 of the slots keep serving
+    When a rollout to "v2" has the share 1.0
+    Then its move to <phase> after <elapsed_s> s has to wait: <waits>
+
+    Examples:
+      | engines                    | phase      | elapsed_s | waits |
+      | a:v2:4:0 b:v1:4:0 c:v1:4:0 | done       | 599       | yes   |
+      | a:v2:4:0 b:v2:4:0 c:v1:4:0 | done       | 599       | no    |
+      | a:v2:4:0 b:v1:4:0 c:v1:4:0 | done       | 600       | no    |
+      | a:v2:4:0 b:v1:4:0 c:v1:4:0 | taken_back | 599       | no    |
+
   Scenario Outline: an order of unknown outcome to an engine that <kind> numbers
     Guards against two outstanding orders at an engine that ignores the number.
     An engine that checks it must not wait needlessly.
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,6 +10,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import replicated
 from waxwingrack.operations import replicated_orders
@@ -142,6 +143,16 @@
     assert found or plan.withheld or "v2" in {e.version for e in leader.engines}
 
 
+@behave.then("its move to {phase} after {elapsed_s:d} s has to wait: {waits}")
+def has_to_wait(context, phase, elapsed_s, waits):
+    leader = context.leader
+    move = commands.MoveRollout("r", Phase(phase), 1.0, "judged")
+    reason = order_rollouts.obstacle(
+        leader.state, leader.engines, move, elapsed_s
+    )
+    assert bool(reason) == (waits == "yes"), reason
+
+
 @behave.given(
     "an engine that {kind} numbers and an order to it of unknown outcome"
 )
--- a/waxwingrack/daemons/engine_orders.py
+++ b/waxwingrack/daemons/engine_orders.py
@@ -22,6 +22,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import placement
 from waxwingrack.operations import tables as tables_module
@@ -67,6 +68,8 @@
         self._contacts = orders.Contacts()
         self._next_ms = 0
         self._read_reasons: dict[str, str] = {}
+        # Rollouts whose wait for engines is in the log.
+        self._waiting: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._ended = False
 
@@ -99,6 +102,31 @@
                 logs.decision("order_withheld", reason, service=service)
         self.withheld = plan.withheld
 
+    def may_move(
+        self,
+        tables: tables_module.Tables,
+        move: commands.MoveRollout,
+        elapsed_s: float,
+    ) -> bool:
+        """Tells whether a move of a rollout need not wait for engines.
+
+        Args:
+          tables: Tables of the scheduler.
+          move: The move.
+          elapsed_s: Time since the last checkpoint, in seconds.
+
+        Returns:
+          False if it has to wait; the reason is logged once per rollout.
+        """
+        state = self._services.driver.state
+        reason = order_rollouts.obstacle(
+            state, engines(tables, state), move, elapsed_s
+        )
+        if reason and move.rollout not in self._waiting:
+            self._waiting.add(move.rollout)
+            logs.decision("rollout_waits", reason, rollout=move.rollout)
+        return not reason
+
     def _may_act(self) -> bool:
         return not self._ended and self._services.driver.may_act()
 
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -409,7 +409,12 @@
             return
         elapsed_s = (now_ms - self._checkpoint_ms) / 1000
         moves = rollouts.tick(self.state, self._stats, elapsed_s, now_ms)
-        moves = [move for move in moves if move.rollout not in self._moving]
+        moves = [
+            move
+            for move in moves
+            if move.rollout not in self._moving
+            and self.orders.may_move(self.tables, move, elapsed_s)
+        ]
         if not moves:
             return
         # The time before the move belongs to the phase before the move.
