Pace read-backs of engines that check numbers; name their result

Cause: an engine that no longer announces that it checks numbers would have been read back at each tick of the leader after an order of unknown outcome, and the recorded reason of a read-back was only the HTTP status.

By hand, two stand-ins that held their orders: the one that checks numbers got newer orders after each time limit of 1 s, the other none until its restart, after which the order ended as restarted.

Conclusion: no change of decisions apart from the pause.

--- a/waxwingrack/operations/orders.py
+++ b/waxwingrack/operations/orders.py
@@ -707,11 +707,12 @@
         return Noted(_with(contacts, server_id, row))
     state = _shown(order, seen)
     if state is not None:
+        reason = f"read back: incarnation {seen.incarnation} at {seen.fencing}"
+        reply = dataclasses.replace(reply, reason=reason)
         return _record(contacts, row, order, state, reply)
+    row = dataclasses.replace(row, retry_ms=now_ms + RETRY_MS)
     if order.checks_fencing:
         row = dataclasses.replace(row, lost=order.fencing)
-    else:
-        row = dataclasses.replace(row, retry_ms=now_ms + RETRY_MS)
     return Noted(_with(contacts, server_id, row))
 
 
