Give held orders of the engine feature a long time limit

Cause: on a slow machine the default limit of 10 s could pass between the orders and the end of the leader, and the leader would give another order to the engine that checks numbers.

Change: the feature's document sets answer_timeout_s to 120.

--- a/features/steps/engine_orders_steps.py
+++ b/features/steps/engine_orders_steps.py
@@ -63,7 +63,9 @@
     services = fleet_module.default_services()
     for service in services:
         service["version"] = version
-    services[0]["orders"] = {"min_serving_share": 0.0}
+    # Held orders must not time out on a slow machine before the leader ends.
+    orders = {"min_serving_share": 0.0, "answer_timeout_s": 120.0}
+    services[0]["orders"] = orders
     context.fleet.apply(fleet_module.environment(services=services))
     wait_until(lambda: len(announced(context)) == 3, WAIT_S, "three servers")
 
