--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,6 +10,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import replicated
 from waxwingrack.operations import replicated_orders
@@ -31,6 +32,7 @@
     "the outstanding record": lambda: mock.patch.object(
         replicated_orders, "may_follow", lambda *_: True
     ),
+    "the limits": lambda: mock.patch.object(orders, "_limit", lambda *_: ""),
     "the read-back": lambda: mock.patch.object(
         orders, "_shown", lambda *_: data.OrderState.NOT_SENT
     ),
@@ -77,14 +79,8 @@
         applied = {order.fencing} if self.shown == "the order" else set()
         readout = orders.Readout(engine.incarnation, 0, frozenset(applied))
         reply = orders.Reply(orders.ReplyKind.ANSWERED, "shown", readout)
-        noted = orders.read_back(
-            self.contacts,
-            item.server_id,
-            order,
-            item.token,
-            reply,
-            self.now_ms,
-        )
+        call = (item.server_id, order, item.token, reply, self.now_ms)
+        noted = orders.read_back(self.contacts, *call)
         self.contacts = noted.contacts
         if noted.command:
             self.proposed(noted.command, item.token)
@@ -93,20 +89,10 @@
 @behave.given('a service at version "v1" with the engines {engines}')
 def given_engines(context, engines):
     context.engines = []
-    for text in engines.split():
+    for text in engines.replace("none", "").split():
         name, version, slots, in_use, *drained = text.split(":")
-        context.engines.append(
-            orders.Engine(
-                name,
-                "i1",
-                None,
-                "s",
-                version,
-                int(slots),
-                int(in_use),
-                placeable=not drained,
-            )
-        )
+        head = (name, "i1", None, "s", version, int(slots), int(in_use))
+        context.engines.append(orders.Engine(*head, placeable=not drained))
 
 
 @behave.given(
@@ -142,6 +128,16 @@
     assert found or plan.withheld or "v2" in {e.version for e in leader.engines}
 
 
+@behave.then("its move to {phase} after {elapsed_s:d} s has to wait: {waits}")
+def has_to_wait(context, phase, elapsed_s, waits):
+    leader = context.leader
+    move = commands.MoveRollout("r", Phase(phase), 1.0, "judged")
+    reason = order_rollouts.obstacle(
+        leader.state, leader.engines, move, elapsed_s
+    )
+    assert bool(reason) == (waits == "yes"), reason
+
+
 @behave.given(
     "an engine that {kind} numbers and an order to it of unknown outcome"
 )
--- a/waxwingrack/daemons/engine_orders.py
+++ b/waxwingrack/daemons/engine_orders.py
@@ -22,11 +22,15 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import placement
 from waxwingrack.operations import tables as tables_module
 
 TICK_MS = 200
+# Time after which a new leader knows all engines, which announce themselves
+# once a second. Limits counted over a part of them would let too many load.
+SETTLE_MS = 2_000
 PATH = "/-/orders"
 
 # The connection was not made, so no byte of the order has left.
@@ -65,8 +69,11 @@
         term = services.driver.replica.term
         self._issuer = f"{term}-{services.rng.getrandbits(64):016x}"
         self._contacts = orders.Contacts()
-        self._next_ms = 0
+        self._settled_ms = services.clock() + SETTLE_MS
+        self._next_ms = self._settled_ms
         self._read_reasons: dict[str, str] = {}
+        # Rollouts whose wait for engines is in the log.
+        self._waiting: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._ended = False
 
@@ -99,6 +106,31 @@
                 logs.decision("order_withheld", reason, service=service)
         self.withheld = plan.withheld
 
+    def may_move(
+        self,
+        tables: tables_module.Tables,
+        move: commands.MoveRollout,
+        elapsed_s: float,
+    ) -> bool:
+        """Tells whether a move of a rollout need not wait for engines.
+
+        Args:
+          tables: Tables of the scheduler.
+          move: The move.
+          elapsed_s: Time since the last checkpoint, in seconds.
+
+        Returns:
+          False if it has to wait; the reason is logged once per rollout.
+        """
+        state = self._services.driver.state
+        settled = self._services.clock() >= self._settled_ms
+        known = engines(tables, state) if settled else ()
+        reason = order_rollouts.obstacle(state, known, move, elapsed_s)
+        if reason and move.rollout not in self._waiting:
+            self._waiting.add(move.rollout)
+            logs.decision("rollout_waits", reason, rollout=move.rollout)
+        return not reason
+
     def _may_act(self) -> bool:
         return not self._ended and self._services.driver.may_act()
 
