Run the procedures of the operations page by its commands

Cause: docs/operations.md had never been followed. Missing were: a fleet on one machine, the order of a restart or upgrade, what the balancer must do, that the first start needs all controllers, ids of rollouts and when a second try needs a new one, which exit code a command ends with while control is lost. 'Its routers turn /readyz to 503' named the operators' path, which the callers' port answers with 401; the balancer needs /-/readyz. Options that only changes take stood in one table with those of all commands. The thread classes of fleet_watch share one base class. Ruled out: a proxy between the processes; these scenarios cut no link.

--- a/features/commands_documents.feature
+++ b/features/commands_documents.feature
@@ -38,7 +38,6 @@
     Examples:
       | role       | fault                  | text                             |
       | router     | a port in use          | cannot start: Couldn't listen on |
-      | router     | no key file            | No such file or directory        |
       | controller | an empty key file      | shared.key is empty              |
       | controller | an empty token file    | token is empty                   |
       | controller | a data folder in use   | is in use by another process     |
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -307,8 +307,6 @@
             port = json.loads(context.document_file.read_text())["callers"]
             sock = socket.create_server(("127.0.0.1", port["port"]))
             context.add_cleanup(sock.close)
-        case "no key file":
-            (folder / "shared.key").unlink()
         case "an empty key file":
             (folder / "shared.key").write_text("\n")
         case "an empty token file":
--- a/features/steps/fault_matrix_drain_steps.py
+++ b/features/steps/fault_matrix_drain_steps.py
@@ -144,7 +144,7 @@
     """Waits until the drained data centre and every router serve."""
 
     def served():
-        good = [c for c in context.load.since(since) if c[3].status == 200]
+        good = [c for c in context.load.since(since) if c.answer.status == 200]
         routers = {call[2] for call in good}
         servers = {c[3].headers.get("x-backend-server") for c in good}
         return routers == set(context.fleet.routers) and SERVER in servers
@@ -158,7 +158,7 @@
     assert before == after, (before, after, context.observed - context.drained)
     late = [
         (start - context.drained, router, answer)
-        for start, _, router, answer in context.load.calls
+        for start, _, router, answer, _ in context.load.calls
         if context.drained + DRAIN_BOUND_S < start < context.until
         and answer.headers.get("x-backend-server") == SERVER
     ]
@@ -207,7 +207,7 @@
         return
     failed = [
         (start - context.drained, router, answer.status, answer.error)
-        for start, _, router, answer in context.load.calls
+        for start, _, router, answer, _ in context.load.calls
         if answer.status != 200 or not answer.whole
     ]
     assert not failed, failed
--- a/features/steps/fault_matrix_rollout_steps.py
+++ b/features/steps/fault_matrix_rollout_steps.py
@@ -134,7 +134,7 @@
 def bad_version_left(context):
     ends = [
         (end, answer.status)
-        for _, end, _, answer in context.load.calls
+        for _, end, _, answer, _ in context.load.calls
         if answer.headers.get("x-backend-version") == context.rollout.version
     ]
     failures = [end for end, status in ends if status == 500]
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -71,6 +71,7 @@
       body: Body; the part received if the transfer broke.
       whole: Whether the transfer ended properly.
       seconds: Time from the request to the end.
+      unconnected: Whether the connection was refused.
     """
 
     status: int
@@ -78,6 +79,7 @@
     body: bytes
     whole: bool
     seconds: float
+    unconnected: bool = False
 
     @property
     def error(self):
@@ -87,7 +89,15 @@
         return {}
 
 
-def request(port, method, path, body=b"", headers=None, timeout_s=30.0):
+def request(
+    port,
+    method,
+    path,
+    body=b"",
+    headers=None,
+    timeout_s=30.0,
+    started=None,
+):
     """Sends one request on a connection of its own.
 
     Args:
@@ -97,6 +107,7 @@
       body: Body, or an object to send as JSON.
       headers: Further headers.
       timeout_s: Longest pause within the exchange, in seconds.
+      started: Event to set once the header of the answer has arrived.
 
     Returns:
       The answer.
@@ -106,21 +117,29 @@
     start = time.monotonic()
     conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
     received = []
-    status, found = 0, {}
+    status, found, unconnected = 0, {}, False
     try:
         conn.request(method, path, body or None, headers or {})
         response = conn.getresponse()
         status = response.status
+        if started is not None:
+            started.set()
         found = {key.lower(): value for key, value in response.getheaders()}
         while chunk := response.read1(65_536):
             received.append(chunk)
         whole = response.length in (None, 0)
-    except (OSError, http.client.HTTPException):
+    except (OSError, http.client.HTTPException) as exc:
         whole = False
+        unconnected = isinstance(exc, ConnectionRefusedError)
     finally:
         conn.close()
     return Answer(
-        status, found, b"".join(received), whole, time.monotonic() - start
+        status,
+        found,
+        b"".join(received),
+        whole,
+        time.monotonic() - start,
+        unconnected,
     )
 
 
@@ -189,6 +208,15 @@
         self._command = command
         self.process = None
 
+    def start_with(self, words):
+        """Starts the process with the command line of a page.
+
+        Args:
+          words: Words between the program and the settings file.
+        """
+        self._command = [*self._command[:3], *words, self._command[-1]]
+        self.start()
+
     def start(self):
         """Starts the process."""
         with self.log.open("ab") as log:
@@ -282,6 +310,22 @@
         self.proxy.stop()
         self._temporary.cleanup()
 
+    def replace_controller(self, name, lost):
+        """Prepares a controller under a new id in place of a lost one.
+
+        Args:
+          name: Id of the new controller.
+          lost: Id of the lost one.
+
+        Returns:
+          The new member, not started.
+        """
+        self.controllers = [one for one in self.controllers if one != lost]
+        self.controllers.append(name)
+        self._control[name], self._operators[name] = loopback.free_ports(2)
+        self._add_controller(name)
+        return self.members[name]
+
     def add_server(self, server_id, service, **options):
         """Starts a stand-in backend server that announces itself.
 
--- a/features/support/fleet_watch.py
+++ b/features/support/fleet_watch.py
@@ -1,21 +1,75 @@
 """Background observers of a running fleet for the fault matrix."""
 
 import contextlib
+import functools
 import itertools
 import json
 import re
 import socket
 import threading
 import time
+from typing import NamedTuple
 
 from features.support import fleet
 
 SAMPLE_INTERVAL_S = 0.15
 SAMPLE_TIMEOUT_S = 0.7
+START_TIMEOUT_S = 30.0
 _NUMBER = re.compile(r"^\w*environment_number(?:\{[^}]*\})? (\S+)$", re.M)
 
 
-class NumberWatch:
+class Call(NamedTuple):
+    """A request of a load.
+
+    Attributes:
+      start: Time of the request, in monotonic seconds.
+      end: Time of the end of the answer.
+      router: Router that was asked.
+      answer: The answer.
+      key: Idempotency key, or empty.
+    """
+
+    start: float
+    end: float
+    router: str
+    answer: fleet.Answer
+    key: str = ""
+
+
+class Background:
+    """Functions that threads of their own repeat until the end.
+
+    Args:
+      work: Functions without arguments; each gets a thread.
+      interval_s: Pause between two calls of a function, in seconds.
+    """
+
+    def __init__(self, work, interval_s):
+        self._interval_s = interval_s
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(one,), daemon=True)
+            for one in work
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._ended.set()
+        for thread in self._threads:
+            thread.join(35)
+
+    def _run(self, work):
+        while not self._ended.wait(self._interval_s):
+            with contextlib.suppress(OSError, ValueError):
+                work()
+
+
+class NumberWatch(Background):
     """Samples the environment numbers that the processes show.
 
     Each process is sampled by a thread of its own, so that a frozen process
@@ -30,28 +84,13 @@
     def __init__(self, cluster):
         self._cluster = cluster
         self._highest = {}
-        self._lock = threading.Lock()
-        self._ended = threading.Event()
         self.samples = []
         self.decreases = []
         sources = [self._status] + [
             lambda name=name: self._metrics(name)
             for name in cluster.controllers + cluster.routers
         ]
-        self._threads = [
-            threading.Thread(target=self._run, args=(source,), daemon=True)
-            for source in sources
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._ended.set()
-        for thread in self._threads:
-            thread.join(10)
+        super().__init__(sources, SAMPLE_INTERVAL_S)
 
     def missing(self, number, since):
         """Returns the sources that have not shown a number since a time."""
@@ -67,11 +106,6 @@
             *self._cluster.routers,
         } - shown
 
-    def _run(self, source):
-        while not self._ended.wait(SAMPLE_INTERVAL_S):
-            with contextlib.suppress(OSError, ValueError):
-                source()
-
     def _status(self):
         for name in self._cluster.controllers:
             answer = self._cluster.operate(
@@ -99,50 +133,129 @@
             self.samples.append((time.monotonic(), source, number))
 
 
-class Load:
+class Load(Background):
     """Idempotent requests at a steady rate from a few threads.
 
     Attributes:
-      calls: Start, end (monotonic seconds), router and answer of each call.
+      calls: `Call` of each request that has ended.
     """
 
     def __init__(self, cluster, threads=3, interval_s=0.1):
         self._cluster = cluster
-        self._interval_s = interval_s
-        self._ended = threading.Event()
-        self._lock = threading.Lock()
         self.calls = []
-        self._threads = [
-            threading.Thread(target=self._run, args=(n,), daemon=True)
+        routers = cluster.routers
+        work = [
+            functools.partial(
+                self._read, itertools.cycle(routers[n:] + routers[:n])
+            )
             for n in range(threads)
         ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._ended.set()
-        for thread in self._threads:
-            thread.join(35)
+        super().__init__(work, interval_s)
 
     def since(self, start):
         """Returns the calls that started after a time."""
         with self._lock:
-            return [call for call in self.calls if call[0] >= start]
+            return [call for call in self.calls if call.start >= start]
 
-    def _run(self, first):
-        routers = self._cluster.routers
-        turns = itertools.cycle(routers[first:] + routers[:first])
-        while not self._ended.wait(self._interval_s):
-            router = next(turns)
-            start = time.monotonic()
-            answer = self._cluster.call(
-                router, "GET", "/booking/free", timeout_s=8
+    def _read(self, turns):
+        self._record(next(turns), lambda router: read(self._cluster, router))
+
+    def _record(self, router, send, key=""):
+        start = time.monotonic()
+        answer = send(router)
+        with self._lock:
+            self.calls.append(
+                Call(start, time.monotonic(), router, answer, key)
+            )
+
+
+class BalancedLoad(Load):
+    """Reads, streams and deposits through routers that are ready.
+
+    As the platform's balancer does, it asks a router for `/-/readyz` first, and
+    takes the next router if a connection is refused.
+    """
+
+    def __init__(self, cluster, interval_s=0.05):
+        work = [
+            functools.partial(self._turn, kind)
+            for kind in (read, stream, deposit)
+            for _ in range(2)
+        ]
+        Background.__init__(self, work, interval_s)
+        self._cluster = cluster
+        self.calls = []
+        self._turns = itertools.cycle(cluster.routers)
+        self._numbers = itertools.count()
+
+    def _turn(self, kind):
+        with self._lock:
+            router, number = next(self._turns), next(self._numbers)
+        if self._cluster.serving(router):
+            key = fleet.key(f"deposit-{number}") if kind is deposit else ""
+            arguments = (key,) if key else ()
+            self._record(
+                router, lambda name: kind(self._cluster, name, *arguments), key
             )
-            with self._lock:
-                self.calls.append((start, time.monotonic(), router, answer))
+
+    def begin_stream(self, router, tokens):
+        """Starts a stream and returns once its first bytes have arrived.
+
+        Args:
+          router: Router to send it through.
+          tokens: Length of the answer; a token takes at least 2 ms.
+        """
+        started = threading.Event()
+        thread = threading.Thread(
+            target=self._record,
+            args=(
+                router,
+                lambda name: stream(
+                    self._cluster, name, tokens, started=started
+                ),
+            ),
+            daemon=True,
+        )
+        self._threads.append(thread)
+        thread.start()
+        assert started.wait(START_TIMEOUT_S), f"no answer through {router}"
+
+    def _record(self, router, send, key=""):
+        super()._record(router, send, key)
+        with self._lock:
+            # Nothing was sent, so a balancer takes another router.
+            self.calls = [
+                call for call in self.calls if not call.answer.unconnected
+            ]
+
+
+def read(cluster, router):
+    """Reads from the booking desk."""
+    return cluster.call(router, "GET", "/booking/free", timeout_s=8)
+
+
+def stream(cluster, router, tokens=50, **options):
+    """Streams an answer of the sketch assistant."""
+    body = {"prompt": "a heron", "stream": True, "max_tokens": tokens}
+    return cluster.call(
+        router,
+        "POST",
+        "/sketch/ask",
+        body,
+        {"Content-Type": "application/json"},
+        **options,
+    )
+
+
+def deposit(cluster, router, key):
+    """Confirms a deposit, which must not run twice."""
+    return cluster.call(
+        router,
+        "POST",
+        "/booking/confirm",
+        {"deposit": key},
+        {"Idempotency-Key": key, "Content-Type": "application/json"},
+    )
 
 
 def send_and_cut(cluster, leader, method, path, body):
