Measure leases and grants on one clock that goes on while a VM sleeps

Cause: routers read CLOCK_BOOTTIME, controllers CLOCK_MONOTONIC, which stands still while the VM sleeps. A leader that wakes up would take its lease for valid although the others have elected a leader meanwhile, and answer reads of keys and grants on it until the first message of the new term. Ruled out: CLOCK_MONOTONIC for both; a grant would survive the sleep of a router. A process that is stopped (SIGSTOP) sees no difference, as both clocks go on. A follower's vote promise ends no earlier than in real time. Change: daemons/clocks.py holds the one function with the reason; router, controller and demonstration use it. features/support/controller_process.py, which had a third copy, is gone: the controller features start the real command. Test: a table over both roles; the row of the controller failed with the former clock. A sleep of the VM itself was not run; the system's clock is replaced.

--- a/features/commands_documents.feature
+++ b/features/commands_documents.feature
@@ -54,6 +54,19 @@
       | drain a --none | "--none" does not exist       |
       | rollout        | rollout start                 |
 
+  Scenario Outline: the clock of a <role> goes on while its VM sleeps
+    A leader that wakes up would otherwise trust a lease that has run out, and a
+    router a grant whose slot has been given away.
+
+    Given command line settings of a running <role>
+    When the <role> command builds its process and the VM then sleeps for 60 s
+    Then the clock of the built process shows 60 s more
+
+    Examples:
+      | role       |
+      | router     |
+      | controller |
+
   Scenario Outline: a signal stops a process gracefully
     Given command line settings of a running <role>
     When the <role> process is started and gets <signal> once it answers
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -14,11 +14,14 @@
 import tempfile
 import threading
 import time
+from unittest import mock
 
 import behave
 
 from features.steps import settings_steps
+from waxwingrack.commands import process as process_commands
 from waxwingrack.daemons import storage
+from waxwingrack.load import settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TIMEOUT_S = 20
@@ -318,6 +321,35 @@
             raise ValueError(fault)
 
 
+@behave.when(
+    "the {role} command builds its process and the VM then sleeps for "
+    "{time_s:d} s"
+)
+def build_and_sleep(context, role, time_s):
+    cfg = settings.load(str(context.document_file)).unwrap()
+    commands = {
+        "router": process_commands.RouterCommand,
+        "controller": process_commands.ControllerCommand,
+    }
+    built = commands[role]().build(cfg)
+    still_ns = time.monotonic_ns()
+    boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    # CLOCK_MONOTONIC stands still during a sleep, CLOCK_BOOTTIME does not.
+    clocks_ns = {time.CLOCK_MONOTONIC: still_ns, time.CLOCK_BOOTTIME: boot_ns}
+    with (
+        mock.patch("time.monotonic_ns", lambda: still_ns),
+        mock.patch("time.clock_gettime_ns", clocks_ns.__getitem__),
+    ):
+        before_ms = built.clock()
+        clocks_ns[time.CLOCK_BOOTTIME] += time_s * 1_000_000_000
+        context.slept_ms = built.clock() - before_ms
+
+
+@behave.then("the clock of the built process shows {time_s:d} s more")
+def clock_went_on(context, time_s):
+    assert context.slept_ms == time_s * 1000, context.slept_ms
+
+
 @behave.when("the {role} process is started and gets {name} once it answers")
 def start_and_signal(context, role, name):
     process = subprocess.Popen(
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -168,7 +168,9 @@
             node.process = subprocess.Popen(
                 [
                     sys.executable,
-                    str(ROOT / "features/support/controller_process.py"),
+                    "-m",
+                    "waxwingrack",
+                    "controller",
                     str(path),
                 ],
                 stderr=log,
--- a/waxwingrack/commands/demo_fleet.py
+++ b/waxwingrack/commands/demo_fleet.py
@@ -13,6 +13,7 @@
 
 from waxwingrack.commands import operators_client
 from waxwingrack.core import data
+from waxwingrack.daemons import clocks
 from waxwingrack.daemons import controller
 from waxwingrack.daemons import router
 from waxwingrack.daemons import stand_in
@@ -74,7 +75,10 @@
         )
         self._processes: list[Any] = [
             controller.Controller(
-                common, storage.MemoryStorage(), _monotonic_ms, random.Random()
+                common,
+                storage.MemoryStorage(),
+                clocks.monotonic_ms,
+                random.Random(),
             ),
             router.Router(
                 dataclasses.replace(
@@ -86,7 +90,7 @@
                     control=None,
                     operator_token_file=None,
                 ),
-                router.monotonic_ms,
+                clocks.monotonic_ms,
                 random.Random(),
             ),
         ]
@@ -230,10 +234,6 @@
     raise TimeoutError(f"not reached within {limit_s:.0f} s: {what}")
 
 
-def _monotonic_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
-
-
 def _digest(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
 
--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -3,7 +3,6 @@
 import abc
 from collections.abc import Callable
 import random
-import time
 from typing import Any
 from typing import ClassVar
 
@@ -15,15 +14,11 @@
 from waxwingrack.commands.exit_codes import ExitCode
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import clocks
 from waxwingrack.daemons import event_loop
 from waxwingrack.load import settings
 
 
-def monotonic_ms() -> int:
-    """Returns a monotonic clock in milliseconds."""
-    return time.monotonic_ns() // 1_000_000
-
-
 class StartError(Exception):
     """A process could not start: a file, the data folder or a port."""
 
@@ -81,7 +76,7 @@
         # Operators' commands must not wait for the import of the daemons.
         from waxwingrack.daemons import router
 
-        return router.Router(cfg, router.monotonic_ms, random.Random())
+        return router.Router(cfg, clocks.monotonic_ms, random.Random())
 
 
 class ControllerCommand(_ProcessCommand):
@@ -100,7 +95,7 @@
         return controller.Controller(
             cfg,
             storage.DiskStorage(cfg.data_folder),
-            monotonic_ms,
+            clocks.monotonic_ms,
             random.Random(),
         )
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -23,6 +23,7 @@
 from waxwingrack.core import messages
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import callers_api
+from waxwingrack.daemons import clocks
 from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import exchanges
@@ -37,15 +38,6 @@
 STOP_LINGER_S = 0.2
 
 
-def monotonic_ms() -> int:
-    """Returns a monotonic clock in milliseconds.
-
-    The clock goes on while the machine is suspended, so that a grant does not
-    survive a suspension.
-    """
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
-
 class Router:
     """Router of one entry VM.
 
@@ -68,7 +60,7 @@
     def __init__(
         self,
         settings: data.Settings,
-        clock: Callable[[], int] = monotonic_ms,
+        clock: Callable[[], int] = clocks.monotonic_ms,
         rng: random.Random | None = None,
     ):
         """Prepares a router; nothing is opened before `start`.
