--- a/features/steps/scheduler_crashes_steps.py
+++ b/features/steps/scheduler_crashes_steps.py
@@ -5,19 +5,12 @@
 
 import behave
 
+from features.support import scheduler_tables as driver
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
 from waxwingrack.operations import crashes
-from waxwingrack.operations import scheduler
-
-ROUTER = data.RouterRef("r0", "a", "a")
-ENVIRONMENT = data.Environment(
-    "table",
-    (data.Workspace("w", 1.0, ()),),
-    (data.Service("s", (), "v1"),),
-    (),
-)
+
 STEP_MS = 20
 
 
@@ -25,15 +18,12 @@
     """A scheduler with servers that can crash, in simulated time."""
 
     def __init__(self, servers, slots):
-        self.now_ms = 100_000
+        driver.create(self, 100_000)
         self.slots = slots
         self.rng = random.Random(3)
-        self.policy = data.Policy(ENVIRONMENT)
-        self.tables = scheduler.empty(1, self.now_ms, (), ())
         self.incarnations = {f"b{number}": 1 for number in range(servers)}
         self.down = {}
         self.departing = set()
-        self.sequence = 0
         self.wants = {}
         self.running = {}
         self.outbox = collections.defaultdict(list)
@@ -42,25 +32,14 @@
         self.refusals = []
         self.crashes = 0
         self.completed = collections.Counter()
-        self.send(first=True)
+        driver.report(self, first=True)
         self.run(3_000)
 
-    def send(self, **fields):
-        """Sends a report."""
-        self.tables = scheduler.on_report(
-            self.tables,
-            ROUTER,
-            messages.RouterReport(self.now_ms, 1, **fields),
-            self.now_ms,
-        )
-
     def want(self, digest):
         """Queues a request."""
         self.sequence += 1
         self.wants[self.sequence] = digest
-        self.outbox["wants"].append(
-            data.Want(self.sequence, "w", "s", "r", digest=digest)
-        )
+        self.outbox["wants"].append(driver.want(self.sequence, digest=digest))
 
     def finish(self, key, outcome):
         """Ends a running request."""
@@ -88,49 +67,44 @@
         """Crashes a server, which comes back after a time."""
         self.crashes += 1
         digests = self.break_all(server_id)
-        self.down[server_id] = self.now_ms + back_ms
+        self.down[server_id] = self.at_ms + back_ms
         return digests
 
     def step(self):
         """Advances the time by one step."""
-        self.now_ms += STEP_MS
+        self.at_ms += STEP_MS
         for number, server_id in enumerate(self.incarnations):
             if server_id in self.down:
-                if self.now_ms < self.down[server_id]:
+                if self.at_ms < self.down[server_id]:
                     continue
                 del self.down[server_id]
                 self.incarnations[server_id] += 1
-            elif (self.now_ms + number * 100) % 1_000 >= STEP_MS:
+            elif (self.at_ms + number * 100) % 1_000 >= STEP_MS:
                 continue
             self.outbox["announcements"].append(
-                data.Announcement(
+                driver.announcement(
                     server_id,
                     str(self.incarnations[server_id]),
-                    data.Address("127.0.0.1", 1),
-                    "s",
-                    "v1",
-                    "a",
                     self.slots,
                     departing=server_id in self.departing,
                 )
             )
         fields = {name: tuple(rows) for name, rows in self.outbox.items()}
         self.outbox.clear()
-        self.send(**fields)
-        result = scheduler.tick(self.tables, self.policy, self.now_ms, self.rng)
-        self.tables = result.tables
-        self.refused.update(result.decisions.crashed_digests)
-        for _, refusal, _ in result.decisions.refusals:
+        driver.report(self, **fields)
+        decisions = driver.tick(self, self.rng)
+        self.refused.update(decisions.crashed_digests)
+        for _, refusal, _ in decisions.refusals:
             digest = self.wants.pop(refusal.want)
             self.refusals.append((digest, refusal.kind))
-        for decision in result.decisions.grants:
+        for decision in decisions.grants:
             grant = decision.grant
             digest = self.wants.pop(grant.want)
-            self.grants.append((self.now_ms, digest, grant.server_id))
+            self.grants.append((self.at_ms, digest, grant.server_id))
             self.running[(grant.term, grant.id)] = (
                 digest,
                 grant.server_id,
-                self.now_ms,
+                self.at_ms,
             )
             if grant.server_id in self.down:
                 self.finish((grant.term, grant.id), data.Outcome.CONNECT_FAILED)
@@ -213,9 +187,9 @@
         for key, (digest, server_id, at_ms) in list(guard.running.items()):
             if key not in guard.running:
                 continue
-            if digest in bad and guard.now_ms - at_ms >= 200:
+            if digest in bad and guard.at_ms - at_ms >= 200:
                 guard.crash(server_id)
-            elif digest not in bad and guard.now_ms - at_ms >= 600:
+            elif digest not in bad and guard.at_ms - at_ms >= 600:
                 guard.finish(key, data.Outcome.COMPLETED)
 
     guard.run(seconds * 1_000, each)
@@ -301,7 +275,7 @@
 )
 def resend_fast(context, digest, times):
     guard = context.guard
-    context.since_ms = guard.now_ms
+    context.since_ms = guard.at_ms
     guard.want(digest)
     sent = [1]
 
@@ -331,7 +305,9 @@
 @behave.when('the policy refuses "bad" while "bad" and "good" wait')
 def policy_refuses(context):
     guard = context.guard
-    guard.policy = data.Policy(ENVIRONMENT, refused_digests=frozenset(("bad",)))
+    guard.policy = data.Policy(
+        driver.ENVIRONMENT, refused_digests=frozenset(("bad",))
+    )
     for digest in ("bad", "good", "bad", "good"):
         guard.want(digest)
     guard.run(100)
@@ -357,7 +333,7 @@
     guard.want(digest)
     key = guard.until_granted(digest)
     guard.break_all(guard.running[key][1])
-    context.since_ms = guard.now_ms
+    context.since_ms = guard.at_ms
     guard.want(digest)
     guard.run(8_000)
 
--- a/features/steps/scheduler_placement_steps.py
+++ b/features/steps/scheduler_placement_steps.py
@@ -5,56 +5,15 @@
 import behave
 import immutables
 
+from features.support import scheduler_tables as driver
 from waxwingrack.core import data
-from waxwingrack.core import messages
 from waxwingrack.operations import placement
-from waxwingrack.operations import scheduler
 from waxwingrack.operations import tables as tables_module
 
-ROUTER = data.RouterRef("r0", "a", "a")
-ENVIRONMENT = data.Environment(
-    "table",
-    (data.Workspace("w", 1.0, ()),),
-    (data.Service("s", (), "v1"),),
-    (),
-)
-
-
-def _announcement(server_id, version="v1", data_centre="a", slots=4):
-    return data.Announcement(
-        server_id,
-        "i",
-        data.Address("127.0.0.1", 1),
-        "s",
-        version,
-        data_centre,
-        slots,
-    )
-
-
-def _report(context, **fields):
-    context.tables = scheduler.on_report(
-        context.tables,
-        ROUTER,
-        messages.RouterReport(context.at_ms, 1, **fields),
-        context.at_ms,
-    )
-
-
-def _tick(context):
-    result = scheduler.tick(
-        context.tables, context.policy, context.at_ms, random.Random(1)
-    )
-    context.tables = result.tables
-    return result.decisions.grants
-
 
 def _create(context):
-    context.at_ms = 100_000
-    context.policy = data.Policy(ENVIRONMENT)
-    context.tables = scheduler.empty(1, context.at_ms, (), ())
-    context.sequence = 0
-    _report(context, first=True)
+    driver.create(context, 100_000)
+    driver.report(context, first=True)
 
 
 def _change(context, server_id, change):
@@ -81,8 +40,10 @@
     _create(context)
     for version, count in (("v1", current), ("v2", candidate)):
         if count:
-            seen = _announcement(f"b-{version}", version, slots=count)
-            _report(context, announcements=(seen,))
+            seen = driver.announcement(
+                f"b-{version}", version=version, slots=count
+            )
+            driver.report(context, announcements=(seen,))
             _warm(context, seen.server_id)
 
 
@@ -90,7 +51,7 @@
 def version_share(context, share):
     context.share = share
     context.policy = data.Policy(
-        ENVIRONMENT,
+        driver.ENVIRONMENT,
         shares=immutables.Map({"s": data.VersionShare("v1", "v2", share)}),
     )
 
@@ -111,8 +72,8 @@
 def grant_before_and_after(context, before, after):
     context.versions = []
     _grant_until(context, before, 0)
-    seen = _announcement("b-v2", "v2", slots=8)
-    _report(context, announcements=(seen,))
+    seen = driver.announcement("b-v2", version="v2")
+    driver.report(context, announcements=(seen,))
     _warm(context, seen.server_id)
     _grant_until(context, before + after, 0)
     assert "v2" in context.versions
@@ -125,10 +86,10 @@
         context.at_ms += 5
         if context.at_ms % 1_000 == 0:
             seen = [row.announcement for row in context.tables.servers.values()]
-            _report(context, announcements=tuple(seen))
+            driver.report(context, announcements=tuple(seen))
         context.sequence += 1
-        _report(context, wants=(data.Want(context.sequence, "w", "s", "r"),))
-        for decision in _tick(context):
+        driver.report(context, wants=(driver.want(context.sequence),))
+        for decision in driver.tick(context).grants:
             grant = decision.grant
             # The unused grants are those of the current version, the worst
             # case for the share.
@@ -143,7 +104,7 @@
             running.append((end_ms, ended))
         done = [ended for end_ms, ended in running if end_ms <= context.at_ms]
         running = [entry for entry in running if entry[0] > context.at_ms]
-        _report(context, finished=tuple(done))
+        driver.report(context, finished=tuple(done))
         if len(context.versions) >= count:
             return
 
@@ -174,26 +135,16 @@
     for entry in servers.split():
         server_id, data_centre, load, *prefixes = entry.split(":")
         used, limit = map(int, load.split("/"))
-        seen = _announcement(server_id, "v1", data_centre, limit)
-        events = tuple(
-            data.CacheEvent(number, prefix, True)
-            for number, prefix in enumerate(prefixes, 1)
-        )
-        _report(
-            context,
-            announcements=(
-                data.Announcement(
-                    seen.server_id,
-                    seen.incarnation,
-                    seen.address,
-                    seen.service,
-                    seen.version,
-                    seen.data_centre,
-                    seen.slots,
-                    cache_events=events,
-                ),
+        seen = driver.announcement(
+            server_id,
+            slots=limit,
+            data_centre=data_centre,
+            cache_events=tuple(
+                data.CacheEvent(number, prefix, True)
+                for number, prefix in enumerate(prefixes, 1)
             ),
         )
+        driver.report(context, announcements=(seen,))
         _warm(context, server_id)
         grants = immutables.Map({(0, n): None for n in range(used)})
         _change(
@@ -205,9 +156,11 @@
 
 def _place(context, **fields):
     context.sequence += 1
-    want = data.Want(context.sequence, "w", "s", "r", **fields)
-    _report(context, wants=(want,))
-    context.placed = [entry.grant.server_id for entry in _tick(context)]
+    want = driver.want(context.sequence, **fields)
+    driver.report(context, wants=(want,))
+    context.placed = [
+        entry.grant.server_id for entry in driver.tick(context).grants
+    ]
 
 
 @behave.when('a request with prefix "{prefix}" from data centre "a" is placed')
@@ -232,12 +185,11 @@
     '{count:d} requests with prefix "{prefix}" from data centre "a" wait'
 )
 def many_with_prefix(context, count, prefix):
-    wants = tuple(
-        data.Want(number, "w", "s", "r", prefix=prefix)
-        for number in range(count)
-    )
-    _report(context, wants=wants)
-    context.placed = [entry.grant.server_id for entry in _tick(context)]
+    wants = tuple(driver.want(number, prefix=prefix) for number in range(count))
+    driver.report(context, wants=wants)
+    context.placed = [
+        entry.grant.server_id for entry in driver.tick(context).grants
+    ]
 
 
 @behave.then("each placement server has all of its slots in use")
--- a/features/steps/scheduler_slots_steps.py
+++ b/features/steps/scheduler_slots_steps.py
@@ -1,26 +1,13 @@
 """Steps for slot limits, announcements and slots of lost grants."""
 
-import random
-
 import behave
 import scheduler_simulation as simulation
 
+from features.support import scheduler_tables as driver
 from waxwingrack.core import data
-from waxwingrack.core import messages
 from waxwingrack.operations import placement
-from waxwingrack.operations import scheduler
 from waxwingrack.operations import slots
 
-ROUTER = data.RouterRef("r0", "a", "a")
-POLICY = data.Policy(
-    data.Environment(
-        "table",
-        (data.Workspace("w", 1.0, ()),),
-        (data.Service("s", (), "v1"),),
-        (),
-    )
-)
-
 
 @behave.when(
     'the simulated fleet suffers "{trouble}" for {seconds:d} s and recovers'
@@ -252,47 +239,19 @@
 # Tables without a simulation
 
 
-def _announcement(incarnation, slots_announced=8, **fields):
-    return data.Announcement(
-        "x",
-        incarnation,
-        data.Address("127.0.0.1", 1),
-        "s",
-        "v1",
-        "a",
-        slots_announced,
-        **fields,
-    )
-
-
-def _report(context, **fields):
-    context.tables = scheduler.on_report(
-        context.tables,
-        ROUTER,
-        messages.RouterReport(context.at_ms, 1, **fields),
-        context.at_ms,
-    )
-
-
-def _tick(context):
-    result = scheduler.tick(
-        context.tables, POLICY, context.at_ms, random.Random(1)
-    )
-    context.tables = result.tables
-    return result.decisions
+def _announcement(incarnation, slots=8, **fields):
+    return driver.announcement("x", incarnation, slots, **fields)
 
 
 @behave.given(
     'a scheduler that knows the server "x" with incarnations "{names}"'
 )
 def scheduler_with_server(context, names):
-    context.at_ms = 50_000
-    context.tables = scheduler.empty(1, context.at_ms, (), ())
-    _report(context, first=True)
+    driver.create(context, 50_000)
+    driver.report(context, first=True)
     for name in names.split():
         context.at_ms += 1_000
-        _report(context, announcements=(_announcement(name),))
-    context.sequence = 0
+        driver.report(context, announcements=(_announcement(name),))
 
 
 @behave.when('the announcements "{late}" arrive')
@@ -303,7 +262,7 @@
             continue
         context.at_ms += 5
         seen = _announcement(word.rstrip("!"), departing=word.endswith("!"))
-        _report(context, announcements=(seen,))
+        driver.report(context, announcements=(seen,))
 
 
 @behave.then('the scheduler keeps the incarnation "{name}" in use: {answer}')
@@ -311,8 +270,10 @@
     row = context.tables.servers["x"]
     assert row.announcement.incarnation == name, row
     context.sequence += 1
-    _report(context, wants=(data.Want(context.sequence, "w", "s", "r"),))
-    granted = [decision.grant.incarnation for decision in _tick(context).grants]
+    driver.report(context, wants=(driver.want(context.sequence),))
+    granted = [
+        decision.grant.incarnation for decision in driver.tick(context).grants
+    ]
     assert granted == ([name] if answer == "yes" else []), granted
 
 
@@ -321,14 +282,14 @@
 )
 def connects_fail(context, times):
     context.blocked = []
-    _report(context, wants=(data.Want(1, "w", "s", "r"),))
+    driver.report(context, wants=(driver.want(1),))
     since = None
     sequence = 1
     while len(context.blocked) < times:
         context.at_ms += 50
         if context.at_ms % 1_000 == 0:
-            _report(context, announcements=(_announcement("i1"),))
-        for decision in _tick(context).grants:
+            driver.report(context, announcements=(_announcement("i1"),))
+        for decision in driver.tick(context).grants:
             if since is not None:
                 context.blocked.append(context.at_ms - since)
             since = context.at_ms
@@ -336,10 +297,10 @@
             ended = data.Finished(
                 1, decision.grant.id, data.Outcome.CONNECT_FAILED, 0, 0, 0
             )
-            _report(
+            driver.report(
                 context,
                 finished=(ended,),
-                wants=(data.Want(sequence, "w", "s", "r"),),
+                wants=(driver.want(sequence),),
             )
 
 
@@ -356,14 +317,14 @@
 )
 def complete_and_announce(context, count, announced):
     for number in range(count):
-        _report(context, wants=(data.Want(number, "w", "s", "r"),))
-        for decision in _tick(context).grants:
+        driver.report(context, wants=(driver.want(number),))
+        for decision in driver.tick(context).grants:
             context.at_ms += 10
             done = data.Finished(
                 1, decision.grant.id, data.Outcome.COMPLETED, 10, 10, 10
             )
-            _report(context, finished=(done,))
-    _report(context, announcements=(_announcement("i1", announced),))
+            driver.report(context, finished=(done,))
+    driver.report(context, announcements=(_announcement("i1", announced),))
 
 
 @behave.then("the scheduler limits the server to {limit:d}")
@@ -375,15 +336,15 @@
 
 @behave.given("a scheduler that has granted the only slot of a server at 0 ms")
 def granted_only_slot(context):
-    context.at_ms = context.base_ms = 100_000
-    context.tables = scheduler.empty(1, context.at_ms, (), ())
-    _report(
+    driver.create(context, 100_000)
+    context.base_ms = context.at_ms
+    driver.report(
         context,
         first=True,
         announcements=(_announcement("i1", 1),),
-        wants=(data.Want(1, "w", "s", "r"),),
+        wants=(driver.want(1),),
     )
-    (context.decision,) = _tick(context).grants
+    (context.decision,) = driver.tick(context).grants
 
 
 @behave.when("the router reconnects at {at} ms and lists the grant as {listed}")
@@ -391,9 +352,8 @@
     if at == "none":
         return
     context.at_ms = context.base_ms + int(at)
-    grant = context.decision.grant
-    running = data.Running(1, grant.id, "x", "i1", "v1", "w", "s", "r", "", 5.0)
-    _report(
+    running = driver.running(context.decision.grant.id)
+    driver.report(
         context,
         first=True,
         running=(running,) if listed == "running" else (),
@@ -403,8 +363,8 @@
 @behave.when("the router reports again at {later:d} ms")
 def reports_again(context, later):
     context.at_ms = context.base_ms + later
-    _report(context, announcements=(_announcement("i1", 1, in_flight=1),))
-    _tick(context)
+    driver.report(context, announcements=(_announcement("i1", 1, in_flight=1),))
+    driver.tick(context)
 
 
 @behave.then("the scheduler counts {used:d} slots of the server")
@@ -416,32 +376,25 @@
 @behave.given('a new scheduler that awaits the router incarnations "{names}"')
 @behave.given('a new scheduler that awaits the router incarnations ""')
 def awaiting_scheduler(context, names=""):
-    context.at_ms = 100_000
-    context.tables = scheduler.empty(2, context.at_ms, (), names.split())
+    driver.create(context, 100_000, 2, names.split())
 
 
 @behave.when('the router incarnations "{names}" report with first {first}')
 def incarnations_report(context, names, first):
     for number, name in enumerate(names.split()):
-        report = messages.RouterReport(
-            5,
-            1,
+        driver.report(
+            context,
+            router=data.RouterRef(f"r{number}", name, "a"),
             first=first == "True",
-            wants=(data.Want(1, "w", "s", "r"),),
+            wants=(driver.want(1),),
             announcements=(_announcement("i1"),),
         )
-        context.tables = scheduler.on_report(
-            context.tables,
-            data.RouterRef(f"r{number}", name, "a"),
-            report,
-            context.at_ms,
-        )
 
 
 @behave.then("the scheduler grants after {ms:d} ms: {answer}")
 def grants_after(context, ms, answer):
     context.at_ms += ms
-    granted = bool(_tick(context).grants)
+    granted = bool(driver.tick(context).grants)
     assert granted == (answer == "yes")
 
 
@@ -449,13 +402,9 @@
     "a new scheduler to which a router lists {count:d} running requests"
 )
 def new_scheduler_with_running(context, count):
-    context.at_ms = 100_000
-    context.tables = scheduler.empty(2, context.at_ms, (), ("a",))
-    running = tuple(
-        data.Running(1, number, "x", "i1", "v1", "w", "s", "r", "", 5.0)
-        for number in range(count)
-    )
-    _report(context, first=True, running=running)
+    driver.create(context, 100_000, 2, ("a",))
+    running = tuple(map(driver.running, range(count)))
+    driver.report(context, first=True, running=running)
 
 
 @behave.when(
@@ -463,7 +412,7 @@
 )
 def server_announces(context, in_flight, count):
     seen = _announcement("i1", count, in_flight=in_flight)
-    _report(context, announcements=(seen,))
+    driver.report(context, announcements=(seen,))
 
 
 @behave.then("the server has the limit {limit:d} and {used:d} slots in use")
--- /dev/null
+++ b/features/support/scheduler_tables.py
@@ -0,0 +1,76 @@
+"""Scheduler tables that steps drive by reports and ticks.
+
+The functions work on any object with the attributes `tables`, `policy` and
+`at_ms`, such as the context of behave.
+"""
+
+import random
+
+from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.operations import scheduler
+
+ROUTER = data.RouterRef("r0", "a", "a")
+ENVIRONMENT = data.Environment(
+    "table",
+    (data.Workspace("w", 1.0, ()),),
+    (data.Service("s", (), "v1"),),
+    (),
+)
+
+
+def create(owner, at_ms, term=1, routers=()):
+    """Gives the owner an empty scheduler.
+
+    Args:
+      owner: Object that gets the attributes.
+      at_ms: Time.
+      term: Term of the leader.
+      routers: Incarnations of the routers that are awaited.
+    """
+    owner.at_ms = at_ms
+    owner.policy = data.Policy(ENVIRONMENT)
+    owner.tables = scheduler.empty(term, at_ms, (), routers)
+    owner.sequence = 0
+
+
+def report(owner, router=ROUTER, **fields):
+    """Sends a report of a router."""
+    owner.tables = scheduler.on_report(
+        owner.tables,
+        router,
+        messages.RouterReport(owner.at_ms, 1, **fields),
+        owner.at_ms,
+    )
+
+
+def tick(owner, rng=None):
+    """Runs a tick and returns its decisions."""
+    result = scheduler.tick(
+        owner.tables, owner.policy, owner.at_ms, rng or random.Random(1)
+    )
+    owner.tables = result.tables
+    return result.decisions
+
+
+def announcement(server_id, incarnation="i", slots=8, **fields):
+    """Returns the announcement of a backend server of the service."""
+    place = {"version": "v1", "data_centre": "a"} | fields
+    return data.Announcement(
+        server_id,
+        incarnation,
+        data.Address("127.0.0.1", 1),
+        "s",
+        slots=slots,
+        **place,
+    )
+
+
+def want(sequence, **fields):
+    """Returns a queued request."""
+    return data.Want(sequence, "w", "s", "r", **fields)
+
+
+def running(number):
+    """Returns a running request on the server x."""
+    return data.Running(1, number, "x", "i1", "v1", "w", "s", "r", "", 5.0)
