Describe fixed answers of the fake backend server in a table

Cause: eleven methods of FakeBackend wrote constant bytes, and router_fakes had a second event loop in a thread. Change: the bytes and what happens to the connection afterwards stand in one table; controller_fleet.Loop serves both. The bytes are unchanged.

--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import enum
 import hashlib
 import http.client
 import json
@@ -21,6 +22,7 @@
 from typing import Any
 import urllib.parse
 
+from features.support import controller_fleet
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
@@ -75,27 +77,6 @@
     )
 
 
-class Loop:
-    """An asyncio loop in a thread."""
-
-    def __init__(self) -> None:
-        self.loop = asyncio.new_event_loop()
-        threading.Thread(target=self.loop.run_forever, daemon=True).start()
-
-    def run(self, coroutine: Any) -> Any:
-        """Runs a coroutine to its end."""
-        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
-        return future.result(WAIT_S)
-
-    def call(self, function: Callable, *args: Any) -> Any:
-        """Calls a function in the loop."""
-
-        async def wrapped() -> Any:
-            return function(*args)
-
-        return self.run(wrapped())
-
-
 class FakeLeader:
     """Controller that grants, refuses and keeps keys as a test says.
 
@@ -298,6 +279,48 @@
         return states.ANSWERED, record[1]
 
 
+def _response(body: bytes, status: str = "200 OK", extra: str = "") -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n"
+        f"Content-Length: {len(body)}\r\n{extra}\r\n"
+    ).encode() + body
+
+
+_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"
+_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+
+
+class After(enum.Enum):
+    """What a backend server does with the connection after fixed bytes."""
+
+    KEEP = enum.auto()
+    CLOSE = enum.auto()
+    STALL = enum.auto()
+
+
+# Answers of fixed bytes, by the word in the query.
+FIXED = {
+    "early": (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        + _response(b"after hints"),
+        After.KEEP,
+    ),
+    "drop": (b"", After.CLOSE),
+    "garbage": (b"this is not HTTP\r\n\r\n", After.CLOSE),
+    "stall": (b"", After.STALL),
+    "stall_body": (_LENGTH, After.STALL),
+    "cut_length": (_LENGTH, After.CLOSE),
+    "cut_head": (b"HTTP/1.1 200 OK\r\nContent-Le", After.CLOSE),
+    "cut_chunk": (_CHUNKS + b"20\r\nhalf", After.CLOSE),
+    "cut_last": (_CHUNKS, After.CLOSE),
+    "bad_chunk": (_CHUNKS + b"zz\r\n", After.CLOSE),
+    "until_close": (
+        b"HTTP/1.0 200 OK\r\n\r\nwhole until close",
+        After.CLOSE,
+    ),
+}
+
+
 class FakeBackend:
     """Backend server that behaves as the query of a request says.
 
@@ -358,7 +381,11 @@
         if self.faults:
             act = self.faults.pop(0)
         running = asyncio.ensure_future(
-            getattr(self, f"_do_{act}")(writer, query, request_id, body, method)
+            self._fixed(act, writer)
+            if act in FIXED
+            else getattr(self, f"_do_{act}")(
+                writer, query, request_id, body, method
+            )
         )
         gone = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait(
@@ -380,16 +407,16 @@
         reader._buffer[:0] = first
         return True
 
-    @staticmethod
-    def _text(body: bytes, status: str = "200 OK", extra: str = "") -> bytes:
-        return (
-            f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\n{extra}\r\n"
-        ).encode() + body
+    async def _fixed(self, act, writer):
+        sent, after = FIXED[act]
+        writer.write(sent)
+        if after is After.STALL:
+            await asyncio.sleep(60)
+        return after is After.KEEP
 
     async def _do_ok(self, writer, query, request_id, body, method):
         answer = f"{request_id}:".encode() + body
-        sent = self._text(answer)
+        sent = _response(answer)
         if method == "HEAD":
             sent = sent[: -len(answer)]
         writer.write(sent)
@@ -406,12 +433,7 @@
         if code in ("204", "304"):
             writer.write(f"HTTP/1.1 {code} X\r\n\r\n".encode())
         else:
-            writer.write(self._text(b"status", f"{code} X"))
-        return True
-
-    async def _do_early(self, writer, query, request_id, body, method):
-        writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
-        writer.write(self._text(b"after hints"))
+            writer.write(_response(b"status", f"{code} X"))
         return True
 
     async def _do_headers(self, writer, query, request_id, body, method):
@@ -420,7 +442,7 @@
             "Keep-Alive: timeout=5\r\nServer: engine\r\nSet-Cookie: a=1\r\n"
             "Set-Cookie: b=2\r\n"
         )
-        writer.write(self._text(b"headers", extra=extra))
+        writer.write(_response(b"headers", extra=extra))
         return True
 
     async def _do_large(self, writer, query, request_id, body, method):
@@ -458,16 +480,6 @@
         await asyncio.sleep(float(query.get("pause", 0.5)))
         return await self._do_ok(writer, query, request_id, body, method)
 
-    async def _do_stall(self, writer, query, request_id, body, method):
-        await asyncio.sleep(60)
-
-    async def _do_stall_body(self, writer, query, request_id, body, method):
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
-        await asyncio.sleep(60)
-
-    async def _do_drop(self, writer, query, request_id, body, method):
-        return False
-
     async def _do_reset(self, writer, query, request_id, body, method):
         self._reset(writer)
 
@@ -478,36 +490,6 @@
         )
         writer.transport.abort()
 
-    async def _do_garbage(self, writer, query, request_id, body, method):
-        writer.write(b"this is not HTTP\r\n\r\n")
-
-    async def _do_cut_length(self, writer, query, request_id, body, method):
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
-
-    async def _do_cut_head(self, writer, query, request_id, body, method):
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Le")
-
-    async def _do_cut_chunk(self, writer, query, request_id, body, method):
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            b"4\r\npart\r\n20\r\nhalf"
-        )
-
-    async def _do_cut_last(self, writer, query, request_id, body, method):
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            b"4\r\npart\r\n"
-        )
-
-    async def _do_bad_chunk(self, writer, query, request_id, body, method):
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            b"4\r\npart\r\nzz\r\n"
-        )
-
-    async def _do_until_close(self, writer, query, request_id, body, method):
-        writer.write(b"HTTP/1.0 200 OK\r\n\r\nwhole until close")
-
     async def _do_until_reset(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\n\r\npart until reset")
         await writer.drain()
@@ -515,13 +497,13 @@
         self._reset(writer)
 
     async def _do_twice(self, writer, query, request_id, body, method):
-        answer = self._text(f"{request_id}:first".encode())
+        answer = _response(f"{request_id}:first".encode())
         writer.write(answer + answer)
         return True
 
     async def _do_late_copy(self, writer, query, request_id, body, method):
         extra = f"X-Request-Id: {request_id}\r\n"
-        answer = self._text(f"{request_id}:late".encode(), extra=extra)
+        answer = _response(f"{request_id}:late".encode(), extra=extra)
         writer.write(answer)
         await writer.drain()
         asyncio.get_running_loop().call_later(0.05, writer.write, answer)
@@ -660,7 +642,7 @@
     """One router, its leader and its backend servers."""
 
     def __init__(self) -> None:
-        self.loop = Loop()
+        self.loop = controller_fleet.Loop(WAIT_S)
         self.leader = FakeLeader()
         self.routers: list[RouterProcess] = []
         self.leaders = [self.leader]
@@ -751,5 +733,5 @@
         for part in (*self.leaders, *self.backends):
             self.loop.run(part.close())
         self.loop.run(_cancel_tasks())
-        self.loop.loop.call_soon_threadsafe(self.loop.loop.stop)
+        self.loop.close()
         assert not failures, failures
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -33,16 +33,25 @@
 class Loop:
     """Event loop in a thread of its own."""
 
-    def __init__(self):
+    def __init__(self, timeout_s: float = 10.0):
         self.loop = asyncio.new_event_loop()
+        self._timeout_s = timeout_s
         self._thread = threading.Thread(target=self.loop.run_forever)
         self._thread.daemon = True
         self._thread.start()
 
-    def run(self, coroutine, timeout_s: float = 10.0):
+    def run(self, coroutine):
         """Runs a coroutine and waits for its result."""
         fut = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
-        return fut.result(timeout_s)
+        return fut.result(self._timeout_s)
+
+    def call(self, function, *args):
+        """Calls a function in the loop."""
+
+        async def wrapped():
+            return function(*args)
+
+        return self.run(wrapped())
 
     def close(self):
         """Stops the loop."""
