--- a/features/steps/operations_procedures_steps.py
+++ b/features/steps/operations_procedures_steps.py
@@ -17,6 +17,10 @@
 from features.support import pages
 
 PAGE = "docs/operations.md"
+SHUTDOWN_DELAY_S = 0.5
+# A stream of this length, at 2 ms a token, outlasts the shutdown delay, so that
+# a router that does not wait for its end cuts it.
+LONG_STREAM_TOKENS = 600
 COMMAND_TIMEOUT_S = 130
 EXIT_TIMEOUT_S = 60
 READY_TIMEOUT_S = 30
@@ -32,7 +36,7 @@
 @behave.given("a documented fleet under a load of reads, streams and deposits")
 def documented_fleet(context):
     cluster = context.fleet = fleet.Fleet(
-        proxied=False, router_settings={"shutdown_delay_s": 0.7}
+        proxied=False, router_settings={"shutdown_delay_s": SHUTDOWN_DELAY_S}
     )
     context.add_cleanup(cluster.stop)
     cluster.start()
@@ -45,7 +49,6 @@
             engine=service == "sketch",
             data_centre="ab"[int(name[-1]) - 1],
             work_ms=20,
-            tokens=100,
         )
     for router in cluster.routers:
         fleet.wait_until(
@@ -209,6 +212,8 @@
         member = cluster.members[name]
         role = "router" if name in cluster.routers else "controller"
         (start,) = _section("Install", f"waxwingrack {role}")
+        if role == "router":
+            context.load.begin_stream(name, LONG_STREAM_TOKENS)
         member.process.send_signal(number)
         code = member.process.wait(EXIT_TIMEOUT_S)
         assert code == 0, (name, code)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -89,7 +89,15 @@
         return {}
 
 
-def request(port, method, path, body=b"", headers=None, timeout_s=30.0):
+def request(
+    port,
+    method,
+    path,
+    body=b"",
+    headers=None,
+    timeout_s=30.0,
+    started=None,
+):
     """Sends one request on a connection of its own.
 
     Args:
@@ -99,6 +107,7 @@
       body: Body, or an object to send as JSON.
       headers: Further headers.
       timeout_s: Longest pause within the exchange, in seconds.
+      started: Event to set once the header of the answer has arrived.
 
     Returns:
       The answer.
@@ -113,6 +122,8 @@
         conn.request(method, path, body or None, headers or {})
         response = conn.getresponse()
         status = response.status
+        if started is not None:
+            started.set()
         found = {key.lower(): value for key, value in response.getheaders()}
         while chunk := response.read1(65_536):
             received.append(chunk)
--- a/features/support/fleet_watch.py
+++ b/features/support/fleet_watch.py
@@ -14,6 +14,7 @@
 
 SAMPLE_INTERVAL_S = 0.15
 SAMPLE_TIMEOUT_S = 0.7
+START_TIMEOUT_S = 30.0
 _NUMBER = re.compile(r"^\w*environment_number(?:\{[^}]*\})? (\S+)$", re.M)
 
 
@@ -197,6 +198,28 @@
                 router, lambda name: kind(self._cluster, name, *arguments), key
             )
 
+    def begin_stream(self, router, tokens):
+        """Starts a stream and returns once its first bytes have arrived.
+
+        Args:
+          router: Router to send it through.
+          tokens: Length of the answer; a token takes at least 2 ms.
+        """
+        started = threading.Event()
+        thread = threading.Thread(
+            target=self._record,
+            args=(
+                router,
+                lambda name: stream(
+                    self._cluster, name, tokens, started=started
+                ),
+            ),
+            daemon=True,
+        )
+        self._threads.append(thread)
+        thread.start()
+        assert started.wait(START_TIMEOUT_S), f"no answer through {router}"
+
     def _record(self, router, send, key=""):
         super()._record(router, send, key)
         with self._lock:
@@ -211,15 +234,16 @@
     return cluster.call(router, "GET", "/booking/free", timeout_s=8)
 
 
-def stream(cluster, router):
+def stream(cluster, router, tokens=50, **options):
     """Streams an answer of the sketch assistant."""
-    body = {"prompt": "a heron", "stream": True}
+    body = {"prompt": "a heron", "stream": True, "max_tokens": tokens}
     return cluster.call(
         router,
         "POST",
         "/sketch/ask",
         body,
         {"Content-Type": "application/json"},
+        **options,
     )
 
 
--- a/waxwingrack/commands/status.py
+++ b/waxwingrack/commands/status.py
@@ -31,7 +31,11 @@
             )
         self.show(
             status,
-            {name.replace("_", " "): _ordered(status[name]) for name in TABLES}
+            # A leader of an earlier release sends no orders.
+            {
+                name.replace("_", " "): _ordered(status.get(name, []))
+                for name in TABLES
+            }
             | {
                 "rollouts": rollout.rows(status["rollouts"]),
                 "refused digests": [
@@ -43,4 +47,10 @@
 
 def _ordered(rows: list[dict]) -> list[dict]:
     # The leader lists rows in no fixed order, which differs between two calls.
-    return sorted(rows, key=lambda row: (row.get("service", ""), row["id"]))
+    return sorted(
+        rows,
+        key=lambda row: (
+            row.get("service", ""),
+            row.get("id") or row.get("server_id", ""),
+        ),
+    )
