Run one-way cuts between controllers and a leader's full disk

Cause: no scenario cut the link between two controllers in one direction, and a failed write had run in memory only. The status gave ages and left it to the reader which controller takes part. Ruled out: a fault in consensus; all cuts and the full disk kept the accepted changes, and the leader stayed or changed as the page says, without a fix. The disk is filled by a file-size limit on the running child.

--- a/features/environment.py
+++ b/features/environment.py
@@ -102,10 +102,34 @@
         context.fleet.stop()
 
 
+@behave.fixture
+def cut_fleet(context):
+    """Three controllers, a router and a booking desk."""
+    context.fleet = fleet.Fleet(routers=1)
+    try:
+        context.fleet.start()
+        context.fleet.apply(fleet.environment())
+        context.runs = context.fleet.folder / "booking-1.runs"
+        context.fleet.add_server(
+            "booking-1", "booking", slots=4, runs_file=str(context.runs)
+        )
+        fleet.wait_until(
+            lambda: (
+                context.fleet.call("r1", "GET", "/booking/free").status == 200
+            ),
+            20,
+            "r1 serves",
+        )
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
 FIXTURES = {
     "fixture.fleet": running_fleet,
     "fixture.slow_fleet": slow_fleet,
     "fixture.tls_fleet": tls_fleet,
+    "fixture.cut_fleet": cut_fleet,
 }
 
 
--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -144,7 +144,7 @@
 
   Scenario: idle connections of callers are closed, others are not
   Connections that are never closed would use up max_open_connections.
-    Given a router that closes idle connections after 0.8 seconds
-    When a caller of the router connects and sends nothing, another one has an answer and a third waits 2 seconds for one
-    Then the router closes the idle connections after 0.8 seconds and answers the third
-    And the router refuses a pause within a request as body_timeout after 1.5 seconds
+    Given a router that closes idle connections after 0.5 seconds
+    When a caller of the router connects and sends nothing, another one has an answer and a third waits 1.2 seconds for one
+    Then the router closes the idle connections after 0.5 seconds and answers the third
+    And the router refuses a pause within a request as body_timeout after 1 seconds
--- /dev/null
+++ b/features/steps/controller_cuts_steps.py
@@ -0,0 +1,181 @@
+"""Steps for one-way cuts between controllers and failed disks."""
+
+import json
+import resource
+import time
+
+import behave
+
+from features.support import fleet
+
+# Longer than two election timeouts, in seconds.
+NO_LEADER_S = 2.5
+WAIT_S = 20
+
+
+def in_force(context):
+    """Returns number and name of the environment at the leader."""
+    answer = context.fleet.operate("GET", "/v1/environment")
+    document = json.loads(answer.body)
+    return document["number"], document["environment"]["name"]
+
+
+def apply(context):
+    """Applies an environment under a new name and notes it."""
+    context.changes = getattr(context, "changes", 0) + 1
+    name = f"change-{context.changes}"
+    context.fleet.apply(fleet.environment(name=name))
+    context.accepted = in_force(context)
+    assert context.accepted[1] == name, context.accepted
+
+
+def controllers(context):
+    """Returns the status of the controllers by id, or None."""
+    status = context.fleet.status()
+    return status and {row["id"]: row for row in status["controllers"]}
+
+
+def lagging(context):
+    """Returns the ids of the controllers that lag, or None."""
+    rows = controllers(context)
+    return rows and {name for name, row in rows.items() if row["lagging"]}
+
+
+def whole(context):
+    """Whether all controllers acknowledge and hold the same log."""
+    rows = controllers(context)
+    if not rows or lagging(context):
+        return False
+    return len({row["match_index"] for row in rows.values()}) == 1
+
+
+@behave.given("the controllers of the fleet are whole and hold a change")
+def controllers_whole(context):
+    fleet.wait_until(lambda: whole(context), WAIT_S, "whole controllers")
+    apply(context)
+    context.leader = context.fleet.leader()
+    context.follower, context.other = (
+        name for name in context.fleet.controllers if name != context.leader
+    )
+    context.term = context.fleet.status()["term"]
+
+
+def members(context, text):
+    """Returns the controllers that a scenario names."""
+    return {
+        "the leader": {context.leader},
+        "a follower": {context.follower},
+        "the follower": {context.follower},
+        "the followers": {context.follower, context.other},
+    }[text]
+
+
+@behave.when("the frames of {source} to {target} are lost")
+def frames_lost(context, source, target):
+    for one in members(context, source):
+        for other in members(context, target):
+            context.fleet.proxy.change(f"{one}-{other}", up=False)
+            context.fleet.proxy.change(f"{other}-{one}", down=False)
+
+
+@behave.then("the leader {outcome} and the status names {named} as lagging")
+def leader_and_status(context, outcome, named):
+    expected = members(context, named)
+    if outcome == "changes":
+        fleet.wait_until(
+            lambda: context.fleet.leader() not in (None, context.leader),
+            WAIT_S,
+            "another leader",
+        )
+    fleet.wait_until(
+        lambda: lagging(context) == expected, WAIT_S, f"{expected} lagging"
+    )
+    stayed = context.fleet.leader() == context.leader
+    assert stayed == (outcome == "stays")
+    if stayed:
+        assert context.fleet.status()["term"] == context.term
+    else:
+        answer = context.fleet.operate("GET", "/v1/status", at=context.leader)
+        assert answer.status != 200, answer
+
+
+@behave.then("a change and a deposit are accepted meanwhile")
+def accepted_meanwhile(context):
+    apply(context)
+    key = fleet.key(f"cut-{context.changes}")
+    fleet.wait_until(lambda: deposit(context, key), WAIT_S, "a deposit")
+    lines = context.runs.read_text().splitlines()
+    assert sum(line.split()[-1] == key for line in lines) == 1, lines
+
+
+def deposit(context, key):
+    answer = context.fleet.call(
+        "r1", "POST", "/booking/deposit", b"x", {"Idempotency-Key": key}
+    )
+    assert answer.status == 200 or "retry-after" in answer.headers, answer
+    return answer.status == 200
+
+
+@behave.then(
+    "all controllers hold every accepted change once frames arrive again"
+)
+def healed(context):
+    context.fleet.heal()
+    assert_whole(context)
+
+
+def assert_whole(context):
+    fleet.wait_until(lambda: whole(context), WAIT_S, "whole controllers")
+    assert in_force(context) == context.accepted, context.accepted
+    numbers = {
+        context.fleet.metric(name, "environment_number")
+        for name in context.fleet.controllers
+    }
+    assert numbers == {context.accepted[0]}, numbers
+
+
+@behave.when("the disk of {member} is full")
+def disk_full(context, member):
+    context.full = next(iter(members(context, member)))
+    folder = context.fleet.folder / f"{context.full}-data"
+    size = max(x.stat().st_size for x in folder.rglob("*") if x.is_file())
+    # The next record is cut off after its first bytes.
+    limit = (size + 5, resource.RLIM_INFINITY)
+    process = context.fleet.members[context.full].process
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
+
+
+@behave.then('that controller says "{reason}" at its readyz and metrics')
+def says_failed(context, reason):
+    port = context.fleet.members[context.full].ports["operators"]
+    answer = fleet.request(port, "GET", "/readyz")
+    assert answer.status == 503 and reason in answer.body.decode(), answer
+    assert context.fleet.metric(context.full, "replica_failed") == 1
+
+
+@behave.then("that controller gives no vote while another one is frozen")
+def gives_no_vote(context):
+    healthy = [x for x in context.fleet.controllers if x != context.full]
+    frozen = context.fleet.members[healthy[0]]
+    frozen.freeze()
+    try:
+        fleet.wait_until(
+            lambda: context.fleet.leader() is None, WAIT_S, "no leader"
+        )
+        deadline = time.monotonic() + NO_LEADER_S
+        while time.monotonic() < deadline:
+            assert context.fleet.leader() is None
+    finally:
+        frozen.resume()
+    fleet.wait_until(context.fleet.leader, WAIT_S, "a leader")
+
+
+@behave.then(
+    "all controllers hold every accepted change once it restarts with space"
+)
+def restarted(context):
+    member = context.fleet.members[context.full]
+    member.terminate()
+    assert member.process.wait(20) == 0
+    member.start()
+    assert_whole(context)
--- a/features/steps/router_limits_steps.py
+++ b/features/steps/router_limits_steps.py
@@ -205,17 +205,17 @@
         context,
         environment={"timeouts": {"answer_timeout_s": 9.0}},
         idle_connection_s=seconds,
-        body_timeout_s=1.5,
+        body_timeout_s=1.0,
     )
 
 
 @behave.when(
     "a caller of the router connects and sends nothing, another one has an "
-    "answer and a third waits 2 seconds for one"
+    "answer and a third waits {pause:g} seconds for one"
 )
-def idle_callers(context):
+def idle_callers(context, pause):
     port = context.world.router.port
-    join = context.world.send_later("GET", "/sketch/a?do=slow&pause=2")
+    join = context.world.send_later("GET", f"/sketch/a?do=slow&pause={pause}")
     silent = socket.create_connection(("127.0.0.1", port), timeout=8)
     served = answers.open_request(context, "/sketch/a?do=ok")
     assert served.recv(65536).startswith(b"HTTP/1.1 200 ")
--- a/waxwingrack/daemons/fleet_status.py
+++ b/waxwingrack/daemons/fleet_status.py
@@ -6,6 +6,8 @@
 import pydantic
 
 from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.operations import consensus_replication
 from waxwingrack.operations import scheduler
 
 
@@ -56,6 +58,10 @@
     replica = controller.driver.replica
     seen = controller.links.seen_ms
     own = controller.settings.node_id
+    acked = {
+        node_id: consensus_replication.acked_ms(replica, node_id, now_ms)
+        for node_id in replica.members
+    }
     return [
         {
             "id": node_id,
@@ -66,6 +72,11 @@
             else now_ms - seen[node_id]
             if node_id in seen
             else None,
+            "acknowledged_ms_ago": None
+            if acked.get(node_id) is None
+            else now_ms - acked[node_id],
+            "lagging": now_ms - (acked.get(node_id) or 0)
+            > messages.CONTROL_TIMEOUT_MS,
         }
         for node_id in sorted({*replica.members, *replica.match})
     ]
--- a/waxwingrack/operations/consensus_replication.py
+++ b/waxwingrack/operations/consensus_replication.py
@@ -254,15 +254,15 @@
     """
     times = sorted(
         (
-            -1 if acked_ms is None else acked_ms
-            for acked_ms in (
-                _acked_ms(rep, node_id, now_ms) for node_id in rep.members
+            -1 if time_ms is None else time_ms
+            for time_ms in (
+                acked_ms(rep, node_id, now_ms) for node_id in rep.members
             )
         ),
         reverse=True,
     )
-    acked_ms = times[consensus_turn.quorum(rep.members) - 1]
-    return None if acked_ms < 0 else acked_ms
+    reached_ms = times[consensus_turn.quorum(rep.members) - 1]
+    return None if reached_ms < 0 else reached_ms
 
 
 def _has_vote(rep: types.Replica, node_id: str) -> bool:
@@ -279,7 +279,18 @@
     return rep.peers[node_id].match
 
 
-def _acked_ms(rep: types.Replica, node_id: str, now_ms: int) -> int | None:
+def acked_ms(rep: types.Replica, node_id: str, now_ms: int) -> int | None:
+    """Returns when the leader last reached a member.
+
+    Args:
+      rep: A leader.
+      node_id: The member.
+      now_ms: Time; the leader reaches itself at any time.
+
+    Returns:
+      The latest time at which a message was sent that the member has answered
+      with the disk that may vote, or None if there is none.
+    """
     if node_id == rep.node_id:
         return now_ms
     if node_id not in rep.peers or not _has_vote(rep, node_id):
