Prove back pressure and the time limit of callers that stop reading

Cause: back pressure was shown with a fake backend server only; the stand-in ignored it and buffered its whole stream, so no real fleet could show it. The limit for a caller that stops reading had no scenario, and the close of a connection whose caller never reads (close_timeout_s) neither. Ruled out: a total time limit of an answer, which would cut long streams; the buffer must be emptied once per idle_timeout_s, which bounds the hold already. Conclusion: no buffer grows and no slot or connection waits for ever.

--- a/features/environment.py
+++ b/features/environment.py
@@ -125,10 +125,61 @@
         context.fleet.stop()
 
 
+def _limit(context, server):
+    """Answers a request and returns the slot limit of a backend server."""
+    context.fleet.call("r1", "GET", f"/{server.split('-')[0]}")
+    rows = context.fleet.status()["backend_servers"]
+    return next(row["limit"] for row in rows if row["id"] == server)
+
+
+@behave.fixture
+def stream_fleet(context):
+    """A controller, a router and an engine with large streams."""
+    context.fleet = fleet.Fleet(
+        controllers=1,
+        routers=1,
+    )
+    services = [
+        {
+            "id": name,
+            "version": "v1",
+            "idle_timeout_s": idle_timeout_s,
+            "routes": [{"id": "r", "path": f"/{name}", "idempotent": True}],
+        }
+        for name, idle_timeout_s in (("patient", 60.0), ("strict", 2.0))
+    ]
+    try:
+        context.fleet.start()
+        context.fleet.apply(fleet.environment(services=services))
+        for name in ("patient", "strict"):
+            context.fleet.add_server(
+                f"{name}-1",
+                name,
+                engine=True,
+                token_ms=0,
+                token_batch_ms=0,
+                token_bytes=65_536,
+            )
+            fleet.wait_until(
+                lambda name=name: (
+                    context.fleet.call("r1", "GET", f"/{name}").status == 200
+                ),
+                20,
+                f"r1 serves {name}",
+            )
+        fleet.wait_until(
+            lambda: _limit(context, "patient-1") >= 2, 20, "two slots"
+        )
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
 FIXTURES = {
     "fixture.fleet": running_fleet,
     "fixture.slow_fleet": slow_fleet,
     "fixture.tls_fleet": tls_fleet,
+    "fixture.stream_fleet": stream_fleet,
     "fixture.cut_fleet": cut_fleet,
 }
 
--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -148,3 +148,14 @@
     When a caller of the router connects and sends nothing, another one has an answer and a third waits 1.2 seconds for one
     Then the router closes the idle connections after 0.5 seconds and answers the third
     And the router refuses a pause within a request as body_timeout after 1 seconds
+
+  Scenario Outline: a connection that ends waits for its caller while it reads
+  A caller that never reads would hold a connection and its last bytes for ever.
+    Given an ending connection of a router with 1000 unsent bytes and a close_timeout_s of 5
+    When its caller leaves <unsent> bytes unsent in periods of 5 seconds
+    Then the router has reset the connection after <seconds> seconds
+
+    Examples:
+      | unsent           | seconds |
+      | 1000             | 5       |
+      | 900 800 800      | 15      |
--- a/features/steps/router_buffers_steps.py
+++ b/features/steps/router_buffers_steps.py
@@ -3,12 +3,17 @@
 import atexit
 import functools
 import select
+import types
 
 import behave
+from twisted.internet import task
+from twisted.internet import testing
 
 from features.steps import router_answers_steps as answers
 from features.steps import router_fakes
+from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import admission
 
 _SHARED = []
 SIZE = 20_000
@@ -207,3 +212,49 @@
 def none_when_confirmed(context):
     context.world.leader.key_ignored.clear()
     wait_held(context.world, 0)
+
+
+class _Transport(testing.StringTransport):
+    """Transport whose caller decides how much is unsent."""
+
+    dataBuffer, offset, _tempDataLen = b"", 0, 0  # noqa: N815
+    aborted = False
+
+    def abortConnection(self):  # noqa: N802
+        self.aborted = True
+
+
+@behave.given(
+    "an ending connection of a router with {unsent:d} unsent bytes and a "
+    "close_timeout_s of {seconds:d}"
+)
+def ending_connection(context, unsent, seconds):
+    settings = data.Settings(
+        data.Role.ROUTER, "r1", "a", None, (), close_timeout_s=seconds
+    )
+    site = admission.CallersSite(None, types.SimpleNamespace(settings=settings))
+    context.clock, context.transport = task.Clock(), _Transport()
+    channel = site.buildProtocol(None)
+    channel.callLater = context.clock.callLater
+    channel.makeConnection(context.transport)
+    channel.setTimeout(None)
+    context.transport.dataBuffer = b"x" * unsent
+    channel.loseConnection()
+
+
+@behave.when(
+    "its caller leaves {unsent} bytes unsent in periods of {seconds:d} seconds"
+)
+def caller_reads(context, unsent, seconds):
+    context.reset_after = None
+    for number, size in enumerate(unsent.split()):
+        context.transport.dataBuffer = b"x" * int(size)
+        context.clock.advance(seconds)
+        if context.transport.aborted:
+            context.reset_after = (number + 1) * seconds
+            break
+
+
+@behave.then("the router has reset the connection after {seconds:d} seconds")
+def reset_after(context, seconds):
+    assert context.reset_after == seconds, context.reset_after
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -78,7 +78,8 @@
       cost_meter: How cost is measured.
       queue_timeout_s: Longest wait for a grant, in seconds.
       answer_timeout_s: Longest wait for the first answer byte, in seconds.
-      idle_timeout_s: Longest pause within an answer, in seconds.
+      idle_timeout_s: Longest pause within an answer, of the backend server or
+        of a caller that takes nothing, in seconds.
     """
 
     id: str
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -25,10 +25,12 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.protocols import policies
 from twisted.web import client
 from twisted.web import iweb
 from twisted.web import server
+from zope.interface import implementer
 
 from waxwingrack.core import codec
 from waxwingrack.core import data
@@ -89,6 +91,7 @@
       prefill_ms: Time before the first token of a prompt that is not cached.
       token_ms: Time of a token for a batch of one.
       token_batch_ms: Further time of a token for each other running request.
+      token_bytes: Least size of a streamed event, in bytes.
       tokens: Tokens of an answer when the request names no `max_tokens`.
       cold_start_s: Time after a start during which the server is cold.
       cold_factor: Factor on all delays while cold.
@@ -122,6 +125,7 @@
     prefill_ms: float = 20.0
     token_ms: float = 2.0
     token_batch_ms: float = 0.2
+    token_bytes: int = 0
     tokens: int = 16
     cold_start_s: float = 0.0
     cold_factor: float = 10.0
@@ -202,6 +206,7 @@
       most_in_flight: Most requests that ran at once since the start.
       overloads: Requests refused because the server was cold.
       served: Requests answered by the service.
+      streamed_bytes: Bytes of streamed events.
     """
 
     _app = klein.Klein()
@@ -216,6 +221,7 @@
         self.most_in_flight = 0
         self.overloads = 0
         self.served = 0
+        self.streamed_bytes = 0
         self._rng = random.Random(config.seed)
         self._version = config.version
         self._fencing = 0
@@ -374,6 +380,7 @@
                 "most_in_flight": self.most_in_flight,
                 "overloads": self.overloads,
                 "served": self.served,
+                "streamed_bytes": self.streamed_bytes,
                 "incarnation": self.incarnation,
                 "cold": self.cold,
             },
@@ -545,13 +552,22 @@
         req.setHeader("Content-Type", "text/event-stream")
         name = _header(req, "X-Request-Id")
         half = usage["completion_tokens"] // 2
-        sent = 0
+        sent, gate = 0, _Gate()
+        req.registerProducer(gate, True)
         async for word in self._paced(words):
             if self.mode.cut and sent >= half:
                 return await self._cut(req)
             choice = {"index": 0, "delta": {"content": word}}
-            req.write(_event({"id": name, "choices": [choice]}))
+            event = _event({"id": name, "choices": [choice]})
+            req.write(event)
+            # A comment line of the event stream fills the event up.
+            padding = self.config.token_bytes - len(event)
+            if padding > 0:
+                req.write(b":" + b"x" * padding + b"\n\n")
             sent += 1
+            self.streamed_bytes += len(event) + max(0, padding)
+            await gate.opened.wait()
+        req.unregisterProducer()
         req.write(_event({"id": name, "choices": [], "usage": usage}))
         req.write(b"data: [DONE]\n\n")
         return b""
@@ -582,6 +598,30 @@
         return b""
 
 
+@implementer(interfaces.IPushProducer)
+class _Gate:
+    """Holds a stream up while the buffer of its connection is full.
+
+    Attributes:
+      opened: Set while the connection takes bytes.
+    """
+
+    def __init__(self) -> None:
+        self.opened = asyncio.Event()
+        self.opened.set()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Holds the stream up."""
+        self.opened.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Lets the stream go on."""
+        self.opened.set()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; the request is cancelled when its connection ends."""
+
+
 def _json(req: iweb.IRequest, status: int, value: Any) -> bytes:
     req.setResponseCode(status)
     req.setHeader("Content-Type", "application/json")
