Let a new leader know the routers that were lost before

Cause: only the leader that had lost a router remembered it, so after a change of leader the status named connected routers only, and nobody saw that a lost one lags.

Ruled out: rows in each checkpoint (written every second at 380 routers) and a command per report.

Change: the leader writes a NoteRouters command with the differences between the replicated routers and those that it sees: new, lost, back, or shut down gracefully. Changed environment numbers alone are written once a minute. A lost router is kept for an hour of leader-counted time, at most 2,048 routers are kept. A graceful shutdown drops the router at once; so far it was shown for an hour too. A leader that steps down forgets what it saw of ended sessions.

--- a/features/controller_group.feature
+++ b/features/controller_group.feature
@@ -22,6 +22,18 @@
       | orderly stop and restart of all      |
       | freeze of the leader for 2 s         |
 
+  Scenario: the next leader names routers that were lost before its election
+    An operator could not see that a lost router lags behind the environment in
+    force, as only the leader that had lost it would know.
+
+    Given a group of 3 controllers
+    And environment "first" was applied at the number 0
+    And fake routers "r-lost r-late r-left" that the leader has noted
+    When the fake router "r-lost" is lost and "r-left" shuts down
+    And the controller group meets kill -9 of the leader
+    Then environment "second" can be applied at the number 1
+    And the status names "r-lost r-late" as lagging at number 1 and not "r-left"
+
   Scenario: an orderly stop of a controller exits with code 0
     Given a group of 3 controllers
     When the leading controller is stopped by SIGTERM
--- a/features/fleet_invariants.feature
+++ b/features/fleet_invariants.feature
@@ -32,6 +32,14 @@
     Then r3 of the loaded fleet exits with 0 within 20 s
     And the loaded fleet gave no refusal and no broken answer
 
+  Scenario: the next leader names a killed router and not a stopped one
+    An operator must see after an election which routers may lag, and must not
+    look for those that were stopped on purpose.
+
+    When r2 of the fleet is killed, r3 gets SIGTERM and then the leader is killed
+    Then the next leader of the fleet shows r2 as not connected and not r3
+    And every router of the fleet serves again once all processes run
+
   Scenario: a request that crashes backend servers is refused everywhere
     Given a loaded fleet of 4 callers on service sketch
     And the sketch servers of the loaded fleet crash on the text "poison"
--- a/features/replication_operators.feature
+++ b/features/replication_operators.feature
@@ -124,6 +124,35 @@
 
   Scenario: a replicated state survives encoding
     Given a replicated environment at number 1
-    When the replicated history is start v2, ramping, digest, key, checkpoint
+    When the replicated history is start v2, ramping, digest, key, routers, checkpoint
     Then encoding and decoding return the same replicated state
     And cut or foreign bytes are refused as replicated state
+
+  Scenario Outline: the known routers follow what the leader sees: <case>
+    An operator could not see after an election that a router lags, or the log
+    would grow with each heartbeat or change of the environment.
+
+    Given the known routers "<known>"
+    When a leader at <clock> s sees "<seen>", that "<left>" left, <more>
+    Then the known routers are "<rows>" after <writes> commands
+
+    Examples:
+      | case                     | known     | clock | seen      | left | more    | rows         | writes |
+      | a new router             | none      | 60    | r1#3      | -    | -       | r1#3         | 1      |
+      | nothing new              | r1#3      | 60    | r1#3      | -    | late    | r1#3         | 0      |
+      | a new number             | r1#3      | 60    | r1#4      | -    | -       | r1#3         | 0      |
+      | the first number         | r1#0      | 60    | r1#4      | -    | -       | r1#4         | 1      |
+      | a new number, in time    | r1#3      | 60    | r1#4      | -    | numbers | r1#4         | 1      |
+      | a lost router            | r1#3      | 60    | r1#4@50   | -    | -       | r1#4@50      | 1      |
+      | lost before the election | r1#3 r2#3 | 60    | r2#3      | -    | late    | r1#3@40 r2#3 | 1      |
+      | maybe on its way         | r1#3 r2#3 | 60    | r2#3      | -    | -       | r1#3 r2#3    | 0      |
+      | a router that is back    | r1#3@50   | 60    | r1#5      | -    | -       | r1#5         | 1      |
+      | a graceful shutdown      | r1#3 r2#3 | 60    | r2#3      | r1   | late    | r2#3         | 1      |
+      | never known, shut down   | none      | 60    | none      | r1   | late    | none         | 0      |
+      | lost for an hour         | r1#3@50   | 3650  | none      | -    | late    | r1#3@50      | 0      |
+      | lost for longer          | r1#3@50   | 3651  | none      | -    | late    | none         | 1      |
+
+  Scenario: the known routers are bounded
+    Given the known routers "none"
+    When 3000 lost and 40 connected routers are noted
+    Then 40 connected and the 2008 last lost are known
--- a/features/steps/fleet_invariant_steps.py
+++ b/features/steps/fleet_invariant_steps.py
@@ -7,6 +7,7 @@
 import behave
 
 from bench import load
+from features.support import faults
 from features.support import fleet
 
 ROUTERS = ("r1", "r2", "r3")
@@ -135,6 +136,62 @@
     assert code == 0, code
 
 
+@behave.when(
+    "{killed} of the fleet is killed, {stopped} gets SIGTERM and then the"
+    " leader is killed"
+)
+def kill_router_and_leader(context, killed, stopped):
+    cluster = context.fleet
+    context.add_cleanup(faults.restore, cluster)
+    fleet.wait_until(
+        lambda: _noted(cluster, "routers", killed), 15, f"{killed} noted"
+    )
+    before = _noted(cluster, "left", stopped)
+    cluster.members[stopped].terminate()
+    assert cluster.members[stopped].process.wait(20) == 0
+    cluster.members[killed].kill()
+    # A leader that dies before it has written the shutdown cannot tell it.
+    fleet.wait_until(
+        lambda: _noted(cluster, "left", stopped) > before, 10, "the shutdown"
+    )
+    cluster.members[fleet.wait_until(cluster.leader, 15, "a leader")].kill()
+
+
+def _noted(cluster, field, router):
+    """Counts the log lines of leaders that note a router."""
+    return sum(
+        router in line[field]
+        for name in cluster.controllers
+        for line in cluster.members[name].decisions()
+        if line["event"] == "routers_noted"
+    )
+
+
+def _shown(context):
+    status = context.fleet.status() or {"routers": ()}
+    return {row["id"]: row for row in status["routers"]}
+
+
+@behave.then(
+    "the next leader of the fleet shows {killed} as not connected and not"
+    " {stopped}"
+)
+def next_leader_shows(context, killed, stopped):
+    rows = fleet.wait_until(lambda: _shown(context), 15, "a new leader")
+    assert not rows[killed]["connected"], rows
+    assert rows[killed]["data_centre"], rows
+    assert stopped not in rows, rows
+
+
+@behave.then("every router of the fleet serves again once all processes run")
+def all_serve(context):
+    faults.restore(context.fleet)
+    for name in ROUTERS:
+        fleet.wait_until(
+            lambda name=name: context.fleet.serving(name), 15, name
+        )
+
+
 @behave.given(
     'the sketch servers of the loaded fleet crash on the text "{text}"'
 )
--- a/features/steps/replication_state_steps.py
+++ b/features/steps/replication_state_steps.py
@@ -189,6 +189,11 @@
         return commands.RefuseDigest("d")
     if verb == "key":
         return commands.ClaimKey("w", "1700000000-k", "digest", "r1")
+    if verb == "routers":
+        lost = data.KnownRouter("r2", "dc1", 4, 0.5)
+        return commands.NoteRouters(
+            (data.KnownRouter("r1", "dc1", 5), lost), ()
+        )
     if verb == "checkpoint":
         row = data.CounterRow("s", "w", 0.25)
         return commands.Checkpoint(0.7, (row,), ("r1", "r2"))
--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -154,6 +154,20 @@
     routers: tuple[str, ...]
 
 
+@COMMANDS.register("note_routers")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteRouters:
+    """Records routers that appeared, were lost, came back or left.
+
+    Attributes:
+      rows: New or changed rows.
+      left: Ids of routers that are dropped.
+    """
+
+    rows: tuple[data.KnownRouter, ...]
+    left: tuple[str, ...]
+
+
 @COMMANDS.register("set_controller")
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetController:
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -562,6 +562,7 @@
         to but not including `key_next`; released keys leave gaps.
       key_sequences: Sequence of the claim by (workspace, key).
       stored_bytes: Size of the stored answers.
+      known_routers: `KnownRouter` by node id.
     """
 
     number: int = 0
@@ -589,6 +590,7 @@
     key_first: int = 0
     key_next: int = 0
     stored_bytes: int = 0
+    known_routers: immutables.Map = immutables.Map()
 
 
 # ---------------------------------------------------------------------------
@@ -648,6 +650,23 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRouter:
+    """A router as the replicated state knows it.
+
+    Attributes:
+      node_id: Node id.
+      data_centre: Data centre.
+      number: Number of the environment in force when the row was written.
+      lost_s: Leader-counted clock at its last report; None while connected.
+    """
+
+    node_id: str
+    data_centre: str
+    number: int
+    lost_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionShare:
     """How the traffic of a service is divided between two versions.
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -309,6 +309,8 @@
         for session in self.sessions:
             self.sessions.close(session)
             session.conn.send_last(messages.NotLeader(self.leader_id()))
+        # Another leader learns more of these routers from now on.
+        self.sessions.forget()
 
     # -----------------------------------------------------------------------
     # transport.Listener
--- a/waxwingrack/daemons/fleet_status.py
+++ b/waxwingrack/daemons/fleet_status.py
@@ -78,7 +78,10 @@
     sessions += [
         (session, False) for session in controller.sessions.ended(now_ms)
     ]
-    return [
+    clock_s = controller.leader.clock_s()
+    shown = {session.ref.node_id for session, _ in sessions}
+    shown |= controller.sessions.left(controller.driver.state.known_routers)
+    listed = [
         {
             "id": session.ref.node_id,
             "data_centre": session.ref.data_centre,
@@ -92,6 +95,24 @@
         }
         for session, connected in sessions
     ]
+    # Routers that this leader has not seen: lost before its election, or still
+    # on their way to it.
+    known = controller.driver.state.known_routers
+    return listed + [
+        {
+            "id": node_id,
+            "data_centre": row.data_centre,
+            "connected": False,
+            "number": row.number,
+            "lagging": row.number < number,
+            "in_flight": 0,
+            "seen_ms_ago": now_ms - controller.leader.since_ms
+            if row.lost_s is None
+            else int(1000 * (clock_s - row.lost_s)),
+        }
+        for node_id, row in sorted(known.items())
+        if node_id not in shown
+    ]
 
 
 def _data_centres(state: data.ReplicatedState) -> list[dict[str, Any]]:
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -23,11 +23,14 @@
 from waxwingrack.daemons import replica_driver
 from waxwingrack.daemons import router_sessions
 from waxwingrack.daemons import transport
+from waxwingrack.operations import known_routers
 from waxwingrack.operations import rollouts
 from waxwingrack.operations import scheduler
 
 TICK_S = 0.05
 CHECKPOINT_MS = 1_000
+# Interval at which numbers in force at routers are written, if they changed.
+NOTE_NUMBERS_MS = 60_000
 ROLLOUT_TICK_MS = 200
 
 # Handlers of routers' messages, by type of the message. A handler takes the
@@ -91,6 +94,9 @@
         self._next_rollout_tick_ms = self.since_ms
         self._moving: set[str] = set()
         self._refusing: set[str] = set()
+        self._next_note_ms = self.since_ms + CHECKPOINT_MS
+        self._next_numbers_ms = self.since_ms + NOTE_NUMBERS_MS
+        self._noting = False
         # Sessions with a report that waits for an update.
         self._unanswered: dict[str, router_sessions.Session] = {}
         self._tick_scheduled = False
@@ -349,6 +355,10 @@
             if self._checkpoint is None and self._checkpoint_needed():
                 self._save_checkpoint(now_ms)
 
+        if now_ms >= self._next_note_ms and not self._noting:
+            self._next_note_ms = now_ms + CHECKPOINT_MS
+            self._note_routers(now_ms)
+
     def _drop_silent(self, now_ms: int) -> None:
         for session in self.services.sessions.silent(now_ms):
             session.conn.close()
@@ -358,6 +368,71 @@
                     f"no report for {now_ms - session.seen_ms} ms",
                 )
 
+    # -----------------------------------------------------------------------
+    # Known routers
+    # -----------------------------------------------------------------------
+
+    def clock_s(self) -> float:
+        """Returns the leader-counted clock."""
+        return self.clock_of(self.services.clock())
+
+    def clock_of(self, at_ms: int) -> float:
+        """Returns the leader-counted clock at a time of the own clock."""
+        return self.state.clock_s + (at_ms - self._checkpoint_ms) / 1000
+
+    def _note_routers(self, now_ms: int) -> None:
+        """Replicates what changed in the set of known routers."""
+        sessions = self.services.sessions
+        known = self.state.known_routers
+        rows = [
+            self._known_router(session, lost=False)
+            for session in sessions
+            if session.reported and not session.draining
+        ]
+        rows += [
+            self._known_router(session, lost=True)
+            for session in sessions.ended(now_ms)
+        ]
+        late = now_ms - self.since_ms >= messages.CONTROL_TIMEOUT_MS
+        command = known_routers.changes(
+            known.values(),
+            known_routers.Seen(
+                rows=tuple(rows),
+                left=sessions.left(known),
+                clock_s=self.clock_of(now_ms),
+                missing_s=self.clock_of(self.since_ms) if late else None,
+                numbers=now_ms >= self._next_numbers_ms,
+            ),
+        )
+        if now_ms >= self._next_numbers_ms:
+            self._next_numbers_ms = now_ms + NOTE_NUMBERS_MS
+        if command is None:
+            return
+        self._noting = True
+        fut = self.services.driver.propose(command)
+        fut.add_done_callback(lambda done: self._noted(command, done.result()))
+
+    def _known_router(
+        self, session: router_sessions.Session, lost: bool
+    ) -> data.KnownRouter:
+        return data.KnownRouter(
+            session.ref.node_id,
+            session.ref.data_centre,
+            session.number,
+            self.clock_of(session.seen_ms) if lost else None,
+        )
+
+    def _noted(
+        self, command: commands.NoteRouters, outcome: replica_driver.Outcome
+    ) -> None:
+        self._noting = False
+        if isinstance(outcome, result.Success):
+            logs.event(
+                "routers_noted",
+                routers={row.node_id: row.number for row in command.rows},
+                left=list(command.left),
+            )
+
     # -----------------------------------------------------------------------
     # Environment
     # -----------------------------------------------------------------------
@@ -498,6 +573,7 @@
     session.echo_ms = report.sent_ms
     session.number = report.environment_number
     session.reported = True
+    session.draining = report.draining
     if report.data_centre:
         session.ref = dataclasses.replace(
             session.ref, data_centre=report.data_centre
--- a/waxwingrack/daemons/router_sessions.py
+++ b/waxwingrack/daemons/router_sessions.py
@@ -1,5 +1,6 @@
 """Connections of routers to the leader."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -7,12 +8,12 @@
 from waxwingrack.core import data
 from waxwingrack.core import messages
 from waxwingrack.daemons import transport
+from waxwingrack.operations import known_routers
 
 # Time after which a push that did not take effect is repeated.
 PUSH_REPEAT_MS = 1_000
-# Time for which the status names a router whose connection has ended. Regions
-# may lose each other for an hour.
-REMEMBER_MS = 3_600_000
+# Time for which a router whose connection has ended is remembered.
+REMEMBER_MS = int(known_routers.KEEP_S * 1000)
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +29,7 @@
       pushed_number: Environment number last pushed on this connection.
       pushed_ms: Time of that push.
       reported: Whether a report came on this connection.
+      draining: Whether the router shuts down.
     """
 
     conn: transport.Connection
@@ -38,6 +40,7 @@
     pushed_number: int = 0
     pushed_ms: int = 0
     reported: bool = False
+    draining: bool = False
 
 
 class Sessions:
@@ -46,6 +49,7 @@
     def __init__(self):
         self._by_node: dict[str, Session] = {}
         self._ended: dict[str, Session] = {}
+        self._left: set[str] = set()
 
     def __iter__(self) -> Iterator[Session]:
         return iter(tuple(self._by_node.values()))
@@ -75,6 +79,7 @@
         peer = conn.peer
         old = self._by_node.get(peer.node_id)
         self._ended.pop(peer.node_id, None)
+        self._left.discard(peer.node_id)
         ref = data.RouterRef(peer.node_id, peer.incarnation, "")
         self._by_node[peer.node_id] = Session(conn, ref, now_ms)
         return old
@@ -91,10 +96,30 @@
         if self._by_node.get(session.ref.node_id) is not session:
             return False
         del self._by_node[session.ref.node_id]
-        if session.reported:
+        if session.draining:
+            self._left.add(session.ref.node_id)
+        elif session.reported:
             self._ended[session.ref.node_id] = session
         return True
 
+    def forget(self) -> None:
+        """Forgets the routers that are not connected any more."""
+        self._ended.clear()
+        self._left.clear()
+
+    def left(self, known: Container[str]) -> frozenset[str]:
+        """Returns which of the known routers have shut down gracefully.
+
+        Args:
+          known: Ids of known routers; others are forgotten.
+
+        Returns:
+          Ids of the routers, those that still drain included.
+        """
+        self._left = {node_id for node_id in self._left if node_id in known}
+        draining = {s.ref.node_id for s in self if s.draining}
+        return frozenset(self._left | draining)
+
     def ended(self, now_ms: int) -> tuple[Session, ...]:
         """Returns the sessions of routers that are not connected any more."""
         self._ended = {
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -12,6 +12,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import registry
+from waxwingrack.operations import known_routers
 from waxwingrack.operations import replicated_controllers
 from waxwingrack.operations import replicated_environment
 from waxwingrack.operations import replicated_image
@@ -46,6 +47,7 @@
 HANDLERS.register(commands.RecordKeyOutcome)(replicated_keys.record_outcome)
 HANDLERS.register(commands.ReleaseKey)(replicated_keys.release_key)
 HANDLERS.register(commands.RefuseDigest)(replicated_environment.refuse_digest)
+HANDLERS.register(commands.NoteRouters)(known_routers.note)
 HANDLERS.register(commands.SetController)(replicated_controllers.set_controller)
 HANDLERS.register(commands.ForgetController)(
     replicated_controllers.forget_controller
--- a/waxwingrack/operations/replicated_image.py
+++ b/waxwingrack/operations/replicated_image.py
@@ -46,6 +46,7 @@
     key_first: int
     key_next: int
     controllers: tuple[data.Peer, ...] = ()
+    known_routers: tuple[data.KnownRouter, ...] = ()
 
 
 CODEC = codec.Codec(IMAGES)
@@ -91,6 +92,10 @@
         controllers=tuple(
             state.controllers[key] for key in sorted(state.controllers.keys())
         ),
+        known_routers=tuple(
+            state.known_routers[key]
+            for key in sorted(state.known_routers.keys())
+        ),
     )
     rows = [
         _row(sequence, state.keys[place])
@@ -199,4 +204,7 @@
         controllers=immutables.Map(
             {peer.id: peer for peer in image.controllers}
         ),
+        known_routers=immutables.Map(
+            {row.node_id: row for row in image.known_routers}
+        ),
     )
