--- a/features/steps/scheduler_placement_steps.py
+++ b/features/steps/scheduler_placement_steps.py
@@ -48,14 +48,19 @@
 
 
 @behave.given('a share of {share:g} for the version "v2"')
-def version_share(context, share):
+def version_share(context, share, overflow=False):
     context.share = share
+    shares = {"s": data.VersionShare("v1", "v2", share, overflow)}
     context.policy = data.Policy(
-        driver.ENVIRONMENT,
-        shares=immutables.Map({"s": data.VersionShare("v1", "v2", share)}),
+        driver.ENVIRONMENT, shares=immutables.Map(shares)
     )
 
 
+@behave.given('a share of {share:g} with overflow for the version "v2"')
+def overflowing_share(context, share):
+    version_share(context, share, overflow=True)
+
+
 @behave.when(
     "{count:d} requests are granted while {unused:d} of 10 come back"
     " undispatched"
@@ -121,6 +126,11 @@
         lowest = min(lowest, excess)
 
 
+@behave.then("{count:d} requests were granted")
+def all_granted(context, count):
+    assert len(context.versions) == count, len(context.versions)
+
+
 @behave.then('the version "v2" gets {low:g}-{high:g} of all requests')
 def real_share(context, low, high):
     found = context.versions.count("v2")
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -638,6 +638,7 @@
       stored_bytes: Size of the stored answers.
       orders: Latest order to each model engine, by server id.
       fencing: Highest fencing number that was given or seen.
+      known_routers: `KnownRouter` by node id.
     """
 
     number: int = 0
@@ -667,6 +668,7 @@
     stored_bytes: int = 0
     orders: immutables.Map = immutables.Map()
     fencing: int = 0
+    known_routers: immutables.Map = immutables.Map()
 
 
 # ---------------------------------------------------------------------------
@@ -726,6 +728,23 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRouter:
+    """A router as the replicated state knows it.
+
+    Attributes:
+      node_id: Node id.
+      data_centre: Data centre.
+      number: Number of the environment in force when the row was written.
+      lost_s: Leader-counted clock at its last report; None while connected.
+    """
+
+    node_id: str
+    data_centre: str
+    number: int
+    lost_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionShare:
     """How the traffic of a service is divided between two versions.
@@ -734,11 +753,14 @@
       current: Version that gets the rest of the traffic.
       candidate: Version under trial; empty if there is none.
       share: Share of the candidate, from 0 to 1.
+      overflow: Whether the candidate also gets a request that is not owed to
+        it, if the current version has no free slot.
     """
 
     current: str
     candidate: str = ""
     share: float = 0.0
+    overflow: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -772,6 +794,8 @@
       first_byte_ms: Time from dispatch to the first answer byte.
       duration_ms: Time from dispatch to the end.
       at_ms: Leader's monotonic clock.
+      load: Requests in flight on the server at the grant, this one included;
+        0 if not known.
     """
 
     service: str
@@ -783,6 +807,7 @@
     first_byte_ms: float
     duration_ms: float
     at_ms: int
+    load: int = 0
 
 
 def evolve(row: Any, **changes: Any) -> Any:
@@ -1054,6 +1079,8 @@
       candidate: Whether the share of the candidate version paid for it.
       share: Share of the candidate version at the grant.
       orphan: Whether its router is lost.
+      load: Requests in flight on the server at the grant, this one included;
+        0 if the grant was made by a former leader.
     """
 
     router: str
@@ -1074,6 +1101,7 @@
     candidate: bool = False
     share: float = 0.0
     orphan: bool = False
+    load: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -316,6 +316,8 @@
         for session in self.sessions:
             self.sessions.close(session)
             session.conn.send_last(self._not_leader())
+        # Another leader learns more of these routers from now on.
+        self.sessions.forget()
 
     # -----------------------------------------------------------------------
     # transport.Listener
--- a/waxwingrack/operations/replicated_image.py
+++ b/waxwingrack/operations/replicated_image.py
@@ -48,6 +48,7 @@
     controllers: tuple[data.Peer, ...] = ()
     orders: tuple[data.EngineOrder, ...] = ()
     fencing: int = 0
+    known_routers: tuple[data.KnownRouter, ...] = ()
 
 
 CODEC = codec.Codec(IMAGES)
@@ -95,6 +96,10 @@
         ),
         orders=tuple(state.orders[key] for key in sorted(state.orders.keys())),
         fencing=state.fencing,
+        known_routers=tuple(
+            state.known_routers[key]
+            for key in sorted(state.known_routers.keys())
+        ),
     )
     rows = [
         _row(sequence, state.keys[place])
@@ -205,4 +210,7 @@
         ),
         orders=immutables.Map({row.server_id: row for row in image.orders}),
         fencing=image.fencing,
+        known_routers=immutables.Map(
+            {row.node_id: row for row in image.known_routers}
+        ),
     )
