Run the controller features on the parts of the fleet features

Cause: controller_fleet.py had its own process class, HTTP client, polling and cuttable forwarder beside those of fleet.py. Change: it uses fleet.Member, fleet.request, fleet.wait_until and the fault proxy. A cut link now holds its bytes in place of dropping them; no scenario joins such a link again, so what a controller sees is the same.

--- a/features/steps/controller_group_steps.py
+++ b/features/steps/controller_group_steps.py
@@ -102,7 +102,7 @@
     expected = {
         "id": leader,
         "host": controller_fleet.HOST,
-        "port": fleet.nodes[leader].operators,
+        "port": fleet.nodes[leader].ports["operators"],
     }
     for node_id in fleet.nodes:
         if node_id != leader:
@@ -319,8 +319,8 @@
         f"/v1/controllers/{node_id}",
         operation="op-repair",
         operator="ada",
-        control=address(node.control),
-        operators=address(node.operators),
+        control=address(node.ports["control"]),
+        operators=address(node.ports["operators"]),
         replaces=context.lost,
     )
     assert status == 200 and answer["accepted"], answer
--- a/features/steps/controller_rollout_steps.py
+++ b/features/steps/controller_rollout_steps.py
@@ -96,7 +96,7 @@
     router = BusyRouter(
         fleet.loop,
         "busy",
-        fleet.nodes[fleet.leader()].control,
+        fleet.nodes[fleet.leader()].ports["control"],
         faulty="v2" if kind == "faulty" else "",
     )
     fleet.routers.append(router)
--- a/features/support/controller_fleet.py
+++ b/features/support/controller_fleet.py
@@ -3,15 +3,11 @@
 import asyncio
 import concurrent.futures
 import contextlib
-import dataclasses
-import http.client
 import json
-import os
 import pathlib
 import secrets
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import threading
@@ -19,13 +15,13 @@
 
 import websockets.exceptions
 
+from features.support import fleet
 from features.support import loopback
 from waxwingrack.core import data
 from waxwingrack.core import messages
 from waxwingrack.daemons import transport
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-TOKEN = "operator-token"
+TOKEN = fleet.OPERATOR_TOKEN
 KEY = b"shared-key-of-the-test"
 HOST = "127.0.0.1"
 
@@ -67,66 +63,7 @@
 
 def wait_for(check, timeout_s: float = 8.0, pause_s: float = 0.02):
     """Polls until a check is true; returns its value and fails in time."""
-    deadline = time.monotonic() + timeout_s
-    while True:
-        value = check()
-        if value:
-            return value
-        assert time.monotonic() < deadline, f"not within {timeout_s} s"
-        time.sleep(pause_s)
-
-
-class Forwarder:
-    """TCP forwarder from one controller to another that can be cut."""
-
-    def __init__(self, loop: Loop, port: int, target: int):
-        self.cut = False
-        self._target = target
-        self._loop = loop
-        self._writers = set()
-        self._server = loop.run(asyncio.start_server(self._accept, HOST, port))
-
-    async def _accept(self, reader, writer):
-        try:
-            other, out = await asyncio.open_connection(HOST, self._target)
-        except OSError:
-            writer.close()
-            return
-        self._writers |= {writer, out}
-        await asyncio.gather(self._pump(reader, out), self._pump(other, writer))
-
-    async def _pump(self, reader, writer):
-        try:
-            while blob := await reader.read(65536):
-                # A silent cut: bytes vanish and the connections stay open.
-                if not self.cut:
-                    writer.write(blob)
-                    await writer.drain()
-        except OSError:
-            pass
-        finally:
-            writer.close()
-            self._writers.discard(writer)
-
-    def close(self):
-        """Ends the forwarder."""
-
-        async def close():
-            self._server.close()
-            for writer in tuple(self._writers):
-                writer.transport.abort()
-
-        self._loop.run(close())
-
-
-@dataclasses.dataclass
-class Node:
-    """One controller process."""
-
-    id: str
-    control: int
-    operators: int
-    process: subprocess.Popen | None = None
+    return fleet.wait_until(check, timeout_s, "what a step awaits", pause_s)
 
 
 class Fleet:
@@ -137,76 +74,60 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="waxwing"))
         (self.folder / "key").write_bytes(KEY)
         (self.folder / "token").write_text(TOKEN + "\n")
-        self.nodes: dict[str, Node] = {}
-        self.forwarders: dict[tuple[str, str], Forwarder] = {}
+        self.nodes: dict[str, fleet.Member] = {}
+        self.proxy = fleet.Proxy() if cuttable else fleet.DirectLinks()
         self.routers: list[FakeRouter] = []
-        self._cuttable = cuttable
         for number in range(1, count + 1):
             self.add(f"c{number}")
-        if cuttable:
-            self._add_forwarders()
         self._listed = tuple(self.nodes)
         for node_id in self.nodes:
             self.start(node_id)
 
-    def add(self, node_id: str) -> Node:
+    def add(self, node_id: str) -> fleet.Member:
         """Chooses the ports of a controller."""
         control, operators = loopback.free_ports(2)
-        self.nodes[node_id] = Node(node_id, control, operators)
+        self.nodes[node_id] = fleet.Member(
+            node_id,
+            [
+                sys.executable,
+                "-m",
+                "waxwingrack",
+                "controller",
+                str(self.folder / f"{node_id}.json"),
+            ],
+            {"control": control, "operators": operators},
+            self.folder,
+        )
         return self.nodes[node_id]
 
-    def _add_forwarders(self):
-        for source in self.nodes:
-            for target in self.nodes:
-                if source != target:
-                    (port,) = loopback.free_ports(1)
-                    forwarder = Forwarder(
-                        self.loop, port, self.nodes[target].control
-                    )
-                    forwarder.port = port
-                    self.forwarders[source, target] = forwarder
-
     def start(self, node_id: str, listed: tuple[str, ...] | None = None):
         """Starts a controller process."""
-        node = self.nodes[node_id]
-        path = self.folder / f"{node_id}.json"
-        path.write_text(
-            json.dumps(self._settings(node, listed or self._listed))
-        )
-        with (self.folder / f"{node_id}.log").open("ab") as log:
-            node.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "waxwingrack",
-                    "controller",
-                    str(path),
-                ],
-                stderr=log,
-                stdout=log,
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
+        (self.folder / f"{node_id}.json").write_text(
+            json.dumps(
+                self._settings(self.nodes[node_id], listed or self._listed)
             )
+        )
+        self.nodes[node_id].start()
 
-    def _settings(self, node: Node, listed: tuple[str, ...]):
-        def peer(other: Node):
-            forwarder = self.forwarders.get((node.id, other.id))
+    def _settings(self, node: fleet.Member, listed: tuple[str, ...]):
+        def peer(other: fleet.Member):
+            port = other.ports["control"]
+            if other is not node:
+                port = self.proxy.add(f"{node.name}-{other.name}", port)
             return {
-                "id": other.id,
-                "control": {
-                    "host": HOST,
-                    "port": forwarder.port if forwarder else other.control,
-                },
-                "operators": {"host": HOST, "port": other.operators},
+                "id": other.name,
+                "control": fleet.address(port),
+                "operators": fleet.address(other.ports["operators"]),
             }
 
         return {
             "role": "controller",
-            "node_id": node.id,
+            "node_id": node.name,
             "data_centre": "a",
-            "operators": {"host": HOST, "port": node.operators},
-            "control": {"host": HOST, "port": node.control},
+            "operators": fleet.address(node.ports["operators"]),
+            "control": fleet.address(node.ports["control"]),
             "controllers": [peer(self.nodes[item]) for item in listed],
-            "data_folder": str(self.folder / f"data-{node.id}"),
+            "data_folder": str(self.folder / f"data-{node.name}"),
             "shared_key_file": str(self.folder / "key"),
             "operator_token_file": str(self.folder / "token"),
         }
@@ -219,34 +140,31 @@
             return process.wait(10)
         return None
 
-    def cut(self, node_id: str, cut: bool = True):
+    def cut(self, node_id: str):
         """Cuts a controller off from the others, without closing anything."""
-        for pair, forwarder in self.forwarders.items():
-            if node_id in pair:
-                forwarder.cut = cut
+        for link in self.proxy.links:
+            if node_id in link.split("-"):
+                self.proxy.change(link, up=False, down=False)
 
     def log(self, node_id: str) -> list[dict]:
         """Returns the JSON log lines of a controller."""
-        lines = (self.folder / f"{node_id}.log").read_text().splitlines()
-        return [json.loads(line) for line in lines if line[:1] == "{"]
+        return self.nodes[node_id].decisions()
 
     def call(self, node_id, method, path, body=None, token=TOKEN, raw=None):
         """Calls the operators' API; returns status and body, or (0, None)."""
-        conn = http.client.HTTPConnection(
-            HOST, self.nodes[node_id].operators, timeout=8
+        answer = fleet.request(
+            self.nodes[node_id].ports["operators"],
+            method,
+            path,
+            raw.encode() if raw else body or b"",
+            {"Authorization": f"Bearer {token}"} if token else {},
+            timeout_s=8,
         )
-        headers = {"Authorization": f"Bearer {token}"} if token else {}
-        blob = raw if raw is not None else body and json.dumps(body)
-        try:
-            conn.request(method, path, blob, headers)
-            answer = conn.getresponse()
-            text = answer.read()
-        except OSError:
+        if not answer.whole:
             return 0, None
-        finally:
-            conn.close()
+        text = answer.body.decode()
         if path == "/metrics":
-            return answer.status, text.decode()
+            return answer.status, text
         return answer.status, json.loads(text) if text else None
 
     def metric(self, node_id: str, name: str) -> float:
@@ -260,11 +178,7 @@
 
     def running(self) -> list[str]:
         """Returns the node ids whose process runs."""
-        return [
-            node.id
-            for node in self.nodes.values()
-            if node.process and node.process.poll() is None
-        ]
+        return [node_id for node_id, node in self.nodes.items() if node.alive]
 
     def leaders(self) -> list[str]:
         """Returns the controllers that answer as leader now."""
@@ -306,7 +220,10 @@
     def router(self, node_id: str, controller: str, **options):
         """Connects a fake router to a controller."""
         router = FakeRouter(
-            self.loop, node_id, self.nodes[controller].control, **options
+            self.loop,
+            node_id,
+            self.nodes[controller].ports["control"],
+            **options,
         )
         self.routers.append(router)
         return router
@@ -316,11 +233,9 @@
         for router in self.routers:
             router.close()
         for node in self.nodes.values():
-            if node.process and node.process.poll() is None:
-                node.process.kill()
-                node.process.wait(10)
-        for forwarder in self.forwarders.values():
-            forwarder.close()
+            if node.alive:
+                node.kill()
+        self.proxy.stop()
         self.loop.close()
         shutil.rmtree(self.folder)
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -36,13 +36,14 @@
     return {"host": "127.0.0.1", "port": port}
 
 
-def wait_until(condition, timeout_s, what):
+def wait_until(condition, timeout_s, what, pause_s=0.05):
     """Waits for a condition.
 
     Args:
       condition: Function without arguments; a true result ends the wait.
       timeout_s: Longest wait in seconds.
       what: What is waited for, for the error message.
+      pause_s: Pause between two checks, in seconds.
 
     Returns:
       The result of the condition.
@@ -58,7 +59,7 @@
                 return found
         if time.monotonic() > deadline:
             raise AssertionError(f"not within {timeout_s} s: {what}")
-        time.sleep(0.05)
+        time.sleep(pause_s)
 
 
 @dataclasses.dataclass(frozen=True)
