Check every command line of the pages against the program

Cause: the procedures feature runs the commands of three sections; a wrong option elsewhere on docs/operations.md or README.md would stay unseen. Change: a table over both pages compares each command line with the commands, options and numbers of arguments of the program. Test: seen to fail with '--dead-line' on the page. settings_pages.feature: 32 of 32 scenarios passed, 2 of them new.

--- a/features/settings_pages.feature
+++ b/features/settings_pages.feature
@@ -28,6 +28,14 @@
   Scenario: the operations page lists the exit codes
     Then the operations page lists exactly the exit codes
 
+  Scenario Outline: <page> shows only commands and options that exist
+    Then the command lines of <page> fit the command line of the program
+
+    Examples:
+      | page               |
+      | README.md          |
+      | docs/operations.md |
+
   Scenario Outline: an example document is valid
     Then the example <file> has no fault
 
--- a/features/steps/settings_pages_steps.py
+++ b/features/steps/settings_pages_steps.py
@@ -15,7 +15,9 @@
 from returns import result
 
 from features.steps import commands_steps
+from features.support import pages
 from waxwingrack.commands import exit_codes
+from waxwingrack.commands import main
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.load import environment
@@ -103,6 +105,46 @@
     assert found == {int(code) for code in exit_codes.ExitCode}, found
 
 
+def _fault(words):
+    """Returns what is wrong with a command line of a page, or an empty text."""
+    known = {cmd.name: cmd for cmd in main.commands()}
+    name = next(
+        (x for x in (" ".join(words[1:3]), words[1]) if x in known), None
+    )
+    if name is None:
+        return "no such command"
+    rest = words[1 + len(name.split()) :]
+    # What the shell takes, such as `2> file &`, is not for the program.
+    ends = (at for at, word in enumerate(rest) if word in ("2>", ">", "&"))
+    rest = rest[: next(ends, len(rest))]
+    definition, arguments, index = known[name].definition, 0, 0
+    while index < len(rest):
+        option = rest[index].removeprefix("--")
+        if option == rest[index]:
+            arguments += 1
+        elif not definition.has_option(option):
+            return f"no option {rest[index]}"
+        elif definition.option(option).accepts_value():
+            index += 1
+        index += 1
+    most = definition.argument_count
+    if any(argument.is_list() for argument in definition.arguments):
+        most = arguments
+    if not definition.required_argument_count <= arguments <= most:
+        return f"{arguments} arguments"
+    return ""
+
+
+@behave.then("the command lines of {page} fit the command line of the program")
+def page_commands_fit(_, page):
+    lines = [
+        words for words in pages.commands(page) if words[0] == "waxwingrack"
+    ]
+    assert lines, page
+    faults = {" ".join(words): _fault(words) for words in lines}
+    assert not any(faults.values()), {k: v for k, v in faults.items() if v}
+
+
 @behave.then("the example {file} has no fault")
 def example_is_valid(_, file):
     path = ROOT / "examples" / file
