--- a/waxwingrack/operations/version_latencies.py
+++ b/waxwingrack/operations/version_latencies.py
@@ -38,7 +38,7 @@
 # Chance below which a slowdown is not explained by equally fast versions. More
 # groups are tested one by one by level of load, so each gets a lower chance.
 CHANCE = 1e-4
-CHANCE_BY_LEVEL = 1e-5
+CHANCE_BY_LEVEL = 1e-6
 # Newest old samples of a data centre that show whether it is as fast as before,
 # and fewest of them in the newer half of their time.
 CONTROL_SAMPLES = 16
@@ -410,8 +410,13 @@
 
 def _exceeds(pairs: list[_Pair], allowed: float, chance: float) -> float:
     """Returns the slowdown if it is above what is allowed, else 0."""
-    count = sum(len(pair.new) for pair in pairs)
-    if count < MIN_SAMPLES:
+    if (
+        min(
+            sum(len(pair.new) for pair in pairs),
+            sum(len(pair.old) for pair in pairs),
+        )
+        < MIN_SAMPLES
+    ):
         return 0.0
     ratio = _ratio(pairs)
     if ratio < allowed or _rank_chance(pairs) >= chance:
