--- a/capacity/rollout_decisions.py
+++ b/capacity/rollout_decisions.py
@@ -48,11 +48,12 @@
     """Runs all kinds at all rates and prints a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--rates", type=int, nargs="+", default=[50, 200])
     parser.add_argument("--kinds", nargs="+", default=KINDS)
     parser.add_argument("--processes", type=int, default=4)
     options = parser.parse_args()
-    seeds = range(1, options.seeds + 1)
+    seeds = range(options.first, options.first + options.seeds)
     with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
         futures = {
             (kind, rate): [pool.submit(_run, kind, rate, s) for s in seeds]
