--- a/features/steps/fleet_invariant_steps.py
+++ b/features/steps/fleet_invariant_steps.py
@@ -143,9 +143,12 @@
 def kill_router_and_leader(context, killed, stopped):
     cluster = context.fleet
     context.add_cleanup(faults.restore, cluster)
-    fleet.wait_until(
-        lambda: _noted(cluster, "routers", killed), 15, f"{killed} noted"
-    )
+    # An earlier scenario stopped and restarted a router, so that it may not be
+    # known again yet.
+    for name in (killed, stopped):
+        fleet.wait_until(
+            lambda name=name: _known(cluster, name), 15, f"{name} noted"
+        )
     before = _noted(cluster, "left", stopped)
     cluster.members[stopped].terminate()
     assert cluster.members[stopped].process.wait(20) == 0
@@ -167,6 +170,18 @@
     )
 
 
+def _known(cluster, router):
+    """Whether the leaders' log lines say that a router was noted and stayed."""
+    lines = sorted(
+        (line["time"], router in line["routers"])
+        for name in cluster.controllers
+        for line in cluster.members[name].decisions()
+        if line["event"] == "routers_noted"
+        and (router in line["routers"] or router in line["left"])
+    )
+    return bool(lines) and lines[-1][1]
+
+
 def _shown(context):
     status = context.fleet.status() or {"routers": ()}
     return {row["id"]: row for row in status["routers"]}
