Start processes of the command features in one place

Cause: three step modules started a process, waited for it and ended it each in its own way; the commands' steps chose ports without a reservation. Change: commands_steps.running does it once; Fleet.serve starts the fleet of the procedures feature. Run: commands_documents 20, settings_pages 32, commands_calls 15, operations_procedures 3 scenarios, all passed. commands_binary was not run, as no binary was built here.

--- a/features/steps/commands_binary_steps.py
+++ b/features/steps/commands_binary_steps.py
@@ -1,8 +1,8 @@
 """Steps for the binary that `scripts/build` makes."""
 
+import contextlib
 import pathlib
 import signal
-import subprocess
 
 import behave
 
@@ -14,13 +14,11 @@
 @behave.when("the built binary runs as {role} until it answers")
 def run_binary(context, role):
     assert BINARY.exists(), f"{BINARY} is not built"
-    context.binary = subprocess.Popen(
-        [str(BINARY), role, str(context.document_file)],
-        stderr=subprocess.DEVNULL,
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    context.binary = stack.enter_context(
+        commands_steps.running(context, str(BINARY), role)
     )
-    context.add_cleanup(context.binary.wait)
-    context.add_cleanup(context.binary.kill)
-    commands_steps.wait_until_healthy(context.port)
 
 
 def _children(pid):
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -1,7 +1,7 @@
 """Steps for the command line, with a fake operators' API."""
 
+import contextlib
 import copy
-import http.client
 import http.server
 import json
 import os
@@ -19,6 +19,8 @@
 import behave
 
 from features.steps import settings_steps
+from features.support import fleet
+from features.support import loopback
 from waxwingrack.commands import process as process_commands
 from waxwingrack.daemons import storage
 from waxwingrack.load import settings
@@ -121,12 +123,6 @@
     return STATES[path]
 
 
-def _free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def _folder(context):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -157,7 +153,7 @@
     context.leader = _fake_controller(context, "accepted")
     for script in (first, second):
         if script == "none":
-            context.controllers.append(f"127.0.0.1:{_free_port()}")
+            context.controllers.append(f"127.0.0.1:{loopback.free_ports(1)[0]}")
             continue
         port = _fake_controller(context, script).server_address[1]
         context.controllers.append(f"127.0.0.1:{port}")
@@ -277,8 +273,8 @@
     folder = _folder(context)
     (folder / "shared.key").write_text("key")
     (folder / "token").write_text("operator-token")
-    ports = [_free_port() for _ in range(3)]
-    own = [{"host": "127.0.0.1", "port": port} for port in ports]
+    ports = loopback.free_ports(3)
+    own = list(map(fleet.address, ports))
     document = {
         "role": role,
         "node_id": "c1",
@@ -350,38 +346,47 @@
     assert context.slept_ms == time_s * 1000, context.slept_ms
 
 
-@behave.when("the {role} process is started and gets {name} once it answers")
-def start_and_signal(context, role, name):
+@contextlib.contextmanager
+def running(context, *command):
+    """Runs a process with the settings file until the end of the block.
+
+    Args:
+      context: Context of behave.
+      *command: Words before the settings file.
+
+    Yields:
+      The process, which answers at its operators' port.
+    """
     process = subprocess.Popen(
-        [sys.executable, "-m", "waxwingrack", role, str(context.document_file)],
+        [*command, str(context.document_file)],
         cwd=ROOT,
         env=os.environ | {"PYTHONPATH": str(ROOT)},
         stderr=subprocess.PIPE,
         text=True,
     )
     try:
-        wait_until_healthy(context.port)
-        process.send_signal(signal.Signals[name])
-        _, context.output = process.communicate(timeout=TIMEOUT_S)
+        fleet.wait_until(
+            lambda: (
+                fleet.request(context.port, "GET", "/healthz").status == 200
+            ),
+            TIMEOUT_S,
+            "the process answers",
+        )
+        yield process
     finally:
         process.kill()
-        process.wait()
-    context.code = process.returncode
+        process.communicate()
 
 
-def wait_until_healthy(port):
-    limit = time.monotonic() + TIMEOUT_S
-    while time.monotonic() < limit:
-        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
-        try:
-            conn.request("GET", "/healthz")
-            if conn.getresponse().status == 200:
-                return
-        except OSError:
-            time.sleep(0.05)
-        finally:
-            conn.close()
-    raise AssertionError("the process does not answer")
+PROGRAM = (sys.executable, "-m", "waxwingrack")
+
+
+@behave.when("the {role} process is started and gets {name} once it answers")
+def start_and_signal(context, role, name):
+    with running(context, *PROGRAM, role) as process:
+        process.send_signal(signal.Signals[name])
+        _, context.output = process.communicate(timeout=TIMEOUT_S)
+    context.code = process.returncode
 
 
 @behave.then("the process exits with {code:d}")
--- a/features/steps/operations_procedures_steps.py
+++ b/features/steps/operations_procedures_steps.py
@@ -39,29 +39,16 @@
         proxied=False, router_settings={"shutdown_delay_s": SHUTDOWN_DELAY_S}
     )
     context.add_cleanup(cluster.stop)
-    cluster.start()
-    cluster.apply(_weights("w1", "w2"))
-    for name in SERVERS:
-        service = name.split("-")[0]
-        cluster.add_server(
-            name,
-            service,
-            engine=service == "sketch",
-            data_centre="ab"[int(name[-1]) - 1],
-            work_ms=20,
-        )
-    for router in cluster.routers:
-        fleet.wait_until(
-            lambda name=router: (
-                cluster.call(name, "GET", "/booking/free").status == 200
-                and cluster.call(
-                    name, "POST", "/sketch/ask", {"prompt": "a"}
-                ).status
-                == 200
-            ),
-            READY_TIMEOUT_S,
-            f"{router} serves",
-        )
+    cluster.serve(
+        **{
+            name: {
+                "engine": name.startswith("sketch"),
+                "data_centre": "ab"[int(name[-1]) - 1],
+                "work_ms": 20,
+            }
+            for name in SERVERS
+        }
+    )
     context.load = fleet_watch.BalancedLoad(cluster)
     context.load.__enter__()
     context.add_cleanup(context.load.__exit__)
--- a/features/steps/settings_pages_steps.py
+++ b/features/steps/settings_pages_steps.py
@@ -3,18 +3,15 @@
 import ast
 import dataclasses
 import hashlib
-import http.client
 import json
-import os
 import pathlib
 import re
-import subprocess
-import sys
 
 import behave
 from returns import result
 
 from features.steps import commands_steps
+from features.support import fleet
 from features.support import pages
 from waxwingrack.commands import exit_codes
 from waxwingrack.commands import main
@@ -196,21 +193,9 @@
 
 @behave.when("the metrics of the started {role} process are read")
 def read_metrics(context, role):
-    process = subprocess.Popen(
-        [sys.executable, "-m", "waxwingrack", role, str(context.document_file)],
-        cwd=ROOT,
-        env=os.environ | {"PYTHONPATH": str(ROOT)},
-        stderr=subprocess.DEVNULL,
-    )
-    try:
-        commands_steps.wait_until_healthy(context.port)
-        conn = http.client.HTTPConnection("127.0.0.1", context.port, timeout=5)
-        conn.request("GET", "/metrics")
-        text = conn.getresponse().read().decode()
-        conn.close()
-    finally:
-        process.kill()
-        process.wait()
+    with commands_steps.running(context, *commands_steps.PROGRAM, role):
+        answer = fleet.request(context.port, "GET", "/metrics", timeout_s=5)
+    text = answer.body.decode()
     context.metrics = set(re.findall(r"^# TYPE (waxwingrack_\w+)", text, re.M))
 
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -311,6 +311,35 @@
         self.proxy.stop()
         self._temporary.cleanup()
 
+    def serve(self, **servers):
+        """Starts everything and waits until each router passes requests on.
+
+        Args:
+          **servers: Options of `add_server` by id; the text before the dash
+            names the service.
+        """
+        self.start()
+        self.apply(environment())
+        for server_id, options in servers.items():
+            self.add_server(server_id, server_id.split("-")[0], **options)
+        wait_until(
+            lambda: self._announced() == servers.keys(),
+            START_TIMEOUT_S,
+            "all backend servers announced",
+        )
+        for router in self.routers:
+            wait_until(
+                lambda name=router: (
+                    self.call(name, "GET", "/booking/free").status == 200
+                ),
+                START_TIMEOUT_S,
+                f"{router} serves",
+            )
+
+    def _announced(self):
+        status = self.status() or {"backend_servers": ()}
+        return {row["id"] for row in status["backend_servers"]}
+
     def replace_controller(self, name, lost):
         """Prepares a controller under a new id in place of a lost one.
 
