Wait until both routers are noted before they end

Cause: in a run of the whole feature fleet_invariants.feature the scenario "the next leader names a killed router and not a stopped one" failed (6 passed, 1 failed, "not within 10 s: the shutdown"). The scenario before it stops r3 too. The likely cause, not proved by a log: r3 was stopped again before the leader had noted its return, so there was no shutdown to note.

Change: the step waits until the leader's last note of both routers says that they are there. The bounds and the checks are unchanged.

--- a/features/steps/fleet_invariant_steps.py
+++ b/features/steps/fleet_invariant_steps.py
@@ -143,8 +143,11 @@
 def kill_router_and_leader(context, killed, stopped):
     cluster = context.fleet
     context.add_cleanup(faults.restore, cluster)
+    # A router that was stopped before is noted again once it is back.
     fleet.wait_until(
-        lambda: _noted(cluster, "routers", killed), 15, f"{killed} noted"
+        lambda: _is_noted(cluster, killed) and _is_noted(cluster, stopped),
+        15,
+        "both routers noted",
     )
     before = _noted(cluster, "left", stopped)
     cluster.members[stopped].terminate()
@@ -157,6 +160,17 @@
     cluster.members[fleet.wait_until(cluster.leader, 15, "a leader")].kill()
 
 
+def _is_noted(cluster, router):
+    """Whether the leader's last note of a router is not that it left."""
+    notes = [
+        router in line["routers"]
+        for line in cluster.members[cluster.leader()].decisions()
+        if line["event"] == "routers_noted"
+        and (router in line["routers"] or router in line["left"])
+    ]
+    return bool(notes) and notes[-1]
+
+
 def _noted(cluster, field, router):
     """Counts the log lines of leaders that note a router."""
     return sum(
