--- a/features/steps/fleet_invariant_steps.py
+++ b/features/steps/fleet_invariant_steps.py
@@ -143,12 +143,12 @@
 def kill_router_and_leader(context, killed, stopped):
     cluster = context.fleet
     context.add_cleanup(faults.restore, cluster)
-    # An earlier scenario stopped and restarted a router, so that it may not be
-    # known again yet.
-    for name in (killed, stopped):
-        fleet.wait_until(
-            lambda name=name: _known(cluster, name), 15, f"{name} noted"
-        )
+    # A router that was stopped before is noted again once it is back.
+    fleet.wait_until(
+        lambda: _is_noted(cluster, killed) and _is_noted(cluster, stopped),
+        15,
+        "both routers noted",
+    )
     before = _noted(cluster, "left", stopped)
     cluster.members[stopped].terminate()
     assert cluster.members[stopped].process.wait(20) == 0
@@ -160,6 +160,17 @@
     cluster.members[fleet.wait_until(cluster.leader, 15, "a leader")].kill()
 
 
+def _is_noted(cluster, router):
+    """Whether the leader's last note of a router is not that it left."""
+    notes = [
+        router in line["routers"]
+        for line in cluster.members[cluster.leader()].decisions()
+        if line["event"] == "routers_noted"
+        and (router in line["routers"] or router in line["left"])
+    ]
+    return bool(notes) and notes[-1]
+
+
 def _noted(cluster, field, router):
     """Counts the log lines of leaders that note a router."""
     return sum(
@@ -170,18 +181,6 @@
     )
 
 
-def _known(cluster, router):
-    """Whether the leaders' log lines say that a router was noted and stayed."""
-    lines = sorted(
-        (line["time"], router in line["routers"])
-        for name in cluster.controllers
-        for line in cluster.members[name].decisions()
-        if line["event"] == "routers_noted"
-        and (router in line["routers"] or router in line["left"])
-    )
-    return bool(lines) and lines[-1][1]
-
-
 def _shown(context):
     status = context.fleet.status() or {"routers": ()}
     return {row["id"]: row for row in status["routers"]}
