Keep a router's own address of a controller that a hint names

Change: only a controller that is not known yet is learned from a hint. Test: the row of a known leader now sends an address that cannot be used; it failed without the condition, 2 of 2 rows pass with it.

--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -188,8 +188,15 @@
     world.listed = {"knows": 2, "does not know": 1}[knows]
     other = router_fakes.FakeLeader("c0")
     other.hint = world.leader
+    if knows == "knows":
+        # Another process reaches the leader at an address that the router
+        # cannot use.
+        nowhere = data.Address("127.0.0.1", 1)
+        other.hint_peer = data.Peer(world.leader.node_id, nowhere, nowhere)
     world.leaders = [other, world.leader]
     world.start()
+    # The router may have asked the leader first; now the other one is next.
+    world.loop.call(world.leader.drop)
     context.world = world
 
 
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -93,6 +93,8 @@
         self.granting = True
         self.silent = False
         self.hint: FakeLeader | None = None
+        # Addresses sent with the hint; None sends those of the hint.
+        self.hint_peer: data.Peer | None = None
         self.echo_lag_ms = 0
         self.refusal: errors.ErrorKind | None = None
         self.key_state: dict[str, data.KeyState] = {}
@@ -156,7 +158,11 @@
         if self.silent:
             return
         if self.hint is not None:
-            conn.send(messages.NotLeader(self.hint.node_id, self.hint.peer()))
+            conn.send(
+                messages.NotLeader(
+                    self.hint.node_id, self.hint_peer or self.hint.peer()
+                )
+            )
             return
         if isinstance(message, messages.RouterReport):
             self._report(conn, message)
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -338,7 +338,10 @@
         match message:
             case messages.NotLeader():
                 self._hint = message.leader
-                if message.peer is not None:
+                known = {peer.id for peer in self._peers}
+                # Its own settings know a controller better: another process
+                # may reach it at another address.
+                if message.peer is not None and message.peer.id not in known:
                     self._learn((message.peer,))
                 conn.close()
             case messages.ControllerUpdate():
