Start the fleets of all fixtures in one place

Cause: five fixtures of features/environment.py repeated the start of a fleet, the wait until it serves and its end.

Ruled out: a fixture base class; a context manager does it in fewer lines.

Change: `_started`, `_wait_until_served` and `_add_booking_desk`; the fixtures keep their fleets, waits and time limits.

Conclusion: no check changes.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,73 +1,95 @@
 """Fixtures of the integration features."""
 
+import contextlib
+
 import behave
 
 from features.support import certificates
 from features.support import fleet
 
+# Delay of every link of the slow fleet, in milliseconds each way.
+LINK_DELAY_MS = 150
+WORK_MS = 600
+
+
+@contextlib.contextmanager
+def _started(context, services=None, **options):
+    """Starts controllers and routers with an environment in force.
+
+    Args:
+      context: Context of behave; gets the attribute `fleet`.
+      services: Services of the environment; those of `fleet.environment` if
+        None.
+      **options: Options of `fleet.Fleet`.
+
+    Yields:
+      The fleet.
+    """
+    context.fleet = fleet.Fleet(**options)
+    try:
+        context.fleet.start()
+        context.fleet.apply(fleet.environment(services=services))
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
+def _wait_until_served(cluster, path="/booking/free"):
+    for router in cluster.routers:
+        fleet.wait_until(
+            lambda name=router: cluster.call(name, "GET", path).status == 200,
+            20,
+            f"{router} serves {path}",
+        )
+
+
+def _add_booking_desk(context):
+    context.runs = context.fleet.folder / "booking-1.runs"
+    context.fleet.add_server(
+        "booking-1", "booking", slots=4, runs_file=str(context.runs)
+    )
+    _wait_until_served(context.fleet)
+
 
 @behave.fixture
 def running_fleet(context):
     """Three controllers, three routers and four backend servers."""
-    context.fleet = fleet.Fleet()
-    try:
-        context.fleet.start()
-        context.fleet.apply(fleet.environment())
+    with _started(context) as cluster:
         for number, service in enumerate(
             ("sketch", "sketch", "booking", "booking")
         ):
-            context.fleet.add_server(
+            cluster.add_server(
                 f"{service}-{number % 2 + 1}",
                 service,
                 engine=service == "sketch",
                 data_centre="ab"[number % 2],
             )
         fleet.wait_until(
-            lambda: len(context.fleet.status()["backend_servers"]) == 4,
+            lambda: len(cluster.status()["backend_servers"]) == 4,
             10,
             "four announced backend servers",
         )
-        for router in context.fleet.routers:
+        for router in cluster.routers:
             fleet.wait_until(
-                lambda name=router: context.fleet.serving(name), 10, router
+                lambda name=router: cluster.serving(name), 10, router
             )
-        yield context.fleet
-    finally:
-        context.fleet.stop()
-
-
-# Delay of every link of the slow fleet, in milliseconds each way.
-LINK_DELAY_MS = 150
-WORK_MS = 600
+        yield cluster
 
 
 @behave.fixture
 def slow_fleet(context):
     """Three routers and two booking desks behind links with a delay."""
-    context.fleet = fleet.Fleet(link_delay_ms=LINK_DELAY_MS)
-    try:
-        context.fleet.start()
-        context.fleet.apply(fleet.environment())
+    with _started(context, link_delay_ms=LINK_DELAY_MS) as cluster:
         for name in ("booking-1", "booking-2"):
-            context.fleet.add_server(
+            cluster.add_server(
                 name,
                 "booking",
                 work_ms=WORK_MS,
                 data_centre="ab"[int(name[-1]) - 1],
-                runs_file=str(context.fleet.folder / f"{name}.runs"),
-            )
-        for router in context.fleet.routers:
-            fleet.wait_until(
-                lambda name=router: (
-                    context.fleet.call(name, "GET", "/booking/free").status
-                    == 200
-                ),
-                20,
-                f"{router} serves",
+                runs_file=str(cluster.folder / f"{name}.runs"),
             )
-        yield context.fleet
-    finally:
-        context.fleet.stop()
+        _wait_until_served(cluster)
+        yield cluster
 
 
 @behave.fixture
@@ -76,53 +98,22 @@
     first, second = (certificates.Authority(x) for x in ("first", "second"))
     first.trusted = second.trusted = (first, second)
     context.second = second
-    context.fleet = fleet.Fleet(
+    with _started(
+        context,
         routers=2,
         authority=first,
         router_settings={"shutdown_delay_s": 1.0},
-    )
-    try:
-        context.fleet.start()
-        context.fleet.apply(fleet.environment())
-        context.runs = context.fleet.folder / "booking-1.runs"
-        context.fleet.add_server(
-            "booking-1", "booking", slots=4, runs_file=str(context.runs)
-        )
-        for router in context.fleet.routers:
-            fleet.wait_until(
-                lambda name=router: (
-                    context.fleet.call(name, "GET", "/booking/free").status
-                    == 200
-                ),
-                20,
-                f"{router} serves",
-            )
+    ):
+        _add_booking_desk(context)
         yield context.fleet
-    finally:
-        context.fleet.stop()
 
 
 @behave.fixture
 def cut_fleet(context):
     """Three controllers, a router and a booking desk."""
-    context.fleet = fleet.Fleet(routers=1)
-    try:
-        context.fleet.start()
-        context.fleet.apply(fleet.environment())
-        context.runs = context.fleet.folder / "booking-1.runs"
-        context.fleet.add_server(
-            "booking-1", "booking", slots=4, runs_file=str(context.runs)
-        )
-        fleet.wait_until(
-            lambda: (
-                context.fleet.call("r1", "GET", "/booking/free").status == 200
-            ),
-            20,
-            "r1 serves",
-        )
+    with _started(context, routers=1):
+        _add_booking_desk(context)
         yield context.fleet
-    finally:
-        context.fleet.stop()
 
 
 def _limit(context, server):
@@ -135,10 +126,6 @@
 @behave.fixture
 def stream_fleet(context):
     """A controller, a router and an engine with large streams."""
-    context.fleet = fleet.Fleet(
-        controllers=1,
-        routers=1,
-    )
     services = [
         {
             "id": name,
@@ -148,11 +135,9 @@
         }
         for name, idle_timeout_s in (("patient", 60.0), ("strict", 2.0))
     ]
-    try:
-        context.fleet.start()
-        context.fleet.apply(fleet.environment(services=services))
+    with _started(context, services, controllers=1, routers=1) as cluster:
         for name in ("patient", "strict"):
-            context.fleet.add_server(
+            cluster.add_server(
                 f"{name}-1",
                 name,
                 engine=True,
@@ -160,19 +145,11 @@
                 token_batch_ms=0,
                 token_bytes=65_536,
             )
-            fleet.wait_until(
-                lambda name=name: (
-                    context.fleet.call("r1", "GET", f"/{name}").status == 200
-                ),
-                20,
-                f"r1 serves {name}",
-            )
+            _wait_until_served(cluster, f"/{name}")
         fleet.wait_until(
             lambda: _limit(context, "patient-1") >= 2, 20, "two slots"
         )
-        yield context.fleet
-    finally:
-        context.fleet.stop()
+        yield cluster
 
 
 FIXTURES = {
