Write log lines and send answers as before again

Change: lines are written at once again, so that a killed process loses none, and twisted sends in its next turn; the steps that waited for late lines read them at once again, as before.

--- a/features/steps/controller_operators_steps.py
+++ b/features/steps/controller_operators_steps.py
@@ -178,16 +178,11 @@
     'the leader\'s log holds {count:d} grants to "{name}" with a reason'
 )
 def logged(context, count, name):
-    def logged_grants():
-        return [
-            line
-            for line in context.fleet.log(context.leader)
-            if line["event"] == "grant" and line["router"] == name
-        ]
-
-    # Lines are written up to 10 ms after their event.
-    controller_fleet.wait_for(lambda: len(logged_grants()) >= count)
-    grants = logged_grants()
+    grants = [
+        line
+        for line in context.fleet.log(context.leader)
+        if line["event"] == "grant" and line["router"] == name
+    ]
     assert len(grants) == count, grants
     assert all(line["reason"] for line in grants), grants
 
--- a/features/steps/controller_rollout_steps.py
+++ b/features/steps/controller_rollout_steps.py
@@ -131,17 +131,11 @@
 )
 def decision_logged(context, phase):
     fleet = context.fleet
-
-    def logged():
-        return [
-            line
-            for line in fleet.log(fleet.leader())
-            if line["event"] == "move_rollout" and line["phase"] == phase
-        ]
-
-    # Lines are written up to 10 ms after their event.
-    controller_fleet.wait_for(logged)
-    lines = logged()
+    lines = [
+        line
+        for line in fleet.log(fleet.leader())
+        if line["event"] == "move_rollout" and line["phase"] == phase
+    ]
     assert len(lines) == 1 and lines[0]["reason"], lines
 
 
--- a/features/steps/fleet_tls_steps.py
+++ b/features/steps/fleet_tls_steps.py
@@ -45,7 +45,7 @@
 
 
 def log_names(context, name, reason):
-    """Waits for a refusal in a log; lines follow their event by 10 ms."""
+    """Waits for a refusal as the last one in the log of a process."""
     fleet.wait_until(
         lambda: any(reason in line for line in logged(context, name)[-1:]),
         5,
--- a/waxwingrack/core/logs.py
+++ b/waxwingrack/core/logs.py
@@ -2,25 +2,14 @@
 
 Each line is one JSON object with the time, the level, the event's name and the
 event's fields. Decisions of routing and placement carry their reason.
-
-While an event loop runs, lines below the level of an error are formatted and
-written together every `FLUSH_S`, as most of a line's cost would otherwise fall
-between a caller's request and its answer. Lines of that time are lost if the
-process is killed.
 """
 
-import asyncio
 import json
 import logging
 import sys
 import time
 from typing import Any
 
-# Longest time for which a line waits to be written, in seconds.
-FLUSH_S = 0.01
-# Lines that are written at once when so many wait.
-MAX_WAITING = 1_000
-
 _LOGGER = logging.getLogger("waxwingrack")
 # One encoder for all lines; `json.dumps` would build one for each.
 _ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
@@ -54,37 +43,6 @@
         return _ENCODER.encode(line)
 
 
-class _BatchingHandler(logging.StreamHandler):
-    """Writes the lines of a short time at once."""
-
-    def __init__(self, stream: Any):
-        super().__init__(stream)
-        self._waiting: list[logging.LogRecord] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        """Keeps a record, or writes it if it must not wait."""
-        self._waiting.append(record)
-        urgent = record.levelno >= logging.ERROR
-        if urgent or len(self._waiting) >= MAX_WAITING:
-            self.flush()
-        elif len(self._waiting) == 1:
-            try:
-                loop = asyncio.get_running_loop()
-            except RuntimeError:
-                self.flush()
-            else:
-                loop.call_later(FLUSH_S, self.flush)
-
-    def flush(self) -> None:
-        """Writes the records that wait."""
-        with self.lock:
-            records, self._waiting = self._waiting, []
-            if records:
-                lines = [self.format(record) + "\n" for record in records]
-                self.stream.write("".join(lines))
-            super().flush()
-
-
 def configure(node_id: str, level: str = "INFO") -> None:
     """Sends log lines of this process to the standard error stream.
 
@@ -99,7 +57,7 @@
     logging.logMultiprocessing = False
     logging.logAsyncioTasks = False
     logging._srcfile = None
-    handler = _BatchingHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(_JsonFormatter(node_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
@@ -108,12 +66,6 @@
     logging.getLogger("websockets").setLevel(logging.WARNING)
 
 
-def flush() -> None:
-    """Writes the lines that wait, before a process ends abruptly."""
-    for handler in logging.getLogger().handlers:
-        handler.flush()
-
-
 def decision(name: str, reason: str, **fields: Any) -> None:
     """Logs a routing or placement decision.
 
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -17,7 +17,6 @@
 
 from waxwingrack.core import data
 from waxwingrack.daemons import admission
-from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import costs
@@ -111,9 +110,6 @@
                 return
         self.started = True
         self._req.write(chunk)
-        if self._remaining == 0 and self._req.channel:
-            # The answer is whole; reports and log lines come after it.
-            event_loop.send_now(self._req.channel.transport)
 
     def finish(self) -> None:
         """Ends a whole answer."""
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 from twisted.internet import asyncioreactor
-from twisted.internet import tcp
 
 
 def _install() -> None:
@@ -54,23 +53,6 @@
     return ended[0].result()
 
 
-def send_now(transport: Any) -> None:
-    """Sends what a transport has buffered in this turn of the event loop.
-
-    Twisted sends in the next turn, after everything else of this one. A caller
-    or backend server that waits for the bytes need not wait for that.
-
-    Args:
-      transport: Transport of a TCP connection of twisted. Others, and one that
-        is being closed, are left to the reactor, as are errors: it meets them
-        in the next turn.
-    """
-    if isinstance(transport, tcp.Connection) and not (
-        transport.TLS or transport.disconnecting or transport.disconnected
-    ):
-        transport.doWrite()
-
-
 def stop_signal() -> asyncio.Event:
     """Returns an event that SIGTERM and SIGINT set."""
     stopped = asyncio.Event()
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -26,7 +26,6 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
-from waxwingrack.daemons import event_loop
 from waxwingrack.operations import queueing
 
 # Longest time to connect to a backend server, in seconds. It is shorter than
@@ -264,7 +263,6 @@
         self, conn: BackendConnection, req: Any, outgoing: Outgoing
     ) -> Head:
         pending = conn.request(req)
-        event_loop.send_now(conn.transport)
         parser = conn._parser
         timed_out = []
 
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -534,7 +534,6 @@
     async def _crash(self) -> None:
         logs.event("stand_in_crash", server=self.config.server_id)
         if self.config.exit_on_crash:
-            logs.flush()
             os._exit(CRASH_EXIT_CODE)
         self._run(self._restart())
         await asyncio.Event().wait()
