Keep the leader's lease while disks are busy, and pause on a short lapse

The leader then ended all router sessions, and the claims on them were lost.

Ruled out: an election (the term stayed 1), a lost commit (all later claims are committed), a slow machine alone (the leader answered again after 30 ms).

Change: - A follower answers a heartbeat at once, and an entry too while an earlier one waits for the disk. Such an answer claims only what is synced. The random runs use it; their courses change, their invariants do not.

--- a/features/replication_consensus.feature
+++ b/features/replication_consensus.feature
@@ -87,6 +87,23 @@
       | unable to send    |
       | unable to receive |
 
+  Scenario Outline: busy disks of <busy> do not end the replicated lease
+  A leader that loses its lease sends all routers away, so snapshots and slow
+  syncs of followers must not hold up the answers to its heartbeats.
+    Given a replicated group of 3 controllers with seed <seed>
+    And 5 replicated commands are committed
+    When the disks of <busy> are busy for 3000 ms in the replicated group
+    And a replicated command is proposed every 50 ms for <load> ms
+    Then the replicated leader held its lease for 2500 ms
+    And all running replicas hold the same replicated state once the disks are free
+
+    Examples:
+      | busy          | seed | load |
+      | one follower  | 1    | 0    |
+      | the followers | 2    | 0    |
+      | the followers | 3    | 2500 |
+      | all replicas  | 4    | 2500 |
+
   Scenario Outline: a replicated lease counts from the sending of a message
     Given a replicated leader whose heartbeat of 1000 ms is answered at 1400 ms
     Then its replicated lease at <now> ms is <lease>
@@ -252,6 +269,18 @@
       | 1    | 600     | 605  | whole     |
       | 2    | 600     | 605  | compacted |
 
+  Scenario: a snapshot counts at the replicated leader only once it is synced
+  A follower that crashes before the sync holds nothing of the snapshot.
+    Given a replicated group of 3 controllers with seed 1
+    And the replicated follower c misses 1100 committed commands
+    And the replicated logs are compacted
+    When the replicated follower c comes back and its disk is busy with the snapshot for 2000 ms
+    And 1900 ms pass in the replicated group
+    Then the replicated leader counts less than the snapshot at c
+    When 1100 ms pass in the replicated group
+    Then all running replicas hold the same replicated state
+    And replica c took over 1 replicated snapshots
+
   Scenario Outline: a lagging replica is brought up to date
     Given a replicated group of 3 controllers with seed 1
     And the replicated follower c misses <missed> committed commands
--- a/features/steps/controller_cuts_steps.py
+++ b/features/steps/controller_cuts_steps.py
@@ -11,6 +11,9 @@
 # Longer than two election timeouts, in seconds.
 NO_LEADER_S = 2.5
 WAIT_S = 20
+# Longer than the lease of 500 ms. Half of it after a heartbeat interval of
+# 150 ms stays below the shortest election timeout of 600 ms.
+SLOW_ANSWER_MS = 540
 
 
 def in_force(context):
@@ -99,6 +102,44 @@
         assert answer.status != 200, answer
 
 
+def log_events(context, name):
+    """Returns the names of the events that a process has logged."""
+    lines = context.fleet.members[name].decisions()
+    return [line.get("event") for line in lines]
+
+
+@behave.when(
+    "answers take longer than the lease until the leader's lease lapses"
+)
+def lapse(context):
+    context.left = log_events(context, "r1").count("leader_left")
+    for name in (context.follower, context.other):
+        for link in (f"{context.leader}-{name}", f"{name}-{context.leader}"):
+            context.fleet.proxy.change(link, delay_ms=SLOW_ANSWER_MS // 2)
+    fleet.wait_until(
+        lambda: "lease_lapsed" in log_events(context, context.leader),
+        WAIT_S,
+        "a lapse",
+    )
+    context.fleet.heal()
+
+
+@behave.then("the leader pauses and goes on in the same term")
+def goes_on(context):
+    fleet.wait_until(
+        lambda: "lease_renewed" in log_events(context, context.leader),
+        WAIT_S,
+        "the lease again",
+    )
+    assert "leadership_lost" not in log_events(context, context.leader)
+    assert context.fleet.status()["term"] == context.term
+
+
+@behave.then("the router has kept its control connection")
+def kept_connection(context):
+    assert log_events(context, "r1").count("leader_left") == context.left
+
+
 @behave.then("a change and a deposit are accepted meanwhile")
 def accepted_meanwhile(context):
     apply(context)
--- a/features/steps/replication_cluster.py
+++ b/features/steps/replication_cluster.py
@@ -37,6 +37,8 @@
       state: State machine.
       frozen_until_ms: Simulated time until which the process stands still.
       crash_at: Crash point of the next step that writes.
+      disk_busy_until_ms: Simulated time until which no sync ends.
+      unsynced: Effects of steps whose sync has not ended, in order.
       answers: Outcome by token of the proposals committed here.
       rejected: Tokens of the rejected proposals.
       restored: Number of snapshots taken over.
@@ -51,6 +53,8 @@
     state: data.ReplicatedState = data.ReplicatedState()
     frozen_until_ms: int = 0
     crash_at: str | None = None
+    disk_busy_until_ms: int = 0
+    unsynced: list = dataclasses.field(default_factory=list)
     answers: dict = dataclasses.field(default_factory=dict)
     waiting: dict = dataclasses.field(default_factory=dict)
     rejected: list = dataclasses.field(default_factory=list)
@@ -120,6 +124,8 @@
         node.waiting = {}
         node.crash_at = None
         node.frozen_until_ms = 0
+        node.disk_busy_until_ms = 0
+        node.unsynced = []
         if persisted.snapshot is not None:
             node.state = replicated.decode(persisted.snapshot.state).unwrap()
         self.checks.on_start(node_id)
@@ -167,6 +173,8 @@
                 continue
             self.handle(receiver, consensus.Received(sender, message))
         for node_id, node in list(self.nodes.items()):
+            if node.replica and node.frozen_until_ms <= self.now_ms:
+                self._sync_due(node)
             if node.replica and node.frozen_until_ms <= self.now_ms:
                 self.handle(node_id, consensus.Tick())
         self.checks.on_time(
@@ -221,6 +229,31 @@
         effects = done.effects
         node.replica = done.replica
         self.checks.on_step(node.id, done)
+        for envelope in effects.send:
+            self.send(node.id, envelope)
+        node.unsynced.append(effects)
+        self._apply(node, effects)
+        return self._sync_next(node)
+
+    def _sync_due(self, node: Node) -> None:
+        """Ends the syncs that a busy disk has held up."""
+        while node.replica and node.unsynced and not self._is_busy(node):
+            try:
+                event = self._sync_next(node)
+            except CrashError:
+                self.stop(node.id)
+                return
+            self.handle(node.id, event)
+
+    def _sync_next(self, node: Node):
+        """Writes and syncs the effects of the oldest step, if the disk can.
+
+        Returns:
+          The event that the driver feeds after the sync, or None.
+        """
+        if self._is_busy(node):
+            return None
+        effects = node.unsynced.pop(0)
         writes = (
             effects.hard,
             effects.truncate_from,
@@ -228,8 +261,6 @@
             effects.snapshot,
         )
         has_writes = any(item not in (None, ()) for item in writes)
-        for envelope in effects.send:
-            self.send(node.id, envelope)
         if has_writes:
             self._crash_point(node, "before_write")
             node.disk.write(*writes)
@@ -240,12 +271,18 @@
             self.send(node.id, envelope)
         if has_writes:
             self._crash_point(node, "after_send")
-        self._apply(node, effects)
         if effects.append:
             last = effects.append[-1]
             return consensus.Synced(last.index, last.term)
+        if effects.snapshot is not None:
+            return consensus.Synced(
+                effects.snapshot.index, effects.snapshot.term
+            )
         return None
 
+    def _is_busy(self, node: Node) -> bool:
+        return node.disk_busy_until_ms > self.now_ms
+
     def _crash_point(self, node: Node, point: str) -> None:
         if node.crash_at == point:
             raise CrashError(point)
--- a/features/steps/replication_group_steps.py
+++ b/features/steps/replication_group_steps.py
@@ -86,6 +86,29 @@
     cluster(context).start(node_id)
 
 
+@behave.when(
+    "the replicated follower {node_id} comes back and its disk is busy with "
+    "the snapshot for {time:d} ms"
+)
+def come_back_busy(context, node_id, time):
+    group = cluster(context)
+    group.start(node_id)
+    leader = group.nodes[group.leader()]
+    assert group.run_until(
+        lambda: leader.replica.peers[node_id].snapshot_ms is not None, 3_000
+    )
+    group.nodes[node_id].disk_busy_until_ms = group.now_ms + time
+
+
+@behave.then("the replicated leader counts less than the snapshot at {node_id}")
+def counts_less(context, node_id):
+    group = cluster(context)
+    follower = group.nodes[node_id].replica
+    assert follower.log.snapshot_index > 0, follower.log
+    match = group.nodes[group.leader()].replica.match[node_id]
+    assert match < follower.log.snapshot_index, match
+
+
 @behave.when("the replicated {victim} has the fault: {fault}")
 def inject_fault(context, victim, fault):
     group = cluster(context)
@@ -126,6 +149,63 @@
     assert group.run_until(lambda: node.replica is None, 2_000)
 
 
+@behave.when(
+    "the disks of {busy} are busy for {time:d} ms in the replicated group"
+)
+def keep_disks_busy(context, busy, time):
+    group = cluster(context)
+    followers = [item for item in group.nodes if item != group.leader()]
+    chosen = {
+        "one follower": followers[:1],
+        "the followers": followers,
+        "all replicas": list(group.nodes),
+    }[busy]
+    for node_id in chosen:
+        group.nodes[node_id].disk_busy_until_ms = group.now_ms + time
+    context.replication_busy_ms = group.now_ms
+    context.replication_uncommitted = busy != "one follower"
+
+
+@behave.when("a replicated command is proposed every 50 ms for {load:d} ms")
+def propose_steadily(context, load):
+    context.replication_load_ms = load
+
+
+@behave.then("the replicated leader held its lease for {time:d} ms")
+def held_lease(context, time):
+    group = cluster(context)
+    leader = context.replication_leader
+    while group.now_ms < context.replication_busy_ms + time:
+        past_ms = group.now_ms - context.replication_busy_ms
+        if past_ms < context.replication_load_ms and past_ms % 50 == 0:
+            digest = f"busy {past_ms}"
+            group.propose(leader, commands.RefuseDigest(digest), digest)
+        group.turn()
+        assert group.leader() == leader, past_ms
+        if context.replication_uncommitted:
+            # The leader alone is no majority.
+            assert not busy_digests(context), past_ms
+
+
+@behave.then(
+    "all running replicas hold the same replicated state once the disks are "
+    "free"
+)
+def same_state_later(context):
+    group = cluster(context)
+    group.run(3_000)
+    digests = {group.digest(node_id) for node_id in group.nodes}
+    assert len(digests) == 1, digests
+    found = busy_digests(context)
+    assert len(found) == context.replication_load_ms // 50, found
+
+
+def busy_digests(context):
+    """Returns what was committed of the commands proposed meanwhile."""
+    state = cluster(context).nodes[context.replication_leader].state
+    return [item for item in state.refused_digests if item.startswith("busy")]
+
+
 @behave.when("{wait:d} ms pass in the replicated group")
 def wait_ms(context, wait):
     cluster(context).run(wait)
--- a/features/steps/replication_simulation.py
+++ b/features/steps/replication_simulation.py
@@ -1,8 +1,9 @@
 """Seeded random runs of the consensus replica with its state machine.
 
 Messages are lost, delayed, reordered and duplicated; links are cut in one or
-both directions; processes crash before and after each write, freeze and lose
-their disks; members change; operators race and resend; routers claim keys.
+both directions; processes crash before and after each write, freeze, wait for
+busy disks and lose disks; members change; operators race and resend; routers
+claim keys.
 
     python features/steps/replication_simulation.py --first 1 --seeds 100
 """
@@ -128,6 +129,14 @@
             pause_ms = self.rng.randint(100, 2_000)
             node.frozen_until_ms = cluster.now_ms + pause_ms
             self.counts["freeze"] += 1
+        if running and self._chance(0.01):
+            node = self._victim(running)
+            busy_ms = self.rng.randint(50, 1_500)
+            node.disk_busy_until_ms = cluster.now_ms + busy_ms
+            if self._chance(0.2):
+                # It ends before anything that waits for the disk is written.
+                node.crash_at = "before_write"
+            self.counts["busy disk"] += 1
         self._restart()
         self._lose_and_repair(running)
 
@@ -305,6 +314,7 @@
         for node_id, node in cluster.nodes.items():
             node.crash_at = None
             node.frozen_until_ms = 0
+            node.disk_busy_until_ms = 0
             if node.replica is None:
                 cluster.start(node_id)
         cluster.run(HEAL_MS)
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -47,6 +47,9 @@
     def gained(self) -> None:
         """This controller may act as leader."""
 
+    def lapsed(self) -> None:
+        """The lease has ended, but no other controller leads yet."""
+
     def lost(self) -> None:
         """This controller may not act as leader any more."""
 
@@ -67,6 +70,7 @@
       metrics: Metrics of the process.
       counts: Traffic between processes.
       phase: Name of the state in the life cycle.
+      held: Messages of routers that wait until the lease is renewed.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         self.metrics = metrics_module.Metrics()
         self.counts = transport.Counts()
         self.phase = "starting"
+        self.held: list[tuple[transport.Connection, Any]] = []
         self.clock = clock
         self.repairs = repair.Repairs(self)
         self._storage = storage
@@ -208,7 +213,7 @@
             return
         self.links.check_replies()
         self._replica_changed()
-        if self.leader is not None:
+        if self.leads():
             self.leader.run_periodic()
 
     def _guard(self, name: str, call: Callable, *arguments: Any) -> None:
@@ -278,11 +283,16 @@
             self.links.set_peers(peers)
 
     def _replica_changed(self) -> None:
-        may_act = self.driver is not None and self.driver.may_act()
-        if may_act and self.phase == "follower":
-            self._guard("gained", self._life.gained)
-        elif not may_act and self.phase == "leading":
-            self._guard("lost", self._life.lost)
+        if self.driver is None:
+            return
+        if self.driver.may_act():
+            if self.phase in ("follower", "paused"):
+                self._guard("gained", self._life.gained)
+        elif self.phase in ("leading", "paused"):
+            if not self.driver.leads_term():
+                self._guard("lost", self._life.lost)
+            elif self.phase == "leading":
+                self._guard("lapsed", self._life.lapsed)
 
     def _from_peer(self, node_id: str, message: Any) -> None:
         if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
@@ -308,11 +318,30 @@
             )
         )
 
+    def pause_leading(self) -> None:
+        """Keeps the work of the leader until the lease is renewed or lost."""
+        logs.event("lease_lapsed", term=self.driver.replica.term)
+        self.metrics.add(
+            "lease_lapses_total", "Times that the lease ended for a while."
+        )
+
+    def resume_leading(self) -> None:
+        """Goes on with the work of the leader."""
+        logs.event(
+            "lease_renewed",
+            term=self.driver.replica.term,
+            messages=len(self.held),
+        )
+        held, self.held = self.held, []
+        for conn, message in held:
+            self._guard("received", self._received, conn, message)
+
     def end_leading(self) -> None:
         """Gives up the work of the leader and sends routers elsewhere."""
         logs.event("leadership_lost", term=self.driver.replica.term)
         self.leader.end()
         self.leader = None
+        self.held.clear()
         for session in self.sessions:
             self.sessions.close(session)
             session.conn.send_last(self._not_leader())
@@ -353,8 +382,12 @@
         # the process was frozen.
         self._replica_changed()
         session = self.sessions.of(conn)
-        if session is not None and self.leads():
+        if session is None:
+            return
+        if self.leads():
             self.leader.handle(session, message)
+        elif self.phase == "paused":
+            self.held.append((conn, message))
 
     def _disconnected(self, conn: transport.Connection) -> None:
         if conn.peer.role is data.Role.CONTROLLER:
@@ -373,6 +406,7 @@
     starting = builder.state("starting")
     follower = builder.state("follower")
     leading = builder.state("leading")
+    paused = builder.state("paused")
     stopping = builder.state("stopping")
 
     @starting.upon(_LifeCycle.opened).to(follower)
@@ -384,6 +418,26 @@
         controller.phase = "leading"
         controller.begin_leading()
 
+    @leading.upon(_LifeCycle.lapsed).to(paused)
+    def lapsed(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "paused"
+        controller.pause_leading()
+
+    @paused.upon(_LifeCycle.gained).to(leading)
+    def renewed(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "leading"
+        controller.resume_leading()
+
+    @paused.upon(_LifeCycle.lost).to(follower)
+    def lost_after_pause(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "follower"
+        controller.end_leading()
+
+    @paused.upon(_LifeCycle.stop).to(stopping)
+    def stop_paused(_: _LifeCycle, controller: Controller) -> None:
+        controller.phase = "stopping"
+        controller.end_leading()
+
     @leading.upon(_LifeCycle.lost).to(follower)
     def lost(_: _LifeCycle, controller: Controller) -> None:
         controller.phase = "follower"
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -21,6 +21,7 @@
         ("grants_total", "Grants issued."),
         ("handler_failures_total", "Unexpected exceptions."),
         ("unexpected_messages_total", "Messages of a wrong type."),
+        ("lease_lapses_total", "Times that the lease ended for a while."),
     ):
         metrics.set_total(name, doc, 0)
     metrics.refresh_with(lambda: _refresh_replica(controller))
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -207,11 +207,16 @@
         term, as only then its state includes all that earlier leaders
         committed.
         """
-        return (
-            self.is_leader()
-            and self.applied_term == self.replica.term
-            and self._has_lease()
-        )
+        return self.leads_term() and self._has_lease()
+
+    def leads_term(self) -> bool:
+        """Whether this controller leads and its state is complete.
+
+        It says nothing about the lease. While the replica keeps its role in a
+        term and a majority answers it in that term later on, no other
+        controller can have led in between.
+        """
+        return self.is_leader() and self.applied_term == self.replica.term
 
     def _has_lease(self) -> bool:
         # Asked several times for each message; the answer depends on nothing
--- a/waxwingrack/operations/consensus_replication.py
+++ b/waxwingrack/operations/consensus_replication.py
@@ -33,10 +33,19 @@
         hint = known if previous > rep.last_index else rep.commit
         _answer(turn, sender, False, hint, msg.round)
         return
-    _store(turn, msg.entries)
+    # The leader's lease must not wait for this disk, which may be busy with a
+    # snapshot or an earlier entry. A disk that holds an entry holds a term too,
+    # so after a restart the replica does not vote before the lease has ended.
+    at_once = rep.synced > 0 and (
+        not msg.entries or rep.synced < rep.last_index
+    )
+    if at_once:
+        _answer_at_once(turn, sender, min(previous, rep.synced), msg.round)
     match = previous + len(msg.entries)
+    _store(turn, msg.entries)
     turn.set_commit(min(msg.commit, match))
-    _answer(turn, sender, True, match, msg.round)
+    if msg.entries or not at_once:
+        _answer(turn, sender, True, match, msg.round)
 
 
 def on_install_snapshot(
@@ -56,7 +65,9 @@
             turn.set(
                 log=consensus_log.from_snapshot(snapshot),
                 commit=snapshot.index,
-                synced=snapshot.index,
+                # The snapshot is not on disk yet, and entries after the commit
+                # index may differ from the leader's.
+                synced=min(rep.synced, rep.commit),
             )
             turn.write_snapshot(snapshot)
             turn.restore(snapshot)
@@ -91,11 +102,28 @@
     match: int,
     sent_ms: int,
 ) -> None:
+    turn.reply(sender, _reply(turn, success, match, sent_ms))
+
+
+def _answer_at_once(
+    turn: consensus_turn.Turn, sender: str, match: int, sent_ms: int
+) -> None:
+    """Answers before the writes of this step and of earlier ones are synced.
+
+    Args:
+      turn: The turn.
+      sender: The leader.
+      match: Index up to which the logs agree; it must be synced.
+      sent_ms: Time at which the leader sent the message.
+    """
+    turn.send(sender, _reply(turn, True, match, sent_ms))
+
+
+def _reply(
+    turn: consensus_turn.Turn, success: bool, match: int, sent_ms: int
+) -> messages.AppendReply:
     rep = turn.replica
-    turn.reply(
-        sender,
-        messages.AppendReply(rep.term, success, match, sent_ms, rep.disk),
-    )
+    return messages.AppendReply(rep.term, success, match, sent_ms, rep.disk)
 
 
 def _store(
@@ -203,7 +231,9 @@
         match = max(peer.match, reply.match)
         following = max(peer.next, match + 1)
         snapshot_ms = None if match >= rep.log.first - 1 else peer.snapshot_ms
-        resend = following <= rep.last_index
+        # Beyond the window an empty message would be answered at once, again
+        # and again.
+        resend = following <= min(rep.last_index, match + types.WINDOW_ENTRIES)
     else:
         match = peer.match
         following = max(match + 1, min(peer.next, reply.match + 1))
