Route unknown own paths of a router by the general route

Cause: the route "/-/" did the same as the route "/". Ruled out: a path that only the former matched; the URL map gives the general route for nine forms of own paths under three methods (27 matches compared). Change: the route is gone; the answers are the same. Conclusion: router_limits, router_answers and stand_in pass.

--- a/waxwingrack/daemons/callers_api.py
+++ b/waxwingrack/daemons/callers_api.py
@@ -55,10 +55,6 @@
     def forward(request: Any) -> defer.Deferred:
         return host.begin(request)
 
-    @app.route("/-/", branch=True)
-    def unknown(request: Any) -> defer.Deferred:
-        return host.begin(request)
-
     @app.route("/-/readyz", methods=["GET", "HEAD"])
     def ready(request: Any) -> bytes:
         return _ready(host, request)
