Split the decisions on orders into modules by stage

Cause: operations/orders.py had 754 lines with records, decisions on one engine, the choice of engines and the ends of calls.

Ruled out: classes per stage; the functions stay pure over the same records.

Change: order_records, order_work, order_choice and order_ends; orders.py keeps `decide` and repeats the public names, as consensus.py does. Two patch targets of the steps follow the functions that they replace (order_choice._limit, order_ends._shown); what the tests check is unchanged.

--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,6 +10,8 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import order_choice
+from waxwingrack.operations import order_ends
 from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import replicated
@@ -32,9 +34,11 @@
     "the outstanding record": lambda: mock.patch.object(
         replicated_orders, "may_follow", lambda *_: True
     ),
-    "the limits": lambda: mock.patch.object(orders, "_limit", lambda *_: ""),
+    "the limits": lambda: mock.patch.object(
+        order_choice, "_limit", lambda *_: ""
+    ),
     "the read-back": lambda: mock.patch.object(
-        orders, "_shown", lambda *_: data.OrderState.NOT_SENT
+        order_ends, "_shown", lambda *_: data.OrderState.NOT_SENT
     ),
 }
 
--- /dev/null
+++ b/waxwingrack/operations/order_records.py
@@ -0,0 +1,207 @@
+"""Records of the orders to model engines: inputs, memory and decisions."""
+
+import dataclasses
+import enum
+
+import immutables
+
+from waxwingrack.core import commands
+from waxwingrack.core import data
+
+# Pause after a failed call, so that an engine that cannot be reached costs few
+# log entries and calls.
+RETRY_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """A model engine as it announces itself now.
+
+    Attributes:
+      server_id: Backend server id.
+      incarnation: Incarnation.
+      address: Where it takes orders.
+      service: Service.
+      version: Announced version.
+      slots: Announced slots.
+      in_use: Requests running on it.
+      checks_fencing: Whether it refuses old fencing numbers.
+      placeable: Whether it may get new work, its version apart.
+    """
+
+    server_id: str
+    incarnation: str
+    address: data.Address
+    service: str
+    version: str
+    slots: int
+    in_use: int = 0
+    checks_fencing: bool = False
+    placeable: bool = True
+
+
+class Call(enum.StrEnum):
+    """What is under way for an engine."""
+
+    NONE = "none"
+    PROPOSAL = "proposal"
+    SEND = "send"
+    READ = "read"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """What a leader remembers of an engine.
+
+    Attributes:
+      incarnation: Announced incarnation that the other attributes are about.
+      version: Announced version.
+      call: What is under way.
+      token: Number of that call; answers to other calls are stale.
+      pending: Version of the order that is being recorded, or empty.
+      read: Whether the engine was read back since anything was uncertain.
+      retry_ms: Time before which nothing is tried again.
+      sent: Highest fencing number sent by this leader, to any incarnation.
+      lost: Fencing number of an order that was probably lost, to an engine
+        that refuses old numbers.
+      fencing: Fencing number that `since_ms` belongs to.
+      since_ms: Time at which this leader first saw that order.
+      seen_fencing: Highest fencing number that the engine has shown.
+    """
+
+    incarnation: str
+    version: str = ""
+    call: Call = Call.NONE
+    token: int = 0
+    pending: str = ""
+    read: bool = False
+    retry_ms: int = 0
+    sent: int = 0
+    lost: int = 0
+    fencing: int = 0
+    since_ms: int = 0
+    seen_fencing: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contacts:
+    """Memory of one period of leadership.
+
+    Attributes:
+      rows: `Contact` by server id.
+      next_token: Number of the next call.
+    """
+
+    rows: immutables.Map = immutables.Map()
+    next_token: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What decisions are made from.
+
+    Attributes:
+      state: Replicated state.
+      engines: Announced engines that stay.
+      issuer: This period of leadership, unique among all.
+    """
+
+    state: data.ReplicatedState
+    engines: tuple[Engine, ...]
+    issuer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Issue:
+    """Decision to record an order in the replicated log."""
+
+    command: commands.IssueOrder
+    token: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Decision to send a recorded order to its engine, once."""
+
+    order: data.EngineOrder
+    address: data.Address
+    timeout_s: float
+    token: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadBack:
+    """Decision to ask an engine for the orders that it has applied."""
+
+    server_id: str
+    address: data.Address
+    timeout_s: float
+    token: int
+    reason: str
+
+
+Decision = Issue | Send | ReadBack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Result of `decide`.
+
+    Attributes:
+      contacts: Memory with the decisions under way.
+      decisions: What to do now.
+      withheld: Why wanted orders were not decided on, by service.
+    """
+
+    contacts: Contacts
+    decisions: tuple[Decision, ...]
+    withheld: immutables.Map
+
+
+class ReplyKind(enum.StrEnum):
+    """How a call to an engine ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Readout:
+    """An engine's own account of its orders.
+
+    Attributes:
+      incarnation: Its incarnation.
+      fencing: Highest fencing number that it has seen.
+      applied: Fencing numbers of the orders that it has applied.
+    """
+
+    incarnation: str
+    fencing: int
+    applied: frozenset[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """End of a call to an engine.
+
+    Attributes:
+      kind: How it ended.
+      reason: Text for the log.
+      readout: What the engine answered, if it could be read.
+    """
+
+    kind: ReplyKind
+    reason: str
+    readout: Readout | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noted:
+    """Memory after the end of a call, and the result to record, if any."""
+
+    contacts: Contacts
+    command: commands.RecordOrder | None = None
