Bound the size and the time of calls to model engines

Cause: the answer of an engine was read whole by treq.content. A time limit ended the wait but not the connection, so an endless answer went on to fill the memory of the leader, once more with each read-back.

Ruled out: a limit on the body alone (treq.collect), as an endless head or chunk framing stays outside it; a time limit without a reset.

Change: daemons/engine_calls.py makes each call on a connection of its own, counts all received bytes (256 KiB at most) and resets the connection before the call returns. The lease is checked between the connection and the first byte. A failed call is counted by cause and logged. The stand-in can drop orders and answer without end. The body producer of forwarding.py is public now, as both modules use it.

Conclusion: an engine can neither fill the leader's memory nor hold a call.

--- a/features/engine_orders.feature
+++ b/features/engine_orders.feature
@@ -24,3 +24,20 @@
     Then 1 engine announces "v2" and the orders have a reason in the log
     When an operator takes the rollout of the engines back
     Then 0 engines announce "v2" and the orders have a reason in the log
+
+  Scenario Outline: an engine answers without end, <pace>
+    Guards against a leader whose memory an engine fills, and against calls that
+    go on after their time limit.
+
+    Given a fleet with the engines "checks" and "ignores" that take orders
+    When both engines send <bytes> bytes/s without end to calls about orders
+    And the environment wants "v2" of all services within 1 s an answer
+    Then the leader logs and counts failed calls to both engines as "<cause>"
+    And both engines have at most 1 endless answer under way for 3 s
+    When both engines answer calls about orders as they should
+    Then both engines run "v2", as the status of the new leader says
+
+    Examples:
+      | pace         | bytes    | cause     |
+      | byte by byte | 20       | timeout   |
+      | very fast    | 10000000 | too_large |
--- a/features/steps/engine_orders_steps.py
+++ b/features/steps/engine_orders_steps.py
@@ -1,6 +1,7 @@
 """Steps for orders between real controllers and stand-in engines."""
 
 import json
+import time
 
 import behave
 
@@ -13,7 +14,7 @@
 
 def call_engine(context, name, *call):
     port = context.fleet.members[name].ports["requests"]
-    return json.loads(fleet_module.request(port, *call).body)
+    return json.loads(fleet_module.request(port, *call).body or "{}")
 
 
 def engine_state(context, name):
@@ -58,13 +59,13 @@
 
 
 @behave.when('the environment wants "{version}" of all services')
-def wants_version(context, version):
+def wants_version(context, version, **settings):
     services = fleet_module.default_services()
     for service in services:
         service["version"] = version
     # Held orders must not time out on a slow machine before the leader ends.
     orders = {"min_serving_share": 0.0, "answer_timeout_s": 120.0}
-    services[0]["orders"] = orders
+    services[0]["orders"] = orders | settings
     context.fleet.apply(fleet_module.environment(services=services))
     wait_until(lambda: len(announced(context)) == 3, WAIT_S, "three servers")
 
@@ -158,3 +159,63 @@
     events = ("order", "order_result")
     lines = sum(wait_until(settled, WAIT_S, f"{count} {word} {version}"), [])
     assert all(line["reason"] for line in lines), lines
+
+
+@behave.when(
+    'the environment wants "{version}" of all services within 1 s an answer'
+)
+def wants_soon(context, version):
+    wants_version(context, version, answer_timeout_s=1.0)
+
+
+def set_mode(context, *names, **mode):
+    for name in names:
+        wait_until(
+            lambda name=name: call_engine(
+                context, name, "PUT", "/-/mode", mode
+            ),
+            WAIT_S,
+            f"the mode of {name}",
+        )
+
+
+@behave.when(
+    "both engines send {count:d} bytes/s without end to calls about orders"
+)
+def flood(context, count):
+    set_mode(context, *ENGINES, order_flood=count)
+
+
+@behave.then(
+    'the leader logs and counts failed calls to both engines as "{cause}"'
+)
+def failed_calls(context, cause):
+    def logged():
+        lines = decisions(context, "engine_call_failed")
+        return {
+            line["server"] for line in lines if line["cause"] == cause
+        } == set(ENGINES)
+
+    wait_until(logged, WAIT_S, f"failed calls as {cause}")
+    port = context.fleet.members[context.fleet.leader()].ports["operators"]
+    text = fleet_module.request(port, "GET", "/metrics").body.decode()
+    name = "waxwingrack_engine_calls_failed_total"
+    counted = [x for x in text.splitlines() if x.startswith(name)]
+    assert any(f'cause="{cause}"' in line for line in counted), counted
+
+
+@behave.then(
+    "both engines have at most 1 endless answer under way for {time_s:d} s"
+)
+def no_leak(context, time_s):
+    limit = time.monotonic() + time_s
+    while time.monotonic() < limit:
+        for name in ENGINES:
+            state = call_engine(context, name, "GET", "/-/runs")
+            assert state["order_floods"] <= 1, (name, state)
+        time.sleep(0.1)
+
+
+@behave.when("both engines answer calls about orders as they should")
+def no_flood(context):
+    set_mode(context, *ENGINES, order_flood=0)
--- a/waxwingrack/daemons/engine_orders.py
+++ b/waxwingrack/daemons/engine_orders.py
@@ -14,14 +14,11 @@
 
 import immutables
 import pydantic
-import treq
-from twisted.internet import defer
-from twisted.internet import error
-from twisted.web import client
 
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import engine_calls
 from waxwingrack.operations import order_rollouts
 from waxwingrack.operations import orders
 from waxwingrack.operations import placement
@@ -31,10 +28,7 @@
 # Time after which a new leader knows all engines, which announce themselves
 # once a second. Limits counted over a part of them would let too many load.
 SETTLE_MS = 2_000
-PATH = "/-/orders"
 
-# The connection was not made, so no byte of the order has left.
-_NOT_CONNECTED = (error.ConnectError, error.TimeoutError)
 # Larger numbers are not exact in every JSON reader; a group that took one over
 # would give numbers that such an engine cannot tell apart.
 _Fencing = Annotated[int, pydantic.Field(ge=0, lt=2**53)]
@@ -74,12 +68,16 @@
         self._read_reasons: dict[str, str] = {}
         # Rollouts whose wait for engines is in the log.
         self._waiting: set[str] = set()
+        # Reason of the last failed call that is in the log, by server id.
+        self._failures: dict[str, str] = {}
+        self._calls = engine_calls.Calls(self._may_act)
         self._tasks: set[asyncio.Task] = set()
         self._ended = False
 
     def end(self) -> None:
         """Breaks off all calls; the next leader reads the engines back."""
         self._ended = True
+        self._calls.abort()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -201,17 +199,12 @@
 
     async def _send_order(self, item: orders.Send) -> None:
         order = item.order
-        if self._may_act():
-            body = {
-                "fencing": order.fencing,
-                "version": order.version,
-                "incarnation": order.incarnation,
-            }
-            reply = await _call("POST", item.address, item.timeout_s, body)
-        else:
-            reply = orders.Reply(
-                orders.ReplyKind.NOT_SENT, "the lease ended before the call"
-            )
+        body = {
+            "fencing": order.fencing,
+            "version": order.version,
+            "incarnation": order.incarnation,
+        }
+        reply = await self._call("POST", item, order.server_id, body)
         if reply.kind is orders.ReplyKind.UNKNOWN:
             logs.event("order_unknown", reason=reply.reason, **_fields(order))
         self._note(
@@ -229,7 +222,7 @@
         self._start(self._read_engine(item))
 
     async def _read_engine(self, item: orders.ReadBack) -> None:
-        reply = await _call("GET", item.address, item.timeout_s)
+        reply = await self._call("GET", item, item.server_id)
         self._note(
             orders.read_back(
                 self._contacts,
@@ -242,6 +235,34 @@
             item.token,
         )
 
+    async def _call(
+        self,
+        method: str,
+        item: orders.Send | orders.ReadBack,
+        server_id: str,
+        body: Any = None,
+    ) -> orders.Reply:
+        end = await self._calls.call(method, item.address, item.timeout_s, body)
+        if isinstance(end, engine_calls.Answer):
+            self._failures.pop(server_id, None)
+        else:
+            self._services.metrics.add(
+                "engine_calls_failed_total",
+                "Calls to model engines without a whole answer.",
+                cause=end.cause,
+            )
+            # An engine that does not answer is called again every second.
+            if self._failures.get(server_id) != end.reason:
+                self._failures[server_id] = end.reason
+                logs.event(
+                    "engine_call_failed",
+                    reason=end.reason,
+                    cause=end.cause,
+                    method=method,
+                    server=server_id,
+                )
+        return _reply(end)
+
     def _note(self, noted: orders.Noted, token: int) -> None:
         self._contacts = noted.contacts
         self._next_ms = 0
@@ -296,66 +317,20 @@
     )
 
 
-async def _call(
-    method: str, address: data.Address, timeout_s: float, body: Any = None
-) -> orders.Reply:
-    """Calls an engine once.
-
-    Args:
-      method: HTTP method.
-      address: Address of the engine.
-      timeout_s: Longest time of the whole call, in seconds.
-      body: Value to send as JSON, or None.
-
-    Returns:
-      How the call ended.
-    """
-    try:
-        return await asyncio.wait_for(
-            _exchange(method, address, timeout_s, body), timeout_s
-        )
-    except _NOT_CONNECTED as exc:
-        return orders.Reply(orders.ReplyKind.NOT_SENT, f"not connected: {exc}")
-    except (TimeoutError, defer.CancelledError):
-        return orders.Reply(
-            orders.ReplyKind.UNKNOWN, f"no answer within {timeout_s:g} s"
-        )
-    except Exception as exc:
-        # Whatever broke the call, the engine may have taken the order.
-        return orders.Reply(orders.ReplyKind.UNKNOWN, f"call broke: {exc!r}")
-
-
-async def _exchange(
-    method: str, address: data.Address, timeout_s: float, body: Any
-) -> orders.Reply:
-    # Importing the reactor installs one; the program chooses it first.
-    from twisted.internet import reactor
-
-    loop = asyncio.get_running_loop()
-    # A new connection for each call: the pool of treq would repeat a call
-    # whose connection broke.
-    response = await treq.request(
-        method,
-        f"http://{_host(address)}{PATH}",
-        agent=client.Agent(reactor, connectTimeout=timeout_s),
-        allow_redirects=False,
-        **({} if body is None else {"json": body}),
-    ).asFuture(loop)
-    blob = await treq.content(response).asFuture(loop)
-    reason = f"the engine answered {response.code}"
+def _reply(end: engine_calls.Answer | engine_calls.Failed) -> orders.Reply:
+    """Returns what the end of a call says about an order."""
     kinds = orders.ReplyKind
-    if response.code == 200:
-        return orders.Reply(kinds.ANSWERED, reason, _readout(blob))
-    if 400 <= response.code < 500:
-        return orders.Reply(kinds.REFUSED, reason, _readout(blob))
+    if isinstance(end, engine_calls.Failed):
+        kind = kinds.UNKNOWN if end.sent else kinds.NOT_SENT
+        return orders.Reply(kind, end.reason)
+    reason = f"the engine answered {end.status}"
+    if end.status == 200:
+        return orders.Reply(kinds.ANSWERED, reason, _readout(end.body))
+    if 400 <= end.status < 500:
+        return orders.Reply(kinds.REFUSED, reason, _readout(end.body))
     return orders.Reply(kinds.UNKNOWN, reason)
 
 
-def _host(address: data.Address) -> str:
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
-
-
 def _readout(blob: bytes) -> orders.Readout | None:
     try:
         answer = _Answer.model_validate_json(blob)
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -172,7 +172,7 @@
 
 
 @implementer(iweb.IBodyProducer)
-class _Body:
+class Body:
     """Writes a whole body at once."""
 
     def __init__(self, body: bytes):
@@ -180,6 +180,7 @@
         self.length = len(body)
 
     def startProducing(self, consumer: Any) -> defer.Deferred:
+        """Writes the body."""
         consumer.write(self._body)
         return defer.succeed(None)
 
@@ -242,7 +243,7 @@
                 outgoing.method,
                 outgoing.uri,
                 outgoing.headers,
-                None if outgoing.body is None else _Body(outgoing.body),
+                None if outgoing.body is None else Body(outgoing.body),
                 persistent=outgoing.reuse,
             )
             usable = conn.state == "QUIESCENT"
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -40,6 +40,7 @@
 ANNOUNCE_TIMEOUT_S = 0.9
 STOP_TIMEOUT_S = 5.0
 HOLD_POLL_S = 0.02
+FLOOD_PAUSE_S = 0.02
 # Bytes of a prompt that make up its prefix.
 PREFIX_BYTES = 256
 # Exit code of a process that crashed on purpose.
@@ -61,6 +62,10 @@
       cut: Whether answers break off in the middle.
       departing: Whether the server announces its departure.
       hold_orders: Whether orders neither take effect nor are answered.
+      lose_orders: Whether orders are dropped without a trace, as if they were
+        lost on the way.
+      order_flood: Bytes per second of an endless answer to calls about orders;
+        0 for a proper answer.
     """
 
     errors: float = 0.0
@@ -72,6 +77,8 @@
     cut: bool = False
     departing: bool = False
     hold_orders: bool = False
+    lose_orders: bool = False
+    order_flood: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,6 +235,8 @@
         self._rng = random.Random(config.seed)
         self._pending_orders = 0
         self._most_pending_orders = 0
+        self._lost_orders = 0
+        self._floods = 0
         self._loads: collections.deque[tuple[float, int]] = collections.deque()
         self._tasks: set[asyncio.Future] = set()
         self._listening: Any = None
@@ -388,6 +397,8 @@
                 "streamed_bytes": self.streamed_bytes,
                 "incarnation": self.incarnation,
                 "cold": self.cold,
+                "lost_orders": self._lost_orders,
+                "order_floods": self._floods,
             },
         )
 
@@ -411,11 +422,18 @@
         return self._get_mode(req)
 
     @_app.route("/-/orders", methods=["GET"])
-    def _get_orders(self, req: iweb.IRequest) -> bytes:
+    def _get_orders(self, req: iweb.IRequest) -> Any:
+        if self.mode.order_flood:
+            return defer.Deferred.fromFuture(self._run(self._flood(req)))
         return _json(req, 200, self._order_state())
 
     @_app.route("/-/orders", methods=["POST"])
     def _take_order(self, req: iweb.IRequest) -> Any:
+        if self.mode.lose_orders:
+            self._lost_orders += 1
+            return defer.Deferred()
+        if self.mode.order_flood:
+            return defer.Deferred.fromFuture(self._run(self._flood(req)))
         try:
             order = json.loads(req.content.read())
             fencing, version = int(order["fencing"]), str(order["version"])
@@ -431,6 +449,25 @@
             self._run(self._answer_order(req, task))
         )
 
+    async def _flood(self, req: iweb.IRequest) -> bytes:
+        gate, sent, start = _Gate(), 0, time.monotonic()
+        req.registerProducer(gate, True)
+        self._floods += 1
+        try:
+            while True:
+                due = int(
+                    self.mode.order_flood * (time.monotonic() - start) - sent
+                )
+                req.write(b" " * due)
+                sent += due
+                await gate.opened.wait()
+                await asyncio.sleep(FLOOD_PAUSE_S)
+        except asyncio.CancelledError:
+            # klein logs every other exception after a lost connection.
+            raise defer.CancelledError from None
+        finally:
+            self._floods -= 1
+
     def _is_old(self, fencing: int) -> bool:
         return self.config.checks_fencing and fencing < self._fencing
 
