Test the wait of a new leader for all engines

Cause: SETTLE_MS had no test; without it limits would be counted over the engines that announced themselves first.

Ruled out: a fleet of processes, as the wait is a matter of the leader's clock.

Change: one scenario that drives EngineOrders with a clock of its own.

Conclusion: the wait is guarded.

--- a/features/order_decisions.feature
+++ b/features/order_decisions.feature
@@ -89,3 +89,12 @@
       | the outstanding record | two outstanding orders      |
       | the read-back          | two outstanding orders      |
       | the limits             | too many engines load       |
+
+  Scenario: a new leader waits until all engines can have announced themselves
+    Engines announce themselves once a second. Guards against limits that are
+    counted over a part of the engines: with only "b" and "c" known, "b" would
+    be loaded beside "a", which loads already.
+
+    Given a new leader, an order to "a" that loads and at most 1 engine that loads
+    When "b" and "c" announce themselves after 0.1 s and "a" after 1.5 s
+    Then no engine is called in 4 s and the wanted order is withheld
