End orders that were lost on the way to engines that ignore numbers

Cause: an order of unknown outcome to an engine that ignores fencing numbers stayed outstanding until the engine restarted, as nothing showed that it could not arrive any more.

Ruled out: a read-back alone (the order may wait in a buffer of the engine); taking the end of the connection by the engine as proof (something between may have made it); a lease or a time limit for an earlier leader (a frozen process sends after both); a deadline on the engine's clock (an engine that could check it could check the number).

Change: an order names its controller. It ends as lost once nothing sends it any more (the call ended with a reset, or the controller that was to send it has answered the leader in the present term), max_order_delay_s has passed since, and a read-back that began afterwards shows neither the order nor its number. Without the setting, without the return of that controller and for orders of earlier releases the order stays; `waxwingrack order clear` ends it once an operator has checked the engine. The protocol version is 3, as an earlier release cannot read the new commands and states and its state would differ.

The random run asserts a second order only for orders to the present incarnation when an earlier leader sends; an order for another incarnation is refused by every engine.

Conclusion: a lost order no longer blocks an engine where that can be known.

--- a/features/order_decisions.feature
+++ b/features/order_decisions.feature
@@ -58,6 +58,22 @@
       | ignores | v2      | the order         | read issue send |
       | ignores | v2      | a new incarnation | read issue send |
 
+  Scenario Outline: an operator clears an order (<case>)
+    Guards against an end of an order that the operator has not checked, and
+    against the end of an order that is known to be over.
+
+    Given an engine that <kind> numbers and an order to it of unknown outcome
+    When an operator clears the order <fencing> to "<server>" <times> times
+    Then the order is <state> and the operator is told "<message>"
+
+    Examples:
+      | case          | kind    | server | fencing | times | state       | message                   |
+      | outstanding   | ignores | a      | 1       | 1     | cleared     | nothing                   |
+      | over          | ignores | a      | 1       | 2     | cleared     | order 1 is over: cleared  |
+      | other order   | ignores | a      | 2       | 1     | outstanding | the latest order to 'a' is 1 |
+      | other server  | ignores | b      | 1       | 1     | outstanding | no order to 'b' is known  |
+      | not needed    | checks  | a      | 1       | 1     | outstanding | order 1 holds nothing up, as the engine refuses old numbers |
+
   Scenario: orders survive a snapshot, and numbers go on above what engines show
     Guards against a lower number after a restart or from a rebuilt group.
 
@@ -74,7 +90,7 @@
     Messages are lost and delayed, leaders change and engines restart. Guards
     against two outstanding orders at an engine that ignores numbers, an older
     order that wins at one that checks them, and engines left at a wrong
-    version.
+    version. No operator helps: a lost order must not block an engine.
 
     Then the random order runs of the seeds 0 to 39 keep all invariants
 
@@ -89,6 +105,8 @@
       | the outstanding record | two outstanding orders      |
       | the read-back          | two outstanding orders      |
       | the limits             | too many engines load       |
+      | the bound on delays    | two outstanding orders      |
+      | the end of earlier calls | two outstanding orders    |
 
   Scenario: a new leader waits until all engines can have announced themselves
     Engines announce themselves once a second. Guards against limits that are
--- a/features/steps/engine_orders_steps.py
+++ b/features/steps/engine_orders_steps.py
@@ -1,6 +1,10 @@
 """Steps for orders between real controllers and stand-in engines."""
 
+import datetime
 import json
+import os
+import subprocess
+import sys
 import time
 
 import behave
@@ -53,7 +57,10 @@
             "sketch",
             engine=True,
             checks_fencing=name == "checks",
-            mode={"hold_orders": verb == "hold"},
+            mode={
+                "hold_orders": verb == "hold",
+                "lose_orders": verb == "lose",
+            },
         )
     fleet.add_server("plain", "booking")
 
@@ -162,10 +169,11 @@
 
 
 @behave.when(
-    'the environment wants "{version}" of all services within 1 s an answer'
+    'the environment wants "{version}" of all services within {limit:d} s an '
+    "answer"
 )
-def wants_soon(context, version):
-    wants_version(context, version, answer_timeout_s=1.0)
+def wants_soon(context, version, limit):
+    wants_version(context, version, answer_timeout_s=limit)
 
 
 def set_mode(context, *names, **mode):
@@ -219,3 +227,140 @@
 @behave.when("both engines answer calls about orders as they should")
 def no_flood(context):
     set_mode(context, *ENGINES, order_flood=0)
+
+
+@behave.when(
+    'the environment wants "{version}" with order delays of at most {limit:d} s'
+)
+def wants_bounded(context, version, limit):
+    wants_version(
+        context, version, answer_timeout_s=1.0, max_order_delay_s=limit
+    )
+
+
+def lost_orders(context, name):
+    return call_engine(context, name, "GET", "/-/runs")["lost_orders"]
+
+
+@behave.when('"{name}" has lost {count:d} orders')
+def has_lost(context, name, count):
+    wait_until(
+        lambda: lost_orders(context, name) >= count,
+        WAIT_S,
+        f"{count} lost orders",
+    )
+
+
+def log_time_s(line):
+    return datetime.datetime.fromisoformat(line["time"]).timestamp()
+
+
+@behave.then(
+    'the first order to "{name}" was recorded as "{state}" after {least:d} s '
+    "at least"
+)
+def recorded_as(context, name, state, least):
+    (sent, *_), (ended, *_) = (
+        [x for x in decisions(context, event) if x["server"] == name]
+        for event in ("order_unknown", "order_result")
+    )
+    assert (ended["state"], ended["fencing"]) == (state, sent["fencing"])
+    # The lines are written a moment after what they tell of.
+    assert log_time_s(ended) - log_time_s(sent) >= least - 0.1, (sent, ended)
+
+
+@behave.when("both engines take orders again")
+def take_again(context):
+    set_mode(context, *ENGINES, lose_orders=False)
+
+
+STOPS = {"frozen": ("freeze", "resume"), "killed": ("kill", "start")}
+
+
+@behave.when('the leader is {stopped} once "{name}" has lost an order')
+def stop_leader(context, stopped, name):
+    has_lost(context, name, 1)
+    context.stopped = context.fleet.members[context.fleet.leader()]
+    getattr(context.stopped, STOPS[stopped][0])()
+    wait_until(
+        lambda: any(
+            context.fleet.operate("GET", "/v1/status", at=other).status == 200
+            for other in context.fleet.controllers
+            if other != context.stopped.name
+        ),
+        WAIT_S,
+        "a new leader",
+    )
+
+
+@behave.when("the leader that was {stopped} comes back")
+def comes_back(context, stopped):
+    getattr(context.stopped, STOPS[stopped][1])()
+
+
+@behave.then('"{name}" saw the connections of all lost orders reset')
+def saw_resets(context, name):
+    def ended():
+        state = call_engine(context, name, "GET", "/-/runs")
+        ends = state["lost_ends"]
+        return len(ends) == state["lost_orders"] and ends
+
+    ends = wait_until(ended, WAIT_S, "the ends of all lost orders")
+    assert set(ends) == {"ConnectionLost"}, ends
+
+
+@behave.then('"{name}" gets no other order for {time_s:d} s')
+def no_other_order(context, name, time_s):
+    has_lost(context, name, 1)
+    time.sleep(time_s)
+    assert lost_orders(context, name) == 1, lost_orders(context, name)
+
+
+@behave.then('"{name}" gets no other order for {time_s:d} s under a new leader')
+def no_other_under_new(context, name, time_s):
+    no_other_order(context, name, time_s)
+
+
+def clear(context, name, offset):
+    rows = wait_until(context.fleet.status, WAIT_S, "a status")["orders"]
+    (row,) = (row for row in rows if row["server_id"] == name)
+    ports = [
+        context.fleet.members[controller].ports["operators"]
+        for controller in context.fleet.controllers
+    ]
+    command = [sys.executable, "-m", "waxwingrack", "order", "clear", name]
+    options = {
+        "--fencing": str(row["fencing"] + offset),
+        "--controllers": ",".join(f"127.0.0.1:{port}" for port in ports),
+        "--token-file": str(context.fleet.folder / "token"),
+        "--operator": "ada",
+    }
+    return subprocess.run(
+        [*command, *sum(options.items(), ())],
+        cwd=fleet_module.ROOT,
+        env=os.environ | {"PYTHONPATH": str(fleet_module.ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+    )
+
+
+@behave.then(
+    'the command to clear {which} order to "{name}" is refused as "{text}"'
+)
+def clear_refused(context, which, name, text):
+    has_lost(context, name, 1)
+    done = clear(context, name, 1 if which == "a later" else 0)
+    assert done.returncode == 1 and text in done.stderr, done
+
+
+@behave.when('an operator clears the order to "{name}"')
+def clears(context, name):
+    done = clear(context, name, 0)
+    assert done.returncode == 0, done
+
+
+@behave.then("the log of the leader says who cleared the order")
+def log_says_who(context):
+    lines = decisions(context, "ClearOrder")
+    assert [line["operator"] for line in lines if line["accepted"]] == ["ada"]
--- a/features/steps/order_settling_steps.py
+++ b/features/steps/order_settling_steps.py
@@ -61,7 +61,8 @@
     driver = types.SimpleNamespace(
         may_act=lambda: True,
         state=context.state,
-        replica=types.SimpleNamespace(term=2),
+        replica=types.SimpleNamespace(term=2, node_id="c2"),
+        heard=frozenset,
     )
     services = leader.Services(
         driver, None, lambda: now[0], random.Random(1), metrics.Metrics()
--- a/features/steps/order_simulation.py
+++ b/features/steps/order_simulation.py
@@ -13,8 +13,10 @@
 TIMEOUT_MS = 1_000
 FAULTS_MS = 60_000
 LIMIT_MS = 180_000
-# An operator restarts an engine whose order has not shown for this long.
-RESTART_MS = 5_000
+# Longest way of an order to its engine, and longest time from a change of the
+# leader until the earlier one has ended its calls.
+MAX_DELAY_MS = 2_500
+MAX_STALE_MS = 12_000
 Phase = data.RolloutPhase
 
 
@@ -91,7 +93,7 @@
     """One run; the log is a single sequence of commands."""
 
     def __init__(self, seed, engines_check=True):
-        super().__init__(environment())
+        super().__init__(environment(max_order_delay_s=MAX_DELAY_MS / 1000))
         self.rng = random.Random(seed)
         self.engines = {
             f"e{number}": Engine(f"e{number}", checks, checks and engines_check)
@@ -99,11 +101,12 @@
         }
         self.seen = {}
         self.faults = True
-        self.counts = {"sent": 0, "leaders": 0}
-        self.in_flight = {}
+        self.counts = {"sent": 0, "leaders": 0, "lost": 0}
+        # Controllers that have ended the calls of their earlier leaderships.
+        self.ended = frozenset()
+        self.in_flight, self.sent, self.connecting = {}, set(), set()
         self._events, self._order = [], itertools.count()
         self._proposals = []
-        self._quiet_ms = 0
         self.lead()
 
     def later(self, delay_ms, call):
@@ -115,7 +118,7 @@
         return self.faults and self.rng.random() < chance
 
     def delay(self):
-        return self.rng.randint(1, 2_500 if self.hit(0.2) else 200)
+        return self.rng.randint(1, MAX_DELAY_MS if self.hit(0.2) else 200)
 
     def lead(self):
         """Changes the leader; proposals under way are committed or lost."""
@@ -124,8 +127,27 @@
             if self.rng.random() < 0.5:
                 self.apply(command)
         self._proposals = []
+        before = getattr(self, "issuer", "")
         self.issuer = f"leader-{self.counts['leaders']}"
         self.contacts = orders.Contacts()
+        stale_ms = self.rng.randint(1, MAX_STALE_MS)
+        self.send_late(before, stale_ms)
+
+        def end():
+            self.ended |= {before}
+
+        self.later(stale_ms, end)
+
+    def send_late(self, issuer, stale_ms):
+        """Sends recorded orders of an earlier leader that was frozen."""
+        for order in self.state.orders.values():
+            unsent = order.fencing in self.connecting or (
+                order.fencing not in self.sent
+                and order.state is data.OrderState.OUTSTANDING
+            )
+            if order.issuer == issuer and unsent:
+                late = self.rng.randint(0, stale_ms)
+                self.later(late, lambda order=order: self.carry(order))
 
     def propose(self, command, token):
         entry = (command, token)
@@ -135,13 +157,16 @@
             if not any(item is entry for item in self._proposals):
                 return
             self._proposals = [p for p in self._proposals if p is not entry]
+            lost = data.OrderState.LOST
+            self.counts["lost"] += getattr(command, "state", "") is lost
             self.proposed(command, token)
 
         self.later(self.rng.randint(1, 100), commit)
 
     def tick(self):
         announced = tuple(self.seen.values())
-        view = orders.View(self.state, announced, self.issuer)
+        name = self.issuer
+        view = orders.View(self.state, announced, name, name, self.ended)
         plan = orders.decide(view, self.contacts, self.now_ms)
         self.contacts = plan.contacts
         for item in plan.decisions:
@@ -156,8 +181,6 @@
     def call(self, server_id, token, order):
         """Carries a call over one connection to one incarnation."""
         engine, issuer = self.engines[server_id], self.issuer
-        incarnation, key = engine.incarnation, object()
-        flying = self.in_flight.setdefault((server_id, incarnation), {})
         kinds = orders.ReplyKind
 
         def end(kind, readout=None):
@@ -176,27 +199,60 @@
             if noted.command:
                 self.propose(noted.command, token)
 
-        def arrive():
-            flying.pop(key, None)
-            if engine.incarnation != incarnation:
-                return
-            taken = engine.take(order) if order else True
+        def arrive(taken=True):
             kind = kinds.ANSWERED if taken else kinds.REFUSED
             if not self.hit(0.1):
                 self.later(self.delay(), lambda: end(kind, engine.readout()))
 
         state = {"ended": False}
+        if order:
+            self.sent.add(order.fencing)
         if self.hit(0.05):
             self.later(self.delay(), lambda: end(kinds.NOT_SENT))
             return
         if order:
             self.counts["sent"] += 1
+            flying = self.flying(engine)
             assert engine.checks or not flying, "two outstanding orders"
-            if order.incarnation == incarnation:
-                flying[key] = order
+            self.connecting.add(order.fencing)
+
+            def write():
+                self.connecting.discard(order.fencing)
+                if not state["ended"] and self.issuer == issuer:
+                    self.carry(order, arrive)
+
+            slow = self.hit(0.3)
+            self.later(self.rng.randint(1, TIMEOUT_MS if slow else 1), write)
+        elif not self.hit(0.1):
+            incarnation = engine.incarnation
+            self.later(
+                self.delay(),
+                lambda: engine.incarnation == incarnation and arrive(),
+            )
         self.later(TIMEOUT_MS, lambda: end(kinds.UNKNOWN))
-        # A lost order stays in `flying`: the leader cannot tell that it is.
-        if not self.hit(0.1):
+
+    def flying(self, engine):
+        """Returns the orders that the engine can still take."""
+        place = (engine.id, engine.incarnation)
+        return self.in_flight.setdefault(place, {})
+
+    def carry(self, order, arrived=lambda taken: None):
+        """Carries an order to the present incarnation of its engine."""
+        engine, key = self.engines[order.server_id], object()
+        incarnation, flying = engine.incarnation, self.flying(engine)
+        if order.incarnation == incarnation:
+            assert engine.checks or not flying, "two outstanding orders"
+            flying[key] = order
+
+        def arrive():
+            flying.pop(key, None)
+            if engine.incarnation == incarnation:
+                arrived(engine.take(order))
+
+        if self.hit(0.1):
+            # The leader cannot tell that it is lost before this has passed.
+            self.later(MAX_DELAY_MS, lambda: flying.pop(key, None))
+        else:
             self.later(self.delay(), arrive)
 
     def disturb(self):
@@ -231,16 +287,6 @@
         state = data.OrderState.OUTSTANDING
         return [x for x in rows if x.state is state and not x.checks_fencing]
 
-    def operate(self):
-        """Restarts engines whose order stays unknown, as operators would."""
-        stuck = self.outstanding()
-        if not stuck:
-            self._quiet_ms = self.now_ms
-        elif self.now_ms - self._quiet_ms > RESTART_MS:
-            self._quiet_ms = self.now_ms
-            for order in stuck:
-                self.engines[order.server_id].restart()
-
     def check_loading(self):
         # At engines that check numbers, a lost order does not count as loading.
         loading = [
@@ -273,8 +319,6 @@
                 if name := self.under_way():
                     move = (name, Phase.TAKEN_BACK, 0.0, "end")
                     self.apply(commands.MoveRollout(*move))
-            if not self.faults:
-                self.operate()
             self.tick()
             self.check_loading()
         for engine in self.engines.values():
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -13,6 +13,7 @@
 from waxwingrack.operations import order_choice
 from waxwingrack.operations import order_ends
 from waxwingrack.operations import order_rollouts
+from waxwingrack.operations import order_work
 from waxwingrack.operations import orders
 from waxwingrack.operations import replicated
 from waxwingrack.operations import replicated_orders
@@ -29,7 +30,25 @@
     )
 
 
+def nobody_late():
+    """A leader that takes all earlier leaders for ended."""
+
+    class Everyone:
+        __contains__ = lambda *_: True  # noqa: E731
+
+    view = orders.View
+    return mock.patch.object(
+        orders, "View", lambda *parts: view(*parts[:4], Everyone())
+    )
+
+
 WITHOUT = {
+    "the end of earlier calls": nobody_late,
+    "the bound on delays": lambda: mock.patch.object(
+        order_work.Work,
+        "_conclusive",
+        lambda work, engine: work.rows[engine.server_id].closed,
+    ),
     "the check of numbers": unchecked,
     "the outstanding record": lambda: mock.patch.object(
         replicated_orders, "may_follow", lambda *_: True
@@ -178,6 +197,23 @@
     assert found == expected.split(), found
 
 
+@behave.when(
+    'an operator clears the order {fencing:d} to "{server}" {times:d} times'
+)
+def clears_order(context, fencing, server, times):
+    for number in range(times):
+        command = (f"c{number}", "ada", None, server, fencing)
+        context.outcome = context.leader.apply(commands.ClearOrder(*command))
+
+
+@behave.then('the order is {state} and the operator is told "{message}"')
+def order_is(context, state, message):
+    assert context.leader.state.orders["a"].state == state
+    told = context.outcome.message or "nothing"
+    assert told == message, context.outcome
+    assert context.outcome.accepted == (told == "nothing")
+
+
 @behave.then("an order to an engine that has shown 41 gets the number 42")
 def next_number(context):
     leader = context.leader = Leader(order_simulation.environment(), ())
@@ -229,10 +265,13 @@
     "invariants"
 )
 def random_runs(context, first, last):
+    lost = 0
     for seed in range(first, last + 1):
         counts = order_simulation.Run(seed).run()
+        lost += counts["lost"]
         # A run without orders and faults would prove nothing.
         assert counts["sent"] >= 5 and counts["leaders"] > 1, (seed, counts)
+    assert lost, "no order was found to be lost"
 
 
 @behave.then('without {mechanism} a random order run breaks "{invariant}"')
--- a/features/steps/settings_pages_steps.py
+++ b/features/steps/settings_pages_steps.py
@@ -24,6 +24,7 @@
 # Names that the code passes in variables.
 COMMANDS = {
     "ApplyEnvironment",
+    "ClearOrder",
     "SetDataCentre",
     "StartRollout",
     "TakeBackRollout",
--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -12,6 +12,7 @@
 from waxwingrack.commands import check
 from waxwingrack.commands import data_centre
 from waxwingrack.commands import demo
+from waxwingrack.commands import order
 from waxwingrack.commands import process
 from waxwingrack.commands import repair
 from waxwingrack.commands import rollout
@@ -46,6 +47,7 @@
         rollout.StartCommand(),
         rollout.StatusCommand(),
         rollout.TakeBackCommand(),
+        order.ClearCommand(),
         repair.RepairCommand(),
         check.CheckCommand(),
         demo.DemoCommand(),
--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -202,6 +202,7 @@
       checks_fencing: Whether the engine refuses old fencing numbers.
       issuer: Period of leadership that sends the order.
       seen_fencing: Highest fencing number that the engine has shown.
+      controller: Node id of the controller that sends the order.
     """
 
     service: str
@@ -211,6 +212,7 @@
     checks_fencing: bool
     issuer: str
     seen_fencing: int = 0
+    controller: str = ""
 
 
 @COMMANDS.register("record_order")
@@ -231,3 +233,23 @@
     state: data.OrderState
     reason: str
     seen_fencing: int = 0
+
+
+@COMMANDS.register("clear_order")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearOrder:
+    """Ends an outstanding order on an operator's word that it is over.
+
+    Attributes:
+      operation: Operation id.
+      operator: Name of the operator.
+      expected: Environment number that the operator saw; None accepts any.
+      server_id: Backend server id of the engine.
+      fencing: Fencing number of the order.
+    """
+
+    operation: str
+    operator: str
+    expected: int | None
+    server_id: str
+    fencing: int
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -78,11 +78,15 @@
         read-back, in seconds.
       load_timeout_s: Longest time from an order until the engine announces the
         version, in seconds; an order that is over may then be repeated.
+      max_order_delay_s: Longest time, in seconds, after the connection of an
+        order was reset until an engine that ignores fencing numbers shows the
+        order, or else never takes it; None if there is no such bound.
     """
 
     min_serving_share: float = 0.5
     answer_timeout_s: float = 10.0
     load_timeout_s: float = 600.0
+    max_order_delay_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -546,6 +550,8 @@
     REFUSED = "refused"
     NOT_SENT = "not_sent"
     RESTARTED = "restarted"
+    LOST = "lost"
+    CLEARED = "cleared"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -562,6 +568,7 @@
       issuer: Period of leadership that issued the order.
       state: What is known of it.
       reason: Why it is in this state.
+      controller: Node id of the controller that issued it; empty if unknown.
     """
 
     service: str
@@ -573,6 +580,7 @@
     issuer: str
     state: OrderState = OrderState.OUTSTANDING
     reason: str = ""
+    controller: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -9,7 +9,7 @@
 
 # Processes with different protocol versions do not talk to each other.
 # Version 2 has the compact frames of `wire`.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Longest interval between two reports of a router, in milliseconds.
 HEARTBEAT_MS = 250
--- a/waxwingrack/daemons/engine_orders.py
+++ b/waxwingrack/daemons/engine_orders.py
@@ -94,7 +94,16 @@
         state = self._services.driver.state
         if not orders.wanted(state):
             return
-        view = orders.View(state, engines(tables, state), self._issuer)
+        driver = self._services.driver
+        view = orders.View(
+            state,
+            engines(tables, state),
+            self._issuer,
+            driver.replica.node_id,
+            # A controller ends the calls of its leadership before it answers
+            # in a later term, and a restarted one has none.
+            driver.heard(),
+        )
         plan = orders.decide(view, self._contacts, now_ms)
         self._contacts = plan.contacts
         for decision in plan.decisions:
@@ -104,6 +113,26 @@
                 logs.decision("order_withheld", reason, service=service)
         self.withheld = plan.withheld
 
+    def is_sending(self, server_id: str, fencing: int) -> bool:
+        """Tells whether this leadership has yet to end the call of an order.
+
+        Args:
+          server_id: Engine.
+          fencing: Fencing number of the order.
+
+        Returns:
+          True also for an order that it has recorded and not sent.
+        """
+        order = self._services.driver.state.orders.get(server_id)
+        row = self._contacts.rows.get(server_id)
+        return (
+            order is not None
+            and order.fencing == fencing
+            and order.issuer == self._issuer
+            and order.state is data.OrderState.OUTSTANDING
+            and (row is None or row.closed != fencing)
+        )
+
     def may_move(
         self,
         tables: tables_module.Tables,
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -82,6 +82,16 @@
     expected: _Number | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearBody:
+    """Body of `POST /v1/orders/<id>/clear`."""
+
+    operation: _Text
+    operator: _Text
+    fencing: _Number
+    expected: _Number | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControllerBody:
     """Body of `PUT /v1/controllers/<id>`."""
@@ -286,6 +296,30 @@
         )
         return await self._change(request, command)
 
+    @app.route("/v1/orders/<server_id>/clear", methods=["POST"])
+    @_call(ClearBody)
+    async def clear_order(
+        self, request: iweb.IRequest, body: ClearBody, server_id: str
+    ) -> bytes:
+        """Ends an order that an operator knows to be over."""
+        if self._controller.leader.orders.is_sending(server_id, body.fencing):
+            number = self._controller.driver.state.number
+            message = f"order {body.fencing} is being sent; try again later"
+            return _outcome(
+                request,
+                data.OperationOutcome(
+                    body.operation, False, number, "", message
+                ),
+            )
+        command = commands.ClearOrder(
+            body.operation,
+            body.operator,
+            body.expected,
+            server_id,
+            body.fencing,
+        )
+        return await self._change(request, command)
+
     @app.route("/v1/controllers/<node>", methods=["PUT"])
     @_call(ControllerBody)
     async def put_controller(
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -18,6 +18,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import logs
 from waxwingrack.operations import consensus
+from waxwingrack.operations import consensus_replication
 from waxwingrack.operations import replicated
 
 # Interval of the replica's timer, in seconds.
@@ -223,6 +224,21 @@
             self._lease = (self.replica, now_ms, known)
         return known
 
+    def heard(self) -> frozenset[str]:
+        """Returns the controllers that live in the leader's term.
+
+        Returns:
+          Node ids of this leader and of those that have answered it with the
+          disk that may vote.
+        """
+        now_ms, replica = self._clock(), self.replica
+        return frozenset(
+            node_id
+            for node_id in replica.members
+            if consensus_replication.acked_ms(replica, node_id, now_ms)
+            is not None
+        )
+
     def caught_up(self) -> bool:
         """Whether the state is close to the leader's."""
         if self.is_leader():
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -236,6 +236,8 @@
         self._pending_orders = 0
         self._most_pending_orders = 0
         self._lost_orders = 0
+        # How the connections of lost orders ended.
+        self._lost_ends: list[str] = []
         self._floods = 0
         self._loads: collections.deque[tuple[float, int]] = collections.deque()
         self._tasks: set[asyncio.Future] = set()
@@ -398,6 +400,7 @@
                 "incarnation": self.incarnation,
                 "cold": self.cold,
                 "lost_orders": self._lost_orders,
+                "lost_ends": self._lost_ends,
                 "order_floods": self._floods,
             },
         )
@@ -431,6 +434,9 @@
     def _take_order(self, req: iweb.IRequest) -> Any:
         if self.mode.lose_orders:
             self._lost_orders += 1
+            req.notifyFinish().addErrback(
+                lambda reason: self._lost_ends.append(reason.type.__name__)
+            )
             return defer.Deferred()
         if self.mode.order_flood:
             return defer.Deferred.fromFuture(self._run(self._flood(req)))
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -25,6 +25,7 @@
     "$.services[*].idle_timeout_s": (0.01, 3_600.0),
     "$.services[*].orders.answer_timeout_s": (0.01, 600.0),
     "$.services[*].orders.load_timeout_s": (0.1, 86_400.0),
+    "$.services[*].orders.max_order_delay_s": (0.1, 86_400.0),
     "$.rollouts[*].deadline_s": (0.1, 172_800.0),
     "$.rollouts[*].watch_s": (0.01, 43_200.0),
     "$.key_retention_s": (1.0, 2_678_400.0),
--- a/waxwingrack/operations/order_ends.py
+++ b/waxwingrack/operations/order_ends.py
@@ -60,6 +60,7 @@
     row = contacts.rows.get(order.server_id)
     if row is None or row.token != token:
         return order_records.Noted(contacts)
+    row = dataclasses.replace(row, closed=order.fencing, closed_ms=now_ms)
     if reply.kind is order_records.ReplyKind.UNKNOWN:
         row = dataclasses.replace(
             row,
@@ -121,6 +122,8 @@
     if order is None or order.state is not data.OrderState.OUTSTANDING:
         return order_records.Noted(_with(contacts, server_id, row))
     state = _shown(order, seen)
+    if state is None and _is_lost(row, order, seen):
+        state = data.OrderState.LOST
     if state is not None:
         reason = f"read back: incarnation {seen.incarnation} at {seen.fencing}"
         reply = dataclasses.replace(reply, reason=reason)
@@ -144,6 +147,18 @@
     return None
 
 
+def _is_lost(
+    row: order_records.Contact,
+    order: data.EngineOrder,
+    seen: order_records.Readout,
+) -> bool:
+    """Tells whether an order that an engine does not show is never taken.
+
+    An engine that shows the number has seen the order and may still take it.
+    """
+    return row.conclusive == order.fencing and seen.fencing < order.fencing
+
+
 def _record(
     contacts: order_records.Contacts,
     row: order_records.Contact,
--- a/waxwingrack/operations/order_records.py
+++ b/waxwingrack/operations/order_records.py
@@ -67,6 +67,11 @@
       fencing: Fencing number that `since_ms` belongs to.
       since_ms: Time at which this leader first saw that order.
       seen_fencing: Highest fencing number that the engine has shown.
+      closed: Fencing number of an order whose connection is known to have been
+        reset, or was never made.
+      closed_ms: Time since when that is known.
+      conclusive: Fencing number of an order that the read-back under way shows
+        if it can still take effect.
     """
 
     incarnation: str
@@ -81,6 +86,9 @@
     fencing: int = 0
     since_ms: int = 0
     seen_fencing: int = 0
+    closed: int = 0
+    closed_ms: int = 0
+    conclusive: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,11 +112,16 @@
       state: Replicated state.
       engines: Announced engines that stay.
       issuer: This period of leadership, unique among all.
+      controller: Node id of the leader.
+      ended: Node ids of controllers that have ended all calls of their earlier
+        periods of leadership.
     """
 
     state: data.ReplicatedState
     engines: tuple[Engine, ...]
     issuer: str
+    controller: str = ""
+    ended: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/operations/order_work.py
+++ b/waxwingrack/operations/order_work.py
@@ -47,6 +47,8 @@
     ):
         self.state = view.state
         self.issuer = view.issuer
+        self._controller = view.controller
+        self._ended = view.ended
         self.now_ms = now_ms
         self.shares = wanted(view.state)
         self.services = {
@@ -102,6 +104,15 @@
                 row = dataclasses.replace(
                     row, fencing=order.fencing, since_ms=self.now_ms
                 )
+            if (
+                order is not None
+                and row.closed != order.fencing
+                and order.issuer != self.issuer
+                and order.controller in self._ended
+            ):
+                row = dataclasses.replace(
+                    row, closed=order.fencing, closed_ms=self.now_ms
+                )
             rows[engine.server_id] = row
         return immutables.Map(rows)
 
@@ -198,7 +209,11 @@
 
     def read_back(self, engine: order_records.Engine, reason: str) -> None:
         """Decides to read an engine back."""
-        token = self._begin(engine, order_records.Call.READ)
+        token = self._begin(
+            engine,
+            order_records.Call.READ,
+            conclusive=self._conclusive(engine),
+        )
         self.decisions.append(
             order_records.ReadBack(
                 engine.server_id,
@@ -209,6 +224,19 @@
             )
         )
 
+    def _conclusive(self, engine: order_records.Engine) -> int:
+        """Returns the number of an order that is shown now or never taken."""
+        row, order = self.rows[engine.server_id], self.order(engine)
+        delay_s = self.settings(engine).max_order_delay_s
+        if (
+            order is None
+            or delay_s is None
+            or row.closed != order.fencing
+            or self.now_ms - row.closed_ms < delay_s * 1000
+        ):
+            return 0
+        return order.fencing
+
     def issue(
         self, engine: order_records.Engine, version: str, reason: str
     ) -> None:
@@ -225,6 +253,7 @@
             checks_fencing=engine.checks_fencing,
             issuer=self.issuer,
             seen_fencing=row.seen_fencing,
+            controller=self._controller,
         )
         self.decisions.append(order_records.Issue(command, token, reason))
 
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -55,6 +55,9 @@
 )
 HANDLERS.register(commands.IssueOrder)(replicated_orders.issue_order)
 HANDLERS.register(commands.RecordOrder)(replicated_orders.record_order)
+HANDLERS.register(commands.ClearOrder)(
+    replicated_outcomes.operation(replicated_orders.clear_order)
+)
 
 
 def apply(state: data.ReplicatedState, command: Any) -> Applied:
--- a/waxwingrack/operations/replicated_orders.py
+++ b/waxwingrack/operations/replicated_orders.py
@@ -51,6 +51,7 @@
         fencing=fencing,
         checks_fencing=command.checks_fencing,
         issuer=command.issuer,
+        controller=command.controller,
     )
     state = dataclasses.replace(
         state, fencing=fencing, orders=orders.set(order.server_id, order)
@@ -102,3 +103,35 @@
         state, orders=state.orders.set(order.server_id, order)
     )
     return replicated_outcomes.Applied(state, order)
+
+
+def clear_order(
+    state: data.ReplicatedState, command: commands.ClearOrder
+) -> data.ReplicatedState | replicated_outcomes.Refused:
+    """Ends an outstanding order on an operator's word that it is over."""
+    order = state.orders.get(command.server_id)
+    if order is None:
+        return replicated_outcomes.Refused(
+            f"no order to {command.server_id!r} is known"
+        )
+    if order.fencing != command.fencing:
+        return replicated_outcomes.Refused(
+            f"the latest order to {command.server_id!r} is {order.fencing}"
+        )
+    if order.state is not _OUTSTANDING:
+        return replicated_outcomes.Refused(
+            f"order {order.fencing} is over: {order.state}"
+        )
+    if order.checks_fencing:
+        return replicated_outcomes.Refused(
+            f"order {order.fencing} holds nothing up, as the engine refuses "
+            "old numbers"
+        )
+    order = dataclasses.replace(
+        order,
+        state=data.OrderState.CLEARED,
+        reason=f"cleared by {command.operator}",
+    )
+    return dataclasses.replace(
+        state, orders=state.orders.set(order.server_id, order)
+    )
