Test when an unseen order counts as lost

Cause: no test failed if an engine that has seen the number of an order, and works on it, was taken for one that lost it.

Ruled out: a fleet of processes, as the decision is pure.

Conclusion: the three conditions of a lost order are each guarded.

--- a/features/order_decisions.feature
+++ b/features/order_decisions.feature
@@ -58,6 +58,22 @@
       | ignores | v2      | the order         | read issue send |
       | ignores | v2      | a new incarnation | read issue send |
 
+  Scenario Outline: an order of unknown outcome is <state> (<case>)
+    Guards against a second order while the engine may still take the first: too
+    early, or when it has seen the number and works on the order.
+
+    Given an engine that ignores numbers and an order to it of unknown outcome
+    And order delays of at most 3 s
+    When it is read back <wait_s> s later and shows <shown>
+    Then the order is <state>
+
+    Examples:
+      | case        | wait_s | shown      | state       |
+      | too early   | 2      | nothing    | outstanding |
+      | bound over  | 3      | nothing    | lost        |
+      | under way   | 3      | its number | outstanding |
+      | taken       | 3      | the order  | applied     |
+
   Scenario Outline: an operator clears an order (<case>)
     Guards against an end of an order that the operator has not checked, and
     against the end of an order that is known to be over.
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -85,7 +85,8 @@
         engine = next(e for e in self.engines if e.server_id == item.server_id)
         order = self.state.orders.get(item.server_id)
         applied = {order.fencing} if self.shown == "the order" else set()
-        readout = orders.Readout(engine.incarnation, 0, frozenset(applied))
+        seen = order.fencing if self.shown == "its number" else 0
+        readout = orders.Readout(engine.incarnation, seen, frozenset(applied))
         reply = orders.Reply(orders.ReplyKind.ANSWERED, "shown", readout)
         call = (item.server_id, order, item.token, reply, self.now_ms)
         noted = orders.read_back(self.contacts, *call)
@@ -197,6 +198,29 @@
     assert found == expected.split(), found
 
 
+@behave.given("order delays of at most {limit_s:g} s")
+def delay_bound(context, limit_s):
+    settings = {"min_serving_share": 0.0, "max_order_delay_s": limit_s}
+    document = order_simulation.environment(**settings)
+    expected = context.leader.state.number
+    command = commands.ApplyEnvironment("bound", "ada", expected, document)
+    assert context.leader.apply(command).accepted
+
+
+@behave.when("it is read back {wait_s:g} s later and shows {shown}")
+def read_back_later(context, wait_s, shown):
+    leader = context.leader
+    leader.shown, leader.now_ms = shown, leader.now_ms + int(wait_s * 1000)
+    (item,) = leader.decide().decisions
+    assert isinstance(item, orders.ReadBack), item
+    leader.answer_read(item)
+
+
+@behave.then("the order is {state:w}")
+def state_is(context, state):
+    assert context.leader.state.orders["a"].state == state
+
+
 @behave.when(
     'an operator clears the order {fencing:d} to "{server}" {times:d} times'
 )
@@ -208,7 +232,7 @@
 
 @behave.then('the order is {state} and the operator is told "{message}"')
 def order_is(context, state, message):
-    assert context.leader.state.orders["a"].state == state
+    state_is(context, state)
     told = context.outcome.message or "nothing"
     assert told == message, context.outcome
     assert context.outcome.accepted == (told == "nothing")
