--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,7 +10,10 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import order_choice
+from waxwingrack.operations import order_ends
 from waxwingrack.operations import order_rollouts
+from waxwingrack.operations import order_work
 from waxwingrack.operations import orders
 from waxwingrack.operations import replicated
 from waxwingrack.operations import replicated_orders
@@ -27,14 +30,34 @@
     )
 
 
+def nobody_late():
+    """A leader that takes all earlier leaders for ended."""
+
+    class Everyone:
+        __contains__ = lambda *_: True  # noqa: E731
+
+    view = orders.View
+    return mock.patch.object(
+        orders, "View", lambda *parts: view(*parts[:4], Everyone())
+    )
+
+
 WITHOUT = {
+    "the end of earlier calls": nobody_late,
+    "the bound on delays": lambda: mock.patch.object(
+        order_work.Work,
+        "_conclusive",
+        lambda work, engine: work.rows[engine.server_id].closed,
+    ),
     "the check of numbers": unchecked,
     "the outstanding record": lambda: mock.patch.object(
         replicated_orders, "may_follow", lambda *_: True
     ),
-    "the limits": lambda: mock.patch.object(orders, "_limit", lambda *_: ""),
+    "the limits": lambda: mock.patch.object(
+        order_choice, "_limit", lambda *_: ""
+    ),
     "the read-back": lambda: mock.patch.object(
-        orders, "_shown", lambda *_: data.OrderState.NOT_SENT
+        order_ends, "_shown", lambda *_: data.OrderState.NOT_SENT
     ),
 }
 
@@ -62,7 +85,8 @@
         engine = next(e for e in self.engines if e.server_id == item.server_id)
         order = self.state.orders.get(item.server_id)
         applied = {order.fencing} if self.shown == "the order" else set()
-        readout = orders.Readout(engine.incarnation, 0, frozenset(applied))
+        seen = order.fencing if self.shown == "its number" else 0
+        readout = orders.Readout(engine.incarnation, seen, frozenset(applied))
         reply = orders.Reply(orders.ReplyKind.ANSWERED, "shown", readout)
         call = (item.server_id, order, item.token, reply, self.now_ms)
         noted = orders.read_back(self.contacts, *call)
@@ -174,6 +198,46 @@
     assert found == expected.split(), found
 
 
+@behave.given("order delays of at most {limit_s:g} s")
+def delay_bound(context, limit_s):
+    settings = {"min_serving_share": 0.0, "max_order_delay_s": limit_s}
+    document = order_simulation.environment(**settings)
+    expected = context.leader.state.number
+    command = commands.ApplyEnvironment("bound", "ada", expected, document)
+    assert context.leader.apply(command).accepted
+
+
+@behave.when("it is read back {wait_s:g} s later and shows {shown}")
+def read_back_later(context, wait_s, shown):
+    leader = context.leader
+    leader.shown, leader.now_ms = shown, leader.now_ms + int(wait_s * 1000)
+    (item,) = leader.decide().decisions
+    assert isinstance(item, orders.ReadBack), item
+    leader.answer_read(item)
+
+
+@behave.then("the order is {state:w}")
+def state_is(context, state):
+    assert context.leader.state.orders["a"].state == state
+
+
+@behave.when(
+    'an operator clears the order {fencing:d} to "{server}" {times:d} times'
+)
+def clears_order(context, fencing, server, times):
+    for number in range(times):
+        command = (f"c{number}", "ada", None, server, fencing)
+        context.outcome = context.leader.apply(commands.ClearOrder(*command))
+
+
+@behave.then('the order is {state} and the operator is told "{message}"')
+def order_is(context, state, message):
+    state_is(context, state)
+    told = context.outcome.message or "nothing"
+    assert told == message, context.outcome
+    assert context.outcome.accepted == (told == "nothing")
+
+
 @behave.then("an order to an engine that has shown 41 gets the number 42")
 def next_number(context):
     leader = context.leader = Leader(order_simulation.environment(), ())
@@ -225,10 +289,13 @@
     "invariants"
 )
 def random_runs(context, first, last):
+    lost = 0
     for seed in range(first, last + 1):
         counts = order_simulation.Run(seed).run()
+        lost += counts["lost"]
         # A run without orders and faults would prove nothing.
         assert counts["sent"] >= 5 and counts["leaders"] > 1, (seed, counts)
+    assert lost, "no order was found to be lost"
 
 
 @behave.then('without {mechanism} a random order run breaks "{invariant}"')
