Run the steps of an order to a model engine under faults

Cause: the fault matrix had no cells for orders to model engines. Change: the fault proxy can hold one direction of calls by method, stand-ins can announce the port of such a link, and a feature strikes at the steps of an order.

--- a/features/environment.py
+++ b/features/environment.py
@@ -116,6 +116,38 @@
         yield context.fleet
 
 
+@behave.fixture
+def order_fleet(context):
+    """Three controllers, a router and two engines that take orders.
+
+    The links between controllers and engines can be held.
+    """
+    services = [
+        {
+            "id": name,
+            "version": "v1",
+            "routes": [{"id": "r", "path": f"/{name}", "idempotent": True}],
+            "orders": {"min_serving_share": 0.0},
+        }
+        for name in ("checks", "ignores")
+    ]
+    with _started(context, services, routers=1) as cluster:
+        for name in ("checks", "ignores"):
+            cluster.add_server(
+                name,
+                name,
+                engine=True,
+                checks_fencing=name == "checks",
+                linked=True,
+            )
+        fleet.wait_until(
+            lambda: len(cluster.status()["backend_servers"]) == 2,
+            10,
+            "two announced engines",
+        )
+        yield cluster
+
+
 def _limit(context, server):
     """Answers a request and returns the slot limit of a backend server."""
     context.fleet.call("r1", "GET", f"/{server.split('-')[0]}")
@@ -158,6 +190,7 @@
     "fixture.tls_fleet": tls_fleet,
     "fixture.stream_fleet": stream_fleet,
     "fixture.cut_fleet": cut_fleet,
+    "fixture.order_fleet": order_fleet,
 }
 
 
--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -12,6 +12,8 @@
 SLOW_LINK_MS = 600
 # Durations of the faults that last longer than FAULT_S, in seconds.
 DURATIONS_S = {"leader cut for 8 s": 8.0}
+# Faults of an engine that gets orders; other kinds of cell do not have them.
+OF_ENGINES = ("server restarts", "answer lost")
 
 FAULTS = registry.Registry("fault")
 
@@ -192,3 +194,16 @@
     cluster.members[router].freeze()
     cluster.members[cluster.last_leader].kill()
     return cluster.members[router].resume
+
+
+@FAULTS.register("server restarts")
+def _server_restarts(cluster, router, server):
+    cluster.members[server].kill()
+    cluster.members[server].start()
+
+
+@FAULTS.register("answer lost")
+def _answer_lost(cluster, router, server):
+    link = f"e-{server}"
+    cluster.proxy.change(link, hold=["down", "POST"])
+    return lambda: cluster.proxy.change(link, hold=None, reset=True)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -164,8 +164,17 @@
         return self._ask({"add": link, **address(port)})["port"]
 
     def change(self, link, **changes):
-        """Changes a link: `up`, `down`, `delay_ms`, `reset`."""
-        self._ask({"link": link, **changes})
+        """Changes a link as `fault_proxy` describes.
+
+        Args:
+          link: Name of the link.
+          **changes: `up`, `down`, `delay_ms`, `reset`, `hold`, `release`; none
+            only asks for the state.
+
+        Returns:
+          The state of the link: `held` and `seen`.
+        """
+        return self._ask({"link": link, **changes})
 
     def stop(self):
         """Ends the proxy."""
@@ -383,12 +392,15 @@
         Args:
           server_id: Id.
           service: Service.
-          **options: Further fields of the stand-in's configuration.
+          **options: Further fields of the stand-in's configuration; `linked`
+            announces the port of a link of the proxy, named like `e-sketch1`.
 
         Returns:
           The member.
         """
         port = loopback.free_ports(1)[0]
+        if options.pop("linked", False):
+            options["announced_port"] = self.proxy.add(f"e-{server_id}", port)
         config = {
             "server_id": server_id,
             "service": service,
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -85,6 +85,7 @@
       data_centre: Data centre that it runs in.
       host: Address to listen on.
       port: Port; 0 chooses a free one.
+      announced_port: Port to announce; None announces the port itself.
       routers: Callers' addresses of the routers to announce at, in turn.
       announce_token: Bearer token of the announcements.
       announce_interval_s: Time between two announcements.
@@ -119,6 +120,7 @@
     data_centre: str = "a"
     host: str = "127.0.0.1"
     port: int = 0
+    announced_port: int | None = None
     routers: tuple[data.Address, ...] = ()
     announce_token: str = ""
     announce_interval_s: float = 1.0
@@ -358,7 +360,7 @@
         return {
             "incarnation": self.incarnation,
             "host": self.config.host,
-            "port": self.port,
+            "port": self.config.announced_port or self.port,
             "service": self.config.service,
             "version": self._version,
             "data_centre": self.config.data_centre,
