Deliver an old order after the newer one is carried out

Cause: with the check of numbers off in the stand-in, one of two cells still passed, as the engine could carry out both held orders in their right order. Change: the engine that checks numbers goes on before held calls are released.

--- a/features/steps/fault_matrix_order_steps.py
+++ b/features/steps/fault_matrix_order_steps.py
@@ -305,6 +305,16 @@
                 "a newer order to the engine that checks numbers",
             )
             time.sleep(SETTLE_S)
+            # It has carried the newer order out when the old one arrives.
+            _hold_orders(cluster, "checks", False)
+            fleet.wait_until(
+                lambda: (
+                    engine_state(cluster, "checks")["version"]
+                    == cluster.versions[1]
+                ),
+                WAIT_S,
+                "the newer order carried out",
+            )
         finally:
             wait_for_repair()
             faults.restore(cluster)
