--- a/features/fleet_invariants.feature
+++ b/features/fleet_invariants.feature
@@ -28,8 +28,10 @@
     requests that it has by then must end whole.
 
     Given a loaded fleet of 8 callers on service sketch
+    And 3 streams of at least 2 s run through r3 of the loaded fleet
     When r3 of the loaded fleet gets SIGTERM
     Then r3 of the loaded fleet exits with 0 within 20 s
+    And the streams of the loaded fleet arrived whole
     And the loaded fleet gave no refusal and no broken answer
 
   Scenario: the next leader names a killed router and not a stopped one
--- a/features/router_failures.feature
+++ b/features/router_failures.feature
@@ -35,6 +35,19 @@
       | refuse | GET    | /sketch/a       | 1    |
       | refuse | POST   | /sketch/deposit | 1    |
 
+  Scenario Outline: a request that waits again after a try may have run
+  A refusal of the second wait that says "not run" would hide the first try.
+    Given the router's next try fails with <fault>
+    And the router's leader grants once and then refuses with <kind>
+    When the router's caller requests GET /sketch/a
+    Then the router's caller gets 503 <kind> with execution <execution>
+
+    Examples:
+      | fault  | kind              | execution    |
+      | drop   | queue_timeout     | may_have_run |
+      | reset  | no_backend_server | may_have_run |
+      | refuse | queue_timeout     | not_run      |
+
   Scenario Outline: a request that reached no server has not run
     Given the router's backend servers refuse connections
     When the router's caller requests <method> <path>
--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -10,6 +10,16 @@
     And the router's stream and waiting request are answered whole
     And the router exits with 0
 
+  Scenario: a stop waits for the record of an answered deposit
+  A resend of a deposit whose record was lost is told that it may have run,
+  although its answer was known.
+    Given a router with 1 fake backend servers
+    And the router's leader does not record outcomes for 4 seconds
+    When the router's caller requests POST /sketch/deposit
+    And the router is told to stop
+    Then the router exits with 0
+    And the router's leader has the answer in its record
+
   Scenario: a stop ends requests that outlast the time for it
     Given a router that may take 1 second to stop
     When the router is told to stop with a stream of 9 seconds and a waiting request
--- a/features/steps/fleet_invariant_steps.py
+++ b/features/steps/fleet_invariant_steps.py
@@ -1,7 +1,9 @@
 """Steps for invariants in a fleet of processes under load."""
 
+from concurrent import futures
 import itertools
 import json
+import threading
 import time
 
 import behave
@@ -9,11 +11,15 @@
 from bench import load
 from features.support import faults
 from features.support import fleet
+from features.support import fleet_watch
 
 ROUTERS = ("r1", "r2", "r3")
 # Servers of the fleet fixture and their announced slots.
 SKETCH_SLOTS = 2 * 8
 LARGEST_TOKENS = 60
+# Shortest time of a token of the sketch servers.
+TOKEN_MS = 2
+START_S = 20
 
 
 def _ports(context):
@@ -117,6 +123,35 @@
     assert max(late, default=0) <= limit, max(late)
 
 
+@behave.given(
+    "{count:d} streams of at least {seconds:d} s run through {name} of the"
+    " loaded fleet"
+)
+def streams_run(context, count, seconds, name):
+    pool = futures.ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    started = [threading.Event() for _ in range(count)]
+    context.streams = [
+        pool.submit(
+            fleet_watch.stream,
+            context.fleet,
+            name,
+            seconds * 1000 // TOKEN_MS,
+            started=event,
+        )
+        for event in started
+    ]
+    assert all(event.wait(START_S) for event in started), "no stream"
+
+
+@behave.then("the streams of the loaded fleet arrived whole")
+def streams_whole(context):
+    for stream in context.streams:
+        answer = stream.result()
+        assert answer.status == 200 and answer.whole, answer.status
+        assert answer.body.rstrip().endswith(b"[DONE]"), answer.body[-100:]
+
+
 @behave.when("{name} of the loaded fleet gets SIGTERM")
 def terminate(context, name):
     member = context.fleet.members[name]
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -12,6 +12,7 @@
 
 from features.steps import router_fakes
 from waxwingrack.core import data
+from waxwingrack.core import errors
 
 MIB = 1024 * 1024
 _KEYS = itertools.count(1)
@@ -120,6 +121,18 @@
         context.failing.faults.append(fault)
 
 
+@behave.given("the router's leader grants once and then refuses with {kind}")
+def grants_once(context, kind):
+    leader = context.world.leader
+    make_grant = leader.make_grant
+
+    def grant(want):
+        leader.refusal = errors.ErrorKind(kind)
+        return make_grant(want)
+
+    leader.make_grant = grant
+
+
 @behave.given("the router's backend servers refuse connections")
 def servers_refuse(context):
     for backend in context.world.backends:
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -9,6 +9,7 @@
 from features.steps import router_answers_steps as answers
 from features.steps import router_fakes
 from waxwingrack.core import data
+from waxwingrack.daemons import control_link
 
 
 @behave.given(
@@ -266,6 +267,14 @@
     assert "router_stopped" in events, events
 
 
+@behave.given(
+    "the router's leader does not record outcomes for {seconds:d} seconds"
+)
+def does_not_record(context, seconds):
+    repeats = seconds * 1000 // control_link.REPEAT_MS
+    context.world.leader.key_ignored["KeyOutcome"] = repeats
+
+
 @behave.given("a router that may take {seconds:d} second to stop")
 def may_take(context, seconds):
     answers.start_world(context, shutdown_timeout_s=float(seconds))
