Show orders and runs without a mechanism on the fault matrix page

Cause: the page knew neither kind of row, and needed reports of all cells to show the new ones. Change: the generator takes the results of cells without a report from the page before and says how many, leaves faults of engines out of other kinds, and has a table of runs without a mechanism.

--- a/scripts/fault_matrix_page.py
+++ b/scripts/fault_matrix_page.py
@@ -1,11 +1,12 @@
 """Writes docs/fault-matrix.md from behave's reports of the fault matrix.
 
-Usage: fault_matrix_page.py REPORT.json ... CHECKS.log ...
+Usage: fault_matrix_page.py [PAGE.md] REPORT.json ... CHECKS.log ...
 
 The reports come from `behave --format=json --outfile=REPORT.json` runs of
 features/fault_matrix_*.feature. A log is the output of scripts/run_checks.py;
-of it, only features of which every scenario passed count. A cell without a
-result is "not run".
+of it, only features of which every scenario passed count. An earlier page gives
+the results of cells that are in none of them; the new page counts these. A cell
+without a result is "not run".
 """
 
 import collections
@@ -148,6 +149,10 @@
     ),
 )
 
+# Requirement, mechanism, patch, feature, scenarios (empty for all), and the
+# scenarios that passed without and with the mechanism.
+WITHOUT = ()
+
 
 def cell(name):
     """Splits the name of a scenario.
@@ -196,8 +201,34 @@
     return [found for path in paths for found in feature_cells(path)]
 
 
+def read_page(path):
+    """Reads the results of an earlier page.
+
+    Args:
+      path: Path of the page.
+
+    Returns:
+      "passed" or "failed" by cell.
+    """
+    kinds = {_title(kind): kind for kind, _, _ in defined_cells()}
+    results, kind, steps = {}, None, ()
+    for line in pathlib.Path(path).read_text().splitlines():
+        if line.startswith("## "):
+            kind = kinds.get(line.removeprefix("## "))
+        fault, *values = (part.strip() for part in line.strip("| ").split("|"))
+        if fault == "fault":
+            steps = values
+        elif kind and line.startswith("| "):
+            results |= {
+                (kind, step, fault): value
+                for step, value in zip(steps, values, strict=True)
+                if value in RESULTS.values()
+            }
+    return results
+
+
 def read_results(paths):
-    """Reads reports.
+    """Reads reports and logs.
 
     Args:
       paths: Paths of the reports; an empty one holds no result.
@@ -224,11 +255,16 @@
     """Returns the lines of one kind of cell."""
     own = [found for found in defined if found[0] == kind]
     steps = list(dict.fromkeys(step for _, step, _ in own))
-    rows = list(faults.FAULTS)
+    used = {fault for _, _, fault in own}
+    rows = [
+        fault
+        for fault in faults.FAULTS
+        if fault in used or fault not in faults.OF_ENGINES
+    ]
     seen = collections.Counter(results.get(found, NOT_RUN) for found in own)
     left_out = len(steps) * len(rows) - len(own)
     return [
-        f"## {kind[:1].upper()}{kind[1:]}",
+        f"## {_title(kind)}",
         "",
         f"{seen['passed']} passed, {seen['failed']} failed,"
         f" {seen[NOT_RUN]} not run; {left_out} further cells left out.",
@@ -246,6 +282,10 @@
     ]
 
 
+def _title(kind):
+    return kind[:1].upper() + kind[1:]
+
+
 def _mark(found, own, results):
     if found in results:
         return results[found]
@@ -273,6 +313,31 @@
     ]
 
 
+def without():
+    """Returns the lines of the section of runs without a mechanism.
+
+    Raises:
+      FileNotFoundError: A feature does not exist.
+    """
+    return [
+        "",
+        "## Runs without a mechanism",
+        "",
+        "Each row is a trial on a scratch copy of the commit before it: the"
+        " feature or its named scenarios, run with the patch and without it."
+        " Counts are of scenarios that passed.",
+        "",
+        _row("id", "mechanism", "patch", "scenarios", "without", "with"),
+        _row(*["---"] * 6),
+        *(
+            _row(
+                name, mechanism, patch, _features((feature,)) + scenario, *seen
+            )
+            for name, mechanism, patch, feature, scenario, *seen in WITHOUT
+        ),
+    ]
+
+
 def _features(patterns):
     names = []
     for pattern in patterns:
@@ -297,7 +362,17 @@
         print(__doc__)
         return 2
     defined = defined_cells()
-    results = read_results(sys.argv[1:])
+    pages = [path for path in sys.argv[1:] if path.endswith(".md")]
+    results = read_results(path for path in sys.argv[1:] if path not in pages)
+    kept = {}
+    for path in pages:
+        kept |= read_page(path)
+    kept = {
+        found: kept[found]
+        for found in defined
+        if found in kept and found not in results
+    }
+    results = kept | results
     kinds = dict.fromkeys(kind for kind, _, _ in defined)
     lines = [
         "# Fault matrix",
@@ -307,12 +382,15 @@
         " `not run` is a cell without a result in them; `left out` marks a"
         " cell that no feature defines. Reasons: faults of backend servers do"
         " not touch the steps of a configuration change or a drain; the rest is"
-        " left out for time, as a cell takes 2 to 35 s of a fleet.",
+        " left out for time, as a cell takes 2 to 35 s of a fleet. Orders to"
+        " engines do not pass routers.",
+        "",
+        f"The results of {len(kept)} cells are those of the page before.",
         "",
     ]
     for kind in kinds:
         lines += matrix(kind, defined, results)
-    PAGE.write_text("\n".join([*lines, *invariants()]) + "\n")
+    PAGE.write_text("\n".join([*lines, *invariants(), *without()]) + "\n")
     return 0
 
 
