Compare two settings of a decision in one bench run

Cause: the bench measures the system as it is and a baseline, but no decision of section 2 of the design beside its alternative, and it prints no requests per second per router core.

Ruled out: two runs one after the other, as the speed of the machine changes between them; a switch in the product, as it would let an operator break a promise.

Change: `--compare DECISION` runs one fleet for each setting and sends the same seeded load to them in turn, in rounds of 5 s. The alternatives are subclasses of the product's leader, controller and router that only the bench starts. The meters move to `bench/meters.py`. `requests_per_s_per_router_core` and `cores_per_router` are printed for the flood, the drain and the baseline.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,15 +3,15 @@
 import argparse
 import collections
 import json
-import re
 import statistics
 import subprocess
 import sys
-import threading
 import time
 
+from bench import compare
 from bench import deployments
 from bench import load
+from bench import meters
 from features.support import fleet
 from features.support import loopback
 
@@ -27,86 +27,7 @@
 BAD_MODES = {"v2": {"errors": 1.0}, "v3": {"slow": 3.0}}
 
 
-class Utilisation:
-    """Samples the busy slots of the backend servers."""
-
-    def __init__(self, ports, slots):
-        self._ports = ports
-        self._slots = slots
-        self._samples = []
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self):
-        """Starts sampling."""
-        self._thread.start()
-
-    def stop(self):
-        """Stops sampling and returns the share of busy slots."""
-        self._stop.set()
-        self._thread.join()
-        return statistics.fmean(self._samples)
-
-    def _run(self):
-        while not self._stop.wait(0.25):
-            busy = sum(
-                min(self._slots, in_flight(port)) for port in self._ports
-            )
-            self._samples.append(busy / (self._slots * len(self._ports)))
-
-
-def in_flight(port):
-    """Returns the requests running at a stand-in."""
-    answer = fleet.request(port, "GET", "/-/runs")
-    return json.loads(answer.body)["in_flight"]
-
-
-def start_fleet(deployment):
-    """Starts the fleet of a deployment without the fault proxy."""
-    cluster = fleet.Fleet(routers=deployment.routers, proxied=False)
-    cluster.start()
-    cluster.apply(
-        fleet.environment(
-            dict.fromkeys(deployment.workspace_ids(), 1),
-            deployments.environment_services(deployment),
-        )
-    )
-    for pool in deployment.pools:
-        add_servers(cluster, pool, "v1")
-    count = sum(pool.servers for pool in deployment.pools)
-    fleet.wait_until(
-        lambda: len(cluster.status()["backend_servers"]) == count,
-        20,
-        "all backend servers",
-    )
-    return cluster
-
-
-def add_servers(cluster, pool, version, count=None, mode=None):
-    """Starts the backend servers of a pool and returns their ports."""
-    slots = deployments.ENGINE_SLOTS if pool.engine else deployments.PLAIN_SLOTS
-    return [
-        cluster.add_server(
-            f"{pool.service}-{version}-{number}",
-            pool.service,
-            version=version,
-            engine=pool.engine,
-            slots=slots,
-            token_ms=deployments.TOKEN_MS,
-            token_batch_ms=deployments.TOKEN_BATCH_MS,
-            data_centre="abc"[number % 3],
-            mode=mode or {},
-        ).ports["requests"]
-        for number in range(count or pool.servers)
-    ]
-
-
-def caller_ports(cluster):
-    """Returns the callers' ports of all routers."""
-    return [cluster.members[name].ports["callers"] for name in cluster.routers]
-
-
-def flood(ports, server_ports, deployment, seconds, seed):
+def flood(ports, server_ports, deployment, seconds, seed, router_ids):
     """Measures service while three workspaces flood and all are backlogged.
 
     Args:
@@ -115,6 +36,7 @@
       deployment: The deployment.
       seconds: Measured time.
       seed: Seed of the load.
+      router_ids: Process ids of the routers.
 
     Returns:
       Figures by name.
@@ -132,16 +54,20 @@
     # The slots ramp up and the queues fill before the measured time.
     time.sleep(5)
     start = time.monotonic()
-    sampler = Utilisation(server_ports, deployments.ENGINE_SLOTS)
+    sampler = meters.Utilisation(server_ports, deployments.ENGINE_SLOTS)
     sampler.start()
+    spent = meters.ProcessorTime(router_ids)
     time.sleep(seconds)
+    spent.stop()
     end = time.monotonic()
     used = sampler.stop()
     callers_load.stop()
+    answers = [
+        answer for answer in callers_load.answers if start <= answer[0] <= end
+    ]
     tokens = collections.Counter()
-    for answer in callers_load.answers:
-        if start <= answer[0] <= end:
-            tokens[answer[1]] += answer[2]
+    for answer in answers:
+        tokens[answer[1]] += answer[2]
     return {
         "gap_tokens": round(
             load.fairness_gap(callers_load.answers, names, start, end)
@@ -152,36 +78,19 @@
         "utilisation": round(used, 3),
         "refusals": dict(callers_load.refusals),
         "broken": callers_load.broken,
+        **spent.figures(len(answers)),
     }
 
 
-def metric(cluster, name, pattern):
-    """Sums the samples of a router's metrics whose line matches."""
-    port = cluster.members[name].ports["operators"]
-    text = fleet.request(port, "GET", "/metrics").body.decode()
-    return sum(
-        float(line.rsplit(" ", 1)[1])
-        for line in text.splitlines()
-        if re.match(pattern, line)
-    )
-
-
-def process_seconds(member):
-    """Returns the processor time of a process in seconds."""
-    with open(f"/proc/{member.process.pid}/stat") as stat:
-        fields = stat.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / 100
-
-
 def control_cost(cluster, seconds):
     """Measures control bytes and processor time of idle routers."""
     pattern = r"waxwingrack_\w*bytes\w*"
-    before = [metric(cluster, name, pattern) for name in cluster.routers]
-    cpu = [process_seconds(cluster.members[name]) for name in cluster.routers]
+    before = [meters.metric(cluster, name, pattern) for name in cluster.routers]
+    cpu = [meters.process_seconds(one) for one in meters.router_ids(cluster)]
     time.sleep(seconds)
-    after = [metric(cluster, name, pattern) for name in cluster.routers]
+    after = [meters.metric(cluster, name, pattern) for name in cluster.routers]
     cpu_after = [
-        process_seconds(cluster.members[name]) for name in cluster.routers
+        meters.process_seconds(one) for one in meters.router_ids(cluster)
     ]
     return {
         "idle_bytes_per_s": round(
@@ -198,8 +107,9 @@
     service = deployment.pools[1].service
     callers = dict.fromkeys(deployment.workspace_ids(), 1)
     callers_load = load.Load(
-        caller_ports(cluster), f"{service}/use", callers, seed
+        meters.caller_ports(cluster), f"{service}/use", callers, seed
     )
+    spent = meters.ProcessorTime(meters.router_ids(cluster))
     callers_load.start()
     time.sleep(4)
     drained = time.monotonic()
@@ -208,6 +118,8 @@
     restored = time.monotonic()
     cluster.change("PUT", "/v1/data-centres/b", state="in_service")
     time.sleep(4)
+    spent.stop()
+    answered = len(callers_load.answers)
     callers_load.stop()
     late = [
         answer[0] - answer[6] - drained
@@ -230,17 +142,18 @@
             "during": round(rate["during"] / DRAIN_S),
             "after": round(rate["after"] / 4),
         },
+        **spent.figures(answered),
     }
 
 
 def rollout(cluster, deployment, version, mode, seed):
     """Moves the plain service to a version and reports how it ends."""
     pool = deployment.pools[1]
-    add_servers(cluster, pool, version, mode=mode)
+    meters.add_servers(cluster, pool, version, mode=mode)
     time.sleep(2)
     callers = dict.fromkeys(deployment.workspace_ids(), 1)
     callers_load = load.Load(
-        caller_ports(cluster), f"{pool.service}/use", callers, seed
+        meters.caller_ports(cluster), f"{pool.service}/use", callers, seed
     )
     callers_load.start()
     time.sleep(2)
@@ -294,7 +207,7 @@
 def added_latency(cluster, deployment, count=300):
     """Measures one request at a time through a router and directly."""
     service = deployment.pools[1].service
-    port = caller_ports(cluster)[0]
+    port = meters.caller_ports(cluster)[0]
     direct_port = cluster.members[f"{service}-v1-0"].ports["requests"]
     samples = {"routed": [], "direct": []}
     headers = {"Authorization": "Bearer token-w1"}
@@ -323,7 +236,7 @@
     routers = []
     try:
         pool = deployment.pools[0]
-        ports = add_servers(cluster, pool, "v1")
+        ports = meters.add_servers(cluster, pool, "v1")
         router_ports = loopback.free_ports(deployment.routers)
         names = ",".join(str(port) for port in ports)
         routers = [
@@ -345,7 +258,14 @@
                 20,
                 f"port {port}",
             )
-        return flood(router_ports, ports, deployment, seconds, seed)
+        return flood(
+            router_ports,
+            ports,
+            deployment,
+            seconds,
+            seed,
+            [process.pid for process in routers],
+        )
     finally:
         for process in routers:
             process.kill()
@@ -355,7 +275,7 @@
 
 def run_system(deployment, seconds, seed):
     """Measures the whole system."""
-    cluster = start_fleet(deployment)
+    cluster = meters.start_fleet(deployment)
     try:
         pool = deployment.pools[0]
         ports = [
@@ -365,7 +285,12 @@
         figures = {"added_latency": added_latency(cluster, deployment)}
         figures["control"] = control_cost(cluster, 5)
         figures["flood"] = flood(
-            caller_ports(cluster), ports, deployment, seconds, seed
+            meters.caller_ports(cluster),
+            ports,
+            deployment,
+            seconds,
+            seed,
+            meters.router_ids(cluster),
         )
         figures["drain"] = drain_and_restore(cluster, deployment, seed + 1)
         figures["rollouts"] = [
@@ -383,8 +308,13 @@
     parser.add_argument("deployment", choices=sorted(deployments.DEPLOYMENTS))
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--compare", choices=sorted(compare.DECISIONS))
     args = parser.parse_args()
     deployment = deployments.DEPLOYMENTS[args.deployment]
+    if args.compare:
+        figures = compare.run(deployment, args.compare, args.seconds, args.seed)
+        print(json.dumps(figures))
+        return
     baseline = run_baseline(deployment, args.seconds, args.seed)
     system = run_system(deployment, args.seconds, args.seed)
     gap = system["flood"]["gap_tokens"] / max(1, baseline["gap_tokens"])
--- a/bench/load.py
+++ b/bench/load.py
@@ -24,8 +24,30 @@
     """
 
     def __init__(
-        self, ports, path, callers, seed, tokens=(20, 120), method="POST"
+        self,
+        ports,
+        path,
+        callers,
+        seed,
+        tokens=(20, 120),
+        method="POST",
+        sizes=None,
+        shuffled=False,
     ):
+        """Prepares the callers.
+
+        Args:
+          ports: Callers' ports of the routers.
+          path: Path of the requests.
+          callers: Number of callers by workspace.
+          seed: Seed of the requests.
+          tokens: Least and most tokens of a request.
+          method: HTTP method.
+          sizes: Ranges like `tokens` of workspaces that differ from it.
+          shuffled: Whether the callers of all workspaces start in a seeded
+            random order, in place of one workspace after the other.
+        """
+        self._sizes = sizes or {}
         self._path = path
         self._method = method
         self._tokens = tokens
@@ -41,6 +63,8 @@
             for workspace, count in callers.items()
             for number in range(count)
         ]
+        if shuffled:
+            random.Random(seed).shuffle(names)
         self._threads = [
             threading.Thread(
                 target=self._run,
@@ -81,7 +105,7 @@
                 conn = http.client.HTTPConnection(
                     "127.0.0.1", port, timeout=TIMEOUT_S
                 )
-            tokens = rng.randint(*self._tokens)
+            tokens = rng.randint(*self._sizes.get(workspace, self._tokens))
             prompt = {
                 "prompt": f"{workspace} {rng.randrange(8)}",
                 "max_tokens": tokens,
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -272,7 +272,21 @@
         link_delay_ms=0,
         proxied=True,
         authority=None,
+        programs=None,
     ):
+        """Prepares the processes of a fleet.
+
+        Args:
+          controllers: Number of controllers.
+          routers: Number of routers.
+          router_settings: Further settings of each router.
+          link_delay_ms: Delay of the routers' links each way.
+          proxied: Whether links run through the fault proxy.
+          authority: Issuer of certificates; a shared key is used if None.
+          programs: Arguments of the interpreter that start a role, by role;
+            those of the product are used for a role that is not listed.
+        """
+        self._programs = programs or {}
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
         self.folder = pathlib.Path(self._temporary.name)
         self.members = {}
@@ -589,8 +603,7 @@
         path.write_text(json.dumps(settings))
         command = [
             sys.executable,
-            "-m",
-            "waxwingrack",
+            *self._programs.get(settings["role"], ("-m", "waxwingrack")),
             settings["role"],
             str(path),
         ]
