--- a/bench/meters.py
+++ b/bench/meters.py
@@ -70,13 +70,18 @@
         add_servers(cluster, pool, "v1", announce_interval_s=announce_s)
     count = sum(pool.servers for pool in deployment.pools)
     fleet.wait_until(
-        lambda: len(cluster.status()["backend_servers"]) == count,
-        20,
-        "all backend servers",
+        lambda: announced(cluster) == count, 20, "all backend servers"
     )
     return cluster
 
 
+def announced(cluster):
+    """Returns the number of backend servers that the leader knows."""
+    # There is no status while another controller takes over the lead.
+    status = cluster.status()
+    return len(status["backend_servers"]) if status else 0
+
+
 def add_servers(cluster, pool, version, mode=None, **options):
     """Starts the backend servers of a pool and returns their ports."""
     slots = deployments.ENGINE_SLOTS if pool.engine else deployments.PLAIN_SLOTS
