--- a/bench/compare.py
+++ b/bench/compare.py
@@ -139,7 +139,7 @@
       seed: Seed of the load.
 
     Returns:
-      Measures by name.
+      Measures by name, and the number of refusals by error kind.
     """
     names = deployment.workspace_ids()
     callers = build(meters.caller_ports(cluster), deployment, seed)
@@ -169,7 +169,7 @@
     cuts = statistics.quantiles(waits or (0.0, 0.0), n=100)
     gap = load.fairness_gap(callers.answers, names, start, end)
     fair = max(1.0, sum(tokens.values()) / len(names))
-    return {
+    figures = {
         "gap_tokens": gap,
         # The tokens of a fair share differ with the speed of the machine.
         "gap_of_fair_share": gap / fair,
@@ -185,6 +185,7 @@
         **routers.figures(len(answers)),
         "cores_of_controllers": controllers.spent / controllers.seconds,
     }
+    return figures, callers.refusals
 
 
 def server_ports(cluster, deployment):
@@ -244,6 +245,7 @@
     rounds = max(1, round(seconds / ROUND_S))
     load_before = os.getloadavg()[0]
     found = collections.defaultdict(list)
+    refusals = collections.defaultdict(collections.Counter)
     singles = collections.defaultdict(list)
     fleets = {}
     try:
@@ -261,14 +263,14 @@
                 singles[setting] += single_requests(fleets[setting], deployment)
             for kind in decision.loads:
                 for setting in order(settings, number):
-                    found[kind, setting].append(
-                        measure(
-                            fleets[setting],
-                            deployment,
-                            LOADS[kind],
-                            f"{seed}-{number}",
-                        )
+                    figures, refused = measure(
+                        fleets[setting],
+                        deployment,
+                        LOADS[kind],
+                        f"{seed}-{number}",
                     )
+                    found[kind, setting].append(figures)
+                    refusals[f"{kind} {setting}"] += refused
     finally:
         for cluster in fleets.values():
             cluster.stop()
@@ -296,6 +298,7 @@
             f"{kind} {setting}": [round(one["gap_tokens"]) for one in rows]
             for (kind, setting), rows in found.items()
         },
+        "refusal_kinds": refusals,
     }
 
 
