End the fleets when the bench is terminated

Cause: a bench that SIGTERM ended, for example by timeout, left the processes of its fleets running, as its clean-up did not run.

Change: SIGTERM ends the bench with its clean-up.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import json
+import signal
 import statistics
 import subprocess
 import sys
@@ -310,6 +311,8 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--compare", choices=sorted(compare.DECISIONS))
     args = parser.parse_args()
+    # Without a handler the processes of the fleets would outlive the bench.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     deployment = deployments.DEPLOYMENTS[args.deployment]
     if args.compare:
         figures = compare.run(deployment, args.compare, args.seconds, args.seed)
