Answer in a new term only after the work of an earlier leadership has ended

Cause: an answer sent at once leaves before the driver tells the controller that it does not lead any more, and a new leader takes an answer in its term as a sign that the calls of the earlier one have ended. Ruled out: the later answers of that term; they come after that turn. Change: the first answer in a term is sent after the sync, as before. Conclusion: replication_consensus and replication_random pass (94 of 94).

--- a/waxwingrack/operations/consensus_replication.py
+++ b/waxwingrack/operations/consensus_replication.py
@@ -21,6 +21,8 @@
     turn: consensus_turn.Turn, sender: str, msg: messages.Append
 ) -> None:
     """Stores entries of a leader."""
+    old = turn.replica
+    follows = old.role is Role.FOLLOWER and old.term == msg.term
     if not _hear_leader(turn, sender, msg.term, msg.round):
         return
     rep = turn.replica
@@ -35,9 +37,12 @@
         return
     # The leader's lease must not wait for this disk, which may be busy with a
     # snapshot or an earlier entry. A disk that holds an entry holds a term too,
-    # so after a restart the replica does not vote before the lease has ended.
-    at_once = rep.synced > 0 and (
-        not msg.entries or rep.synced < rep.last_index
+    # so after a restart the replica does not vote before the lease has ended. A
+    # replica that has led ends its work before it answers in a later term.
+    at_once = (
+        follows
+        and rep.synced > 0
+        and (not msg.entries or rep.synced < rep.last_index)
     )
     if at_once:
         _answer_at_once(turn, sender, min(previous, rep.synced), msg.round)
