Send a request and the end of an answer in the turn that makes them

Cause: a write waited for the next turn of the loop; a line of the log was formatted and flushed by functions of logging that each line repeats; headers were copied one by one and checked again.

Ruled out before: sending early. It showed no gain while each write was still registered with the selector, which the reactor no longer does.

Change: write_now for the request to the backend server and the end of an answer; standard error passes on whole lines itself; headers that are checked are copied as they are.

--- a/waxwingrack/core/logs.py
+++ b/waxwingrack/core/logs.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import io
 import json
 from json import encoder
 import logging
@@ -63,7 +64,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a line."""
         try:
-            self.stream.write(self.formatter.format(record) + self.terminator)
+            self.stream.write(self.format(record) + self.terminator)
         except Exception:  # noqa: BLE001
             self.handleError(record)
 
@@ -110,9 +111,11 @@
     logging.logMultiprocessing = False
     logging.logAsyncioTasks = False
     logging._srcfile = None
-    # Standard error passes on each line at once unless it was replaced.
-    line_wise = getattr(sys.stderr, "line_buffering", False)
-    handler = (_LineHandler if line_wise else logging.StreamHandler)(sys.stderr)
+    if isinstance(sys.stderr, io.TextIOWrapper):
+        sys.stderr.reconfigure(line_buffering=True)
+        handler = _LineHandler(sys.stderr)
+    else:
+        handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(_JsonFormatter(node_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -17,6 +17,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.daemons import admission
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import costs
@@ -122,7 +123,9 @@
         if self._held:
             self._req.write(self._held)
         self.started = True
+        channel = self._req.channel
         self._req.finish()
+        event_loop.write_now(channel.transport)
 
     def abort(self) -> None:
         """Breaks the connection, so that the answer cannot pass for whole."""
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -158,6 +158,18 @@
         """Returns the descriptors that wait to be written."""
         return [*super().getWriters(), *self._soon]
 
+    def write_now(self, writer: Any) -> None:
+        """Writes what would be written in the next turn.
+
+        Errors are left to that turn, so that no connection ends within the
+        caller of this method.
+
+        Args:
+          writer: A transport; others than those of this reactor are ignored.
+        """
+        if writer in self._soon and not getattr(writer, "disconnecting", True):
+            writer.doWrite()
+
     def _write(self, writer: Any) -> None:
         handle = self._soon[writer]
         self._handle_event(writer, False)
@@ -220,6 +232,17 @@
     return ended[0].result()
 
 
+def write_now(transport: Any) -> None:
+    """Writes in this turn of the loop what a transport has buffered.
+
+    Args:
+      transport: Transport whose peer waits for what was written last.
+    """
+    reactor = getattr(transport, "reactor", None)
+    if isinstance(reactor, _Reactor):
+        reactor.write_now(transport)
+
+
 def stop_signal() -> asyncio.Event:
     """Returns an event that SIGTERM and SIGINT set."""
     stopped = asyncio.Event()
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -10,6 +10,7 @@
 # ruff: noqa: N802, N815
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import functools
 import ipaddress
@@ -27,6 +28,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import event_loop
 from waxwingrack.operations import queueing
 
 # Longest time to connect to a backend server, in seconds. It is shorter than
@@ -270,6 +272,7 @@
         self, conn: BackendConnection, req: Any, outgoing: Outgoing
     ) -> Head:
         pending = conn.request(req)
+        event_loop.write_now(conn.transport)
         parser = conn._parser
         timed_out = []
 
@@ -336,37 +339,40 @@
     Returns:
       End-to-end headers without `Authorization`, and those of the router.
     """
-    dropped = _OWN_REQUEST_HEADERS | _connection_tokens(
-        received.getRawHeaders(b"Connection")
-    )
-    headers = http_headers.Headers()
-    for name, values in received.getAllRawHeaders():
-        if name.lower() not in dropped:
-            headers.setRawHeaders(name, values)
+    dropped = _OWN_REQUEST_HEADERS
+    if control := received.getRawHeaders(b"Connection"):
+        dropped |= _connection_tokens(control)
     hosts = received.getRawHeaders(b"Host") or [str(address).encode()]
-    headers.setRawHeaders(b"Host", hosts)
-    headers.setRawHeaders(b"X-Request-Id", [request_id.encode()])
-    headers.setRawHeaders(b"X-Workspace", [workspace.encode()])
     passed = received.getRawHeaders(b"X-Forwarded-For") or []
-    headers.setRawHeaders(
-        b"X-Forwarded-For", [b", ".join([*passed, caller.encode()])]
-    )
+    headers = http_headers.Headers()
+    # Names and values of another `Headers` are in order; setting them one by
+    # one would check each of them again.
+    headers._rawHeaders = {
+        name: values
+        for name, values in received.getAllRawHeaders()
+        if name.lower() not in dropped
+    }
+    for name, value in (
+        (b"Host", hosts[0]),
+        (b"X-Request-Id", request_id.encode()),
+        (b"X-Workspace", workspace.encode()),
+        (b"X-Forwarded-For", b", ".join([*passed, caller.encode()])),
+    ):
+        headers.setRawHeaders(name, [value])
     return headers
 
 
-def _connection_tokens(values: list[bytes] | None) -> frozenset[bytes]:
+def _connection_tokens(values: Sequence[bytes]) -> frozenset[bytes]:
     return frozenset(
-        token.strip().lower()
-        for value in values or ()
-        for token in value.split(b",")
+        token.strip().lower() for value in values for token in value.split(b",")
     )
 
 
 def _head(response: Any, parser: Any, conn: BackendConnection) -> Head:
     control = parser.connHeaders
-    dropped = _OWN_ANSWER_HEADERS | _connection_tokens(
-        control.getRawHeaders(b"Connection")
-    )
+    dropped = _OWN_ANSWER_HEADERS
+    if tokens := control.getRawHeaders(b"Connection"):
+        dropped |= _connection_tokens(tokens)
     length = response.length
     lengths = control.getRawHeaders(b"Content-Length")
     return Head(
