--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -17,12 +17,16 @@
 
 from waxwingrack.core import data
 from waxwingrack.daemons import admission
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import costs
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import queueing
 
+# Reading an attribute of these modules runs their check for deprecated names.
+_RESPONSE_DONE = client.ResponseDone
+_POTENTIAL_DATA_LOSS = http.PotentialDataLoss
 _NO_BODY_STATUS = frozenset({204, 304})
 
 
@@ -119,7 +123,9 @@
         if self._held:
             self._req.write(self._held)
         self.started = True
+        channel = self._req.channel
         self._req.finish()
+        event_loop.write_now(channel.transport)
 
     def abort(self) -> None:
         """Breaks the connection, so that the answer cannot pass for whole."""
@@ -251,8 +257,8 @@
         if self._done:
             return
         self._stop()
-        whole = reason.check(client.ResponseDone) or (
-            reason.check(http.PotentialDataLoss) and self._closed_cleanly()
+        whole = reason.check(_RESPONSE_DONE) or (
+            reason.check(_POTENTIAL_DATA_LOSS) and self._closed_cleanly()
         )
         fault = None
         if self._fault or not whole:
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -10,7 +10,9 @@
 # ruff: noqa: N802, N815
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
+import functools
 import ipaddress
 from typing import Any
 
@@ -26,6 +28,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import event_loop
 from waxwingrack.operations import queueing
 
 # Longest time to connect to a backend server, in seconds. It is shorter than
@@ -35,6 +38,8 @@
 # as a request on a connection that is just being closed is lost.
 IDLE_POOL_S = 4
 MAX_IDLE_PER_SERVER = 64
+# Backend servers whose addresses are kept in parsed form.
+MAX_ENDPOINTS = 1024
 
 HOP_BY_HOP = frozenset(
     {
@@ -200,6 +205,9 @@
     def __init__(self, reactor: Any):
         self._reactor = reactor
         self._pools = {}
+        self._endpoint = functools.lru_cache(MAX_ENDPOINTS)(
+            self._build_endpoint
+        )
         for reuse in (True, False):
             pool = client.HTTPConnectionPool(reactor, persistent=reuse)
             pool.retryAutomatically = False
@@ -232,7 +240,8 @@
         pool = self._pools[outgoing.reuse]
         try:
             conn = await pool.getConnection(
-                (grant.address, grant.incarnation), self._endpoint(grant)
+                (grant.address, grant.incarnation),
+                self._endpoint(grant.address),
             )
         except (defer.CancelledError, error.ConnectingCancelledError) as exc:
             raise NotSentError(queueing.Fault.GRANT_EXPIRED) from exc
@@ -264,6 +273,7 @@
         self, conn: BackendConnection, req: Any, outgoing: Outgoing
     ) -> Head:
         pending = conn.request(req)
+        event_loop.write_now(conn.transport)
         parser = conn._parser
         timed_out = []
 
@@ -299,15 +309,15 @@
         for pool in self._pools.values():
             await pool.closeCachedConnections()
 
-    def _endpoint(self, grant: data.Grant) -> Any:
-        host = grant.address.host
+    def _build_endpoint(self, address: data.Address) -> Any:
+        host = address.host
         kind = (
             endpoints.TCP6ClientEndpoint
             if ipaddress.ip_address(host).version == 6
             else endpoints.TCP4ClientEndpoint
         )
         return kind(
-            self._reactor, host, grant.address.port, timeout=CONNECT_TIMEOUT_S
+            self._reactor, host, address.port, timeout=CONNECT_TIMEOUT_S
         )
 
 
@@ -330,37 +340,40 @@
     Returns:
       End-to-end headers without `Authorization`, and those of the router.
     """
-    dropped = _OWN_REQUEST_HEADERS | _connection_tokens(
-        received.getRawHeaders(b"Connection")
-    )
-    headers = http_headers.Headers()
-    for name, values in received.getAllRawHeaders():
-        if name.lower() not in dropped:
-            headers.setRawHeaders(name, values)
+    dropped = _OWN_REQUEST_HEADERS
+    if control := received.getRawHeaders(b"Connection"):
+        dropped |= _connection_tokens(control)
     hosts = received.getRawHeaders(b"Host") or [str(address).encode()]
-    headers.setRawHeaders(b"Host", hosts)
-    headers.setRawHeaders(b"X-Request-Id", [request_id.encode()])
-    headers.setRawHeaders(b"X-Workspace", [workspace.encode()])
     passed = received.getRawHeaders(b"X-Forwarded-For") or []
-    headers.setRawHeaders(
-        b"X-Forwarded-For", [b", ".join([*passed, caller.encode()])]
-    )
+    headers = http_headers.Headers()
+    # Names and values of another `Headers` are in order; setting them one by
+    # one would check each of them again.
+    headers._rawHeaders = {
+        name: values
+        for name, values in received.getAllRawHeaders()
+        if name.lower() not in dropped
+    }
+    for name, value in (
+        (b"Host", hosts[0]),
+        (b"X-Request-Id", request_id.encode()),
+        (b"X-Workspace", workspace.encode()),
+        (b"X-Forwarded-For", b", ".join([*passed, caller.encode()])),
+    ):
+        headers.setRawHeaders(name, [value])
     return headers
 
 
-def _connection_tokens(values: list[bytes] | None) -> frozenset[bytes]:
+def _connection_tokens(values: Sequence[bytes]) -> frozenset[bytes]:
     return frozenset(
-        token.strip().lower()
-        for value in values or ()
-        for token in value.split(b",")
+        token.strip().lower() for value in values for token in value.split(b",")
     )
 
 
 def _head(response: Any, parser: Any, conn: BackendConnection) -> Head:
     control = parser.connHeaders
-    dropped = _OWN_ANSWER_HEADERS | _connection_tokens(
-        control.getRawHeaders(b"Connection")
-    )
+    dropped = _OWN_ANSWER_HEADERS
+    if tokens := control.getRawHeaders(b"Connection"):
+        dropped |= _connection_tokens(tokens)
     length = response.length
     lengths = control.getRawHeaders(b"Content-Length")
     return Head(
