Move the scheduler's cost run into the capacity package

Only capacity/scheduler_load.py uses it, and the binary held it. The capacity commands with controllers failed since the members of the test fleet name their ports by use; they look up the control port again.

Ran: ruff format and check. python -m capacity grants failed before with AttributeError: 'Member' object has no attribute 'control'.

--- a/capacity/controllers.py
+++ b/capacity/controllers.py
@@ -86,7 +86,7 @@
 
     async def connect(self, count: int) -> None:
         """Adds fake routers until there are `count`, all with a document."""
-        port = self.fleet.nodes[self.leader].control
+        port = self.fleet.nodes[self.leader].ports["control"]
         while len(self.routers) < count:
             router = common.FakeRouter(
                 len(self.routers), port, controller_fleet.KEY
--- a/waxwingrack/operations/scheduler_cost.py
+++ b/capacity/scheduler_cost.py
@@ -1,6 +1,6 @@
 """Measures the cost of ticks and reports at several sizes.
 
-Run as `python -m waxwingrack.operations.scheduler_cost`. Each size runs with a
+Run as `python -m capacity.scheduler_cost`. Each size runs with a
 saturated load (a tenth of the workspaces always backlogged) and with a load
 below capacity. Simulated time; the figures are processor time of this process.
 """
--- a/capacity/scheduler_load.py
+++ b/capacity/scheduler_load.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from capacity import common
-from waxwingrack.operations import scheduler_cost
+from capacity import scheduler_cost
 
 BASE = scheduler_cost.Size(40, 240, 90, 15, common.REQUESTS_PER_S)
 SERIES = (
