Keep the judges' samples as bytes

The samples of ended requests are the largest part of the leader's memory that grows with the load, and a new tuple of up to 256 references was built for each request.

They are kept as 21 bytes each and become records where a judge reads them, with the records of 128 groups kept for the next tick.

228,000 samples of 15 services in 8 data centres: 16.75 MB traced before, 3.58 MB after; 29 to 30 us a sample before, 11 to 13 us after (5th percentile, two runs in turn). What of_version and warm_of_version return in a seeded run with all outcomes has the same digest before and after. rollout_decisions.feature: 39 scenarios passed.

--- a/waxwingrack/operations/version_samples.py
+++ b/waxwingrack/operations/version_samples.py
@@ -1,7 +1,14 @@
-"""Samples of how requests ended, kept per version for the rollout judges."""
+"""Samples of how requests ended, kept per version for the rollout judges.
+
+They are kept as bytes of 21 a sample: as records they took 131 bytes, 17 MB at
+the leader for 15 services in 8 data centres.
+"""
 
 import bisect
 import dataclasses
+import functools
+import struct
+from typing import Any
 
 import immutables
 
@@ -21,6 +28,14 @@
 # milliseconds, as a freshly started server is slow.
 WARM_UP_MS = 10_000
 
+# A stored sample: time, latency, flags and load.
+_STORED = struct.Struct("<qdBi")
+_FAILED_FLAG = 1
+_LATENCY_FLAG = 2
+# Groups of samples whose records are kept while a rollout looks at them each
+# tick.
+_KEPT_RECORDS = 128
+
 _FAILED = frozenset(
     (
         data.Outcome.SERVER_ERROR,
@@ -48,6 +63,7 @@
     data_centre: str
 
 
+@data.quick_init
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
     """One sample as the judges use it.
@@ -71,8 +87,8 @@
     """Samples of all versions.
 
     Attributes:
-      ended: Tuples of `Ended`, oldest first, by (stratum, version).
-      warm: Tuples of `Ended` whose latency counts, oldest first, by (stratum,
+      ended: Stored samples, oldest first, by (stratum, version).
+      warm: Stored samples whose latency counts, oldest first, by (stratum,
         version, level of the load).
       first_ms: Time of the first sample by backend server.
       lost_ms: Time of the last lost connection by backend server.
@@ -96,59 +112,100 @@
       are left out.
     """
     counted = [sample for sample in samples if sample.outcome not in _IGNORED]
+    if not counted:
+        return stats
+    update = _Update(
+        stats.ended.mutate(),
+        stats.warm.mutate(),
+        stats.first_ms.mutate(),
+        stats.lost_ms.mutate(),
+    )
     for sample in counted:
-        stats = _observe_one(stats, sample)
-    return stats
+        _observe_one(update, sample)
+    return Stats(
+        update.ended.finish(),
+        update.warm.finish(),
+        update.first_ms.finish(),
+        update.lost_ms.finish(),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Update:
+    """Maps of `Stats` that are open for changes."""
 
+    ended: Any
+    warm: Any
+    first_ms: Any
+    lost_ms: Any
 
-def _observe_one(stats: Stats, sample: data.Sample) -> Stats:
+
+def _observe_one(update: _Update, sample: data.Sample) -> None:
     server = sample.server_id
-    first_ms = stats.first_ms.get(server, sample.at_ms)
+    first_ms = update.first_ms.get(server, sample.at_ms)
     lost = sample.outcome is data.Outcome.CONNECTION_LOST
     repeated = (
         lost
-        and sample.at_ms - stats.lost_ms.get(server, -SAME_CRASH_MS)
+        and sample.at_ms - update.lost_ms.get(server, -SAME_CRASH_MS)
         < SAME_CRASH_MS
     )
     if lost:
         # The server starts again, so its latencies are those of a cold start.
-        stats = dataclasses.replace(
-            stats,
-            lost_ms=stats.lost_ms.set(server, sample.at_ms),
-            first_ms=stats.first_ms.delete(server)
-            if server in stats.first_ms
-            else stats.first_ms,
-        )
-    elif server not in stats.first_ms:
-        stats = dataclasses.replace(
-            stats, first_ms=stats.first_ms.set(server, sample.at_ms)
-        )
+        update.lost_ms[server] = sample.at_ms
+        update.first_ms.pop(server, None)
+    elif server not in update.first_ms:
+        update.first_ms[server] = sample.at_ms
     if repeated:
-        return stats
+        return
     failed = sample.outcome in _FAILED
     warm = sample.at_ms - first_ms >= WARM_UP_MS
-    ended = Ended(
-        at_ms=sample.at_ms,
-        failed=failed,
-        latency_ms=sample.first_byte_ms
-        if warm and not failed and sample.load
-        else None,
-        load=sample.load,
+    counts = warm and not failed and bool(sample.load)
+    stored = _STORED.pack(
+        sample.at_ms,
+        sample.first_byte_ms if counts else 0.0,
+        (_FAILED_FLAG if failed else 0) | (_LATENCY_FLAG if counts else 0),
+        sample.load,
     )
     stratum = Stratum(sample.service, sample.route, sample.data_centre)
     key = stratum, sample.version
-    kept = stats.ended.get(key, ())[-(MAX_SAMPLES - 1) :]
-    stats = dataclasses.replace(
-        stats, ended=stats.ended.set(key, (*kept, ended))
+    kept = update.ended.get(key, b"")
+    update.ended[key] = kept[-(MAX_SAMPLES - 1) * _STORED.size :] + stored
+    if not counts:
+        return
+    warm_key = (*key, load_level(sample.load))
+    kept = update.warm.get(warm_key, b"")
+    if len(kept) >= MAX_WARM * _STORED.size:
+        kept = _thinned(kept)
+    update.warm[warm_key] = kept + stored
+
+
+def _thinned(stored: bytes) -> bytes:
+    """Drops every second one of the oldest samples."""
+    size = _STORED.size
+    return b"".join(
+        (
+            *(
+                stored[start : start + size]
+                for start in range(0, THINNED_WARM * size, 2 * size)
+            ),
+            stored[THINNED_WARM * size :],
+        )
     )
-    if ended.latency_ms is None:
-        return stats
-    warm_key = (*key, load_level(ended.load))
-    kept = stats.warm.get(warm_key, ())
-    if len(kept) >= MAX_WARM:
-        kept = kept[:THINNED_WARM:2] + kept[THINNED_WARM:]
-    return dataclasses.replace(
-        stats, warm=stats.warm.set(warm_key, (*kept, ended))
+
+
+@functools.lru_cache(_KEPT_RECORDS)
+def _records(stored: bytes) -> tuple[Ended, ...]:
+    """Returns stored samples as the judges use them."""
+    return tuple(
+        [
+            Ended(
+                at_ms,
+                bool(flags & _FAILED_FLAG),
+                latency_ms if flags & _LATENCY_FLAG else None,
+                load,
+            )
+            for at_ms, latency_ms, flags, load in _STORED.iter_unpack(stored)
+        ]
     )
 
 
@@ -178,8 +235,8 @@
       Samples by stratum.
     """
     return {
-        stratum: ended
-        for (stratum, other), ended in stats.ended.items()
+        stratum: _records(stored)
+        for (stratum, other), stored in stats.ended.items()
         if stratum.service == service and other == version
     }
 
@@ -198,8 +255,8 @@
       Samples by stratum and level of the load.
     """
     return {
-        (stratum, level): ended
-        for (stratum, other, level), ended in stats.warm.items()
+        (stratum, level): _records(stored)
+        for (stratum, other, level), stored in stats.warm.items()
         if stratum.service == service and other == version
     }
 
