Write decision lines without log records

A decision line cost a LogRecord and the walk through the handlers. The line is written directly while the handler of this module is the only one; logging does it otherwise, and when the stream refuses a line.

The text of a line is unchanged.

--- a/waxwingrack/core/logs.py
+++ b/waxwingrack/core/logs.py
@@ -13,6 +13,8 @@
 _LOGGER = logging.getLogger("waxwingrack")
 # One encoder for all lines; `json.dumps` would build one for each.
 _ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
+# Handler that `configure` has set.
+_HANDLERS: list[logging.StreamHandler] = []
 
 
 class _JsonFormatter(logging.Formatter):
@@ -24,20 +26,26 @@
         self._second = -1
         self._stamp = ""
 
-    def format(self, record: logging.LogRecord) -> str:
-        second = int(record.created)
+    def head(self, created: float, level: str, name: str) -> dict[str, Any]:
+        """Returns the fields that every line has, in order."""
+        second = int(created)
         if second != self._second:
             self._stamp = time.strftime(
                 "%Y-%m-%dT%H:%M:%S", time.gmtime(second)
             )
             self._second = second
-        line = {
-            "time": f"{self._stamp}.{int(record.msecs):03d}Z",
-            "level": record.levelname.lower(),
+        return {
+            "time": f"{self._stamp}.{int((created - second) * 1000):03d}Z",
+            "level": level,
             "node": self._node_id,
-            "event": record.getMessage(),
-            **getattr(record, "fields", {}),
+            "event": name,
         }
+
+    def format(self, record: logging.LogRecord) -> str:
+        line = self.head(
+            record.created, record.levelname.lower(), record.getMessage()
+        )
+        line.update(getattr(record, "fields", {}))
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
         return _ENCODER.encode(line)
@@ -61,6 +69,7 @@
     handler.setFormatter(_JsonFormatter(node_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
+    _HANDLERS[:] = [handler]
     root.setLevel(level)
     # The library logs each opened and closed connection as information.
     logging.getLogger("websockets").setLevel(logging.WARNING)
@@ -74,11 +83,43 @@
       reason: Why it was made.
       **fields: Subjects of the decision.
     """
-    if _LOGGER.isEnabledFor(logging.INFO):
-        _LOGGER.info(
-            name,
-            extra={"fields": {"kind": "decision", "reason": reason, **fields}},
-        )
+    if not _LOGGER.isEnabledFor(logging.INFO):
+        return
+    fields = {"kind": "decision", "reason": reason, **fields}
+    if not _write(name, fields):
+        _LOGGER.info(name, extra={"fields": fields})
+
+
+def _write(name: str, fields: dict[str, Any]) -> bool:
+    """Writes a line without a `logging.LogRecord`, which takes half the time.
+
+    Args:
+      name: Name of the event.
+      fields: Fields of the line.
+
+    Returns:
+      False if `logging` has to write it: other handlers are set, or the stream
+      refused it.
+    """
+    if (
+        not _HANDLERS
+        or logging.root.handlers != _HANDLERS
+        or _LOGGER.handlers
+        or _LOGGER.filters
+    ):
+        return False
+    handler = _HANDLERS[0]
+    try:
+        line = handler.formatter.head(time.time(), "info", name)
+        line.update(fields)
+        text = _ENCODER.encode(line) + "\n"
+        with handler.lock:
+            handler.stream.write(text)
+            handler.flush()
+    except Exception:
+        # `logging` reports faults of a stream and goes on.
+        return False
+    return True
 
 
 def event(name: str, level: int = logging.INFO, **fields: Any) -> None:
