--- a/waxwingrack/core/logs.py
+++ b/waxwingrack/core/logs.py
@@ -4,38 +4,16 @@
 event's fields. Decisions of routing and placement carry their reason.
 """
 
-from collections.abc import Callable
 import io
 import json
-from json import encoder
 import logging
 import sys
 import time
 from typing import Any
 
 _LOGGER = logging.getLogger("waxwingrack")
-
-
-def _build_encoder() -> Callable[[dict[str, Any]], str]:
-    """Builds one encoder for all lines; `json.dumps` builds one for each."""
-    if encoder.c_make_encoder is None:
-        return json.JSONEncoder(default=str, separators=(",", ":")).encode
-    # `JSONEncoder.encode` makes this object for each line.
-    chunks = encoder.c_make_encoder(
-        None,
-        str,
-        encoder.encode_basestring_ascii,
-        None,
-        ":",
-        ",",
-        False,
-        False,
-        True,
-    )
-    return lambda line: "".join(chunks(line, 0))
-
-
-_encode = _build_encoder()
+# One encoder for all lines; `json.dumps` would build one for each.
+_ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
 
 
 class _Record(logging.LogRecord):
@@ -94,7 +72,7 @@
         }
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
-        return _encode(line)
+        return _ENCODER.encode(line)
 
 
 def configure(node_id: str, level: str = "INFO") -> None:
