End a fleet that fails to start; import the moved meters in capacity

Cause: a fleet whose start failed, or was ended by SIGTERM, was not known to the bench yet and kept running. The capacity measurements still took `metric` from `bench.__main__`, from which it was moved.

Change: the start ends its fleet on any exception; `capacity` imports `bench.meters`.

`capacity.router_cost` and `capacity.forwarding_cost` import; their measurements were not run.

--- a/bench/meters.py
+++ b/bench/meters.py
@@ -59,19 +59,23 @@
     cluster = fleet.Fleet(
         routers=deployment.routers, proxied=False, programs=programs
     )
-    cluster.start()
-    cluster.apply(
-        fleet.environment(
-            dict.fromkeys(deployment.workspace_ids(), 1),
-            deployments.environment_services(deployment),
+    try:
+        cluster.start()
+        cluster.apply(
+            fleet.environment(
+                dict.fromkeys(deployment.workspace_ids(), 1),
+                deployments.environment_services(deployment),
+            )
         )
-    )
-    for pool in deployment.pools:
-        add_servers(cluster, pool, "v1", announce_interval_s=announce_s)
-    count = sum(pool.servers for pool in deployment.pools)
-    fleet.wait_until(
-        lambda: announced(cluster) == count, 20, "all backend servers"
-    )
+        for pool in deployment.pools:
+            add_servers(cluster, pool, "v1", announce_interval_s=announce_s)
+        count = sum(pool.servers for pool in deployment.pools)
+        fleet.wait_until(
+            lambda: announced(cluster) == count, 20, "all backend servers"
+        )
+    except BaseException:
+        cluster.stop()
+        raise
     return cluster
 
 
--- a/capacity/forwarding_cost.py
+++ b/capacity/forwarding_cost.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from bench import __main__ as bench
+from bench import meters
 from capacity import common
 from features.support import fleet
 
@@ -63,7 +63,7 @@
     member = cluster.members["r1"]
     callers = _Callers(member.ports["callers"], rate, SECONDS + 2)
     time.sleep(1)
-    traffic = bench.metric(cluster, "r1", TRAFFIC)
+    traffic = meters.metric(cluster, "r1", TRAFFIC)
     answered = callers.answers
     cpu = common.cpu_s(member.process.pid)
     start = time.monotonic()
@@ -71,7 +71,7 @@
     spent = time.monotonic() - start
     cpu = (common.cpu_s(member.process.pid) - cpu) / spent
     answered = (callers.answers - answered) / spent
-    traffic = (bench.metric(cluster, "r1", TRAFFIC) - traffic) / spent
+    traffic = (meters.metric(cluster, "r1", TRAFFIC) - traffic) / spent
     callers.join()
     print(
         f"{rate:3} requests/s: {answered:5.1f} answers/s,"
--- a/capacity/router_cost.py
+++ b/capacity/router_cost.py
@@ -2,7 +2,7 @@
 
 import time
 
-from bench import __main__ as bench
+from bench import meters
 from capacity import common
 from features.support import fleet
 
@@ -17,13 +17,13 @@
     """Returns core share, MB and control bytes per second of the router."""
     pid = cluster.members["r1"].process.pid
     time.sleep(1)
-    sent = bench.metric(cluster, "r1", TRAFFIC)
+    sent = meters.metric(cluster, "r1", TRAFFIC)
     cpu = common.cpu_s(pid)
     start = time.monotonic()
     time.sleep(SECONDS)
     spent = time.monotonic() - start
     cpu = (common.cpu_s(pid) - cpu) / spent
-    sent = (bench.metric(cluster, "r1", TRAFFIC) - sent) / spent
+    sent = (meters.metric(cluster, "r1", TRAFFIC) - sent) / spent
     return cpu, common.rss_mb(pid), sent
 
 
