--- a/capacity/controllers.py
+++ b/capacity/controllers.py
@@ -5,14 +5,20 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import os
+import pathlib
 import time
 
 from capacity import common
 from features.support import controller_fleet
+from features.support import fleet
 
 CONTROLLERS = 3
 # Longest wait for the environment at all fake routers.
 CONNECT_TIMEOUT_S = 10.0
+# Names a folder whose code the controllers run in place of this one, so that
+# two states of the code are compared under the same load.
+CODE_VARIABLE = "CAPACITY_CODE"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +61,8 @@
     """
 
     def __init__(self, workspaces: int):
+        if CODE_VARIABLE in os.environ:
+            fleet.ROOT = pathlib.Path(os.environ[CODE_VARIABLE])
         self.fleet = controller_fleet.Fleet(CONTROLLERS)
         self.routers: list[common.FakeRouter] = []
         try:
--- a/capacity/grant_cost.py
+++ b/capacity/grant_cost.py
@@ -51,6 +51,14 @@
             flush=True,
         )
     servers.cancel()
+    # Both ends slow down alike on a busy machine, so the ratio varies less.
+    leader, fakes = (
+        common.slope(
+            [(grants, getattr(usage, name)) for grants, usage in found]
+        )[0]
+        for name in ("leader", "fakes")
+    )
+    print(f"slope of a grant, leader to fake routers: {leader / fakes:.2f}")
     for name, unit, scale in (
         ("leader", "us of processor time", 1e6),
         ("follower", "us of processor time", 1e6),
