Split the slots of lost routers and the crash evidence from servers

Change: orphans.py (slots of lost routers, pauses) and crash_evidence.py (broken connections of server incarnations); functions are moved, not changed.

--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -25,8 +25,10 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
+from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import dispatch
 from waxwingrack.operations import fairness
+from waxwingrack.operations import orphans
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
@@ -181,7 +183,7 @@
         connected=True,
     )
     for found in report.crash_suspects:
-        servers.suspect(work, found)
+        crash_evidence.suspect(work, found)
     for seen in report.announcements:
         servers.announce(work, seen)
     for ended in report.finished:
@@ -259,7 +261,7 @@
         place = (running.service, running.workspace)
         account = tables_module.account(work, *place)
         work.accounts[place] = fairness.charge(account, 0.0, 1.0, in_use=1)
-    servers.adopt(work, key, running.server_id)
+    orphans.adopt(work, key, running.server_id)
     row = work.routers[router.node_id]
     work.routers[router.node_id] = data.evolve(
         row, grants=row.grants.set(key, None)
@@ -290,7 +292,7 @@
         grant=key[1],
         term=key[0],
     )
-    cost = servers.unknown_cost(work, grant) if grant.running else 0.0
+    cost = orphans.unknown_cost(work, grant) if grant.running else 0.0
     _close(work, key, cost)
 
 
@@ -377,7 +379,7 @@
       ended: How its request ended, if it was dispatched and its end is known.
     """
     grant = work.grants.pop(key)
-    servers.close_account(
+    orphans.close_account(
         work,
         grant,
         cost,
@@ -388,10 +390,10 @@
         work.routers[grant.router] = data.evolve(
             router, grants=router.grants.delete(key)
         )
-    servers.finish_solo(work, grant, key)
+    crash_evidence.finish_solo(work, grant, key)
     row = work.servers.get(grant.server_id)
     if row is None:
-        servers.forget_grant(work, grant.server_id, key)
+        orphans.forget_grant(work, grant.server_id, key)
         return
     freed = None
     if key in row.grants:
@@ -455,7 +457,7 @@
         waiting.drop(work, node_id, sequence)
     for key in row.grants:
         if key in work.grants:
-            servers.orphan(work, key)
+            orphans.orphan(work, key)
     row = work.routers[node_id]
     work.event("router_lost", reason, router=node_id, grants=len(row.grants))
     if row.grants:
