Wait for the log line of a grant, and name who decided an order

Cause: "every grant is logged with its reason" failed once in a run of the whole script. The leader sends grants before it writes their lines, so the step could look between the third grant and its line.

Ruled out for the first: a lost line; all lines were written a moment later.

The orders that the watch records carry the controller that decided them, and the message names the struck leader.

--- a/features/steps/controller_operators_steps.py
+++ b/features/steps/controller_operators_steps.py
@@ -178,11 +178,16 @@
     'the leader\'s log holds {count:d} grants to "{name}" with a reason'
 )
 def logged(context, count, name):
-    grants = [
-        line
-        for line in context.fleet.log(context.leader)
-        if line["event"] == "grant" and line["router"] == name
-    ]
+    def lines():
+        return [
+            line
+            for line in context.fleet.log(context.leader)
+            if line["event"] == "grant" and line["router"] == name
+        ]
+
+    # A grant leaves the leader before its line is written.
+    controller_fleet.wait_for(lambda: len(lines()) >= count)
+    grants = lines()
     assert len(grants) == count, grants
     assert all(line["reason"] for line in grants), grants
 
--- a/features/steps/fault_matrix_order_steps.py
+++ b/features/steps/fault_matrix_order_steps.py
@@ -36,7 +36,8 @@
 
     Attributes:
       faults: What no engine may show.
-      orders: Fencing number, engine and version of every order in the status.
+      orders: Fencing number, engine, version and deciding controller of every
+        order in the status.
     """
 
     def __init__(self, cluster):
@@ -64,7 +65,7 @@
         rows = order_rows(self._cluster)
         with self._lock:
             self.orders |= {
-                (row["fencing"], name, row["version"])
+                (row["fencing"], name, row["version"], row["controller"])
                 for name, row in rows.items()
             }
 
@@ -335,7 +336,7 @@
     assert all(watch.samples(name) for name in ENGINES), "no sample"
     assert not watch.faults, watch.faults
     numbers = {}
-    for fencing, name, version in watch.orders:
+    for fencing, name, version, _ in watch.orders:
         numbers.setdefault(fencing, set()).add((name, version))
     assert all(len(found) == 1 for found in numbers.values()), numbers
 
@@ -346,8 +347,11 @@
     if step not in ("decided", "recorded") or fault not in LEADER_LOST:
         return
     old = context.fleet.versions[0]
-    known = {version for _, _, version in context.watch.orders}
-    assert (old in known) == (step == "recorded"), context.watch.orders
+    known = {version for _, _, version, _ in context.watch.orders}
+    assert (old in known) == (step == "recorded"), (
+        context.fleet.last_leader,
+        context.watch.orders,
+    )
 
 
 @behave.then("both matrix engines run the version that is wanted now")
