--- a/features/settings_environment.feature
+++ b/features/settings_environment.feature
@@ -22,7 +22,7 @@
       | $.workspaces[0].max_queue     | 1.5      | $.workspaces[0].max_queue     | valid integer           |
       | $.services[0].routes          | {}       | $.services[0].routes          | must be an array        |
       | $.services[0].routes[1]       | []       | $.services[0].routes[1]       | must be an object       |
-      | $.services[1].cost_meter      | "money"  | $.services[1].cost_meter      | 'slot_ms' or 'tokens'   |
+      | $.services[1].cost_meter      | "money"  | $.services[1].cost_meter      | 'slot_ms', 'tokens' or 'prompt_and_output' |
       | $.data_centres[0].state       | "gone"   | $.data_centres[0].state       | 'in_service' or         |
       | $.services[1].routes[0].idempotent | "yes" | $.services[1].routes[0].idempotent | valid boolean      |
 
--- a/features/steps/codec_compact_steps.py
+++ b/features/steps/codec_compact_steps.py
@@ -166,9 +166,9 @@
     "a field of wrong type": [1, 1, "soon", 3],
     "an unknown member of an enumeration": [
         *(1, 1, 5, 3, 16),
-        [[1, 2, 7, 1.0, 1.0, 1.0]],
+        [[1, 2, 8, 1.0, 1.0, 1.0]],
     ],
-    "a change of a server never announced": [1, 1, 5, 3, 64, [["s9", 16, 2]]],
+    "a change of a server never announced": [1, 1, 5, 3, 64, [["s9", 128, 2]]],
     "text in place of a list": [1, 1, 5, 3, 2, "wants"],
 }
 
--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -1,6 +1,5 @@
 """Entry point of the command line."""
 
-import importlib.metadata
 import sys
 
 from cleo import application
@@ -8,11 +7,13 @@
 from cleo.commands import command
 from cleo.io import io as io_module
 
+import waxwingrack
 from waxwingrack.commands import apply
 from waxwingrack.commands import check
 from waxwingrack.commands import data_centre
 from waxwingrack.commands import demo
 from waxwingrack.commands import order
+from waxwingrack.commands import platform
 from waxwingrack.commands import process
 from waxwingrack.commands import repair
 from waxwingrack.commands import rollout
@@ -40,6 +41,7 @@
     return [
         process.RouterCommand(),
         process.ControllerCommand(),
+        platform.PlatformCommand(),
         apply.ApplyCommand(),
         status.StatusCommand(),
         data_centre.DrainCommand(),
@@ -60,7 +62,7 @@
     Returns:
       Exit code of the command.
     """
-    app = _Application("waxwingrack", importlib.metadata.version("waxwingrack"))
+    app = _Application("waxwingrack", waxwingrack.__version__)
     for cmd in commands():
         app.add(cmd)
     app.auto_exits(False)
--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -1,6 +1,8 @@
 """Commands `router` and `controller`, which run until they are stopped."""
 
 import abc
+from collections.abc import Callable
+import dataclasses
 import gc
 import random
 from typing import Any
@@ -17,12 +19,99 @@
 from waxwingrack.daemons import clocks
 from waxwingrack.daemons import event_loop
 from waxwingrack.load import settings
+from waxwingrack.operations import membership
 
 
 class StartError(Exception):
     """A process could not start: a file, the data folder or a port."""
 
 
+def run(
+    cmd: command.Command,
+    path: str,
+    cfg: data.Settings,
+    build: Callable[[], Any],
+    reload: Callable[[Any], None] | None = None,
+    started: Callable[[], None] = lambda: None,
+) -> int:
+    """Runs a process until SIGTERM or SIGINT.
+
+    Args:
+      cmd: Command to which errors are written.
+      path: Path of the settings, for errors.
+      cfg: Settings.
+      build: Builds the process.
+      reload: Called with the process at each SIGHUP; None leaves the signal.
+      started: Called once the process has started.
+
+    Returns:
+      Exit code.
+    """
+    logs.configure(cfg.node_id, cfg.log_level)
+
+    async def serve() -> None:
+        stopped = event_loop.stop_signal()
+        try:
+            process = build()
+            await process.start()
+        except (OSError, ValueError, error.CannotListenError) as exc:
+            raise StartError(exc) from exc
+        if reload is not None:
+            event_loop.on_reload(lambda: reload(process))
+        started()
+        await stopped.wait()
+        await process.stop()
+
+    try:
+        event_loop.run(serve())
+    except StartError as exc:
+        cmd.line_error(f"{path}: cannot start: {exc}")
+        return ExitCode.REFUSED
+    return ExitCode.DONE
+
+
+def build_controller(
+    cfg: data.Settings, build_site: Callable[[Any], Any] | None = None
+) -> Any:
+    """Builds a controller with its storage on disk.
+
+    Args:
+      cfg: Settings.
+      build_site: Builds the server of the operators' port; None for that of
+        this project.
+    """
+    from waxwingrack.daemons import controller
+    from waxwingrack.daemons import storage
+
+    disk = storage.DiskStorage(cfg.data_folder)
+    found = controller.Controller(
+        _named(cfg, disk),
+        disk,
+        clocks.monotonic_ms,
+        random.Random(),
+        build_site,
+    )
+    found.lock = storage.lock(cfg.data_folder)
+    return found
+
+
+def _named(cfg: data.Settings, disk: Any) -> data.Settings:
+    """Gives a controller that finds the others by itself its node id."""
+    if not cfg.group_size:
+        return cfg
+    match disk.identity():
+        case result.Success(identity):
+            founds = cfg.found_group and membership.node_id(cfg.control) in {
+                peer.id for peer in cfg.controllers
+            }
+            name = identity.node_id or membership.node_id(
+                cfg.control, "" if founds else identity.disk
+            )
+            return dataclasses.replace(cfg, node_id=name)
+    # The controller reports the damage when it reads the disk.
+    return cfg
+
+
 class _ProcessCommand(command.Command, abc.ABC):
     """Runs a process until SIGTERM or SIGINT.
 
@@ -51,24 +140,9 @@
                 if cfg.role != self.role:
                     self.line_error(f"{path}: $.role: must be {self.role}")
                     return ExitCode.INVALID
-        logs.configure(cfg.node_id, cfg.log_level)
-        try:
-            event_loop.run(self._serve(cfg))
-        except StartError as exc:
-            self.line_error(f"{path}: cannot start: {exc}")
-            return ExitCode.REFUSED
-        return ExitCode.DONE
-
-    async def _serve(self, cfg: data.Settings) -> None:
-        stopped = event_loop.stop_signal()
-        try:
-            process = self.build(cfg)
-            await process.start()
-        except (OSError, ValueError, error.CannotListenError) as exc:
-            raise StartError(exc) from exc
-        self.started()
-        await stopped.wait()
-        await process.stop()
+        return run(
+            self, path, cfg, lambda: self.build(cfg), started=self.started
+        )
 
     def started(self) -> None:
         """Called once the process has started."""
@@ -110,13 +184,4 @@
 
     def build(self, cfg: data.Settings) -> Any:
         """Builds the controller."""
-        from waxwingrack.daemons import controller
-        from waxwingrack.daemons import storage
-
-        self._lock = storage.lock(cfg.data_folder)
-        return controller.Controller(
-            cfg,
-            storage.DiskStorage(cfg.data_folder),
-            clocks.monotonic_ms,
-            random.Random(),
-        )
+        return build_controller(cfg)
--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -31,6 +31,20 @@
     environment: data.Environment
 
 
+@COMMANDS.register("replace_environment")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplaceEnvironment:
+    """Replaces the environment by one of a higher revision.
+
+    Attributes:
+      operator: Name of the operator.
+      environment: New document.
+    """
+
+    operator: str
+    environment: data.Environment
+
+
 @COMMANDS.register("set_data_centre")
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetDataCentre:
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -65,6 +65,7 @@
 
     SLOT_MS = "slot_ms"
     TOKENS = "tokens"
+    PROMPT_AND_OUTPUT = "prompt_and_output"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +87,19 @@
     max_connections: int = 512
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """One of the services among which the requests of a route are divided.
+
+    Attributes:
+      service: Id of the service.
+      weight: Share relative to the other targets, not negative.
+    """
+
+    service: str
+    weight: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """A set of requests of a service that are treated alike.
@@ -95,13 +109,32 @@
       path: Path prefix, matched by whole segments; the longest match wins.
       methods: HTTP methods; empty means every method.
       idempotent: Whether a request may be repeated. A request on a route that
-        is not idempotent needs an `Idempotency-Key`.
+        is not idempotent needs an `Idempotency-Key`, unless `single_attempt`.
+      host: Value of the `Host` header; empty takes every host.
+      targets: Services among which requests are divided; empty sends all to
+        the service that declares the route.
+      public: Whether requests need no token.
+      single_attempt: Whether each request is an attempt of its own that runs at
+        most once, so that it needs no `Idempotency-Key`.
+      timeout_s: Longest time until the answer, in seconds; None leaves it to
+        the service.
+      latency_target_s: Time until the first byte of the answer that callers
+        expect, in seconds; None if there is no such target.
+      max_tries: Most backend servers that one request is sent to; None leaves
+        it to the retry policy.
     """
 
     id: str
     path: str
     methods: tuple[str, ...] = ()
     idempotent: bool = False
+    host: str = ""
+    targets: tuple[Target, ...] = ()
+    public: bool = False
+    single_attempt: bool = False
+    timeout_s: float | None = None
+    latency_target_s: float | None = None
+    max_tries: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +159,30 @@
     max_order_delay_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """Memory and stream format of a service's model engines.
+
+    Attributes:
+      memory_tokens: Tokens that running requests and cached prompts share.
+      tokens_per_event: Output tokens in one event of a stream.
+    """
+
+    memory_tokens: int
+    tokens_per_event: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """Load that a backend server bears while it announces that it is cold.
+
+    Attributes:
+      requests_per_s: Requests in each second.
+    """
+
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A pool of backend servers that run the same program.
@@ -141,6 +198,10 @@
         of a caller that takes nothing, in seconds.
       orders: How its model engines are told to load versions; None sends no
         orders.
+      engine: Memory of its model engines; None for other servers.
+      cold: How much a cold backend server bears; None leaves it to the ramp.
+      ramp: Whether the slot limit of a new backend server starts at 1 and
+        grows. Otherwise all announced slots are used at once.
     """
 
     id: str
@@ -151,6 +212,9 @@
     answer_timeout_s: float = 60.0
     idle_timeout_s: float = 30.0
     orders: OrderSettings | None = None
+    engine: Engine | None = None
+    cold: ColdLimit | None = None
+    ramp: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,6 +266,9 @@
       key_retention_s: Shortest life of an idempotency record, in seconds.
       max_loading: Most model engines of all services that load a version at
         once, as the weight store is rate-limited.
+      revision: Number that the operators gave the document; 0 if none.
+      source: Text that the document was read from, so that it can be read back
+        unchanged; empty if it is not kept.
     """
 
     name: str
@@ -212,6 +279,12 @@
     announce_token_digests: tuple[str, ...] = ()
     key_retention_s: float = 86_400.0
     max_loading: int = 2
+    revision: int = 0
+    source: str = ""
+
+
+# Workspace of requests on public routes, which carry no token.
+PUBLIC_WORKSPACE = "(public)"
 
 
 # ---------------------------------------------------------------------------
@@ -293,6 +366,17 @@
         last bytes of an ended connection.
       max_open_connections: Most open caller connections.
       log_level: Level of the log.
+      plaintext: Whether processes talk to each other without TLS and shared
+        key, also beyond loopback.
+      group_size: Voting controllers that the leader keeps by itself, with
+        controllers that ask to join in place of lost ones; 0 leaves changes of
+        the group to operators.
+      found_group: Whether a controller with an empty disk founds the group
+        with the listed ones; otherwise it asks to join. Used with `group_size`.
+      ready_when_drained: Whether a router stays ready while its data centre is
+        drained.
+      retry_share: Retries that a router earns with each request of a service.
+      retry_reserve: Most retries of a service that a router saves up.
     """
 
     role: Role
@@ -316,6 +400,12 @@
     close_timeout_s: float = 15.0
     max_open_connections: int = 4_096
     log_level: str = "INFO"
+    plaintext: bool = False
+    group_size: int = 0
+    found_group: bool = True
+    ready_when_drained: bool = False
+    retry_share: float = 0.1
+    retry_reserve: float = 10.0
 
 
 # ---------------------------------------------------------------------------
@@ -356,6 +446,11 @@
       checks_fencing: Whether it refuses an order with an old fencing number.
       departing: Whether it is about to leave.
       cache_events: Changes of its prefix cache since the last announcement.
+      cold_ms: Time for which the server stays cold, in milliseconds.
+      born_ms: Start of the incarnation on the server's wall clock, in
+        milliseconds; 0 if it is not told. It orders incarnations.
+      sequence: Number of the announcement within its incarnation, so that a
+        late one is told; 0 if they are not numbered.
     """
 
     server_id: str
@@ -370,6 +465,23 @@
     checks_fencing: bool = False
     departing: bool = False
     cache_events: tuple[CacheEvent, ...] = ()
+    cold_ms: int = 0
+    born_ms: int = 0
+    sequence: int = 0
+
+
+@quick_init
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Part of a prompt that other requests may share.
+
+    Attributes:
+      id: Identity of the text.
+      tokens: Its length.
+    """
+
+    id: str
+    tokens: int
 
 
 @quick_init
@@ -386,6 +498,11 @@
       prefix: Digest of the prompt prefix, empty if there is none.
       hint: Expected cost as the caller sees it, 0 if there is none.
       avoid: Backend servers on which an earlier try failed.
+      prompt: Parts of the prompt in order, for model engines.
+      prompt_tokens: Length of the prompt; 0 if it is not known.
+      output_tokens: Expected length of the output; 0 if it is not known.
+      left_ms: Time left for the answer when the want was made; 0 if it is not
+        limited.
     """
 
     sequence: int
@@ -396,6 +513,10 @@
     prefix: str = ""
     hint: float = 0.0
     avoid: tuple[str, ...] = ()
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    left_ms: int = 0
 
 
 @quick_init
@@ -423,7 +544,10 @@
 
 
 class Outcome(enum.StrEnum):
-    """How a granted request ended, seen from its router."""
+    """How a granted request ended, seen from its router.
+
+    REJECTED: the backend server stated that it has not run the request.
+    """
 
     COMPLETED = "completed"
     SERVER_ERROR = "server_error"
@@ -432,6 +556,7 @@
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
     NOT_DISPATCHED = "not_dispatched"
+    REJECTED = "rejected"
 
 
 @quick_init
@@ -456,6 +581,22 @@
     cost: float
 
 
+@quick_init
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The answer to a granted request has begun.
+
+    Attributes:
+      term: Term of the grant.
+      grant: Id of the grant.
+      first_byte_ms: Time from dispatch to the first byte of the answer's body.
+    """
+
+    term: int
+    grant: int
+    first_byte_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
     """Cost so far of a granted request that is still running."""
@@ -960,6 +1101,61 @@
     added: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class PromptCache:
+    """Parts of prompts that a model engine has read lately.
+
+    It is the leader's own record of what it sent to the engine; the part read
+    longest ago is forgotten first.
+
+    Attributes:
+      uses: Number of the latest use and tokens by part.
+      order: Part by number of its latest use.
+      oldest: Lowest number that may still be in `order`.
+      next: Number of the next use.
+      tokens: Tokens of all parts.
+    """
+
+    uses: immutables.Map = immutables.Map()
+    order: immutables.Map = immutables.Map()
+    oldest: int = 0
+    next: int = 0
+    tokens: int = 0
+
+
+@quick_init
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineUse:
+    """What one grant takes of a model engine.
+
+    Attributes:
+      unread: Tokens of the prompt that the engine has to read.
+      memory: Tokens of prompt and expected output.
+      started: Whether the answer has begun, so that the prompt is read.
+    """
+
+    unread: int
+    memory: int
+    started: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineLoad:
+    """Load of a model engine, from the leader's grants.
+
+    Attributes:
+      uses: `EngineUse` by grant key.
+      unread: Tokens of prompts that the engine still has to read.
+      memory: Tokens that running requests take.
+      cache: Parts of prompts that it has read.
+    """
+
+    uses: immutables.Map = immutables.Map()
+    unread: int = 0
+    memory: int = 0
+    cache: PromptCache = PromptCache()
+
+
 @dataclasses.dataclass(frozen=True)
 class ServerRow:
     """A backend server as the leader knows it.
@@ -985,6 +1181,12 @@
       claims: Announcements of a retired incarnation, as (incarnation, time),
         since the current one was last seen.
       prefixes: Known prompt prefixes.
+      load: Load of a model engine.
+      cold_until_ms: End of the time for which the server announced that it is
+        cold.
+      cold_credit: Requests that it may get at once while it is cold.
+      cold_credit_ms: Time at which `cold_credit` was computed.
+      cold_full: Whether it gets no request until its credit has grown.
     """
 
     announcement: Announcement
@@ -1006,6 +1208,11 @@
     retired: tuple[str, ...] = ()
     claims: tuple[tuple[str, int], ...] = ()
     prefixes: PrefixCache = PrefixCache()
+    load: EngineLoad = EngineLoad()
+    cold_until_ms: int = 0
+    cold_credit: float = 0.0
+    cold_credit_ms: int = 0
+    cold_full: bool = False
 
 
 @quick_init
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -40,6 +40,7 @@
     REQUEST_STILL_RUNNING = "request_still_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    SERVER_REJECTED = "server_rejected"
     BACKEND_CONNECT_FAILED = "backend_connect_failed"
     BACKEND_CONNECTION_LOST = "backend_connection_lost"
     BACKEND_TIMEOUT = "backend_timeout"
@@ -157,6 +158,9 @@
         None,
         "The request ran; its answer was too large to keep.",
     ),
+    ErrorKind.SERVER_REJECTED: Answer(
+        503, _NOT_RUN, 1.0, "The backend server had no room for the request."
+    ),
     ErrorKind.BACKEND_CONNECT_FAILED: Answer(
         502, _NOT_RUN, 1.0, "No connection to a backend server was possible."
     ),
@@ -181,18 +185,24 @@
 RETRY_AFTER_JITTER = 0.5
 
 
-def retry_after_s(kind: ErrorKind, rng: random.Random) -> int | None:
+def retry_after(
+    kind: ErrorKind, rng: random.Random, fractional: bool = False
+) -> str | None:
     """Computes the value of the `Retry-After` header.
 
     Args:
       kind: Error kind of the refusal.
       rng: Source of the jitter.
+      fractional: Whether callers understand a fraction of a second.
 
     Returns:
-      Whole seconds, at least 1, or None if the header is left out.
+      Seconds, whole and at least 1 unless `fractional`, or None if the header
+      is left out.
     """
     mean = ANSWERS[kind].retry_after_s
     if mean is None:
         return None
     spread = rng.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
-    return max(1, round(mean * spread))
+    if fractional:
+        return f"{mean * spread:.2f}"
+    return str(max(1, round(mean * spread)))
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -9,7 +9,7 @@
 
 # Processes with different protocol versions do not talk to each other.
 # Version 2 has the compact frames of `wire`.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Longest interval between two reports of a router, in milliseconds.
 HEARTBEAT_MS = 250
@@ -102,6 +102,7 @@
       draining: True once the router shuts down.
       data_centre: Data centre of the router, in the first report on a
         connection.
+      started: Grants whose answers have begun.
     """
 
     sent_ms: int
@@ -116,6 +117,7 @@
     crash_suspects: tuple[CrashSuspect, ...] = ()
     draining: bool = False
     data_centre: str = ""
+    started: tuple[data.Started, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,6 +255,30 @@
 # ---------------------------------------------------------------------------
 
 
+@MESSAGES.register("join")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """A controller without a vote asks for one; see `operations.membership`.
+
+    Attributes:
+      node_id: Node id of the controller.
+    """
+
+    node_id: str
+
+
+@MESSAGES.register("join_noted")
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinNoted:
+    """Answer to `Join`.
+
+    Attributes:
+      leader: Leader that has to be asked, None if the receiver knows none.
+    """
+
+    leader: data.Peer | None
+
+
 @MESSAGES.register("vote_request")
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteRequest:
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -21,6 +21,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import dialects
 from waxwingrack.daemons import held_bytes
 from waxwingrack.operations import routing
 
@@ -42,6 +43,7 @@
     settings: data.Settings
     reactor: Any
     held: held_bytes.HeldBytes
+    dialect: dialects.Dialect
 
     def owner_of(self, req: "CallersRequest") -> str:
         """Returns for whom the body of a request is held."""
@@ -378,7 +380,8 @@
 
     def take_request_id(self) -> None:
         """Reads the caller's id, or makes one."""
-        given = self.requestHeaders.getRawHeaders(b"X-Request-Id") or []
+        name = self.channel.site.front.dialect.request_id
+        given = self.requestHeaders.getRawHeaders(name) or []
         text = given[0].decode("latin-1") if given else ""
         self.request_id_valid = not given or (
             len(given) == 1 and routing.valid_request_id(text)
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -3,6 +3,7 @@
 # Methods that override those of twisted keep its names.
 # ruff: noqa: N802, N815
 
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -178,6 +179,7 @@
         meter: costs.Meter,
         idle_timeout_s: float,
         kept: held_bytes.Hold | None,
+        begun: Callable[[], None] = lambda: None,
     ):
         """Prepares a transfer.
 
@@ -188,6 +190,7 @@
           meter: Cost meter of the request.
           idle_timeout_s: Longest pause of either side.
           kept: Counts the bytes kept for resends; None keeps none.
+          begun: Called before the first part of the body is passed on.
         """
         self.ended: defer.Deferred = defer.Deferred()
         self.caller_too_slow = False
@@ -197,6 +200,7 @@
         self._meter = meter
         self._idle_timeout_s = idle_timeout_s
         self._hold = kept
+        self._begun: Callable[[], None] | None = begun
         self._kept = None if kept is None else bytearray()
         self._truncated = False
         self._paused = False
@@ -233,6 +237,9 @@
 
     def _pass_on(self, chunk: bytes) -> None:
         self._active_s = self._reactor.seconds()
+        if self._begun is not None:
+            begun, self._begun = self._begun, None
+            begun()
         self._meter.feed(chunk)
         if self._kept is not None and not self._truncated:
             self._keep(chunk)
--- a/waxwingrack/daemons/callers_api.py
+++ b/waxwingrack/daemons/callers_api.py
@@ -57,7 +57,7 @@
 
     @app.route("/-/readyz", methods=["GET", "HEAD"])
     def ready(request: Any) -> bytes:
-        return _ready(host, request)
+        return answer_ready(host, request)
 
     @app.route("/-/backend-servers/<server_id>", methods=["PUT"])
     def announce(request: Any, server_id: str) -> bytes:
@@ -84,7 +84,7 @@
 
     @app.route("/readyz", methods=["GET", "HEAD"])
     def ready(request: Any) -> bytes:
-        return _ready(host, request)
+        return answer_ready(host, request)
 
     @app.route("/metrics", methods=["GET", "HEAD"])
     def metrics(request: Any) -> bytes:
@@ -119,7 +119,8 @@
         return _json(request, 500, {"reason": errors.ErrorKind.INTERNAL})
 
 
-def _ready(host: Host, request: Any) -> bytes:
+def answer_ready(host: Host, request: Any) -> bytes:
+    """Answers whether a router is ready, with the reason if not."""
     reason = host.unready()
     return _json(request, 503 if reason else 200, {"reason": reason})
 
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -168,6 +168,7 @@
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
         self._hint = ""
+        self._listed = settings.controllers
         self._peers = settings.controllers
         self._position = rng.randrange(max(1, len(self._peers)))
         self._backoff_ms = BACKOFF_FIRST_MS
@@ -196,6 +197,15 @@
         for call in tuple(self._calls):
             self._fail(call)
 
+    def list_controllers(self, controllers: tuple[data.Peer, ...]) -> None:
+        """Takes over the controllers of changed settings.
+
+        Args:
+          controllers: Controllers that the settings name now.
+        """
+        self._listed = controllers
+        self._learn(controllers)
+
     @property
     def alive(self) -> bool:
         """Whether the leader was heard within CONTROL_TIMEOUT_MS."""
@@ -345,6 +355,7 @@
                 self._owner.updated(message)
             case messages.EnvironmentPush():
                 self._phases.confirmed()
+                self._peers = self._listed
                 self._learn(message.controllers)
                 self._owner.pushed(message)
             case messages.KeyAnswer():
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 import secrets
@@ -17,6 +18,7 @@
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.daemons import controller_metrics
+from waxwingrack.daemons import group
 from waxwingrack.daemons import key_calls  # noqa: F401  fills the registry
 from waxwingrack.daemons import leader as leader_module
 from waxwingrack.daemons import metrics as metrics_module
@@ -28,6 +30,7 @@
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import consensus
+from waxwingrack.operations import membership
 
 CONSENSUS_MESSAGES = (
     messages.VoteRequest,
@@ -79,6 +82,7 @@
         storage: Any,
         clock: Callable[[], int],
         rng: random.Random,
+        build_site: Callable[["Controller"], Any] | None = None,
     ):
         """Prepares a controller.
 
@@ -87,6 +91,8 @@
           storage: `DiskStorage` or `MemoryStorage`.
           clock: Returns monotonic milliseconds.
           rng: Random generator.
+          build_site: Builds the HTTP server of the operators' port; None for
+            the operators' API of this project.
         """
         self.settings = settings
         self.driver: replica_driver.ReplicaDriver | None = None
@@ -100,6 +106,7 @@
         self.repairs = repair.Repairs(self)
         self._storage = storage
         self._rng = rng
+        self._build_site = build_site or _operators_site
         self._damage = ""
         self._life: _LifeCycle = _MACHINE(self)
         if settings.tls is not None:
@@ -111,6 +118,10 @@
             incarnation=secrets.token_hex(8),
             shared_key=transport.read_secret(settings.shared_key_file),
             tls=settings.tls,
+            plaintext=settings.plaintext,
+        )
+        self._group = (
+            group.Group(self, self._identity) if settings.group_size else None
         )
         self.links = peer_links.PeerLinks(
             self._identity, self.counts, self._from_peer, clock, rng
@@ -150,9 +161,7 @@
         )
         self._port = reactor.listenTCP(
             self.settings.operators.port,
-            operators_api.site(
-                self, transport.read_secret(self.settings.operator_token_file)
-            ),
+            self._build_site(self),
             interface=self.settings.operators.host,
         )
         if self.driver is not None:
@@ -166,6 +175,8 @@
         self._life.stop()
         self._loop_task.cancel()
         self.repairs.close()
+        if self._group is not None:
+            self._group.close()
         self._server.close()
         self.links.close()
         if self.driver is not None:
@@ -175,14 +186,25 @@
         )
         await self._server.wait_closed()
 
+    def list_controllers(self, controllers: tuple[data.Peer, ...]) -> None:
+        """Takes over the controllers of changed settings."""
+        self.settings = dataclasses.replace(
+            self.settings, controllers=controllers
+        )
+
     def _load(self) -> result.Result[consensus.Persisted, Any]:
         identity = self._storage.identify(self.settings.node_id)
         return identity.bind(lambda _: self._storage.load())
 
     def _create_driver(self, persisted: consensus.Persisted) -> None:
+        founders = tuple(peer.id for peer in self.settings.controllers)
+        if self._group is not None and not (
+            self.settings.found_group and self.settings.node_id in founders
+        ):
+            founders = ()
         replica = consensus.create(
             self.settings.node_id,
-            tuple(peer.id for peer in self.settings.controllers),
+            founders,
             persisted,
             self.clock(),
             self._rng.getrandbits(32),
@@ -213,6 +235,9 @@
             return
         self.links.check_replies()
         self._replica_changed()
+        if self._group is not None:
+            self._update_peers()
+            self._group.run(self.clock())
         if self.leads():
             self.leader.run_periodic()
 
@@ -274,10 +299,27 @@
             self._pushed_number = state.number
             self._guard("push", self.leader.push_environment)
 
+    def group_peers(self) -> tuple[data.Peer, ...]:
+        """Returns the controllers that keep the group, and new ones."""
+        replica = self.driver.replica
+        return membership.peers(
+            sorted({*replica.members, *replica.peers}),
+            self.settings.operators.port,
+        )
+
+    def _added_peers(self) -> tuple[data.Peer, ...]:
+        """Returns controllers that the settings of others may not list."""
+        if self._group is not None:
+            return self.group_peers()
+        return tuple(self.driver.state.controllers.values())
+
     def _update_peers(self) -> None:
-        added = self.driver.state.controllers
-        listed = {peer.id: peer for peer in self.settings.controllers}
-        peers = tuple((listed | dict(added)).values())
+        if self._group is not None:
+            peers = self.group_peers()
+        else:
+            added = self.driver.state.controllers
+            listed = {peer.id: peer for peer in self.settings.controllers}
+            peers = tuple((listed | dict(added)).values())
         if peers != self._peers:
             self._peers = peers
             self.links.set_peers(peers)
@@ -295,6 +337,10 @@
                 self._guard("lapsed", self._life.lapsed)
 
     def _from_peer(self, node_id: str, message: Any) -> None:
+        if isinstance(message, messages.Join) and self._group is not None:
+            answer = self._group.asked(message.node_id, self.clock())
+            self.links.send(node_id, answer)
+            return
         if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
             logs.event(
                 "unexpected_message",
@@ -315,6 +361,7 @@
                 clock=self.clock,
                 rng=self._rng,
                 metrics=self.metrics,
+                peers=self._added_peers,
             )
         )
 
@@ -400,6 +447,11 @@
                 self.leader.closed(session, "the connection ended")
 
 
+def _operators_site(controller: Controller) -> Any:
+    token = transport.read_secret(controller.settings.operator_token_file)
+    return operators_api.site(controller, token)
+
+
 def _life_cycle() -> Callable[[Controller], _LifeCycle]:
     """Builds the state machine of a controller's life."""
     builder = automat.TypeMachineBuilder(_LifeCycle, Controller)
--- /dev/null
+++ b/waxwingrack/daemons/dialects.py
@@ -0,0 +1,236 @@
+"""Header names between callers, routers and backend servers.
+
+A router speaks one dialect on both sides. `OWN` is that of this project's own
+interface; the adapter of a platform brings another one.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Protocol
+
+from twisted.web import http_headers
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.operations import routing
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"trailers",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Facts:
+    """What the headers of a request say besides its route and caller.
+
+    Attributes:
+      hint: Expected cost as the caller sees it, 0 if there is none.
+      prefix: Digest of the prompt prefix, empty if there is none.
+      prompt: Parts of the prompt in order.
+      prompt_tokens: Length of the prompt; 0 if it is not known.
+      output_tokens: Expected length of the output; 0 if it is not known.
+      left_ms: Time for which the caller waits; None if it does not say.
+    """
+
+    hint: float = 0.0
+    prefix: str = ""
+    prompt: tuple[data.PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    left_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """What a router tells a backend server of a request.
+
+    Attributes:
+      server_id: Backend server that the request is meant for.
+      address: Its address.
+      request_id: Id of the request.
+      workspace: Workspace of the caller.
+      caller: IP number of the caller.
+      left_ms: Time left for the answer; None if it is not limited.
+    """
+
+    server_id: str
+    address: data.Address
+    request_id: str
+    workspace: str
+    caller: str
+    left_ms: int | None
+
+
+class Dialect(Protocol):
+    """Header names and their meaning.
+
+    Attributes:
+      request_id: Name of the header with the id of a request.
+      fractional_retry_after: Whether `Retry-After` may hold a fraction.
+    """
+
+    request_id: bytes
+    fractional_retry_after: bool
+
+    def facts(
+        self, received: http_headers.Headers, content_type: str, body: bytes
+    ) -> Facts:
+        """Reads the headers of a request."""
+
+    def to_server(
+        self, received: http_headers.Headers, dispatch: Dispatch
+    ) -> http_headers.Headers:
+        """Derives the headers of a request to a backend server."""
+
+    def own_answer_headers(self) -> frozenset[bytes]:
+        """Returns lower-case names that a backend server must not set."""
+
+    def not_run(self, status: int, headers: http_headers.Headers) -> bool:
+        """Whether an answer states that the request has not run."""
+
+    def answered_by(self, grant: data.Grant) -> dict[bytes, bytes]:
+        """Returns headers that tell the caller who answered."""
+
+    def refused(
+        self, request_id: str, stated: errors.Execution
+    ) -> dict[bytes, bytes]:
+        """Returns the headers of a refusal besides the usual ones."""
+
+    def status(self, kind: errors.ErrorKind, stated: errors.Execution) -> int:
+        """Returns the HTTP status of a refusal."""
+
+
+class OwnDialect:
+    """The headers of this project's own interface."""
+
+    request_id = b"X-Request-Id"
+    fractional_retry_after = False
+    # Request headers that end at the router, or that it sets itself.
+    _own_request = HOP_BY_HOP | {
+        b"authorization",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"x-request-id",
+        b"x-workspace",
+        b"x-forwarded-for",
+    }
+    _own_answer = HOP_BY_HOP | {
+        b"x-request-id",
+        b"x-backend-server",
+        b"x-backend-version",
+        b"x-execution",
+        b"x-idempotent-replay",
+    }
+
+    def facts(
+        self, received: http_headers.Headers, content_type: str, body: bytes
+    ) -> Facts:
+        """Reads the headers of a request."""
+        return Facts(
+            hint=routing.cost_hint(first(received, b"X-Cost-Hint")),
+            prefix=routing.prompt_prefix(
+                first(received, b"X-Prompt-Prefix"), content_type, body
+            ),
+        )
+
+    def to_server(
+        self, received: http_headers.Headers, dispatch: Dispatch
+    ) -> http_headers.Headers:
+        """Derives the headers of a request to a backend server."""
+        hosts = received.getRawHeaders(b"Host")
+        passed = received.getRawHeaders(b"X-Forwarded-For") or []
+        headers = passed_on(received, self._own_request)
+        for name, value in (
+            (b"Host", hosts[0] if hosts else str(dispatch.address).encode()),
+            (b"X-Request-Id", dispatch.request_id.encode()),
+            (b"X-Workspace", dispatch.workspace.encode()),
+            (
+                b"X-Forwarded-For",
+                b", ".join([*passed, dispatch.caller.encode()]),
+            ),
+        ):
+            headers.setRawHeaders(name, [value])
+        return headers
+
+    def own_answer_headers(self) -> frozenset[bytes]:
+        """Returns lower-case names that a backend server must not set."""
+        return self._own_answer
+
+    def not_run(self, status: int, headers: http_headers.Headers) -> bool:
+        """Returns False: a backend server of this interface never says so."""
+        del status, headers
+        return False
+
+    def answered_by(self, grant: data.Grant) -> dict[bytes, bytes]:
+        """Returns headers that tell the caller who answered."""
+        return {
+            b"X-Backend-Server": grant.server_id.encode(),
+            b"X-Backend-Version": grant.version.encode(),
+        }
+
+    def refused(
+        self, request_id: str, stated: errors.Execution
+    ) -> dict[bytes, bytes]:
+        """Returns the headers of a refusal besides the usual ones."""
+        return {
+            b"X-Request-Id": request_id.encode(),
+            b"X-Execution": stated.encode(),
+        }
+
+    def status(self, kind: errors.ErrorKind, stated: errors.Execution) -> int:
+        """Returns the HTTP status of a refusal."""
+        del stated
+        return errors.ANSWERS[kind].status
+
+
+OWN = OwnDialect()
+
+
+def first(headers: http_headers.Headers, name: bytes) -> str | None:
+    """Returns the first value of a header as text, or None."""
+    values = headers.getRawHeaders(name)
+    return values[0].decode("latin-1") if values else None
+
+
+def connection_tokens(values: Sequence[bytes]) -> frozenset[bytes]:
+    """Returns the lower-case header names in values of `Connection`."""
+    return frozenset(
+        token.strip().lower() for value in values for token in value.split(b",")
+    )
+
+
+def passed_on(
+    received: http_headers.Headers, dropped: frozenset[bytes]
+) -> http_headers.Headers:
+    """Copies end-to-end headers.
+
+    Args:
+      received: Headers as received.
+      dropped: Lower-case names to leave out.
+
+    Returns:
+      The other headers, without those that `Connection` names.
+    """
+    if control := received.getRawHeaders(b"Connection"):
+        dropped |= connection_tokens(control)
+    headers = http_headers.Headers()
+    # Names and values of another `Headers` are in order; setting them one by
+    # one would check each of them again.
+    headers._rawHeaders = {
+        name: values
+        for name, values in received.getAllRawHeaders()
+        if name.lower() not in dropped
+    }
+    return headers
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -104,6 +104,7 @@
         self._waits: dict[int, _Wait] = {}
         self._withdrawn: list[int] = []
         self._finished: list[data.Finished] = []
+        self._started: list[data.Started] = []
         self._announcements: dict[str, data.Announcement] = {}
         self._suspects: list[messages.CrashSuspect] = []
 
@@ -202,6 +203,22 @@
         self.leases[grant.term, grant.id] = lease
         wait.granted.callback(lease)
 
+    def begun(self, lease: Lease, first_byte_ms: float) -> None:
+        """Reports that the answer to a granted request has begun.
+
+        Args:
+          lease: The grant in use.
+          first_byte_ms: Time from dispatch to the first byte of the body.
+        """
+        # Only engines read prompts, for which the leader waits.
+        if lease.want.prompt_tokens:
+            self._started.append(
+                data.Started(
+                    lease.grant.term, lease.grant.id, float(first_byte_ms)
+                )
+            )
+            self._poke(False)
+
     def finish(
         self,
         lease: Lease,
@@ -313,6 +330,7 @@
             wants=wants,
             withdrawn=tuple(self._withdrawn),
             finished=tuple(self._finished),
+            started=tuple(self._started),
             progress=self._take_progress(now_ms),
             announcements=tuple(self._announcements.values()),
             crash_suspects=tuple(self._suspects),
@@ -320,6 +338,7 @@
         )
         self._withdrawn.clear()
         self._finished.clear()
+        self._started.clear()
         self._announcements.clear()
         self._suspects.clear()
         return report
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -243,6 +243,11 @@
         reactor.write_now(transport)
 
 
+def on_reload(call: Callable[[], None]) -> None:
+    """Calls a function at each SIGHUP."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, call)
+
+
 def stop_signal() -> asyncio.Event:
     """Returns an event that SIGTERM and SIGINT set."""
     stopped = asyncio.Event()
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -16,6 +16,7 @@
 from waxwingrack.core import logs
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import answers
+from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
@@ -31,7 +32,11 @@
     queueing.Fault.TIMED_OUT: data.Outcome.TIMED_OUT,
     queueing.Fault.GRANT_EXPIRED: data.Outcome.NOT_DISPATCHED,
     queueing.Fault.CLAIM_LOST: data.Outcome.NOT_DISPATCHED,
+    queueing.Fault.REJECTED: data.Outcome.REJECTED,
 }
+# Time after the limit of its route at which an answer that goes on is broken
+# off, in seconds. The backend server ends it at the limit by itself.
+OVERRUN_S = 0.1
 
 
 class Exchange(keyed_requests.KeyedRequest):
@@ -57,6 +62,8 @@
         self._key: tuple[str, str] | None = None
         self._workspace = ""
         self._service = ""
+        self._end_ms: int | None = None
+        self._first_ms = 0
         self._pump: answers.Pump | None = None
         self._kept: held_bytes.Hold | None = None
         req.body_in_use = True
@@ -100,20 +107,27 @@
             raise dispatch.RefusedError(kinds.SHUTTING_DOWN)
         if host.tables is None:
             raise dispatch.RefusedError(kinds.NOT_READY)
-        workspace = _unwrap(routing.find_caller(host.tables, req.token_digest))
+        method = req.method.decode()
+        matched = routing.match_route(
+            host.tables,
+            method,
+            req.path.decode("latin-1"),
+            (self._header("Host") or "").lower(),
+        )
+        workspace = self._workspace_of(matched)
         if host.open_by_workspace[workspace.id] >= workspace.max_connections:
             raise dispatch.RefusedError(kinds.TOO_MANY_CONNECTIONS)
         self._workspace = workspace.id
         host.open_by_workspace[workspace.id] += 1
-        method = req.method.decode()
-        found = _unwrap(
-            routing.match_route(host.tables, method, req.path.decode("latin-1"))
-        )
+        found = routing.choose_target(host.tables, _unwrap(matched), host.rng)
         self._service = found.service.id
         if not req.request_id_valid:
             raise dispatch.RefusedError(kinds.BAD_REQUEST, "request_id")
         key = _unwrap(
-            idempotency.check_key(self._key_header(), found.route.idempotent)
+            idempotency.check_key(
+                self._key_header(),
+                found.route.idempotent or found.route.single_attempt,
+            )
         )
         body = req.content.getvalue()
         digest = routing.request_digest(
@@ -125,6 +139,13 @@
             raise dispatch.RefusedError(
                 kinds.CONTROL_UNAVAILABLE, record_unread=key is not None
             )
+        facts = host.dialect.facts(
+            req.requestHeaders, self._header("Content-Type") or "", body
+        )
+        now_ms = host.clock()
+        left_ms = routing.time_left_ms(found.route, facts.left_ms)
+        self._end_ms = None if left_ms is None else now_ms + left_ms
+        wait_ms = round(found.service.queue_timeout_s * 1000)
         return keyed_requests.Admitted(
             workspace=workspace,
             service=found.service,
@@ -136,18 +157,26 @@
                 service=found.service.id,
                 route=found.route.id,
                 digest=digest,
-                prefix=routing.prompt_prefix(
-                    self._header("X-Prompt-Prefix"),
-                    self._header("Content-Type") or "",
-                    body,
-                ),
-                hint=routing.cost_hint(self._header("X-Cost-Hint")),
+                prefix=facts.prefix,
+                hint=facts.hint,
+                prompt=facts.prompt,
+                prompt_tokens=facts.prompt_tokens,
+                output_tokens=facts.output_tokens,
+                left_ms=left_ms or 0,
             ),
             key=key,
-            deadline_ms=host.clock()
-            + round(found.service.queue_timeout_s * 1000),
+            deadline_ms=now_ms
+            + (wait_ms if left_ms is None else min(wait_ms, left_ms)),
         )
 
+    def _workspace_of(self, matched: result.Result) -> data.Workspace:
+        """Finds whose request it is; a public route needs no token."""
+        tables = self._host.tables
+        match matched:
+            case result.Success(found) if found.route.public:
+                return routing.PUBLIC
+        return _unwrap(routing.find_caller(tables, self._req.token_digest))
+
     def _header(self, name: str) -> str | None:
         values = self._req.requestHeaders.getRawHeaders(name.encode())
         return values[0].decode("latin-1") if values else None
@@ -163,7 +192,7 @@
         admitted = self._admit()
         host = self._host
         host.dispatcher.budgets = queueing.earn_retry(
-            host.dispatcher.budgets, admitted.service.id
+            host.dispatcher.budgets, admitted.service.id, host.retry_policy
         )
         if admitted.key is not None:
             await self._look_up(admitted)
@@ -205,7 +234,9 @@
                 fault=fault,
                 tries=tries,
                 answer_started=self._side is not None and self._side.started,
+                max_tries=admitted.route.max_tries or queueing.MAX_TRIES,
             ),
+            self._host.retry_policy,
         )
         return decision
 
@@ -283,18 +314,23 @@
         outgoing = forwarding.Outgoing(
             method=req.method,
             uri=req.uri,
-            headers=forwarding.request_headers(
+            headers=host.dialect.to_server(
                 req.requestHeaders,
-                lease.grant.address,
-                req.request_id,
-                admitted.workspace.id,
-                req.getClientAddress().host,
+                dialects.Dispatch(
+                    server_id=lease.grant.server_id,
+                    address=lease.grant.address,
+                    request_id=req.request_id,
+                    workspace=admitted.workspace.id,
+                    caller=req.getClientAddress().host,
+                    left_ms=self._left_ms(),
+                ),
             ),
             body=admitted.body if self._has_body(admitted) else None,
             request_id=req.request_id,
             reuse=admitted.route.idempotent and not keyed,
-            answer_timeout_s=admitted.service.answer_timeout_s,
+            answer_timeout_s=self._answer_timeout_s(admitted),
         )
+        ran_before = self._sent
 
         def may_send() -> bool:
             now_ms = host.clock()
@@ -311,7 +347,7 @@
             )
             self._sent = True
             lease.sent_ms = lease.reported_ms = now_ms
-            lease.meter = costs.create(admitted.service.cost_meter, "")
+            lease.meter = _meter(admitted, "")
             if keyed:
                 # It runs to its end, whether or not its caller waits for it.
                 self._cancel = None
@@ -323,9 +359,24 @@
         self._cancel = sending.cancel
         try:
             return await sending
+        except forwarding.NotSentError as exc:
+            if exc.fault is queueing.Fault.REJECTED:
+                self._sent = ran_before
+            raise
         finally:
             self._cancel = None
 
+    def _left_ms(self) -> int | None:
+        """Returns the time until the answer is due, None without a limit."""
+        if self._end_ms is None:
+            return None
+        return max(1, self._end_ms - self._host.clock())
+
+    def _answer_timeout_s(self, admitted: keyed_requests.Admitted) -> float:
+        left_ms = self._left_ms()
+        limit_s = admitted.service.answer_timeout_s
+        return limit_s if left_ms is None else min(limit_s, left_ms / 1000)
+
     def _has_body(self, admitted: keyed_requests.Admitted) -> bool:
         headers = self._req.requestHeaders
         return bool(
@@ -359,7 +410,7 @@
         head: forwarding.Head,
     ) -> queueing.Fault:
         host, req = self._host, self._req
-        first_ms = host.clock() - lease.sent_ms
+        self._first_ms = host.clock() - lease.sent_ms
         try:
             pump = self._start_answer(admitted, lease, head)
         except Exception:
@@ -367,13 +418,29 @@
             head.conn.abort()
             self._pump = None
             raise
+        overrun = None
+        if self._end_ms is not None:
+            overrun = host.reactor.callLater(
+                self._left_ms() / 1000 + OVERRUN_S,
+                pump.abort,
+                queueing.Fault.TIMED_OUT,
+            )
         try:
             end = await pump.run()
         finally:
             self._pump = None
+            if overrun is not None and overrun.active():
+                overrun.cancel()
         if not self._gone and req.producer:
             req.unregisterProducer()
-        return await self._conclude(admitted, lease, head, pump, end, first_ms)
+        return await self._conclude(
+            admitted, lease, head, pump, end, self._first_ms
+        )
+
+    def _answer_begun(self, lease: dispatch.Lease) -> None:
+        """Notes the first byte of the body."""
+        self._first_ms = self._host.clock() - lease.sent_ms
+        self._host.dispatcher.begun(lease, self._first_ms)
 
     def _start_answer(
         self,
@@ -390,7 +457,7 @@
             ),
             "",
         )
-        lease.meter = costs.create(admitted.service.cost_meter, content_type)
+        lease.meter = _meter(admitted, content_type)
         side = self._side = answers.CallerSide(req, hold_end=keyed)
         if keyed:
             self._kept = host.held.open(admitted.workspace.id)
@@ -401,6 +468,7 @@
             lease.meter,
             admitted.service.idle_timeout_s,
             kept=self._kept,
+            begun=lambda: self._answer_begun(lease),
         )
         if self._gone:
             side.detach()
@@ -457,16 +525,14 @@
     def _set_own_headers(self, lease: dispatch.Lease) -> None:
         headers = self._req.responseHeaders
         self._set_connection_headers()
-        headers.setRawHeaders(
-            b"X-Backend-Server", [lease.grant.server_id.encode()]
-        )
-        headers.setRawHeaders(
-            b"X-Backend-Version", [lease.grant.version.encode()]
-        )
+        for name, value in self._host.dialect.answered_by(lease.grant).items():
+            headers.setRawHeaders(name, [value])
 
     def _set_connection_headers(self) -> None:
         headers = self._req.responseHeaders
-        headers.setRawHeaders(b"X-Request-Id", [self._req.request_id.encode()])
+        headers.setRawHeaders(
+            self._host.dialect.request_id, [self._req.request_id.encode()]
+        )
         if self._host.closing:
             headers.setRawHeaders(b"Connection", [b"close"])
             self._req.channel.persistent = False
@@ -498,6 +564,7 @@
             server=lease.grant.server_id,
             grant=lease.grant.id,
             status=status,
+            first_byte_ms=first_ms,
             duration_ms=duration_ms,
             cost=cost,
         )
@@ -569,6 +636,18 @@
         }
 
 
+def _meter(admitted: keyed_requests.Admitted, content_type: str) -> costs.Meter:
+    engine = admitted.service.engine
+    return costs.create(
+        admitted.service.cost_meter,
+        content_type,
+        costs.Usage(
+            admitted.want.prompt_tokens,
+            engine.tokens_per_event if engine else 1,
+        ),
+    )
+
+
 def _unwrap(outcome: result.Result) -> Any:
     match outcome:
         case result.Success(value):
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -10,7 +10,6 @@
 # ruff: noqa: N802, N815
 
 from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 import functools
 import ipaddress
@@ -28,6 +27,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import dialects
 from waxwingrack.daemons import event_loop
 from waxwingrack.operations import queueing
 
@@ -41,43 +41,9 @@
 # Backend servers whose addresses are kept in parsed form.
 MAX_ENDPOINTS = 1024
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"trailers",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-# Request headers that end at the router, or that it sets itself.
-_OWN_REQUEST_HEADERS = HOP_BY_HOP | {
-    b"authorization",
-    b"content-length",
-    b"expect",
-    b"host",
-    b"x-request-id",
-    b"x-workspace",
-    b"x-forwarded-for",
-}
-
-# Answer headers that only the router sets.
-_OWN_ANSWER_HEADERS = HOP_BY_HOP | {
-    b"x-request-id",
-    b"x-backend-server",
-    b"x-backend-version",
-    b"x-execution",
-    b"x-idempotent-replay",
-}
-
 
 class NotSentError(Exception):
-    """No byte of the request was written.
+    """The request has not run: not sent, or the server said so.
 
     Attributes:
       fault: How the try ended.
@@ -202,8 +168,9 @@
 class Forwarder:
     """Sends requests to backend servers."""
 
-    def __init__(self, reactor: Any):
+    def __init__(self, reactor: Any, dialect: dialects.Dialect = dialects.OWN):
         self._reactor = reactor
+        self._dialect = dialect
         self._pools = {}
         self._endpoint = functools.lru_cache(MAX_ENDPOINTS)(
             self._build_endpoint
@@ -234,7 +201,8 @@
           The head. The body follows once `receive` is called.
 
         Raises:
-          NotSentError: No byte was written.
+          NotSentError: No byte was written, or the server stated that it has
+            not run the request.
           BrokenError: Bytes were written and no usable answer began in time.
         """
         pool = self._pools[outgoing.reuse]
@@ -296,13 +264,17 @@
         finally:
             if timer.active():
                 timer.cancel()
-        echoed = response.headers.getRawHeaders(b"X-Request-Id")
+        echoed = response.headers.getRawHeaders(self._dialect.request_id)
         if echoed and echoed[0] != outgoing.request_id.encode():
             logs.event("crossed_answer", request_id=outgoing.request_id)
             # The server is out of step; a pooled connection must not survive.
             conn.transport.abortConnection()
             raise BrokenError(queueing.Fault.CONNECTION_LOST)
-        return _head(response, parser, conn)
+        if self._dialect.not_run(response.code, response.headers):
+            # The refusal is short; reading it would hold the connection.
+            conn.transport.abortConnection()
+            raise NotSentError(queueing.Fault.REJECTED)
+        return _head(response, parser, conn, self._dialect.own_answer_headers())
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -329,59 +301,15 @@
     return kind(reactor, address.host, address.port, timeout=timeout_s)
 
 
-def request_headers(
-    received: http_headers.Headers,
-    address: data.Address,
-    request_id: str,
-    workspace: str,
-    caller: str,
-) -> http_headers.Headers:
-    """Derives the headers of a request to a backend server.
-
-    Args:
-      received: Headers as the caller sent them.
-      address: Address of the backend server, for a caller without Host.
-      request_id: Id of the request.
-      workspace: Workspace of the caller.
-      caller: IP number of the caller.
-
-    Returns:
-      End-to-end headers without `Authorization`, and those of the router.
-    """
-    dropped = _OWN_REQUEST_HEADERS
-    if control := received.getRawHeaders(b"Connection"):
-        dropped |= _connection_tokens(control)
-    hosts = received.getRawHeaders(b"Host") or [str(address).encode()]
-    passed = received.getRawHeaders(b"X-Forwarded-For") or []
-    headers = http_headers.Headers()
-    # Names and values of another `Headers` are in order; setting them one by
-    # one would check each of them again.
-    headers._rawHeaders = {
-        name: values
-        for name, values in received.getAllRawHeaders()
-        if name.lower() not in dropped
-    }
-    for name, value in (
-        (b"Host", hosts[0]),
-        (b"X-Request-Id", request_id.encode()),
-        (b"X-Workspace", workspace.encode()),
-        (b"X-Forwarded-For", b", ".join([*passed, caller.encode()])),
-    ):
-        headers.setRawHeaders(name, [value])
-    return headers
-
-
-def _connection_tokens(values: Sequence[bytes]) -> frozenset[bytes]:
-    return frozenset(
-        token.strip().lower() for value in values for token in value.split(b",")
-    )
-
-
-def _head(response: Any, parser: Any, conn: BackendConnection) -> Head:
+def _head(
+    response: Any,
+    parser: Any,
+    conn: BackendConnection,
+    dropped: frozenset[bytes],
+) -> Head:
     control = parser.connHeaders
-    dropped = _OWN_ANSWER_HEADERS
     if tokens := control.getRawHeaders(b"Connection"):
-        dropped |= _connection_tokens(tokens)
+        dropped |= dialects.connection_tokens(tokens)
     length = response.length
     lengths = control.getRawHeaders(b"Content-Length")
     return Head(
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -19,11 +19,13 @@
 from waxwingrack.daemons import admission
 from waxwingrack.daemons import answers
 from waxwingrack.daemons import control_link
+from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import held_bytes
 from waxwingrack.daemons import router_metrics
 from waxwingrack.operations import idempotency
+from waxwingrack.operations import queueing
 from waxwingrack.operations import routing
 
 # Longest wait for the confirmation of a key message while a caller waits.
@@ -43,6 +45,8 @@
     link: control_link.ControlLink
     forwarder: forwarding.Forwarder
     metrics: router_metrics.RouterMetrics
+    dialect: dialects.Dialect
+    retry_policy: queueing.RetryPolicy
     held: held_bytes.HeldBytes
     closing: bool
     keys: dict[tuple[str, str], str]
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -53,6 +53,7 @@
       clock: Monotonic milliseconds.
       rng: Random generator.
       metrics: Metrics of the process.
+      peers: Returns controllers that the settings of routers may not list.
     """
 
     driver: replica_driver.ReplicaDriver
@@ -60,6 +61,7 @@
     clock: Callable[[], int]
     rng: random.Random
     metrics: metrics_module.Metrics
+    peers: Callable[[], tuple[data.Peer, ...]] = tuple
 
 
 class Leader:
@@ -176,6 +178,28 @@
             return live | self._former_routers
         return live
 
+    def announce(self, seen: data.Announcement) -> None:
+        """Takes an announcement of a backend server.
+
+        Args:
+          seen: The announcement.
+        """
+        version = rollouts.served_as(self.state, seen.service, seen.version)
+        self.tables = scheduler.on_announcement(
+            self.tables,
+            dataclasses.replace(seen, version=version),
+            self.services.clock(),
+        )
+        self.services.metrics.add(
+            "announcements_total", "Announcements of backend servers."
+        )
+
+    def depart(self, server_id: str) -> None:
+        """Takes out a backend server that has said that it leaves."""
+        self.tables = scheduler.on_departure(
+            self.tables, server_id, self.services.clock()
+        )
+
     def _router_lost(
         self, session: router_sessions.Session, reason: str
     ) -> None:
@@ -486,10 +510,11 @@
             # Encoded once for all routers: the document may be large.
             push = messages.EnvironmentPush(
                 number=state.number,
-                environment=state.environment,
+                # Routers do not read the document back.
+                environment=dataclasses.replace(state.environment, source=""),
                 drained=tuple(sorted(state.drained)),
                 refused_digests=tuple(sorted(state.refused_digests)),
-                controllers=tuple(state.controllers.values()),
+                controllers=self.services.peers(),
             )
             frame = transport.compress(messages.CODEC.encode(push))
             self._push = (state.number, frame)
@@ -620,6 +645,7 @@
         report.first
         or report.wants
         or report.finished
+        or report.started
         or report.announcements
         or report.withdrawn
         or report.running
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -24,11 +24,10 @@
 from waxwingrack.core import logs
 from waxwingrack.daemons import fleet_status
 from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.daemons import proposals
 from waxwingrack.daemons import repair
 from waxwingrack.load import environment as environment_module
 
-# Longest wait for a change to be committed, in seconds.
-COMMIT_TIMEOUT_S = 2.0
 # Largest request body. The log carries a change within one frame.
 MAX_BODY_BYTES = 1024 * 1024
 MAX_OPERATION_CHARACTERS = 128
@@ -401,13 +400,8 @@
         )
 
     async def _change(self, request: iweb.IRequest, command: Any) -> bytes:
-        fut = self._controller.driver.propose(command)
-        await _wait(fut)
-        if not fut.done():
-            return _unavailable(
-                request, "not committed in time; send the operation again"
-            )
-        match fut.result():
+        committed = await _deferred(proposals.commit(self._controller, command))
+        match committed:
             case result.Success(data.OperationOutcome() as outcome):
                 logs.decision(
                     type(command).__name__,
@@ -418,9 +412,9 @@
                     number=outcome.number,
                 )
                 return _outcome(request, outcome)
-            case result.Failure(unavailable):
+            case result.Failure(reason):
                 return _unavailable(
-                    request, f"{unavailable.reason}; send the operation again"
+                    request, f"{reason}; send the operation again"
                 )
             case other:
                 raise TypeError(f"unexpected outcome {other!r}")
@@ -494,7 +488,7 @@
 
 async def _wait(fut: asyncio.Future) -> None:
     """Waits for a future up to the commit timeout, without ending it."""
-    await _deferred(asyncio.wait([fut], timeout=COMMIT_TIMEOUT_S))
+    await _deferred(asyncio.wait([fut], timeout=proposals.COMMIT_TIMEOUT_S))
 
 
 def _deferred(coroutine: Coroutine) -> defer.Deferred:
--- a/waxwingrack/daemons/peer_links.py
+++ b/waxwingrack/daemons/peer_links.py
@@ -23,7 +23,7 @@
 # Mean pause between two attempts to connect, in seconds.
 RECONNECT_S = 0.2
 
-REPLIES = (messages.VoteReply, messages.AppendReply)
+REPLIES = (messages.VoteReply, messages.AppendReply, messages.JoinNoted)
 
 Deliver = Callable[[str, Any], None]
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -26,6 +26,7 @@
 from waxwingrack.daemons import callers_api
 from waxwingrack.daemons import clocks
 from waxwingrack.daemons import control_link
+from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import exchanges
 from waxwingrack.daemons import forwarding
@@ -33,6 +34,7 @@
 from waxwingrack.daemons import router_metrics
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.operations import queueing
 from waxwingrack.operations import routing
 
 # Interval at which a stopping router looks for the end of its requests.
@@ -51,6 +53,8 @@
       settings: Settings of the process.
       clock: Returns monotonic milliseconds.
       rng: Source of jitter and ids.
+      dialect: Header names on the callers' and the servers' side.
+      retry_policy: How many retries the router may send.
       reactor: Twisted's reactor.
       tables: Tables of the environment in force, None before the first.
       dispatcher: Waiting requests and grants in use.
@@ -69,6 +73,10 @@
         settings: data.Settings,
         clock: Callable[[], int] = clocks.monotonic_ms,
         rng: random.Random | None = None,
+        dialect: dialects.Dialect = dialects.OWN,
+        build_operators: Callable[
+            ["Router"], Any
+        ] = callers_api.operators_resource,
     ):
         """Prepares a router; nothing is opened before `start`.
 
@@ -76,10 +84,17 @@
           settings: Settings of the process.
           clock: Returns monotonic milliseconds.
           rng: Source of jitter and ids.
+          dialect: Header names on the callers' and the servers' side.
+          build_operators: Builds the resource of the operators' port.
         """
         self.settings = settings
         self.clock = clock
         self.rng = rng or random.Random()
+        self.dialect = dialect
+        self._build_operators = build_operators
+        self.retry_policy = queueing.RetryPolicy(
+            settings.retry_share, settings.retry_reserve
+        )
         self.tables: routing.Tables | None = None
         self.metrics = router_metrics.RouterMetrics()
         self.dispatcher = dispatch.Dispatcher(clock, self._poke)
@@ -117,11 +132,11 @@
             raise ValueError("a router needs the address of its callers' port")
         self.reactor = reactor
         logger.globalLogPublisher.addObserver(self._observe)
-        self.forwarder = forwarding.Forwarder(reactor)
+        self.forwarder = forwarding.Forwarder(reactor, self.dialect)
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
         )
-        operators = server.Site(callers_api.operators_resource(self))
+        operators = server.Site(self._build_operators(self))
         operators.displayTracebacks = False
         operators.log = lambda request: None
         for address, site in (
@@ -171,6 +186,10 @@
         logger.globalLogPublisher.removeObserver(self._observe)
         logs.event("router_stopped", cut=len(self._exchanges))
 
+    def list_controllers(self, controllers: tuple[data.Peer, ...]) -> None:
+        """Takes over the controllers of changed settings."""
+        self.link.list_controllers(controllers)
+
     def _observe(self, event: dict[str, Any]) -> None:
         """Passes on failures that twisted would only print."""
         fault = event.get("log_failure")
@@ -189,7 +208,10 @@
             return errors.ErrorKind.NOT_READY
         if not self.link.alive:
             return errors.ErrorKind.CONTROL_UNAVAILABLE
-        if self.settings.data_centre in self.tables.drained:
+        if (
+            self.settings.data_centre in self.tables.drained
+            and not self.settings.ready_when_drained
+        ):
             return "data_centre_drained"
         return ""
 
@@ -336,19 +358,21 @@
                 }
             }
         ).encode()
-        req.setResponseCode(answer.status)
+        req.setResponseCode(self.dialect.status(kind, stated))
         headers = http_headers.Headers(
             {
                 b"Date": [http.datetimeToString()],
                 b"Content-Type": [b"application/json"],
                 b"Content-Length": [b"%d" % len(body)],
-                b"X-Request-Id": [req.request_id.encode()],
-                b"X-Execution": [stated.encode()],
             }
         )
-        retry_after_s = errors.retry_after_s(kind, self.rng)
-        if retry_after_s is not None:
-            headers.setRawHeaders(b"Retry-After", [b"%d" % retry_after_s])
+        for name, value in self.dialect.refused(req.request_id, stated).items():
+            headers.setRawHeaders(name, [value])
+        retry_after = errors.retry_after(
+            kind, self.rng, self.dialect.fractional_retry_after
+        )
+        if retry_after is not None:
+            headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
         if kind is errors.ErrorKind.UNAUTHENTICATED:
             headers.setRawHeaders(b"WWW-Authenticate", [b"Bearer"])
         if kind is errors.ErrorKind.SHUTTING_DOWN or self.closing:
@@ -392,6 +416,7 @@
         incarnation=uuid.uuid4().hex,
         shared_key=transport.read_secret(settings.shared_key_file),
         tls=settings.tls,
+        plaintext=settings.plaintext,
     )
 
 
--- a/waxwingrack/daemons/storage.py
+++ b/waxwingrack/daemons/storage.py
@@ -135,6 +135,10 @@
             self._write_identity(identity)
         return _check_owner(identity, node_id, str(self._path("identity")))
 
+    def identity(self) -> result.Result[Identity, Damage]:
+        """Returns whose disk this is; a new disk belongs to no node yet."""
+        return self._open_identity().map(lambda found: found[0])
+
     def _open_identity(
         self,
     ) -> result.Result[tuple[Identity, bool], Damage]:
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -60,6 +60,7 @@
       incarnation: Changes with each start of the process.
       shared_key: Key for the HMAC; empty with mutual TLS.
       tls: Files for mutual TLS; None allows only loopback addresses.
+      plaintext: Whether peers need not authenticate, on any address.
     """
 
     role: data.Role
@@ -67,6 +68,7 @@
     incarnation: str
     shared_key: bytes = b""
     tls: data.TlsFiles | None = None
+    plaintext: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -448,6 +450,7 @@
     """
     if (
         identity.tls is None
+        and not identity.plaintext
         and not ipaddress.ip_address(address.host).is_loopback
     ):
         raise HandshakeError(f"{address} needs TLS files: not loopback")
@@ -566,7 +569,7 @@
     expected = _proof(identity, side, nonce, hello)
     if not hmac.compare_digest(expected, hello.proof):
         raise HandshakeError(f"{hello.node_id} has another shared key")
-    if not expected and identity.tls is None:
+    if not expected and identity.tls is None and not identity.plaintext:
         raise HandshakeError("neither TLS files nor a shared key are set")
 
 
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -41,6 +41,12 @@
     "$.max_header_bytes": (256, 1_048_576),
 }
 COUNT_LIMITS = {"$.max_open_connections": (1, 1_000_000)}
+# More voting controllers only make each change slower.
+GROUP_LIMITS = {"$.group_size": (0, 9)}
+RETRY_LIMITS = {
+    "$.retry_share": (0.0, 1.0),
+    "$.retry_reserve": (0.0, 1_000.0),
+}
 # A workspace alone may hold half of the buffered bytes, one of two a third.
 BODIES_BUFFERED = 4
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -98,6 +104,8 @@
 def _protection(document: Any) -> Faults:
     if not isinstance(document, dict) or document.get("tls") is not None:
         return
+    if document.get("plaintext") is True:
+        return
     if document.get("shared_key_file") is None:
         yield "$.shared_key_file", "is required without tls"
     for pattern in _PROTECTED:
@@ -170,6 +178,8 @@
 def _sizes(document: Any) -> Faults:
     yield from documents.ranges(document, BYTE_LIMITS, "bytes")
     yield from documents.ranges(document, COUNT_LIMITS, "connections")
+    yield from documents.ranges(document, GROUP_LIMITS, "controllers")
+    yield from documents.ranges(document, RETRY_LIMITS, "retries")
 
 
 @RULES.register("buffered_bodies")
--- a/waxwingrack/operations/announcements.py
+++ b/waxwingrack/operations/announcements.py
@@ -48,6 +48,9 @@
     load: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
     checks_fencing: bool = False
     departing: bool = False
+    cold_ms: int = pydantic.Field(default=0, ge=0)
+    born_ms: int = pydantic.Field(default=0, ge=0)
+    sequence: int = pydantic.Field(default=0, ge=0)
     cache_events: list[_CacheEvent] = pydantic.Field(
         default=[], max_length=10_000
     )
--- /dev/null
+++ b/waxwingrack/operations/cold_servers.py
@@ -0,0 +1,74 @@
+"""Rate of requests to backend servers that announce that they are cold.
+
+A cold server crashes when it gets requests at a rate well above the declared
+one, so the leader counts its grants over all routers. Each grant takes one
+request of a credit that grows with the declared rate.
+"""
+
+from waxwingrack.core import data
+from waxwingrack.operations import tables as tables_module
+
+# Most requests that a cold server gets at once.
+BURST = 2.0
+
+Work = tables_module.Work
+
+
+def announced(row: data.ServerRow, cold_ms: int, now_ms: int) -> data.ServerRow:
+    """Takes the announced rest of a cold start into a row.
+
+    Args:
+      row: Row of the server.
+      cold_ms: Time for which it stays cold; 0 if it is warm.
+      now_ms: Time of the announcement.
+    """
+    if not cold_ms:
+        return data.evolve(row, cold_until_ms=0, cold_full=False)
+    if row.cold_until_ms <= now_ms:
+        row = data.evolve(row, cold_credit=BURST, cold_credit_ms=now_ms)
+    return data.evolve(row, cold_until_ms=now_ms + cold_ms)
+
+
+def spend(
+    work: Work, row: data.ServerRow, limit: data.ColdLimit | None
+) -> data.ServerRow:
+    """Takes one request from the credit of a server that gets a grant.
+
+    Args:
+      work: Tables; a timer is set if the credit is used up.
+      row: Row of the server, not stored yet.
+      limit: Limit of its service; None for none.
+
+    Returns:
+      The new row.
+    """
+    if limit is None or row.cold_until_ms <= work.now_ms:
+        return row
+    credit = _credit(row, limit, work.now_ms) - 1.0
+    full = credit < 1.0
+    if full:
+        wait_ms = (1.0 - credit) / limit.requests_per_s * 1000
+        tables_module.set_timer(
+            work,
+            work.now_ms + round(wait_ms),
+            "cold",
+            row.announcement.server_id,
+        )
+    return data.evolve(
+        row,
+        cold_credit=credit,
+        cold_credit_ms=work.now_ms,
+        cold_full=full,
+    )
+
+
+@tables_module.TIMERS.register("cold")
+def _grown(work: Work, server_id: str) -> None:
+    row = work.servers.get(server_id)
+    if row is not None and row.cold_full:
+        tables_module.store(work, data.evolve(row, cold_full=False))
+
+
+def _credit(row: data.ServerRow, limit: data.ColdLimit, now_ms: int) -> float:
+    grown_s = (now_ms - row.cold_credit_ms) / 1000
+    return min(BURST, row.cold_credit + grown_s * limit.requests_per_s)
--- a/waxwingrack/operations/costs.py
+++ b/waxwingrack/operations/costs.py
@@ -4,6 +4,7 @@
 service's `CostMeter`.
 """
 
+import dataclasses
 import json
 from typing import Any
 from typing import Protocol
@@ -16,6 +17,10 @@
 # Largest JSON answer, and longest event line, that is read for its usage.
 MAX_USAGE_BYTES = 1024 * 1024
 
+# Cost of a token of output, in tokens of the prompt: an engine reads prompts
+# many tokens at a time and writes one token a step.
+OUTPUT_TOKEN_COST = 2.0
+
 METERS: registry.Registry[data.CostMeter, type] = registry.Registry(
     "cost meter"
 )
@@ -31,17 +36,33 @@
         """Returns the cost so far, `elapsed_ms` after the dispatch."""
 
 
-def create(meter: data.CostMeter, content_type: str) -> Meter:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """What is known of a request before its answer.
+
+    Attributes:
+      prompt_tokens: Length of the prompt.
+      tokens_per_event: Output tokens in one event of a stream.
+    """
+
+    prompt_tokens: int = 0
+    tokens_per_event: int = 1
+
+
+def create(
+    meter: data.CostMeter, content_type: str, usage: Usage = Usage()
+) -> Meter:
     """Creates the meter of a request.
 
     Args:
       meter: Kind of meter.
       content_type: Media type of the answer, empty before it is known.
+      usage: What is known of the request.
 
     Returns:
       The meter.
     """
-    return METERS[meter](content_type.lower())
+    return METERS[meter](content_type.lower(), usage)
 
 
 def worth_reporting(last: float, cost: float) -> bool:
@@ -53,8 +74,8 @@
 class SlotTime:
     """Time for which the request used a slot, in milliseconds."""
 
-    def __init__(self, content_type: str):
-        del content_type
+    def __init__(self, content_type: str, usage: Usage):
+        del content_type, usage
 
     def feed(self, chunk: bytes) -> None:
         """Ignores the answer."""
@@ -68,7 +89,8 @@
 class Tokens:
     """Streamed events, corrected by `usage.total_tokens` once it is known."""
 
-    def __init__(self, content_type: str):
+    def __init__(self, content_type: str, usage: Usage):
+        del usage
         self._stream = content_type.startswith("text/event-stream")
         self._json = content_type.startswith("application/json")
         self._buffer = bytearray()
@@ -108,6 +130,29 @@
         self._buffer = bytearray(rest[:MAX_USAGE_BYTES])
 
 
+@METERS.register(data.CostMeter.PROMPT_AND_OUTPUT)
+class PromptAndOutput:
+    """Tokens of the prompt and, weighted, of the streamed output."""
+
+    def __init__(self, content_type: str, usage: Usage):
+        self._usage = usage
+        self._stream = content_type.startswith("text/event-stream")
+        self._events = 0
+        self._last = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Counts the ends of events, which are empty lines."""
+        if self._stream:
+            self._events += (self._last + chunk).count(b"\n\n")
+            self._last = b"" if chunk.endswith(b"\n\n") else chunk[-1:]
+
+    def cost(self, elapsed_ms: float) -> float:
+        """Returns the cost so far."""
+        del elapsed_ms
+        output = self._events * self._usage.tokens_per_event
+        return max(1.0, self._usage.prompt_tokens + OUTPUT_TOKEN_COST * output)
+
+
 def _usage(blob: bytes) -> float | None:
     try:
         document: Any = json.loads(blob)
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -15,7 +15,9 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.operations import cold_servers
 from waxwingrack.operations import crashes
+from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
@@ -254,6 +256,9 @@
 ) -> tuple[data.ServerRow, str] | None:
     """Picks a free server of a version for a want."""
     want = row.want
+    engine = work.scope.engine(want.service)
+    if engine is not None:
+        return _pick_engine(work, row, version, avoid, engine)
     while True:
         if (want.service, version) not in work.free_totals:
             return None
@@ -282,6 +287,36 @@
             servers.age(work, server.announcement.server_id)
 
 
+def _pick_engine(
+    work: Work,
+    row: data.WantRow,
+    version: str,
+    avoid: tuple[str, ...],
+    engine: data.Engine,
+) -> tuple[data.ServerRow, str] | None:
+    """Picks the model engine that would start a request first."""
+    want = row.want
+    home = work.routers[row.router].ref.data_centre
+    found = [
+        server
+        for group in _free_groups(work, want.service, version)
+        for server_id in work.groups[group]
+        if server_id not in avoid
+        and (server := work.servers[server_id])
+        and tables_module.free_level(server) is not None
+        and server.seen_ms + servers.MAX_AGE_MS > work.now_ms
+        and engine_load.fits(server.load, want, engine)
+    ]
+    if not found:
+        return None
+    rank, _, server = min(
+        (engine_load.rank(server, want, home), server.key, server)
+        for server in found
+    )
+    cached = engine_load.cached_tokens(server.load.cache, want)
+    return server, f"rank {rank}, {cached} tokens cached"
+
+
 def _holders(
     work: Work, want: data.Want, version: str, avoid: tuple[str, ...]
 ) -> Iterator[data.ServerRow]:
@@ -476,14 +511,7 @@
         wants=router.wants.delete(want.sequence),
         grants=router.grants.set(key, None),
     )
-    tables_module.store(
-        work,
-        data.evolve(
-            choice.server,
-            grants=choice.server.grants.set(key, None),
-            solo=None if share else key,
-        ),
-    )
+    _store_grant(work, choice, key, solo=share is None)
     pool = work.pools[want.service]
     used = share.share if share and share.candidate else 0.0
     if used and choice.candidate and not placement.owed(share, pool.credit):
@@ -537,6 +565,25 @@
     return account
 
 
+def _store_grant(
+    work: Work, choice: Choice, key: tables_module.GrantKey, solo: bool
+) -> None:
+    """Counts a grant at its server."""
+    want, row = choice.want.want, choice.server
+    engine = work.scope.engine(want.service)
+    declared = work.scope.services.get(want.service)
+    row = data.evolve(
+        row,
+        grants=row.grants.set(key, None),
+        solo=key if solo else None,
+    )
+    if engine is not None:
+        load = engine_load.granted(row.load, key, want, engine.memory_tokens)
+        row = data.evolve(row, load=load)
+    row = cold_servers.spend(work, row, declared and declared.cold)
+    tables_module.store(work, row)
+
+
 def _charge(work: Work, want: data.Want) -> tuple[data.Account, float, float]:
     """Charges the reservation of a want to its workspace."""
     account = tables_module.account(work, want.service, want.workspace)
--- /dev/null
+++ b/waxwingrack/operations/engine_load.py
@@ -0,0 +1,157 @@
+"""Load and prompt cache of model engines, kept from the leader's own grants.
+
+An engine reads prompts in order of arrival, in chunks between the steps of
+running requests, so a long prompt delays the first event of every request
+behind it. The leader therefore counts the tokens that each engine has still to
+read and keeps this number low: requests wait at the leader, where they can be
+ordered, and not at the engine. This answers bursts of long prompts.
+"""
+
+import dataclasses
+
+from waxwingrack.core import data
+from waxwingrack.operations import tables as tables_module
+
+# Unread tokens up to which an engine gets a further request. An engine reads
+# some ten tokens in a millisecond, and a report of the start of an answer takes
+# several milliseconds; this much keeps it busy in between.
+MAX_UNREAD_TOKENS = 6_000
+# Tokens that another running request counts as, for the time that it adds to
+# each step of an engine.
+RUNNING_TOKENS = 60
+# Tokens that a request to another data centre counts as, for the time and the
+# traffic between data centres.
+FAR_TOKENS = 250
+
+GrantKey = tables_module.GrantKey
+
+
+def cached_tokens(cache: data.PromptCache, want: data.Want) -> int:
+    """Returns the tokens of a prompt that an engine need not read.
+
+    A part is kept only together with all parts before it.
+    """
+    tokens = 0
+    for part in want.prompt:
+        if part.id not in cache.uses:
+            break
+        tokens += part.tokens
+    return tokens
+
+
+def unread_tokens(load: data.EngineLoad, want: data.Want) -> int:
+    """Returns the tokens of a prompt that an engine has to read."""
+    return max(0, want.prompt_tokens - cached_tokens(load.cache, want))
+
+
+def fits(load: data.EngineLoad, want: data.Want, engine: data.Engine) -> bool:
+    """Tells whether an engine can take a request now.
+
+    A request that is larger than the memory is left to an idle engine, which
+    refuses it by itself.
+    """
+    if not load.uses:
+        return True
+    needed = want.prompt_tokens + want.output_tokens
+    return (
+        load.unread <= MAX_UNREAD_TOKENS
+        and load.memory + needed <= engine.memory_tokens
+    )
+
+
+def rank(row: data.ServerRow, want: data.Want, home: str) -> int:
+    """Returns how late an engine would start a request, in tokens to read.
+
+    Args:
+      row: The engine.
+      want: The request.
+      home: Data centre of its router.
+    """
+    load = row.load
+    far = row.announcement.data_centre != home
+    return (
+        load.unread
+        + unread_tokens(load, want)
+        + RUNNING_TOKENS * len(load.uses)
+        + (FAR_TOKENS if far else 0)
+    )
+
+
+def granted(
+    load: data.EngineLoad, key: GrantKey, want: data.Want, memory_tokens: int
+) -> data.EngineLoad:
+    """Counts a grant.
+
+    Args:
+      load: Load before.
+      key: The grant.
+      want: Its request.
+      memory_tokens: Memory of the engine.
+    """
+    use = data.EngineUse(
+        unread_tokens(load, want), want.prompt_tokens + want.output_tokens
+    )
+    cache = load.cache
+    for part in want.prompt:
+        cache = _read(cache, part)
+    return data.EngineLoad(
+        uses=load.uses.set(key, use),
+        unread=load.unread + use.unread,
+        memory=load.memory + use.memory,
+        cache=_bounded(cache, memory_tokens),
+    )
+
+
+def started(load: data.EngineLoad, key: GrantKey) -> data.EngineLoad:
+    """Notes that the prompt of a grant has been read."""
+    use = load.uses.get(key)
+    if use is None or use.started:
+        return load
+    return dataclasses.replace(
+        load,
+        uses=load.uses.set(key, data.EngineUse(use.unread, use.memory, True)),
+        unread=load.unread - use.unread,
+    )
+
+
+def ended(load: data.EngineLoad, key: GrantKey) -> data.EngineLoad:
+    """Gives back what a grant took; its prompt stays in the cache."""
+    use = load.uses.get(key)
+    if use is None:
+        return load
+    return dataclasses.replace(
+        load,
+        uses=load.uses.delete(key),
+        unread=load.unread - (0 if use.started else use.unread),
+        memory=load.memory - use.memory,
+    )
+
+
+def _read(cache: data.PromptCache, part: data.PromptPart) -> data.PromptCache:
+    known = cache.uses.get(part.id)
+    order, tokens = cache.order, cache.tokens + part.tokens
+    if known is not None:
+        order, tokens = order.delete(known[0]), tokens - known[1]
+    return data.PromptCache(
+        uses=cache.uses.set(part.id, (cache.next, part.tokens)),
+        order=order.set(cache.next, part.id),
+        oldest=cache.oldest,
+        next=cache.next + 1,
+        tokens=tokens,
+    )
+
+
+def _bounded(cache: data.PromptCache, tokens: int) -> data.PromptCache:
+    while cache.tokens > tokens and cache.uses:
+        oldest = cache.oldest
+        while oldest not in cache.order:
+            oldest += 1
+        part = cache.order[oldest]
+        cache = data.PromptCache(
+            uses=cache.uses.delete(part),
+            order=cache.order.delete(oldest),
+            oldest=oldest + 1,
+            next=cache.next,
+            tokens=cache.tokens - cache.uses[part][1],
+        )
+    return cache
--- a/waxwingrack/operations/fairness.py
+++ b/waxwingrack/operations/fairness.py
@@ -48,6 +48,7 @@
 
 @RESERVATIONS.register(data.CostMeter.SLOT_MS)
 @RESERVATIONS.register(data.CostMeter.TOKENS)
+@RESERVATIONS.register(data.CostMeter.PROMPT_AND_OUTPUT)
 def _bounded_hint(mean: float, largest: float, hint: float) -> float:
     if largest <= 0:
         return FIRST_RESERVATION
@@ -68,6 +69,7 @@
 
 
 @UNKNOWN_COSTS.register(data.CostMeter.TOKENS)
+@UNKNOWN_COSTS.register(data.CostMeter.PROMPT_AND_OUTPUT)
 def _mean_or_more(grant: data.GrantRow, mean: float, now_ms: int) -> float:
     del now_ms
     return max(grant.cost, mean)
--- a/waxwingrack/operations/orphans.py
+++ b/waxwingrack/operations/orphans.py
@@ -15,6 +15,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import messages
 from waxwingrack.operations import crash_evidence
+from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import tables as tables_module
 
@@ -63,6 +64,7 @@
         grants=row.grants.delete(key),
         lost=row.lost.set(key, None),
         solo=None if row.solo == key else row.solo,
+        load=engine_load.ended(row.load, key),
     )
     tables_module.store(work, add(work, row, 1))
 
--- a/waxwingrack/operations/queueing.py
+++ b/waxwingrack/operations/queueing.py
@@ -19,10 +19,6 @@
 # Most tries of one request, so that a request that breaks connections does not
 # visit every backend server.
 MAX_TRIES = 3
-# Retries earned by each request of a service, and most retries saved up. The
-# share keeps retries from multiplying the load of a failing service.
-RETRY_SHARE = 0.1
-RETRY_RESERVE = 10.0
 
 
 # ---------------------------------------------------------------------------
@@ -249,11 +245,17 @@
     TIMED_OUT = "timed_out"
     GRANT_EXPIRED = "grant_expired"
     CLAIM_LOST = "claim_lost"
+    REJECTED = "rejected"
 
 
-# Faults after which no byte of the try can have reached a backend server.
+# Faults after which the try has not run and will not run.
 UNSENT = frozenset(
-    {Fault.CONNECT_FAILED, Fault.GRANT_EXPIRED, Fault.CLAIM_LOST}
+    {
+        Fault.CONNECT_FAILED,
+        Fault.GRANT_EXPIRED,
+        Fault.CLAIM_LOST,
+        Fault.REJECTED,
+    }
 )
 # Faults that say nothing about a backend server and therefore cost no retry.
 FREE = frozenset({Fault.GRANT_EXPIRED, Fault.CLAIM_LOST})
@@ -264,6 +266,7 @@
     Fault.TIMED_OUT: errors.ErrorKind.BACKEND_TIMEOUT,
     Fault.GRANT_EXPIRED: errors.ErrorKind.QUEUE_TIMEOUT,
     Fault.CLAIM_LOST: errors.ErrorKind.CONTROL_UNAVAILABLE,
+    Fault.REJECTED: errors.ErrorKind.SERVER_REJECTED,
 }
 
 
@@ -276,12 +279,14 @@
       fault: How the try ended.
       tries: Tries that were made, without those that ended with a free fault.
       answer_started: Whether a byte of the answer was passed to the caller.
+      max_tries: Most tries of the request.
     """
 
     repeatable: bool
     fault: Fault
     tries: int
     answer_started: bool
+    max_tries: int = MAX_TRIES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -297,22 +302,45 @@
     reason: str
 
 
-def earn_retry(budgets: immutables.Map, service: str) -> immutables.Map:
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """How many retries of a service a router may send.
+
+    The share keeps retries from multiplying the load of a failing service.
+
+    Attributes:
+      share: Retries earned by each request.
+      reserve: Most retries saved up.
+    """
+
+    share: float = 0.1
+    reserve: float = 10.0
+
+
+def earn_retry(
+    budgets: immutables.Map,
+    service: str,
+    policy: RetryPolicy = RetryPolicy(),
+) -> immutables.Map:
     """Credits a service with the retry share of one new request.
 
     Args:
       budgets: Retries saved up, by service id.
       service: Service of the request.
+      policy: Share and reserve.
 
     Returns:
       The budgets after.
     """
-    budget = budgets.get(service, RETRY_RESERVE)
-    return budgets.set(service, min(RETRY_RESERVE, budget + RETRY_SHARE))
+    budget = budgets.get(service, policy.reserve)
+    return budgets.set(service, min(policy.reserve, budget + policy.share))
 
 
 def decide_retry(
-    budgets: immutables.Map, service: str, attempt: Attempt
+    budgets: immutables.Map,
+    service: str,
+    attempt: Attempt,
+    policy: RetryPolicy = RetryPolicy(),
 ) -> tuple[immutables.Map, Decision]:
     """Decides whether a failed try is repeated.
 
@@ -324,6 +352,7 @@
       budgets: Retries saved up, by service id.
       service: Service of the request.
       attempt: The failed try.
+      policy: Share and reserve.
 
     Returns:
       The budgets after and the decision.
@@ -334,10 +363,10 @@
         return budgets, Decision(True, attempt.fault)
     if attempt.fault not in UNSENT and not attempt.repeatable:
         return budgets, Decision(False, "not_repeatable")
-    if attempt.tries >= MAX_TRIES:
+    if attempt.tries >= attempt.max_tries:
         return budgets, Decision(False, "too_many_tries")
     # Sums of the share are inexact; a millionth of a retry is forgiven.
-    budget = budgets.get(service, RETRY_RESERVE)
+    budget = budgets.get(service, policy.reserve)
     if budget < 1.0 - 1e-6:
         return budgets, Decision(False, "retry_budget_used")
     return budgets.set(service, budget - 1.0), Decision(True, attempt.fault)
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -34,6 +34,9 @@
 HANDLERS.register(commands.ApplyEnvironment)(
     replicated_outcomes.operation(replicated_environment.apply_environment)
 )
+HANDLERS.register(commands.ReplaceEnvironment)(
+    replicated_environment.replace_environment
+)
 HANDLERS.register(commands.SetDataCentre)(
     replicated_outcomes.operation(replicated_environment.set_data_centre)
 )
@@ -69,10 +72,11 @@
 
     Returns:
       The new state and the outcome. For operators' commands the outcome is a
-      `data.OperationOutcome`. For key commands it is the `data.KeyRecord` if
-      the key is claimed just now, answered or may have run, and otherwise a
-      `data.KeyState`; a claim is granted if and only if the outcome is a record
-      whose state is CLAIMED. For orders it is the `data.EngineOrder`, or None
+      `data.OperationOutcome`, for ReplaceEnvironment the revision in force.
+      For key commands it is the `data.KeyRecord` if the key is claimed just
+      now, answered or may have run, and otherwise a `data.KeyState`; a claim
+      is granted if and only if the outcome is a record whose state is CLAIMED.
+      For orders it is the `data.EngineOrder`, or None
       if the command had no effect. It is None for all other commands.
 
     Raises:
--- a/waxwingrack/operations/replicated_environment.py
+++ b/waxwingrack/operations/replicated_environment.py
@@ -28,7 +28,8 @@
 
 
 def apply_environment(
-    state: data.ReplicatedState, command: commands.ApplyEnvironment
+    state: data.ReplicatedState,
+    command: commands.ApplyEnvironment | commands.ReplaceEnvironment,
 ) -> data.ReplicatedState | Refused:
     """Replaces the document and starts the rollouts that are new in it."""
     document = command.environment
@@ -59,6 +60,24 @@
     return replicated_rollouts.drop_old(state)
 
 
+def replace_environment(
+    state: data.ReplicatedState, command: commands.ReplaceEnvironment
+) -> replicated_outcomes.Applied:
+    """Replaces the document unless its revision is not higher.
+
+    The outcome is the revision in force. A resend, or a document that a higher
+    revision has overtaken, changes nothing.
+    """
+    current = state.environment.revision if state.environment else -1
+    if command.environment.revision <= current:
+        return replicated_outcomes.Applied(state, current)
+    changed = apply_environment(state, command)
+    if isinstance(changed, Refused):
+        return replicated_outcomes.Applied(state, changed)
+    changed = replicated_outcomes.raise_number(changed, command.operator)
+    return replicated_outcomes.Applied(changed, command.environment.revision)
+
+
 def set_data_centre(
     state: data.ReplicatedState, command: commands.SetDataCentre
 ) -> data.ReplicatedState | Refused:
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -34,6 +34,9 @@
 MIN_STEP_PART = 0.1
 MAX_STEP_PART = 0.125
 
+# Part of the time until the deadline that is left to the watch period.
+WATCH_PART = 0.2
+
 _UNFINISHED = frozenset(
     (
         data.RolloutPhase.TRIAL,
@@ -70,6 +73,58 @@
     return rollout.phase in _UNFINISHED
 
 
+def plan_by_deadline(
+    state: data.ReplicatedState, service: str, version: str, deadline_s: float
+) -> data.RolloutPlan:
+    """Plans a rollout of which only the end is given.
+
+    Args:
+      state: Replicated state.
+      service: Service.
+      version: Version to move to.
+      deadline_s: Time until it must be done or taken back, in seconds.
+    """
+    return data.RolloutPlan(
+        id=f"{service}-{version}-{state.number + 1}",
+        service=service,
+        version=version,
+        deadline_s=deadline_s,
+        watch_s=WATCH_PART * deadline_s,
+    )
+
+
+def latest(state: data.ReplicatedState, service: str) -> data.Rollout | None:
+    """Returns the last rollout of a service, or None."""
+    found = (state.rollouts[name] for name in reversed(state.rollout_order))
+    return next((row for row in found if row.plan.service == service), None)
+
+
+def served_as(state: data.ReplicatedState, service: str, version: str) -> str:
+    """Returns the version as which a backend server is scheduled.
+
+    The document may leave the version of a service open. All versions then
+    serve alike, except those that a rollout is still to judge or has taken
+    back.
+
+    Args:
+      state: Replicated state.
+      service: Service of the server.
+      version: Version that the server announces.
+    """
+    declared = state.environment.services if state.environment else ()
+    if any(row.id == service and row.version for row in declared):
+        return version
+    judged = (
+        row.plan.version
+        for row in state.rollouts.values()
+        if row.plan.service == service
+        and row.phase is not data.RolloutPhase.DONE
+    )
+    if version in judged:
+        return version
+    return state.versions.get(service, "")
+
+
 def shares(state: data.ReplicatedState) -> immutables.Map:
     """Divides the traffic of every service between versions.
 
--- a/waxwingrack/operations/routing.py
+++ b/waxwingrack/operations/routing.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import json
+import random
 import re
 from typing import Any
 import urllib.parse
@@ -38,7 +39,8 @@
       refused_digests: Request digests refused by the crash guard.
       callers: Workspace by SHA-256 digest (hex) of a token.
       announcers: SHA-256 digests (hex) of the announce tokens.
-      routes: Matches by path as a tuple of segments.
+      routes: Matches by host and path as a tuple of segments.
+      services: Services by id.
     """
 
     number: int
@@ -48,6 +50,17 @@
     callers: immutables.Map
     announcers: frozenset[str]
     routes: immutables.Map
+    services: immutables.Map = immutables.Map()
+
+
+# Owner of the requests on public routes.
+PUBLIC = data.Workspace(
+    id=data.PUBLIC_WORKSPACE,
+    weight=1.0,
+    token_digests=(),
+    max_queue=4_096,
+    max_connections=4_096,
+)
 
 
 def build(
@@ -67,14 +80,11 @@
     Returns:
       The tables.
     """
-    routes: dict[tuple[str, ...], tuple[Match, ...]] = {}
+    routes: dict[tuple[str, tuple[str, ...]], tuple[Match, ...]] = {}
     for service in environment.services:
         for route in service.routes:
-            segments = split_path(route.path)
-            routes[segments] = (
-                *routes.get(segments, ()),
-                Match(service, route),
-            )
+            place = (route.host, split_path(route.path))
+            routes[place] = (*routes.get(place, ()), Match(service, route))
     return Tables(
         number=number,
         environment=environment,
@@ -91,6 +101,9 @@
             digest.lower() for digest in environment.announce_token_digests
         ),
         routes=immutables.Map(routes),
+        services=immutables.Map(
+            {service.id: service for service in environment.services}
+        ),
     )
 
 
@@ -110,7 +123,7 @@
 
 
 def match_route(
-    tables: Tables, method: str, path: str
+    tables: Tables, method: str, path: str, host: str = ""
 ) -> result.Result[Match, errors.ErrorKind]:
     """Finds the route of a request.
 
@@ -118,9 +131,11 @@
       tables: Tables of the environment.
       method: HTTP method.
       path: Path without query.
+      host: Value of the header `Host` in lower case.
 
     Returns:
-      Success with the longest match by whole segments; Failure with
+      Success with the longest match by whole segments, among routes of equal
+      length that of the host before that of any host; Failure with
       METHOD_NOT_ALLOWED if no route of that path takes the method, with
       NO_ROUTE if no path matches. A path with `.` or `..` segments matches
       nothing, as a backend server could resolve it to another route.
@@ -129,7 +144,9 @@
     if any(part in (".", "..") for part in segments):
         return result.Failure(errors.ErrorKind.NO_ROUTE)
     for length in range(len(segments), -1, -1):
-        matches = tables.routes.get(segments[:length], ())
+        matches = tables.routes.get(
+            (host, segments[:length])
+        ) or tables.routes.get(("", segments[:length]), ())
         for match in matches:
             if not match.route.methods or method in match.route.methods:
                 return result.Success(match)
@@ -139,6 +156,40 @@
     return result.Failure(errors.ErrorKind.NO_ROUTE)
 
 
+def choose_target(tables: Tables, match: Match, rng: random.Random) -> Match:
+    """Divides the requests of a route among its targets.
+
+    Args:
+      tables: Tables of the environment.
+      match: Route and the service that declares it.
+      rng: Source of the choice.
+
+    Returns:
+      Route and the service that gets this request.
+    """
+    targets = match.route.targets
+    if not targets:
+        return match
+    (chosen,) = rng.choices(targets, [target.weight for target in targets])
+    return Match(tables.services[chosen.service], match.route)
+
+
+def time_left_ms(route: data.Route, left_ms: int | None) -> int | None:
+    """Returns the time until a request has to be answered.
+
+    Args:
+      route: Its route.
+      left_ms: Time for which the caller waits; None if it does not say.
+
+    Returns:
+      Milliseconds; None if neither limits it.
+    """
+    limits = [left_ms] if left_ms is not None else []
+    if route.timeout_s is not None:
+        limits.append(round(route.timeout_s * 1000))
+    return max(1, min(limits)) if limits else None
+
+
 def token_digest(header: str | None) -> str | None:
     """Digests the token of an `Authorization` header.
 
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -27,6 +27,7 @@
 from waxwingrack.core import messages
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import dispatch
+from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import orphans
 from waxwingrack.operations import placement
@@ -42,6 +43,9 @@
 # Highest cost that a router may report for one request.
 MAX_COST = 1e12
 
+# Outcomes of requests that no backend server has begun to run.
+NOT_RUN = frozenset((data.Outcome.CONNECT_FAILED, data.Outcome.REJECTED))
+
 _EMPTY = immutables.Map()
 
 
@@ -186,6 +190,8 @@
         crash_evidence.suspect(work, found)
     for seen in report.announcements:
         servers.announce(work, seen)
+    for begun in report.started:
+        _started(work, begun)
     for ended in report.finished:
         _finish(work, router.node_id, ended)
     for progress in report.progress:
@@ -200,6 +206,49 @@
     return work.finish()
 
 
+def on_announcement(
+    tables: Tables, seen: data.Announcement, now_ms: int
+) -> Tables:
+    """Takes an announcement that a controller received into the tables.
+
+    Args:
+      tables: Tables.
+      seen: Announcement.
+      now_ms: Present time.
+
+    Returns:
+      The new tables.
+    """
+    work = Work(tables, now_ms)
+    servers.announce(work, seen)
+    return work.finish()
+
+
+def on_departure(tables: Tables, server_id: str, now_ms: int) -> Tables:
+    """Takes into the tables that a server has said that it leaves.
+
+    Args:
+      tables: Tables.
+      server_id: The server.
+      now_ms: Present time.
+
+    Returns:
+      The new tables.
+    """
+    work = Work(tables, now_ms)
+    servers.depart(work, server_id)
+    return work.finish()
+
+
+def _started(work: Work, begun: data.Started) -> None:
+    key = (begun.term, begun.grant)
+    grant = work.grants.get(key)
+    row = work.servers.get(grant.server_id) if grant else None
+    if row is not None and key in row.load.uses:
+        load = engine_load.started(row.load, key)
+        work.servers[grant.server_id] = data.evolve(row, load=load)
+
+
 def _add_wants(work: Work, router: str, wants: tuple[data.Want, ...]) -> None:
     row = work.routers[router]
     places = row.wants.mutate()
@@ -338,7 +387,7 @@
         return
     outcome = ended.outcome
     unused = outcome is data.Outcome.NOT_DISPATCHED
-    ran = not unused and outcome is not data.Outcome.CONNECT_FAILED
+    ran = not unused and outcome not in NOT_RUN
     cost = _clean(ended.cost) if ran else 0.0
     _close(work, key, cost, None if unused else ended)
     if unused:
@@ -385,7 +434,7 @@
         work,
         grant,
         cost,
-        ended is not None and ended.outcome is not data.Outcome.CONNECT_FAILED,
+        ended is not None and ended.outcome not in NOT_RUN,
     )
     router = work.routers.get(grant.router)
     if router is not None and key in router.grants:
@@ -403,6 +452,7 @@
             row,
             grants=row.grants.delete(key),
             solo=None if row.solo == key else row.solo,
+            load=engine_load.ended(row.load, key),
         )
     elif key in row.lost:
         freed = data.evolve(
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -16,6 +16,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import messages
+from waxwingrack.operations import cold_servers
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import orphans
 from waxwingrack.operations import placement
@@ -43,6 +44,15 @@
       seen: Announcement.
     """
     old = work.servers.get(seen.server_id)
+    if _outdated(work, old, seen):
+        work.event(
+            "announcement_ignored",
+            "a later one is known",
+            server=seen.server_id,
+            incarnation=seen.incarnation,
+            sequence=seen.sequence,
+        )
+        return
     plain = seen
     if seen.cache_events:
         plain = dataclasses.replace(seen, cache_events=())
@@ -59,9 +69,66 @@
             row.prefixes, seen.cache_events
         )
         row = tables_module.store_prefixes(work, row, prefixes, touched)
+    row = cold_servers.announced(row, seen.cold_ms, work.now_ms)
     tables_module.store(work, row)
 
 
+def depart(work: Work, server_id: str) -> None:
+    """Takes a server out that says it leaves, without an announcement.
+
+    Args:
+      work: Tables.
+      server_id: The server; an unknown one is ignored.
+    """
+    row = work.servers.get(server_id)
+    if row is None or row.announcement.departing:
+        return
+    work.event("server_departing", "deregistered", server=server_id)
+    left = dataclasses.replace(row.announcement, departing=True)
+    tables_module.store(work, data.evolve(row, announcement=left))
+
+
+def _outdated(
+    work: Work, old: data.ServerRow | None, seen: data.Announcement
+) -> bool:
+    """Tells whether a later start or announcement of the server is known.
+
+    Servers that tell when they were started are ordered by it, also over the
+    ids that have used the same address.
+    """
+    if not seen.born_ms:
+        return False
+    if old is not None:
+        known = old.announcement
+        return (seen.born_ms, seen.sequence) <= (known.born_ms, known.sequence)
+    rows = work.servers.finish()
+    work.servers = rows.mutate()
+    others = [
+        row
+        for row in rows.values()
+        if row.announcement.address == seen.address and not row.aged
+    ]
+    if any(row.announcement.born_ms > seen.born_ms for row in others):
+        return True
+    for row in others:
+        _leave_address(work, row)
+    return False
+
+
+def _leave_address(work: Work, row: data.ServerRow) -> None:
+    """Takes a server out whose address another one has taken."""
+    work.event(
+        "server_replaced",
+        "another server uses its address",
+        server=row.announcement.server_id,
+    )
+    orphans.release_pause(work, row)
+    tables_module.store(work, data.evolve(row, aged=True, paused=False))
+    tables_module.set_timer(
+        work, work.now_ms + FORGET_MS, "forget", row.announcement.server_id
+    )
+
+
 def _first(work: Work, seen: data.Announcement) -> data.ServerRow:
     tables_module.set_timer(
         work, work.now_ms + MAX_AGE_MS, "age", seen.server_id
@@ -86,12 +153,24 @@
     return data.ServerRow(
         announcement=seen,
         seen_ms=work.now_ms,
-        ramp=slots.fresh(seen.slots),
+        ramp=_fresh_ramp(work, seen),
         key=0,
         grants=grants,
     )
 
 
+def _ramps(work: Work, service: str) -> bool:
+    """Tells whether the slot limits of a service start low and grow."""
+    declared = work.scope.services.get(service)
+    return declared is None or declared.ramp
+
+
+def _fresh_ramp(work: Work, seen: data.Announcement) -> data.Ramp:
+    if _ramps(work, seen.service):
+        return slots.fresh(seen.slots)
+    return slots.whole(seen.slots)
+
+
 def _with_excess(work: Work, row: data.ServerRow) -> data.ServerRow:
     """Counts announced requests that no router has reported as orphans."""
     excess = row.announcement.in_flight - len(row.grants)
@@ -128,8 +207,8 @@
         old,
         announcement=seen,
         seen_ms=work.now_ms,
-        ramp=slots.fresh(seen.slots)
-        if moved
+        ramp=_fresh_ramp(work, seen)
+        if moved or not _ramps(work, seen.service)
         else slots.announce(old.ramp, seen.slots),
         aged=False,
         claims=(),
@@ -307,11 +386,13 @@
     Returns:
       The new row, not stored yet.
     """
-    if ended.outcome is data.Outcome.CONNECT_FAILED:
+    if ended.outcome in (data.Outcome.CONNECT_FAILED, data.Outcome.REJECTED):
         return connect_failed(work, row, grant.granted_ms)
     slowness = 1.0
     if ended.outcome is data.Outcome.COMPLETED:
         slowness = _learn(work, row, grant, ended.first_byte_ms)
+    if not _ramps(work, row.announcement.service):
+        return data.evolve(row, connect_failures=0)
     ramp = slots.observe(
         row.ramp, ended.outcome, slowness, grant.granted_ms, work.now_ms
     )
@@ -377,7 +458,9 @@
     servers = work.servers.finish()
     work.servers = servers.mutate()
     for row in servers.values():
-        if row.announcement.data_centre in data_centres:
+        if row.announcement.data_centre in data_centres and _ramps(
+            work, row.announcement.service
+        ):
             tables_module.store(
                 work,
                 data.evolve(row, ramp=slots.cut(row.ramp, work.now_ms)),
--- a/waxwingrack/operations/slots.py
+++ b/waxwingrack/operations/slots.py
@@ -61,6 +61,11 @@
     return data.Ramp(limit=min(1, slots), slots=slots)
 
 
+def whole(slots: int) -> data.Ramp:
+    """Returns the ramp of a server that is used fully from its start."""
+    return data.Ramp(limit=slots, slots=slots)
+
+
 def resume(ramp: data.Ramp, running: int) -> data.Ramp:
     """Raises the limit of a server that a new leader meets under load."""
     limit = min(ramp.slots, max(ramp.limit, running))
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -47,6 +47,11 @@
         found = self.services.get(service)
         return found.cost_meter if found else data.CostMeter.SLOT_MS
 
+    def engine(self, service: str) -> data.Engine | None:
+        """Returns the memory of a service's model engines, if it has any."""
+        found = self.services.get(service)
+        return found.engine if found else None
+
     def weight(self, workspace: str) -> float:
         """Returns the weight of a workspace."""
         return self.weights.get(workspace, 1.0)
@@ -297,6 +302,7 @@
         or row.paused
         or row.blocked
         or row.reserved
+        or row.cold_full
         or row.solo is not None
     ):
         return None
