Count only the struck leader's orders in the order matrix

After the cut the next leader is elected within 1.2 s, settles for 2 s and decides for the same version by itself if the operator's newer one is not in force by then, which takes longer on a busy machine.

Change: the check compares the orders of the struck leader only. It is as strict for the row "recorded", where the order must now be that leader's.

Conclusion: the trace shows the case as allowed; the check was too wide.

--- a/features/steps/fault_matrix_order_steps.py
+++ b/features/steps/fault_matrix_order_steps.py
@@ -343,11 +343,19 @@
 
 @behave.then("the matrix order got to the step {step} under {fault}")
 def reached(context, step, fault):
-    """Only a record on the followers outlives the leader that decided it."""
+    """Only a record on the followers outlives the leader that decided it.
+
+    The next leader may decide for the same version by itself before the newer
+    one is wanted, so only orders of the struck leader count.
+    """
     if step not in ("decided", "recorded") or fault not in LEADER_LOST:
         return
     old = context.fleet.versions[0]
-    known = {version for _, _, version, _ in context.watch.orders}
+    known = {
+        version
+        for _, _, version, controller in context.watch.orders
+        if controller == context.fleet.last_leader
+    }
     assert (old in known) == (step == "recorded"), (
         context.fleet.last_leader,
         context.watch.orders,
