--- /dev/null
+++ b/features/engine_placement.feature
@@ -0,0 +1,46 @@
+Feature: Prompts go to the model engine that starts them first
+
+  Guards against engines that read shared parts of prompts again and again,
+  long queues of prompts inside an engine, and cold engines that crash.
+
+  Background:
+    Given a scheduler with 3 model engines of 100000 tokens
+
+  Scenario Outline: <case>
+    Given the engine e1 has read the parts <kept>
+    And the engine e1 has <unread> tokens to read
+    When a request with the parts <parts> has waited <waited> ms
+    Then it is granted <engine>
+
+    Examples:
+      | case                                    | kept        | unread | parts       | waited | engine |
+      | the engine that keeps the prompt        | a:500 b:4000 | 0     | a:500 b:4000 | 0     | e1     |
+      | a busier engine keeps most of it        | a:500 b:4000 | 5000  | a:500 b:4000 | 0     | e1     |
+      | it keeps too little to wait for         | a:100        | 5000  | a:100 c:300  | 0     | not e1 |
+      | a part counts only after those before it | b:4000      | 5000  | a:500 b:4000 | 0     | not e1 |
+      | the keeper is full, the request waits   | a:500 b:4000 | 9000  | a:500 b:4000 | 0     | nowhere |
+      | it has waited long enough               | a:500 b:4000 | 9000  | a:500 b:4000 | 300   | not e1 |
+
+  Scenario: engines whose queues are full get nothing
+    Given every engine has 9000 tokens to read
+    When a request with the parts x:500 has waited 900 ms
+    Then it is granted nowhere
+    When all answers begin
+    Then it is granted e1, e2 or e3
+
+  Scenario: a request waits until its memory is free
+    Given every engine runs a request of 60000 tokens
+    When a request with the parts x:50000 has waited 900 ms
+    Then it is granted nowhere
+    When all answers end
+    Then it is granted e1, e2 or e3
+
+  Scenario Outline: a cold engine gets <rate> requests a second, <case>
+    Given only the engine e1, cold for 3000 ms at <rate> requests a second
+    When 200 requests wait for <seconds> s
+    Then no second has more than <most> grants and <least> or more are granted
+
+    Examples:
+      | case      | rate | seconds | most | least |
+      | slow      | 5    | 2       | 8    | 9     |
+      | as usual  | 14   | 2       | 17   | 25    |
--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,7 @@
 
 from features.support import certificates
 from features.support import fleet
+from features.support import platform_fleet as platform_fleet_support
 
 # Delay of every link of the slow fleet, in milliseconds each way.
 LINK_DELAY_MS = 150
@@ -76,6 +77,17 @@
         yield cluster
 
 
+@behave.fixture
+def platform_fleet(context):
+    """Five controllers and a router, started as the platform starts them."""
+    context.fleet = platform_fleet_support.PlatformFleet()
+    try:
+        context.fleet.start()
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
 @behave.fixture
 def slow_fleet(context):
     """Three routers and two booking desks behind links with a delay."""
@@ -191,6 +203,7 @@
     "fixture.stream_fleet": stream_fleet,
     "fixture.cut_fleet": cut_fleet,
     "fixture.order_fleet": order_fleet,
+    "fixture.platform_fleet": platform_fleet,
 }
 
 
--- /dev/null
+++ b/features/overload_decisions.feature
@@ -0,0 +1,27 @@
+Feature: Requests that would come too late are refused at once
+
+  Guards against queues in which every request waits past the time that its
+  caller is content with, and against a flood that has others refused.
+
+  Scenario Outline: a flood of <factor> times the capacity for 4 s
+    Given a service of 2 model engines that read 50 tokens in a millisecond
+    And the workspace flood that sends <factor> times the capacity
+    And the workspace small that sends a tenth of the capacity
+    When they send for 4 s
+    Then at least <on_time> in 100 of the answers begin within the target
+    And no request of small is refused
+    And the engines are busy for at least <busy> in 100 of the time
+    And refusals come within 100 ms with a time to come back
+
+    Examples:
+      | factor | on_time | busy |
+      | 0.5    | 100     | 45   |
+      | 2      | 95      | 85   |
+      | 5      | 95      | 85   |
+
+  Scenario: backlogged workspaces get equal shares of the engines
+    Given a service of 2 model engines that read 50 tokens in a millisecond
+    And the workspace flood that sends 5 times the capacity
+    And the workspace large that sends 1 times the capacity
+    When they send for 4 s
+    Then large gets at least 85 in 100 of the tokens that flood gets
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,143 @@
+Feature: The adapter reads and writes what the users' platform speaks
+
+  Guards against a configuration that is half read, against headers that only
+  the system may set, and against names of the platform outside its adapter.
+
+  Scenario: the names of the platform stand in its adapter only
+    Then no module outside the adapter holds a name of the platform
+
+  Scenario: a settings file becomes the settings of a router
+    Given the platform's settings file of a router
+    Then its settings have
+      | field              | value              |
+      | role               | router             |
+      | node_id            | front-1            |
+      | data_centre        | z1                 |
+      | callers            | 127.0.1.1:8783     |
+      | operators          | 127.0.1.1:8780     |
+      | plaintext          | True               |
+      | ready_when_drained | True               |
+      | retry_reserve      | 2.7                |
+      | shutdown_timeout_s | 4.7                |
+    And its first controller is 127.0.2.1-7400 at 127.0.2.1:7400 and 127.0.2.1:8785
+
+  Scenario Outline: a faulty settings file is refused, <place>
+    Given the platform's settings file of a router
+    When <place> is <value> there
+    Then the settings are refused at <path>
+
+    Examples:
+      | place         | value      | path            |
+      | nodeName      | 5          | $.nodeName      |
+      | zone          | absent     | $.zone          |
+      | internalPorts | [7400]     | $.internalPorts |
+      | seeds         | "x"        | $.seeds         |
+      | seeds         | ["x"]      | $               |
+      | limits        | {}         | $.limits.memoryMb |
+
+  Scenario Outline: a document is <verdict>, <case>
+    Given the operators' document of the platform
+    When <place> is <value> there
+    Then the document is <verdict> with "<reason>"
+
+    Examples:
+      | case                   | place               | value                | verdict  | reason |
+      | as it is               | version             | 7                    | accepted |        |
+      | with an unknown field  | colour              | "blue"               | accepted |        |
+      | no number              | version             | absent               | refused  | version |
+      | a text for a number    | version             | "7"                  | refused  | version |
+      | a negative number      | version             | -1                   | refused  | version |
+      | an unknown service     | routes.0.service    | "nobody"             | refused  | unknown services |
+      | no service             | routes.0.service    | null                 | refused  | leads to a service |
+      | weights of 0           | routes.1.trafficSplit | [{"service": "s", "weight": 0}] | refused | add up to 0 |
+      | a negative weight      | routes.1.trafficSplit.0.weight | -1        | refused  | weight |
+      | no time                | routes.0.timeoutMs  | 0                    | refused  | timeoutMs |
+      | an unknown kind        | routes.0.kind       | "odd"                | refused  | kind |
+      | the same place twice   | routes.1.pathPrefix | "/a/"                | refused  | a place stands twice |
+      | another host           | routes.1.host       | "other.example"      | accepted |        |
+      | a prefix without slash | routes.0.pathPrefix | "/a"                 | refused  | slash |
+      | a shared key           | tenants.1.apiKeys   | ["k1"]               | refused  | a key stands twice |
+      | a service twice        | services.1.name     | "s"                  | refused  | a service stands twice |
+      | no attempts            | routes.0.maxAttempts | 0                   | refused  | maxAttempts |
+
+  Scenario: a document that was cut short is refused
+    Given the operators' document of the platform
+    Then its first half is refused
+
+  Scenario: a document becomes an environment and is read back unchanged
+    Given the operators' document of the platform
+    Then the environment has these routes
+      | path | service | host      | idempotent | public | timeout_s | targets      | max_tries |
+      | /a   | s       | h.example | True       | True   | 2.5       | s:1.0        | 2         |
+      | /b   | s       | h.example | False      | False  | 12.0      | s:9.0 b:1.0  | 1         |
+    And the document is read back byte for byte
+
+  Scenario Outline: an announcement is <verdict>, <case>
+    Given the announcement of a backend server of the platform
+    When <place> is <value> there
+    Then the announcement is <verdict>
+
+    Examples:
+      | case               | place           | value       | verdict   |
+      | as it is           | slots           | 6           | ready     |
+      | a field too many   | colour          | 1           | ready     |
+      | it drains          | state           | "draining"  | departing |
+      | an unknown state   | state           | "odd"       | refused   |
+      | a missing field    | service         | absent      | refused   |
+      | a text for slots   | slots           | "6"         | refused   |
+      | no port            | address         | "127.0.0.1" | refused   |
+      | a fraction of a ms | coldRemainingMs | 12.5        | ready     |
+      | a fraction at birth | born           | 12.5        | refused   |
+
+  Scenario: a backend server gets only what the system sets
+    When a caller's headers are passed on for the workspace "w" with 1500 ms left
+      | name            | value       |
+      | Authorization   | Bearer k1   |
+      | Tenant          | other       |
+      | Hold            | h           |
+      | Kv-From         | x           |
+      | Pin-Ms          | 5           |
+      | Deadline-Ms     | 9000        |
+      | Expect-Instance | other       |
+      | Model           | m           |
+      | Prefix-Hash     | a:5         |
+      | Connection      | X-Hop       |
+      | X-Hop           | 1           |
+    Then the backend server gets exactly
+      | name            | value   |
+      | Model           | m       |
+      | Prefix-Hash     | a:5     |
+      | Request-Id      | r1      |
+      | Tenant          | w       |
+      | Expect-Instance | i-1     |
+      | Deadline-Ms     | 1500    |
+
+  Scenario Outline: the headers <usage> and <prefix> are read
+    When a request has the headers "<usage>", "<prefix>" and "<hint>"
+    Then its prompt has <tokens> tokens in <parts> and <output> tokens are expected
+
+    Examples:
+      | usage   | prefix       | hint | tokens | parts    | output |
+      | 1460,80 | a:800,b:410  | 20   | 1460   | a:800 b:410 | 20  |
+      | 1460,80 | a:800        |      | 1460   | a:800    | 80     |
+      | 1460,80 | a:800        | 900  | 1460   | a:800    | 80     |
+      |         |              |      | 0      | -        | 0      |
+      | x       | a:b          | y    | 0      | -        | 0      |
+      | 5       | a:1,,b:2     |      | 5      | a:1      | 0      |
+
+  Scenario Outline: a refusal that promises nothing has no status that promises, <kind>
+    Then a refusal for <kind> that says <stated> has the status <status>
+
+    Examples:
+      | kind                    | stated       | status |
+      | queue_timeout           | not_run      | 503    |
+      | queue_timeout           | may_have_run | 502    |
+      | overloaded              | not_run      | 503    |
+      | queue_full              | not_run      | 429    |
+      | queue_full              | may_have_run | 502    |
+      | backend_connect_failed  | not_run      | 503    |
+      | backend_connection_lost | may_have_run | 502    |
+      | backend_timeout         | may_have_run | 504    |
+      | request_crashes_servers | not_run      | 503    |
+      | no_route                | not_run      | 404    |
+      | unauthenticated         | not_run      | 401    |
--- /dev/null
+++ b/features/platform_fleet.feature
@@ -0,0 +1,51 @@
+@fixture.platform_fleet
+Feature: Routers and controllers run as the users' platform starts them
+
+  Real processes on loopback addresses, each with the platform's settings file.
+  Guards against a fleet that does not find itself, that answers with an older
+  configuration, or that cannot replace a controller without an operator.
+
+  Scenario: a caller is served through any controller's announcements
+    When the document 1 is sent to every controller
+    And a backend server announces itself at every controller
+    Then a caller of the workspace gets the whole answer of the backend server
+    And the backend server got its own id, the workspace and no key
+    And a caller with an unknown key gets 401 and one without a route 404
+    And the router is ready
+
+  Scenario Outline: a stream <case>
+    When a caller asks for a stream and <act>
+    Then <end>
+
+    Examples:
+      | case             | act                     | end |
+      | passes whole     | reads it                | every event arrives as it is sent |
+      | breaks           | the backend server breaks off | the answer does not look whole |
+      | is left          | leaves after an event   | the backend server is let go within 500 ms |
+
+  Scenario: a request that the backend server refused is answered as not run
+    When the backend server refuses its requests unrun
+    Then a caller gets 503 with a time to come back and nothing ran
+
+  Scenario: a configuration of a lower or equal revision changes nothing
+    When the document 9 is sent to every controller
+    And other content is sent with the revision 9 and the revision 4
+    Then every order was acknowledged and the document 9 is read back
+
+  Scenario: a data centre that is taken out gets no request until it is back
+    When the data centre of the backend server is taken out
+    Then a caller gets no answer of the backend server and the router is ready
+    When the data centre of the backend server is taken back
+    Then a caller of the workspace gets the whole answer of the backend server
+
+  Scenario: a controller whose disk was lost and one at a new address join
+    When a controller is killed, loses its disk and starts again
+    Then the group has 5 members that all vote
+    When another controller is killed and one starts at a new address
+    Then the group has 5 members that all vote
+    And the document that was acknowledged last is read back
+
+  Scenario: every controller is killed at once
+    When all controllers are killed and start again
+    Then the document that was acknowledged last is read back
+    And a caller of the workspace gets the whole answer of the backend server
--- /dev/null
+++ b/features/steps/overload_steps.py
@@ -0,0 +1,189 @@
+"""Steps that play an overload against the scheduler, without a network."""
+
+import heapq
+import itertools
+import random
+
+import behave
+
+from features.steps import engine_placement_steps
+from features.support import scheduler_tables as driver
+from waxwingrack.core import data
+from waxwingrack.core import messages
+from waxwingrack.operations import scheduler
+
+TICK_MS = 5
+TARGET_MS = 400
+PROMPT_TOKENS = 2_000
+OUTPUT_MS = 200
+SEED = 20261204
+
+
+class _Engine:
+    """Reads prompts one after the other."""
+
+    def __init__(self):
+        self.free_ms = 0.0
+        self.busy_ms = 0.0
+
+    def read(self, now_ms, tokens, rate):
+        begin = max(now_ms, self.free_ms)
+        self.free_ms = begin + tokens / rate
+        self.busy_ms += tokens / rate
+        return self.free_ms
+
+
+@behave.given(
+    "a service of {count:d} model engines that read {rate:d} tokens in a"
+    " millisecond"
+)
+def service(context, count, rate):
+    names = [f"e{number}" for number in range(count)]
+    environment = data.Environment(
+        "e",
+        tuple(
+            data.Workspace(name, 1.0, ())
+            for name in ("flood", "small", "large")
+        ),
+        engine_placement_steps._environment(10**6).services,
+        (),
+    )
+    engine_placement_steps._start(context, environment, names)
+    context.engines = {name: _Engine() for name in names}
+    context.rate = rate
+    context.load = {}
+
+
+@behave.given("the workspace {name} that sends {factor:g} times the capacity")
+def workspace(context, name, factor):
+    context.load[name] = factor
+
+
+@behave.given("the workspace {name} that sends a tenth of the capacity")
+def small_workspace(context, name):
+    context.load[name] = 0.1
+
+
+@behave.when("they send for {seconds:d} s")
+def play(context, seconds):
+    rng = random.Random(SEED)
+    print(f"seed {SEED}")
+    capacity = len(context.engines) * context.rate / PROMPT_TOKENS
+    start_ms, numbers = context.at_ms, itertools.count(1)
+    context.sent, context.begun, context.refused = {}, {}, {}
+    events = []
+    while context.at_ms < start_ms + seconds * 1000:
+        now_ms = context.at_ms
+        wants = []
+        for name, factor in context.load.items():
+            expected = factor * capacity * TICK_MS
+            count = int(expected) + (rng.random() < expected % 1)
+            for sequence in itertools.islice(numbers, count):
+                context.sent[sequence] = (name, now_ms)
+                parts = (data.PromptPart(f"p{sequence}", PROMPT_TOKENS),)
+                wants.append(
+                    data.Want(
+                        sequence,
+                        name,
+                        "s",
+                        "r",
+                        prompt=parts,
+                        prompt_tokens=PROMPT_TOKENS,
+                        output_tokens=50,
+                        target_ms=TARGET_MS,
+                    )
+                )
+        started, finished = [], []
+        while events and events[0][0] <= now_ms:
+            _, _, kind, item = heapq.heappop(events)
+            (started if kind == "started" else finished).append(item)
+        context.tables = scheduler.on_report(
+            context.tables,
+            driver.ROUTER,
+            messages.RouterReport(
+                now_ms,
+                1,
+                wants=tuple(wants),
+                started=tuple(started),
+                finished=tuple(finished),
+            ),
+            now_ms,
+        )
+        decisions = driver.tick(context, rng)
+        for _, refusal, _ in decisions.refusals:
+            context.refused[refusal.want] = (now_ms, refusal)
+        for item in decisions.grants:
+            grant = item.grant
+            begin_ms = context.engines[grant.server_id].read(
+                now_ms, PROMPT_TOKENS, context.rate
+            )
+            context.begun[grant.want] = begin_ms
+            first_ms = begin_ms - now_ms
+            for at_ms, kind, record in (
+                (
+                    begin_ms,
+                    "started",
+                    data.Started(grant.term, grant.id, first_ms),
+                ),
+                (
+                    begin_ms + OUTPUT_MS,
+                    "finished",
+                    data.Finished(
+                        grant.term,
+                        grant.id,
+                        data.Outcome.COMPLETED,
+                        first_ms,
+                        first_ms + OUTPUT_MS,
+                        PROMPT_TOKENS + 100.0,
+                    ),
+                ),
+            ):
+                heapq.heappush(events, (at_ms, next(numbers), kind, record))
+        context.at_ms += TICK_MS
+    context.played_ms = context.at_ms - start_ms
+
+
+@behave.then(
+    "at least {percent:d} in 100 of the answers begin within the target"
+)
+def on_time(context, percent):
+    late = [
+        sequence
+        for sequence, begin_ms in context.begun.items()
+        if begin_ms - context.sent[sequence][1] > TARGET_MS
+    ]
+    share = 100 * (1 - len(late) / len(context.begun))
+    assert share >= percent, share
+
+
+@behave.then("no request of {name} is refused")
+def none_refused(context, name):
+    refused = [s for s in context.refused if context.sent[s][0] == name]
+    assert not refused, len(refused)
+
+
+@behave.then("the engines are busy for at least {percent:d} in 100 of the time")
+def busy(context, percent):
+    total = sum(engine.busy_ms for engine in context.engines.values())
+    share = 100 * total / (len(context.engines) * context.played_ms)
+    assert share >= percent, share
+
+
+@behave.then("refusals come within {limit:d} ms with a time to come back")
+def prompt_refusals(context, limit):
+    for sequence, (at_ms, refusal) in context.refused.items():
+        assert at_ms - context.sent[sequence][1] <= limit, sequence
+        assert refusal.retry_after_ms > 0, refusal
+
+
+@behave.then(
+    "{name} gets at least {percent:d} in 100 of the tokens that {other} gets"
+)
+def shares(context, name, percent, other):
+    counts = {
+        workspace: sum(
+            context.sent[sequence][0] == workspace for sequence in context.begun
+        )
+        for workspace in (name, other)
+    }
+    assert 100 * counts[name] >= percent * counts[other], counts
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,305 @@
+"""Steps for the adapter to the users' platform."""
+
+import json
+import pathlib
+import re
+import tempfile
+
+import behave
+from returns import result
+from twisted.web import http_headers
+import yaml
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.daemons import dialects
+from waxwingrack.platform import announcements
+from waxwingrack.platform import configuration
+from waxwingrack.platform import headers
+from waxwingrack.platform import settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ADAPTER = ROOT / "waxwingrack" / "platform"
+# Names that the platform uses on the wire and in its settings file.
+WIRE_NAMES = re.compile(
+    r"Response-Seal|Token-Usage|Prefix-Hash|Expect-Instance|Not-Executed"
+    r"|Length-Hint|Deadline-Ms|Kv-(From|Fetch|Backup)|Pin-Ms|Weight-Versions"
+    r"|Expect-Version|coldRemainingMs|heartbeatUrl|pathPrefix|trafficSplit"
+    r"|timeoutMs|targetLatencyMs|maxAttempts|streamResume|stickySessions"
+    r"|apiKeys|kvCapacityTokens|coldPerS|readinessAddr|internalPorts"
+    r"|countsAsLoss|faultTolerance|durationS|api/(instances|config|rollouts"
+    r"|evacuations|ready|kv-|report|hold)"
+)
+REGIONS = {"z1": "r", "z2": "r"}
+
+SETTINGS = {
+    "nodeName": "front-1",
+    "zone": "z1",
+    "zones": REGIONS,
+    "listen": {"front": "127.0.1.1:8783", "readinessAddr": "127.0.1.1:8780"},
+    "internalPorts": [7400, 7415],
+    "seeds": ["127.0.2.1:8785", "127.0.2.2:8785", "127.0.2.3:8785"],
+    "bootstrap": True,
+    "dataDir": None,
+    "limits": {"memoryMb": 300, "cores": 2},
+    "faultTolerance": {"machines": 2, "zones": 1},
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 54,
+        "strictRevocation": False,
+    },
+    "somethingNew": 1,
+}
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-a",
+            "host": "h.example",
+            "pathPrefix": "/a/",
+            "kind": "safe",
+            "timeoutMs": 2500,
+            "targetLatencyMs": 200,
+            "service": "s",
+            "maxAttempts": 2,
+            "public": True,
+        },
+        {
+            "name": "r-b",
+            "host": "h.example",
+            "pathPrefix": "/b/",
+            "kind": "streaming",
+            "timeoutMs": 12000,
+            "trafficSplit": [
+                {"service": "s", "weight": 9},
+                {"service": "b", "weight": 1},
+            ],
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {"name": "s", "engine": {"kvCapacityTokens": 1000, "stride": 7}},
+        {"name": "b", "coldPerS": 0.0},
+    ],
+    "limits": {"maxHeaderBytes": 16384},
+    "tenants": [
+        {"name": "w", "apiKeys": ["k1", "k2"]},
+        {"name": "x", "apiKeys": []},
+    ],
+}
+
+BEAT = {
+    "service": "s",
+    "address": "127.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def _copy(value):
+    return json.loads(json.dumps(value))
+
+
+@behave.then("no module outside the adapter holds a name of the platform")
+def names_stay_inside(_):
+    found = [
+        f"{path.relative_to(ROOT)}:{number}: {line.strip()}"
+        for path in sorted((ROOT / "waxwingrack").rglob("*.py"))
+        if ADAPTER not in path.parents
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if WIRE_NAMES.search(line)
+    ]
+    assert not found, found
+
+
+@behave.given("the platform's settings file of a router")
+def settings_file(context):
+    context.document = _copy(SETTINGS)
+
+
+@behave.given("the operators' document of the platform")
+def operators_document(context):
+    context.document = _copy(DOCUMENT)
+
+
+@behave.given("the announcement of a backend server of the platform")
+def beat(context):
+    context.document = _copy(BEAT)
+
+
+@behave.when("{place} is {value} there")
+def change(context, place, value):
+    *folders, last = place.split(".")
+    target = context.document
+    for name in folders:
+        target = target[int(name)] if name.isdecimal() else target[name]
+    if value == "absent":
+        del target[last]
+    else:
+        target[last] = json.loads(value)
+
+
+def _load(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(yaml.safe_dump(context.document))
+        return settings.load(str(path))
+
+
+@behave.then("its settings have")
+def settings_have(context):
+    context.settings, regions = _load(context).unwrap()
+    assert regions == REGIONS
+    for row in context.table:
+        found = getattr(context.settings, row["field"])
+        if isinstance(found, float):
+            found = round(found, 6)
+        assert str(found) == row["value"], (row["field"], found)
+
+
+@behave.then("its first controller is {node_id} at {control} and {operators}")
+def first_controller(context, node_id, control, operators):
+    peer = context.settings.controllers[0]
+    found = (peer.id, str(peer.control), str(peer.operators))
+    assert found == (node_id, control, operators), found
+
+
+@behave.then("the settings are refused at {path}")
+def settings_refused(context, path):
+    faults = _load(context).failure()
+    assert any(fault.path.startswith(path) for fault in faults), faults
+
+
+def _read(context):
+    body = json.dumps(context.document).encode()
+    return configuration.read(body, REGIONS)
+
+
+@behave.then('the document is {verdict} with "{reason}"')
+@behave.then('the document is {verdict} with ""')
+def document_verdict(context, verdict, reason=""):
+    found = _read(context)
+    if verdict == "accepted":
+        assert isinstance(found, result.Success), found
+    else:
+        assert reason in found.failure(), found
+
+
+@behave.then("its first half is refused")
+def half_refused(context):
+    body = json.dumps(context.document).encode()
+    found = configuration.read(body[: len(body) // 2], REGIONS)
+    assert isinstance(found, result.Failure), found
+
+
+@behave.then("the environment has these routes")
+def routes(context):
+    environment = _read(context).unwrap()
+    found = [
+        (service.id, route)
+        for service in environment.services
+        for route in service.routes
+    ]
+    assert len(found) == len(context.table.rows), found
+    for (service, route), row in zip(found, context.table, strict=True):
+        targets = " ".join(f"{t.service}:{t.weight}" for t in route.targets)
+        assert (service, targets) == (row["service"], row["targets"])
+        for name in row.headings:
+            if name not in ("service", "targets"):
+                assert str(getattr(route, name)) == row[name], (name, route)
+
+
+@behave.then("the document is read back byte for byte")
+def read_back(context):
+    body = json.dumps(context.document).encode()
+    assert configuration.write(_read(context).unwrap()) == body
+
+
+@behave.then("the announcement is {verdict}")
+def announcement_verdict(context, verdict):
+    body = json.dumps(context.document).encode()
+    match announcements.read("i-1", body):
+        case result.Success(seen):
+            assert verdict == ("departing" if seen.departing else "ready")
+            assert (seen.born_ms, seen.sequence) == (1700000000000, 4)
+        case result.Failure(reason):
+            assert verdict == "refused", reason
+
+
+@behave.when(
+    'a caller\'s headers are passed on for the workspace "{workspace}" with'
+    " {left:d} ms left"
+)
+def pass_on(context, workspace, left):
+    received = http_headers.Headers()
+    for row in context.table:
+        received.addRawHeader(row["name"].encode(), row["value"].encode())
+    context.passed = headers.PlatformDialect().to_server(
+        received,
+        dialects.Dispatch(
+            "i-1",
+            data.Address("127.0.0.1", 80),
+            "r1",
+            workspace,
+            "127.0.0.9",
+            left,
+        ),
+    )
+
+
+@behave.then("the backend server gets exactly")
+def gets_exactly(context):
+    found = {
+        (name.decode(), value.decode())
+        for name, values in context.passed.getAllRawHeaders()
+        for value in values
+    }
+    assert found == {(row["name"], row["value"]) for row in context.table}, (
+        found
+    )
+
+
+@behave.when('a request has the headers "{usage}", "{prefix}" and "{hint}"')
+@behave.when('a request has the headers "{usage}", "{prefix}" and ""')
+@behave.when('a request has the headers "", "" and ""')
+def request_headers(context, usage="", prefix="", hint=""):
+    received = http_headers.Headers()
+    for name, value in (
+        (headers.TOKEN_USAGE, usage),
+        (headers.PREFIX_HASH, prefix),
+        (headers.LENGTH_HINT, hint),
+    ):
+        if value:
+            received.setRawHeaders(name, [value.encode()])
+    context.facts = headers.PlatformDialect().facts(received, "", b"")
+
+
+@behave.then(
+    "its prompt has {tokens:d} tokens in {parts} and {output:d} tokens are"
+    " expected"
+)
+def prompt(context, tokens, parts, output):
+    facts = context.facts
+    found = " ".join(f"{p.id}:{p.tokens}" for p in facts.prompt) or "-"
+    assert (facts.prompt_tokens, found, facts.output_tokens) == (
+        tokens,
+        parts,
+        output,
+    ), facts
+
+
+@behave.then(
+    "a refusal for {kind} that says {stated} has the status {status:d}"
+)
+def refusal_status(_, kind, stated, status):
+    found = headers.PlatformDialect().status(
+        errors.ErrorKind(kind), errors.Execution(stated)
+    )
+    assert found == status, found
--- /dev/null
+++ b/features/steps/platform_fleet_steps.py
@@ -0,0 +1,261 @@
+"""Steps for real processes that are started as the platform starts them."""
+
+import http.client
+import json
+import time
+
+import behave
+
+from features.support import fleet
+from features.support import platform_fleet
+
+WAIT_S = 20.0
+
+
+def _document(revision, timeout_ms=3000):
+    route = {"host": "h.example", "timeoutMs": timeout_ms, "service": "s"}
+    return {
+        "version": revision,
+        "routes": [
+            {**route, "name": "a", "pathPrefix": "/a/", "kind": "unsafe"},
+            {**route, "name": "b", "pathPrefix": "/b/", "kind": "streaming"},
+        ],
+        "services": [{"name": "s", "coldPerS": 0.0}],
+        "limits": {},
+        "tenants": [{"name": "w", "apiKeys": [platform_fleet.KEY]}],
+    }
+
+
+def _read_back(cluster):
+    answer = cluster.until_accepted("GET", "/api/config/get")
+    return json.loads(answer.body)
+
+
+@behave.when("the document {revision:d} is sent to every controller")
+def send_document(context, revision):
+    cluster = context.fleet
+    for machine in cluster.controllers:
+        cluster.until_accepted(
+            "POST", "/api/config/replace", _document(revision), machine.ip
+        )
+    cluster.last_document = _document(revision)
+
+
+@behave.when("a backend server announces itself at every controller")
+def announce(context):
+    for machine in context.fleet.controllers:
+        fleet.wait_until(
+            lambda at=machine.ip: context.fleet.announce(at).status == 200,
+            WAIT_S,
+            f"an announcement at {machine.name}",
+        )
+    context.fleet.keep_announcing()
+
+
+@behave.then(
+    "a caller of the workspace gets the whole answer of the backend server"
+)
+def served(context):
+    def answered():
+        answer = context.fleet.ask()
+        return answer if answer.status == 200 else None
+
+    answer = fleet.wait_until(answered, WAIT_S, "an answer")
+    assert answer.whole
+    assert answer.headers["response-seal"] == "seal-1", answer.headers
+    assert json.loads(answer.body) == {"echo": "hello"}, answer.body
+
+
+@behave.then("the backend server got its own id, the workspace and no key")
+def got_headers(context):
+    path, headers, body = context.fleet.server.requests[-1]
+    assert (path, body) == ("/a/x", b"hello")
+    assert headers["Expect-Instance"] == context.fleet.server.id, headers
+    assert headers["Tenant"] == "w", headers
+    assert 0 < int(headers["Deadline-Ms"]) <= 3000, headers
+    assert "Authorization" not in headers, headers
+
+
+@behave.then(
+    "a caller with an unknown key gets 401 and one without a route 404"
+)
+def refused(context):
+    assert context.fleet.ask(key="unknown").status == 401
+    assert context.fleet.ask(path="/nowhere/x").status == 404
+
+
+@behave.then("the router is ready")
+def ready(context):
+    answer = fleet.request(
+        platform_fleet.READY_PORT,
+        "GET",
+        "/api/ready",
+        host=context.fleet.router.ip,
+    )
+    assert answer.status == 200, answer
+
+
+def _open_stream(context, mode):
+    server = context.fleet.server
+    server.mode = mode
+    server.left.clear()
+    conn = http.client.HTTPConnection(
+        context.fleet.router.ip, platform_fleet.FRONT_PORT, timeout=5
+    )
+    headers = {
+        "Host": "h.example",
+        "Request-Id": f"stream-{mode}",
+        "Deadline-Ms": "8000",
+        "Authorization": f"Bearer {platform_fleet.KEY}",
+    }
+    conn.request("POST", "/b/x", b"prompt", headers)
+    return conn, conn.getresponse()
+
+
+@behave.when("a caller asks for a stream and reads it")
+def read_stream(context):
+    conn, response = _open_stream(context, "serve")
+    context.delays_s, context.ids = [], []
+    while line := response.readline():
+        if line.startswith(b"id:"):
+            context.ids.append(int(line[3:]))
+        if line.startswith(b"data:"):
+            context.delays_s.append(time.time() - float(line[5:]))
+    conn.close()
+
+
+@behave.then("every event arrives as it is sent")
+def events_arrive(context):
+    assert context.ids == list(range(platform_fleet.EVENTS)), context.ids
+    assert max(context.delays_s) < 0.12, context.delays_s
+
+
+@behave.when("a caller asks for a stream and the backend server breaks off")
+def broken_stream(context):
+    conn, response = _open_stream(context, "break")
+    try:
+        response.read()
+        context.whole = True
+    except (http.client.HTTPException, OSError):
+        context.whole = False
+    conn.close()
+
+
+@behave.then("the answer does not look whole")
+def not_whole(context):
+    context.fleet.server.mode = "serve"
+    assert not context.whole
+
+
+@behave.when("a caller asks for a stream and leaves after an event")
+def leave_stream(context):
+    conn, response = _open_stream(context, "long")
+    response.readline()
+    response.close()
+    conn.close()
+    context.left_s = time.monotonic()
+
+
+@behave.then("the backend server is let go within {limit:d} ms")
+def let_go(context, limit):
+    server = context.fleet.server
+    assert server.left.wait(5), "the backend server was not let go"
+    server.mode = "serve"
+    # The server notices at the second write after the close.
+    noticed_ms = 1000 * (time.monotonic() - context.left_s)
+    assert noticed_ms <= limit, noticed_ms
+
+
+@behave.when("the backend server refuses its requests unrun")
+def refuse(context):
+    context.fleet.server.mode = "refuse"
+
+
+@behave.then("a caller gets 503 with a time to come back and nothing ran")
+def refused_unrun(context):
+    answer = context.fleet.ask()
+    context.fleet.server.mode = "serve"
+    assert answer.status == 503, answer
+    assert float(answer.headers["retry-after"]) > 0, answer.headers
+
+
+@behave.when(
+    "other content is sent with the revision {same:d} and the revision {low:d}"
+)
+def other_content(context, same, low):
+    context.answers = [
+        context.fleet.until_accepted(
+            "POST", "/api/config/replace", _document(revision, 1234)
+        )
+        for revision in (same, low)
+    ]
+
+
+@behave.then(
+    "every order was acknowledged and the document {revision:d} is read back"
+)
+def unchanged(context, revision):
+    assert len(context.answers) == 2
+    assert _read_back(context.fleet) == _document(revision)
+
+
+@behave.when("the data centre of the backend server is taken out")
+def take_out(context):
+    context.fleet.until_accepted("POST", "/api/evacuations/z2/start")
+
+
+@behave.when("the data centre of the backend server is taken back")
+def take_back(context):
+    context.fleet.until_accepted("POST", "/api/evacuations/z2/end")
+
+
+@behave.then(
+    "a caller gets no answer of the backend server and the router is ready"
+)
+def taken_out(context):
+    ready(context)
+    before = len(context.fleet.server.requests)
+    assert context.fleet.ask().status == 503
+    assert len(context.fleet.server.requests) == before
+
+
+@behave.when("a controller is killed, loses its disk and starts again")
+def lose_disk(context):
+    machine = context.fleet.controllers[1]
+    machine.kill()
+    machine.lose_disk()
+    machine.start()
+    context.new_ip = machine.ip
+
+
+@behave.when("another controller is killed and one starts at a new address")
+def replace(context):
+    machine = context.fleet.controllers[2]
+    machine.kill()
+    context.fleet.replace(machine)
+    context.new_ip = context.fleet.controllers[-1].ip
+
+
+@behave.then("the group has {count:d} members that all vote")
+def whole_group(context, count):
+    def complete():
+        found = context.fleet.members()
+        return len(found) == count and any(
+            name.startswith(f"{context.new_ip}-") for name in found
+        )
+
+    fleet.wait_until(complete, WAIT_S, f"{count} members")
+
+
+@behave.then("the document that was acknowledged last is read back")
+def acknowledged_last(context):
+    assert _read_back(context.fleet) == context.fleet.last_document
+
+
+@behave.when("all controllers are killed and start again")
+def kill_all(context):
+    for machine in context.fleet.controllers:
+        machine.process.kill()
+    for machine in context.fleet.controllers:
+        machine.process.wait(10)
+        machine.start()
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -98,6 +98,7 @@
     headers=None,
     timeout_s=30.0,
     started=None,
+    host="127.0.0.1",
 ):
     """Sends one request on a connection of its own.
 
@@ -109,6 +110,7 @@
       headers: Further headers.
       timeout_s: Longest pause within the exchange, in seconds.
       started: Event to set once the header of the answer has arrived.
+      host: Loopback address.
 
     Returns:
       The answer.
@@ -116,7 +118,7 @@
     if not isinstance(body, bytes):
         body = json.dumps(body).encode()
     start = time.monotonic()
-    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+    conn = http.client.HTTPConnection(host, port, timeout=timeout_s)
     received = []
     status, found, unconnected = 0, {}, False
     try:
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -202,6 +202,8 @@
       cold: How much a cold backend server bears; None leaves it to the ramp.
       ramp: Whether the slot limit of a new backend server starts at 1 and
         grows. Otherwise all announced slots are used at once.
+      isolate_suspects: Whether a request whose connection broke runs next on a
+        server of its own.
     """
 
     id: str
@@ -215,6 +217,7 @@
     engine: Engine | None = None
     cold: ColdLimit | None = None
     ramp: bool = True
+    isolate_suspects: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -503,6 +506,8 @@
       output_tokens: Expected length of the output; 0 if it is not known.
       left_ms: Time left for the answer when the want was made; 0 if it is not
         limited.
+      target_ms: Time until the first byte of the answer that the caller
+        expects; 0 if there is no such target.
     """
 
     sequence: int
@@ -517,6 +522,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     left_ms: int = 0
+    target_ms: int = 0
 
 
 @quick_init
@@ -1131,11 +1137,14 @@
     Attributes:
       unread: Tokens of the prompt that the engine has to read.
       memory: Tokens of prompt and expected output.
+      ahead: Tokens that the engine had to read before the answer could begin,
+        those of the prompt included.
       started: Whether the answer has begun, so that the prompt is read.
     """
 
     unread: int
     memory: int
+    ahead: int
     started: bool = False
 
 
@@ -1281,6 +1290,10 @@
       candidate: Version to which `credit` belongs.
       credit: Share of a request that the candidate version is owed.
       none_since_ms: Since when no server is usable.
+      read_rate: Tokens of prompts that an engine reads in a millisecond, as a
+        running mean; 0 if it is not known yet.
+      unread_share: Part of the prompts that engines had to read, as a running
+        mean.
     """
 
     places: immutables.Map = immutables.Map()
@@ -1291,6 +1304,8 @@
     candidate: str = ""
     credit: float = 0.0
     none_since_ms: int = 0
+    read_rate: float = 0.0
+    unread_share: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -24,6 +24,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TIMEOUT = "body_timeout"
     QUEUE_FULL = "queue_full"
+    OVERLOADED = "overloaded"
     BUFFER_FULL = "buffer_full"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     QUEUE_TIMEOUT = "queue_timeout"
@@ -92,6 +93,12 @@
     ErrorKind.QUEUE_FULL: Answer(
         429, _NOT_RUN, 2.0, "The workspace has too many waiting requests."
     ),
+    ErrorKind.OVERLOADED: Answer(
+        503,
+        _NOT_RUN,
+        2.0,
+        "The workspace has more waiting requests than can be served in time.",
+    ),
     ErrorKind.BUFFER_FULL: Answer(
         429, _NOT_RUN, 2.0, "The workspace has too many bytes in this router."
     ),
@@ -186,7 +193,10 @@
 
 
 def retry_after(
-    kind: ErrorKind, rng: random.Random, fractional: bool = False
+    kind: ErrorKind,
+    rng: random.Random,
+    fractional: bool = False,
+    known_ms: int = 0,
 ) -> str | None:
     """Computes the value of the `Retry-After` header.
 
@@ -194,12 +204,13 @@
       kind: Error kind of the refusal.
       rng: Source of the jitter.
       fractional: Whether callers understand a fraction of a second.
+      known_ms: Time after which there may be room; 0 takes the usual one.
 
     Returns:
       Seconds, whole and at least 1 unless `fractional`, or None if the header
       is left out.
     """
-    mean = ANSWERS[kind].retry_after_s
+    mean = known_ms / 1000 if known_ms else ANSWERS[kind].retry_after_s
     if mean is None:
         return None
     spread = rng.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -127,10 +127,12 @@
     Attributes:
       want: Sequence of the want.
       kind: Error kind.
+      retry_after_ms: Time after which there may be room; 0 if it is not known.
     """
 
     want: int
     kind: errors.ErrorKind
+    retry_after_ms: int = 0
 
 
 @MESSAGES.register("update")
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from waxwingrack.daemons import metrics as metrics_module
+from waxwingrack.operations import consensus_replication
 from waxwingrack.operations import scheduler
 
 
@@ -88,8 +89,19 @@
         "lagging_routers", "Routers with an older environment.", lagging
     )
     metrics.forget("waiting_requests")
+    metrics.forget("member_silence_ms")
     if not controller.leads():
         return
+    silence_ms = consensus_replication.silence_ms(
+        controller.driver.replica, controller.clock()
+    )
+    for node_id, value in silence_ms.items():
+        metrics.set(
+            "member_silence_ms",
+            "Time since the leader last reached a voting controller.",
+            value,
+            controller=node_id,
+        )
     view = scheduler.overview(controller.leader.tables, controller.clock())
     waiting = collections.Counter()
     for row in view["workspaces"]:
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -28,6 +28,7 @@
       reason: Reason for the log.
       record_unread: Whether the record of its idempotency key could not be
         read.
+      retry_after_ms: Time after which there may be room; 0 if unknown.
     """
 
     def __init__(
@@ -35,9 +36,11 @@
         kind: errors.ErrorKind,
         reason: str = "",
         record_unread: bool = False,
+        retry_after_ms: int = 0,
     ):
         super().__init__(kind)
         self.kind = kind
+        self.retry_after_ms = retry_after_ms
         self.reason = reason or kind
         self.record_unread = record_unread
 
@@ -182,7 +185,11 @@
         for refusal in update.refusals:
             self.give_up(
                 refusal.want,
-                RefusedError(refusal.kind, reason="leader_refused"),
+                RefusedError(
+                    refusal.kind,
+                    reason="leader_refused",
+                    retry_after_ms=refusal.retry_after_ms,
+                ),
             )
         for grant in update.grants:
             self._give(grant, update.echo_ms)
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -163,6 +163,7 @@
                 prompt_tokens=facts.prompt_tokens,
                 output_tokens=facts.output_tokens,
                 left_ms=left_ms or 0,
+                target_ms=round((found.route.latency_target_s or 0) * 1000),
             ),
             key=key,
             deadline_ms=now_ms
@@ -582,7 +583,12 @@
         if self._req.producer:
             self._req.unregisterProducer()
         self._host.write_refusal(
-            self._req, exc.kind, stated, exc.reason, **self._fields()
+            self._req,
+            exc.kind,
+            stated,
+            exc.reason,
+            retry_after_ms=exc.retry_after_ms,
+            **self._fields(),
         )
 
     def _caller_gone(self) -> None:
--- a/waxwingrack/daemons/group.py
+++ b/waxwingrack/daemons/group.py
@@ -160,7 +160,7 @@
         replica = self._controller.driver.replica
         change = membership.next_change(
             replica.members,
-            _silence_ms(replica, now_ms),
+            consensus_replication.silence_ms(replica, now_ms),
             self._asked_ms,
             self._controller.settings.group_size,
         )
@@ -203,15 +203,3 @@
         """Ends the wait."""
         if not self.answer.done():
             self.answer.cancel()
-
-
-def _silence_ms(replica: Any, now_ms: int) -> dict[str, int]:
-    """Returns the time since each member was last heard by the leader."""
-    heard = {
-        name: consensus_replication.acked_ms(replica, name, now_ms)
-        for name in replica.members
-    }
-    return {
-        name: now_ms - (replica.elected_ms if at_ms is None else at_ms)
-        for name, at_ms in heard.items()
-    }
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -61,6 +61,7 @@
         kind: errors.ErrorKind,
         stated: errors.Execution,
         reason: str,
+        retry_after_ms: int = 0,
         **fields: Any,
     ) -> None:
         """Answers a request with a refusal and logs it."""
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -329,6 +329,7 @@
         kind: errors.ErrorKind,
         stated: errors.Execution,
         reason: str,
+        retry_after_ms: int = 0,
         **fields: Any,
     ) -> None:
         """Answers a request with a refusal and logs it.
@@ -338,6 +339,7 @@
           kind: Error kind.
           stated: What the answer says about the execution.
           reason: Reason for the log.
+          retry_after_ms: Time after which there may be room; 0 if unknown.
           **fields: Further fields of the log line.
         """
         if not req.request_id:
@@ -369,7 +371,10 @@
         for name, value in self.dialect.refused(req.request_id, stated).items():
             headers.setRawHeaders(name, [value])
         retry_after = errors.retry_after(
-            kind, self.rng, self.dialect.fractional_retry_after
+            kind,
+            self.rng,
+            self.dialect.fractional_retry_after,
+            retry_after_ms,
         )
         if retry_after is not None:
             headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
--- a/waxwingrack/operations/consensus_replication.py
+++ b/waxwingrack/operations/consensus_replication.py
@@ -333,6 +333,24 @@
     return rep.peers[node_id].acked_ms
 
 
+def silence_ms(rep: types.Replica, now_ms: int) -> dict[str, int]:
+    """Returns the time since the leader last reached each member.
+
+    Args:
+      rep: A leader.
+      now_ms: Present time.
+
+    Returns:
+      Milliseconds by node id; a member that was never reached counts from the
+      election.
+    """
+    reached = {name: acked_ms(rep, name, now_ms) for name in rep.members}
+    return {
+        name: now_ms - (rep.elected_ms if at_ms is None else at_ms)
+        for name, at_ms in reached.items()
+    }
+
+
 def _set_peer(turn: consensus_turn.Turn, node_id: str, **changes) -> None:
     peers = turn.replica.peers
     peer = dataclasses.replace(peers[node_id], **changes)
--- a/waxwingrack/operations/crash_evidence.py
+++ b/waxwingrack/operations/crash_evidence.py
@@ -82,6 +82,8 @@
     broken = work.broken[server]
     work.broken = work.broken.delete(server)
     alone = len(broken.digests) == 1 and not broken.others
+    row = work.servers.get(server[0])
+    isolates = row is None or work.scope.isolates(row.announcement.service)
     for digest in broken.digests:
         suspicion = work.suspicions.get(digest)
         if suspicion is None:
@@ -101,7 +103,7 @@
                 alone=alone,
                 crashes=len(settled.crashes),
             )
-        if crashes.condemned(settled):
+        if crashes.condemned(settled, isolates):
             del work.suspicions[digest]
             work.condemned[digest] = -1
 
--- a/waxwingrack/operations/crashes.py
+++ b/waxwingrack/operations/crashes.py
@@ -79,8 +79,16 @@
     return settled if settled.pending or settled.crashes else None
 
 
-def condemned(suspicion: data.Suspicion) -> bool:
-    """Tells whether the digest has to be refused."""
+def condemned(suspicion: data.Suspicion, isolated: bool = True) -> bool:
+    """Tells whether the digest has to be refused.
+
+    Args:
+      suspicion: Evidence.
+      isolated: Whether the digest runs alone once it is suspected. Otherwise
+        one more crash stands for the proof that no other request was there.
+    """
+    if not isolated:
+        return len(suspicion.crashes) > CRASHES
     return len(suspicion.crashes) >= CRASHES and suspicion.alone >= 1
 
 
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -19,6 +19,7 @@
 from waxwingrack.operations import crashes
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
+from waxwingrack.operations import forecast
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
@@ -32,6 +33,8 @@
 MAX_HOLDERS = 8
 # Servers looked at for an idle one.
 MAX_IDLE_TRIES = 8
+# Wants of a workspace looked at for one whose best engine has room.
+MAX_LOOK_AHEAD = 6
 # Share of a service's servers that may run a request alone, and at least one.
 SOLO_SHARE = 0.1
 
@@ -90,9 +93,12 @@
     _serve_alone(work, service, share.current)
     if service not in work.backlog or not any_free(work, service, share):
         return
+    engine = work.scope.engine(service)
     heap = _join(work, service)
     blocked = False
     while heap and any_free(work, service, share):
+        if engine is not None and not _engine_has_room(work, service):
+            return
         value, workspace = heap[0]
         if not blocked:
             _advance(work, service, value)
@@ -178,8 +184,11 @@
     work: Work, service: str, workspace: str, share: data.VersionShare
 ) -> Choice | None:
     """Finds the earliest want of a workspace that a free slot can serve."""
-    if work.suspicions:
+    if work.suspicions and work.scope.isolates(service):
         _isolate_heads(work, service, workspace)
+    engine = work.scope.engine(service)
+    if engine is not None:
+        return _choose_engine(work, service, workspace, share, engine)
     lanes = work.queues.get((service, workspace))
     if not lanes:
         return None
@@ -256,9 +265,6 @@
 ) -> tuple[data.ServerRow, str] | None:
     """Picks a free server of a version for a want."""
     want = row.want
-    engine = work.scope.engine(want.service)
-    if engine is not None:
-        return _pick_engine(work, row, version, avoid, engine)
     while True:
         if (want.service, version) not in work.free_totals:
             return None
@@ -287,6 +293,37 @@
             servers.age(work, server.announcement.server_id)
 
 
+def _choose_engine(
+    work: Work,
+    service: str,
+    workspace: str,
+    share: data.VersionShare,
+    engine: data.Engine,
+) -> Choice | None:
+    """Finds the first want of a workspace whose best engine can take it.
+
+    A request whose best engine has no room yet lets others pass, and takes the
+    next best one as its time runs out.
+    """
+    lanes = work.queues.get((service, workspace), _EMPTY)
+    rows = sorted(
+        itertools.chain.from_iterable(
+            itertools.islice(waiting.in_order(lane), MAX_LOOK_AHEAD)
+            for lane in lanes.values()
+        ),
+        key=lambda row: row.arrival,
+    )[:MAX_LOOK_AHEAD]
+    pool = work.pools[service]
+    allowed = placement.versions(share, pool.credit)
+    for row in rows:
+        avoid = _avoided(work, pool, row.want, share)
+        for version, candidate in allowed:
+            found = _pick_engine(work, row, version, avoid, engine)
+            if found is not None:
+                return Choice(row, found[0], candidate, found[1])
+    return None
+
+
 def _pick_engine(
     work: Work,
     row: data.WantRow,
@@ -294,9 +331,10 @@
     avoid: tuple[str, ...],
     engine: data.Engine,
 ) -> tuple[data.ServerRow, str] | None:
-    """Picks the model engine that would start a request first."""
+    """Picks the model engine that suits a request best, if it has room."""
     want = row.want
     home = work.routers[row.router].ref.data_centre
+    patience = engine_load.patience(work.now_ms - row.at_ms, want)
     found = [
         server
         for group in _free_groups(work, want.service, version)
@@ -305,16 +343,38 @@
         and (server := work.servers[server_id])
         and tables_module.free_level(server) is not None
         and server.seen_ms + servers.MAX_AGE_MS > work.now_ms
-        and engine_load.fits(server.load, want, engine)
     ]
+    if patience == 0.0:
+        found = [
+            server
+            for server in found
+            if engine_load.fits(server.load, want, engine)
+        ]
     if not found:
         return None
     rank, _, server = min(
-        (engine_load.rank(server, want, home), server.key, server)
+        (engine_load.rank(server, want, home, patience), server.key, server)
         for server in found
     )
+    if not engine_load.fits(server.load, want, engine):
+        return None
     cached = engine_load.cached_tokens(server.load.cache, want)
-    return server, f"rank {rank}, {cached} tokens cached"
+    most = max(engine_load.cached_tokens(row.load.cache, want) for row in found)
+    return server, f"rank {rank:.0f}, {cached} of {most} tokens cached"
+
+
+def _engine_has_room(work: Work, service: str) -> bool:
+    """Tells whether an engine of a service may get a further request."""
+    rows = (
+        work.servers[server_id]
+        for version, data_centre in work.pools[service].places
+        for server_id in work.groups[(service, version, data_centre)]
+    )
+    return any(
+        engine_load.has_room(row.load)
+        and tables_module.free_level(row) is not None
+        for row in rows
+    )
 
 
 def _holders(
@@ -580,6 +640,7 @@
     if engine is not None:
         load = engine_load.granted(row.load, key, want, engine.memory_tokens)
         row = data.evolve(row, load=load)
+        forecast.observe_grant(work, want, load.uses[key])
     row = cold_servers.spend(work, row, declared and declared.cold)
     tables_module.store(work, row)
 
--- a/waxwingrack/operations/engine_load.py
+++ b/waxwingrack/operations/engine_load.py
@@ -18,11 +18,18 @@
 MAX_UNREAD_TOKENS = 6_000
 # Tokens that another running request counts as, for the time that it adds to
 # each step of an engine.
-RUNNING_TOKENS = 60
+RUNNING_TOKENS = 40
 # Tokens that a request to another data centre counts as, for the time and the
 # traffic between data centres.
 FAR_TOKENS = 250
 
+# Times that a token to read counts beyond the first for a fresh request.
+REREAD_WEIGHT = 5.0
+# Part of the latency target for which a request waits for a better engine.
+PATIENCE_PART = 0.3
+# Latency target of requests that have none, in milliseconds.
+DEFAULT_TARGET_MS = 1_000
+
 GrantKey = tables_module.GrantKey
 
 
@@ -44,6 +51,11 @@
     return max(0, want.prompt_tokens - cached_tokens(load.cache, want))
 
 
+def has_room(load: data.EngineLoad) -> bool:
+    """Tells whether an engine's queue of unread prompts is short."""
+    return not load.uses or load.unread <= MAX_UNREAD_TOKENS
+
+
 def fits(load: data.EngineLoad, want: data.Want, engine: data.Engine) -> bool:
     """Tells whether an engine can take a request now.
 
@@ -53,30 +65,41 @@
     if not load.uses:
         return True
     needed = want.prompt_tokens + want.output_tokens
-    return (
-        load.unread <= MAX_UNREAD_TOKENS
-        and load.memory + needed <= engine.memory_tokens
-    )
+    return has_room(load) and load.memory + needed <= engine.memory_tokens
+
 
+def rank(
+    row: data.ServerRow, want: data.Want, home: str, patience: float
+) -> float:
+    """Returns how well an engine suits a request; lower is better.
 
-def rank(row: data.ServerRow, want: data.Want, home: str) -> int:
-    """Returns how late an engine would start a request, in tokens to read.
+    The unit is tokens to read. Reading a part again that another engine keeps
+    takes time from all requests of the engine, so it counts more than once;
+    less so the longer the request has waited for the engine that keeps it.
 
     Args:
       row: The engine.
       want: The request.
       home: Data centre of its router.
+      patience: From 1 for a request that has just come to 0.
     """
     load = row.load
     far = row.announcement.data_centre != home
+    weight = 1.0 + REREAD_WEIGHT * patience
     return (
         load.unread
-        + unread_tokens(load, want)
+        + weight * unread_tokens(load, want)
         + RUNNING_TOKENS * len(load.uses)
         + (FAR_TOKENS if far else 0)
     )
 
 
+def patience(waited_ms: int, want: data.Want) -> float:
+    """Returns the part of the time that is left to wait for a better engine."""
+    limit_ms = PATIENCE_PART * (want.target_ms or DEFAULT_TARGET_MS)
+    return max(0.0, 1.0 - waited_ms / limit_ms)
+
+
 def granted(
     load: data.EngineLoad, key: GrantKey, want: data.Want, memory_tokens: int
 ) -> data.EngineLoad:
@@ -88,8 +111,11 @@
       want: Its request.
       memory_tokens: Memory of the engine.
     """
+    unread = unread_tokens(load, want)
     use = data.EngineUse(
-        unread_tokens(load, want), want.prompt_tokens + want.output_tokens
+        unread,
+        want.prompt_tokens + want.output_tokens,
+        ahead=load.unread + unread,
     )
     cache = load.cache
     for part in want.prompt:
@@ -98,7 +124,8 @@
         uses=load.uses.set(key, use),
         unread=load.unread + use.unread,
         memory=load.memory + use.memory,
-        cache=_bounded(cache, memory_tokens),
+        # Running requests take their memory from the cached parts.
+        cache=_bounded(cache, max(0, memory_tokens - load.memory - use.memory)),
     )
 
 
@@ -109,7 +136,9 @@
         return load
     return dataclasses.replace(
         load,
-        uses=load.uses.set(key, data.EngineUse(use.unread, use.memory, True)),
+        uses=load.uses.set(
+            key, data.EngineUse(use.unread, use.memory, use.ahead, True)
+        ),
         unread=load.unread - use.unread,
     )
 
--- /dev/null
+++ b/waxwingrack/operations/forecast.py
@@ -0,0 +1,203 @@
+"""Forecast of the wait for a grant, and refusal of what would come too late.
+
+This answers overload: once the wants of a workspace exceed its share of a
+service for longer than callers are content to wait, every further one would
+only make all of them late. A want is therefore refused when it arrives if its
+workspace's queue, at the share that the workspace gets, is longer than the
+latency target. The caller is told when the queue will have been served.
+
+The wait is the work that the workspace has queued, divided by its part of what
+the servers get done: prompt tokens that engines read, or milliseconds of slots.
+Workspaces with wants share equally, by weight.
+"""
+
+import dataclasses
+
+import immutables
+
+from waxwingrack.core import data
+from waxwingrack.core import errors
+from waxwingrack.operations import engine_load
+from waxwingrack.operations import fairness
+from waxwingrack.operations import tables as tables_module
+from waxwingrack.operations import waiting
+
+# Tokens that an engine reads in a millisecond, until some were measured.
+FIRST_READ_RATE = 40.0
+# Weight of the latest measurement in the running means.
+STEP = 0.1
+# Fewest tokens ahead of an answer from which a rate is measured; with fewer,
+# the steps of running requests dominate.
+MIN_AHEAD_TOKENS = 4_000
+# Time from a grant to the first byte besides the reading, in milliseconds.
+OVERHEAD_MS = 15.0
+# Part of the latency target that a forecast may take up; the rest is for what
+# it cannot know, such as requests of workspaces that have none waiting.
+SURE_PART = 0.85
+# Cost of a request of which none has ended yet, in milliseconds of a slot.
+FIRST_SLOT_MS = 50.0
+# Shortest time after which a refused caller is asked back, in milliseconds.
+MIN_RETRY_MS = 300
+
+Work = tables_module.Work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Forecast for one want.
+
+    Attributes:
+      wait_ms: Time until it would be granted.
+      run_ms: Time from then to the first byte of its answer.
+    """
+
+    wait_ms: float
+    run_ms: float
+
+
+def observe_grant(work: Work, want: data.Want, use: data.EngineUse) -> None:
+    """Learns which part of the prompts engines have to read."""
+    if not want.prompt_tokens:
+        return
+    pool = work.pools[want.service]
+    share = use.unread / want.prompt_tokens
+    work.pools[want.service] = data.evolve(
+        pool,
+        unread_share=pool.unread_share + STEP * (share - pool.unread_share),
+    )
+
+
+def observe_start(
+    work: Work, service: str, use: data.EngineUse, first_byte_ms: float
+) -> None:
+    """Learns how fast engines read."""
+    pool = work.pools.get(service)
+    if pool is None or use.ahead < MIN_AHEAD_TOKENS:
+        return
+    rate = use.ahead / max(1.0, first_byte_ms)
+    known = pool.read_rate or FIRST_READ_RATE
+    work.pools[service] = data.evolve(
+        pool, read_rate=known + STEP * (rate - known)
+    )
+
+
+def refuse_late(work: Work, service: str, drained: frozenset[str]) -> None:
+    """Refuses the wants that have just come and would be served too late.
+
+    Args:
+      work: Tables.
+      service: Service.
+      drained: Drained data centres.
+    """
+    arrived = [
+        row
+        for router, sequence in work.arrived
+        if (row := _row(work, router, sequence, service)) is not None
+        and row.want.target_ms
+    ]
+    if not arrived:
+        return
+    capacity = _capacity(work, service, drained)
+    if capacity is None:
+        return
+    queued: dict[str, float] = {}
+    for row in arrived:
+        workspace = row.want.workspace
+        if workspace not in queued:
+            queued[workspace] = _queued(work, service, workspace)
+        forecast = _forecast(
+            work, row.want, queued[workspace] - _cost(work, row.want), capacity
+        )
+        slack_ms = SURE_PART * row.want.target_ms - forecast.run_ms
+        if forecast.wait_ms <= max(slack_ms, OVERHEAD_MS):
+            continue
+        queued[workspace] -= _cost(work, row.want)
+        waiting.refuse(
+            work,
+            row.router,
+            row.want.sequence,
+            errors.ErrorKind.OVERLOADED,
+            f"{forecast.wait_ms:.0f} ms to wait of {slack_ms:.0f} ms",
+            max(MIN_RETRY_MS, round(forecast.wait_ms - slack_ms)),
+        )
+
+
+def _row(
+    work: Work, router: str, sequence: int, service: str
+) -> data.WantRow | None:
+    known = work.routers.get(router)
+    place = known.wants.get(sequence) if known else None
+    if place is None or place.service != service:
+        return None
+    if place.workspace == waiting.ALONE:
+        return None
+    lane = work.queues[(service, place.workspace)][place.avoid]
+    return lane.rows[place.position]
+
+
+def _queued(work: Work, service: str, workspace: str) -> float:
+    lanes = work.queues.get((service, workspace), immutables.Map())
+    return sum(
+        _cost(work, row.want)
+        for lane in lanes.values()
+        for row in lane.rows.values()
+    )
+
+
+def _cost(work: Work, want: data.Want) -> float:
+    """Returns the work of a want: tokens to read, or milliseconds of a slot."""
+    pool = work.pools[want.service]
+    if want.prompt_tokens:
+        return want.prompt_tokens * pool.unread_share
+    own = work.accounts.get((want.service, fairness.SERVICE_ACCOUNT))
+    return own.mean if own and own.mean else FIRST_SLOT_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Capacity:
+    """What the servers of a service get done.
+
+    Attributes:
+      rate: Work in a millisecond.
+      queue_ms: Time for which a granted request waits at its server.
+    """
+
+    rate: float
+    queue_ms: float
+
+
+def _capacity(
+    work: Work, service: str, drained: frozenset[str]
+) -> _Capacity | None:
+    pool = work.pools[service]
+    rows = [
+        work.servers[server_id]
+        for version, data_centre in pool.places
+        if data_centre not in drained
+        for server_id in work.groups[(service, version, data_centre)]
+    ]
+    if not rows:
+        return None
+    if work.scope.engine(service) is None:
+        return _Capacity(float(sum(row.ramp.limit for row in rows)), 0.0)
+    rate = pool.read_rate or FIRST_READ_RATE
+    # While wants wait, engines are kept at the most that they may have unread.
+    return _Capacity(len(rows) * rate, engine_load.MAX_UNREAD_TOKENS / rate)
+
+
+def _forecast(
+    work: Work, want: data.Want, ahead: float, capacity: _Capacity
+) -> Wait:
+    backlog = work.backlog.get(want.service, immutables.Map())
+    weights = sum(work.scope.weight(workspace) for workspace in backlog)
+    own = work.scope.weight(want.workspace)
+    part = own / max(own, weights)
+    run_ms = OVERHEAD_MS + capacity.queue_ms + _run_ms(work, want)
+    return Wait(ahead / (capacity.rate * part), run_ms)
+
+
+def _run_ms(work: Work, want: data.Want) -> float:
+    pool = work.pools[want.service]
+    if want.prompt_tokens:
+        return _cost(work, want) / (pool.read_rate or FIRST_READ_RATE)
+    return _cost(work, want)
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -29,6 +29,7 @@
 from waxwingrack.operations import dispatch
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
+from waxwingrack.operations import forecast
 from waxwingrack.operations import orphans
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
@@ -245,6 +246,8 @@
     grant = work.grants.get(key)
     row = work.servers.get(grant.server_id) if grant else None
     if row is not None and key in row.load.uses:
+        use = row.load.uses[key]
+        forecast.observe_start(work, grant.service, use, begun.first_byte_ms)
         load = engine_load.started(row.load, key)
         work.servers[grant.server_id] = data.evolve(row, load=load)
 
@@ -569,6 +572,7 @@
     if not work.open:
         return
     share = _share(work, policy, service)
+    forecast.refuse_late(work, service, work.drained)
     if (
         service in work.alone
         or pool.reserved
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -52,6 +52,11 @@
         found = self.services.get(service)
         return found.engine if found else None
 
+    def isolates(self, service: str) -> bool:
+        """Returns whether suspected requests of a service run alone."""
+        found = self.services.get(service)
+        return found is None or found.isolate_suspects
+
     def weight(self, workspace: str) -> float:
         """Returns the weight of a workspace."""
         return self.weights.get(workspace, 1.0)
--- a/waxwingrack/operations/waiting.py
+++ b/waxwingrack/operations/waiting.py
@@ -5,6 +5,8 @@
 that can. Arrival numbers order the lanes' heads over all routers.
 """
 
+from collections.abc import Iterator
+
 import immutables
 
 from waxwingrack.core import data
@@ -29,6 +31,14 @@
     )
 
 
+def in_order(lane: data.Lane) -> Iterator[data.WantRow]:
+    """Yields the wants of a lane in order of arrival."""
+    for position in range(lane.head, lane.tail):
+        row = lane.rows.get(position)
+        if row is not None:
+            yield row
+
+
 def remove(lane: data.Lane, position: int) -> data.Lane:
     """Removes a want; the head stays on the first want that is left."""
     rows = lane.rows.delete(position)
@@ -59,7 +69,8 @@
 def _insert(work: Work, row: data.WantRow) -> data.Place:
     want = row.want
     tables_module.pool(work, want.service)
-    if want.digest and want.digest in work.suspicions:
+    suspected = want.digest and want.digest in work.suspicions
+    if suspected and work.scope.isolates(want.service):
         lane = work.alone.get(want.service, _EMPTY_LANE)
         work.alone[want.service], position = append(lane, row)
         return data.Place(want.service, ALONE, (), position)
@@ -130,10 +141,12 @@
     sequence: int,
     kind: errors.ErrorKind,
     reason: str,
+    retry_after_ms: int = 0,
 ) -> None:
     """Removes a want and refuses it."""
     if drop(work, router, sequence) is not None:
-        work.refusals.append((router, messages.Refusal(sequence, kind), reason))
+        refusal = messages.Refusal(sequence, kind, retry_after_ms)
+        work.refusals.append((router, refusal, reason))
 
 
 def place_of(work: Work, row: data.WantRow) -> data.Place:
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -90,14 +90,6 @@
 
     @pydantic.model_validator(mode="after")
     def _check_references(self) -> "_Document":
-        services = {service.name for service in self.services}
-        named = {
-            target.service
-            for route in self.routes
-            for target in route.targets()
-        }
-        if unknown := named - services:
-            raise ValueError(f"unknown services {sorted(unknown)}")
         _unique(
             "a place", ((r.host.lower(), r.pathPrefix) for r in self.routes)
         )
@@ -107,6 +99,14 @@
             "a key",
             itertools.chain.from_iterable(t.apiKeys for t in self.tenants),
         )
+        services = {service.name for service in self.services}
+        named = {
+            target.service
+            for route in self.routes
+            for target in route.targets()
+        }
+        if unknown := named - services:
+            raise ValueError(f"unknown services {sorted(unknown)}")
         return self
 
 
@@ -206,6 +206,8 @@
         engine=engine and data.Engine(engine.kvCapacityTokens, engine.stride),
         cold=data.ColdLimit(service.coldPerS) if service.coldPerS else None,
         ramp=False,
+        # Connections break here without a crash; see docs/platform.md.
+        isolate_suspects=False,
     )
 
 
