Let a new leader start with the servers that the one before knew

Ruled out: the election (0.64 s) and the connection of routers once they looked.

Weighed: a replicated table (a commit for each announcement) against a copy that followers keep in memory (chosen: a lost copy costs what it costs today).

Change: the leader tells the other controllers once a second what servers it knows and what their engines keep; a new leader starts with the latest copy if it is younger than an announcement may be. Routers look for another leader after `control_silence_s`, 0.7 s on the platform. Prompts that no engine keeps prefer engines by rendezvous hashing.

Tests: a caller is served within 4 s after the leader's kill although the server announces itself no more.

--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -45,6 +45,11 @@
     Then the group has 5 members that all vote
     And the document that was acknowledged last is read back
 
+  Scenario: a new leader knows the backend servers of the one before
+    When the leader is killed and the backend server announces itself no more
+    Then a caller is served within 4 s
+    And the killed leader comes back
+
   Scenario: every controller is killed at once
     When all controllers are killed and start again
     Then the document that was acknowledged last is read back
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -259,3 +259,34 @@
     for machine in context.fleet.controllers:
         machine.process.wait(10)
         machine.start()
+
+
+@behave.when(
+    "the leader is killed and the backend server announces itself no more"
+)
+def kill_leader(context):
+    cluster = context.fleet
+    # The leader tells the others once a second what it knows.
+    time.sleep(2.5)
+    context.leader = fleet.wait_until(cluster.leader, WAIT_S, "a leader")
+    cluster.silent.set()
+    time.sleep(0.3)
+    context.leader.kill()
+
+
+@behave.then("a caller is served within {limit:d} s")
+def served_soon(context, limit):
+    fleet.wait_until(
+        lambda: context.fleet.ask(timeout_s=1.0).status == 200,
+        limit,
+        "an answer under the new leader",
+    )
+
+
+@behave.then("the killed leader comes back")
+def leader_back(context):
+    context.fleet.silent.clear()
+    context.leader.start()
+    fleet.wait_until(
+        lambda: len(context.fleet.members()) == 5, WAIT_S, "five members"
+    )
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -100,6 +100,7 @@
         self.sequence = itertools.count(1)
         self.born = int(time.time() * 1000)
         self.last_document = None
+        self.silent = threading.Event()
         self._stop = threading.Event()
 
     def _ip(self):
@@ -178,6 +179,16 @@
                 return found
         return []
 
+    def leader(self):
+        """Returns the controller that leads, or None."""
+        for machine in self.controllers:
+            answer = fleet.request(
+                CONTROL_PORT, "GET", "/metrics", host=machine.ip, timeout_s=1.0
+            )
+            if b"\nwaxwingrack_leading 1" in answer.body:
+                return machine
+        return None
+
     def announce(self, at, state="ready"):
         """Announces the backend server at a controller."""
         body = {
@@ -201,7 +212,8 @@
             machines = itertools.cycle(range(5))
             while not self._stop.wait(0.2):
                 machine = self.controllers[next(machines)]
-                self.announce(machine.ip)
+                if not self.silent.is_set():
+                    self.announce(machine.ip)
 
         threading.Thread(target=run, daemon=True).start()
 
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -380,6 +380,8 @@
         drained.
       retry_share: Retries that a router earns with each request of a service.
       retry_reserve: Most retries of a service that a router saves up.
+      control_silence_s: Silence of the leader after which a router looks for
+        another one.
     """
 
     role: Role
@@ -409,6 +411,7 @@
     ready_when_drained: bool = False
     retry_share: float = 0.1
     retry_reserve: float = 10.0
+    control_silence_s: float = 2.0
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -257,6 +257,35 @@
 # ---------------------------------------------------------------------------
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptPrompts:
+    """Parts of prompts that a model engine keeps.
+
+    Attributes:
+      server_id: The engine.
+      parts: Parts, the one read longest ago first.
+    """
+
+    server_id: str
+    parts: tuple[data.PromptPart, ...]
+
+
+@MESSAGES.register("servers_known")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersKnown:
+    """What the leader knows of backend servers, for the one that follows it.
+
+    It is not replicated: a follower keeps the last one that it got.
+
+    Attributes:
+      announcements: Last announcement of each server.
+      prompts: Prompts that model engines keep.
+    """
+
+    announcements: tuple[data.Announcement, ...]
+    prompts: tuple[KeptPrompts, ...] = ()
+
+
 @MESSAGES.register("join")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Join:
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -168,6 +168,7 @@
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
         self._hint = ""
+        self._silence_ms = round(settings.control_silence_s * 1000)
         self._listed = settings.controllers
         self._peers = settings.controllers
         self._position = rng.randrange(max(1, len(self._peers)))
@@ -477,7 +478,7 @@
     def _silent(self, now_ms: int) -> bool:
         if not self.following:
             return now_ms - self._opened_ms >= CONFIRM_TIMEOUT_MS
-        return not self.alive
+        return now_ms - (self.heard_ms or 0) >= self._silence_ms
 
 
 _make_phases = _build_phases()
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -31,6 +31,7 @@
 from waxwingrack.daemons import transport
 from waxwingrack.operations import consensus
 from waxwingrack.operations import membership
+from waxwingrack.operations import servers
 
 CONSENSUS_MESSAGES = (
     messages.VoteRequest,
@@ -131,6 +132,8 @@
         self._loop_task: asyncio.Task | None = None
         self._peers: tuple[data.Peer, ...] = ()
         self._pushed_number = 0
+        # What the leader told last of backend servers, and when.
+        self._known: tuple[messages.ServersKnown | None, int] = (None, 0)
 
     # -----------------------------------------------------------------------
     # Life
@@ -307,6 +310,16 @@
             self.settings.operators.port,
         )
 
+    def _share(self, message: messages.ServersKnown) -> None:
+        for peer in self._peers:
+            self.links.send(peer.id, message)
+
+    def _lately_known(self) -> messages.ServersKnown | None:
+        known, at_ms = self._known
+        if self.clock() - at_ms > servers.MAX_AGE_MS:
+            return None
+        return known
+
     def _added_peers(self) -> tuple[data.Peer, ...]:
         """Returns controllers that the settings of others may not list."""
         if self._group is not None:
@@ -341,6 +354,9 @@
             answer = self._group.asked(message.node_id, self.clock())
             self.links.send(node_id, answer)
             return
+        if isinstance(message, messages.ServersKnown):
+            self._known = (message, self.clock())
+            return
         if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
             logs.event(
                 "unexpected_message",
@@ -362,6 +378,8 @@
                 rng=self._rng,
                 metrics=self.metrics,
                 peers=self._added_peers,
+                share=self._share,
+                known=self._lately_known(),
             )
         )
 
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -33,6 +33,8 @@
 # Interval at which numbers in force at routers are written, if they changed.
 NOTE_NUMBERS_MS = 60_000
 ROLLOUT_TICK_MS = 200
+# Interval at which the other controllers are told of the backend servers.
+SHARE_MS = 1_000
 
 # Handlers of routers' messages, by type of the message. A handler takes the
 # leader, the session and the message.
@@ -54,6 +56,8 @@
       rng: Random generator.
       metrics: Metrics of the process.
       peers: Returns controllers that the settings of routers may not list.
+      share: Sends a message to the other controllers.
+      known: What the former leader told of backend servers lately, or None.
     """
 
     driver: replica_driver.ReplicaDriver
@@ -62,6 +66,8 @@
     rng: random.Random
     metrics: metrics_module.Metrics
     peers: Callable[[], tuple[data.Peer, ...]] = tuple
+    share: Callable[[Any], None] = lambda message: None
+    known: messages.ServersKnown | None = None
 
 
 class Leader:
@@ -83,6 +89,17 @@
             tuple(self.state.counters.values()),
             tuple(sorted(self.state.routers)),
         )
+        if services.known is not None:
+            self.tables = scheduler.take_over(
+                self.tables,
+                self.state.environment,
+                services.known,
+                self.since_ms,
+            )
+            logs.event(
+                "servers_taken_over", count=len(services.known.announcements)
+            )
+        self._next_share_ms = self.since_ms
         self.orders = engine_orders.EngineOrders(services)
         # Routers of the last checkpoint that have not been lost since.
         self._former_routers = self.state.routers
@@ -401,6 +418,9 @@
         if now_ms >= self._next_note_ms and not self._noting:
             self._next_note_ms = now_ms + CHECKPOINT_MS
             self._note_routers(now_ms)
+        if now_ms >= self._next_share_ms:
+            self._next_share_ms = now_ms + SHARE_MS
+            self.services.share(scheduler.known_servers(self.tables))
 
     def _drop_silent(self, now_ms: int) -> None:
         for session in self.services.sessions.silent(now_ms):
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -34,6 +34,7 @@
     "$.body_timeout_s": (0.01, 3_600.0),
     "$.idle_connection_s": (0.01, 3_600.0),
     "$.close_timeout_s": (0.01, 3_600.0),
+    "$.control_silence_s": (0.5, 2.0),
 }
 BYTE_LIMITS = {
     "$.max_body_bytes": (1, 1_073_741_824),
--- a/waxwingrack/operations/engine_load.py
+++ b/waxwingrack/operations/engine_load.py
@@ -7,7 +7,9 @@
 ordered, and not at the engine. This answers bursts of long prompts.
 """
 
+from collections.abc import Iterable
 import dataclasses
+import zlib
 
 from waxwingrack.core import data
 from waxwingrack.operations import tables as tables_module
@@ -25,6 +27,8 @@
 
 # Times that a token to read counts beyond the first for a fresh request.
 REREAD_WEIGHT = 5.0
+# Part of a prompt's shared tokens by which engines that do not keep it differ.
+HOME_PART = 0.5
 # Part of the latency target for which a request waits for a better engine.
 PATIENCE_PART = 0.3
 # Latency target of requests that have none, in milliseconds.
@@ -86,14 +90,29 @@
     load = row.load
     far = row.announcement.data_centre != home
     weight = 1.0 + REREAD_WEIGHT * patience
+    unread = unread_tokens(load, want)
+    if want.prompt and unread == want.prompt_tokens:
+        unread -= HOME_PART * _home_tokens(row, want)
     return (
         load.unread
-        + weight * unread_tokens(load, want)
+        + weight * unread
         + RUNNING_TOKENS * len(load.uses)
         + (FAR_TOKENS if far else 0)
     )
 
 
+def _home_tokens(row: data.ServerRow, want: data.Want) -> float:
+    """Returns the shared tokens of a prompt, scaled by the engine's turn.
+
+    Each prompt prefers engines in an order of its own, that of rendezvous
+    hashing, so that a leader that knows nothing yet sends it where the one
+    before did.
+    """
+    shared = want.prompt[:-1] or want.prompt
+    turn = zlib.crc32(f"{shared[-1].id}/{row.announcement.server_id}".encode())
+    return sum(part.tokens for part in shared) * turn / 2**32
+
+
 def patience(waited_ms: int, want: data.Want) -> float:
     """Returns the part of the time that is left to wait for a better engine."""
     limit_ms = PATIENCE_PART * (want.target_ms or DEFAULT_TARGET_MS)
@@ -156,6 +175,24 @@
     )
 
 
+def kept_parts(cache: data.PromptCache) -> tuple[data.PromptPart, ...]:
+    """Returns the parts in a cache, the one read longest ago first."""
+    return tuple(
+        data.PromptPart(part, cache.uses[part][1])
+        for _, part in sorted(cache.order.items())
+    )
+
+
+def with_parts(
+    load: data.EngineLoad, parts: Iterable[data.PromptPart]
+) -> data.EngineLoad:
+    """Enters parts that an engine keeps, in order of their use."""
+    cache = load.cache
+    for part in parts:
+        cache = _read(cache, part)
+    return dataclasses.replace(load, cache=cache)
+
+
 def _read(cache: data.PromptCache, part: data.PromptPart) -> data.PromptCache:
     known = cache.uses.get(part.id)
     order, tokens = cache.order, cache.tokens + part.tokens
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -225,6 +225,52 @@
     return work.finish()
 
 
+def known_servers(tables: Tables) -> messages.ServersKnown:
+    """Returns what another leader needs to know of the servers."""
+    rows = [row for row in tables.servers.values() if not row.aged]
+    return messages.ServersKnown(
+        announcements=tuple(row.announcement for row in rows),
+        prompts=tuple(
+            messages.KeptPrompts(
+                row.announcement.server_id,
+                engine_load.kept_parts(row.load.cache),
+            )
+            for row in rows
+            if row.load.cache.uses
+        ),
+    )
+
+
+def take_over(
+    tables: Tables,
+    environment: data.Environment | None,
+    known: messages.ServersKnown,
+    now_ms: int,
+) -> Tables:
+    """Enters the servers that the former leader knew.
+
+    Args:
+      tables: Tables of a new leader.
+      environment: Environment in force, None if there is none yet.
+      known: What the former leader told.
+      now_ms: Present time.
+
+    Returns:
+      The new tables.
+    """
+    work = Work(tables, now_ms)
+    if environment is not None:
+        _take_environment(work, environment)
+    for seen in known.announcements:
+        servers.announce(work, seen)
+    for kept in known.prompts:
+        row = work.servers.get(kept.server_id)
+        if row is not None:
+            load = engine_load.with_parts(row.load, kept.parts)
+            work.servers[kept.server_id] = data.evolve(row, load=load)
+    return work.finish()
+
+
 def on_departure(tables: Tables, server_id: str, now_ms: int) -> Tables:
     """Takes into the tables that a server has said that it leaves.
 
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -14,6 +14,9 @@
 
 # Environment variable that holds the path of the file.
 PATH_VARIABLE = "WAXWINGRACK_CONFIG"
+# Silence of the leader after which routers look for another one, in seconds:
+# it is heard four times a second, and callers expect answers within less.
+CONTROL_SILENCE_S = 0.7
 # Time for which a stopping router still takes requests, in seconds: the
 # platform asks once a second and takes a process out after two refusals.
 SHUTDOWN_DELAY_S = 2.5
@@ -140,6 +143,7 @@
         shutdown_timeout_s=file.bounds.graceS - SHUTDOWN_DELAY_S - CLOSE_S,
         max_buffered_bytes=buffered,
         ready_when_drained=True,
+        control_silence_s=CONTROL_SILENCE_S,
         retry_share=file.bounds.retryBudgetRatio * RATIO_PART,
         retry_reserve=file.bounds.retryBudgetSlack * RESERVE_PART,
         **common,
