Explain a failed request from the logs of all processes

Cause: the on-call engineers have only logs and metrics; the router's lines carry the request's id and the leader's only the router and the number of the want.

Change: `waxwingrack explain` gathers the lines of a request, of the leader's decision and of what happened to its server, its router's link and the leadership.

Not done: one line for each placement input with its age; histograms on the platform's metrics address.

--- a/waxwingrack/commands/main.py
+++ b/waxwingrack/commands/main.py
@@ -12,6 +12,7 @@
 from waxwingrack.commands import check
 from waxwingrack.commands import data_centre
 from waxwingrack.commands import demo
+from waxwingrack.commands import explain
 from waxwingrack.commands import order
 from waxwingrack.commands import platform
 from waxwingrack.commands import process
@@ -52,6 +53,7 @@
         order.ClearCommand(),
         repair.RepairCommand(),
         check.CheckCommand(),
+        explain.ExplainCommand(),
         demo.DemoCommand(),
     ]
 
--- /dev/null
+++ b/waxwingrack/operations/explanations.py
@@ -0,0 +1,145 @@
+"""Log lines of all processes that tell what became of one request.
+
+A router's lines carry the request's id. The leader's carry the router and the
+number of the want, which the line `queued` of the router gives. What happened
+to a backend server while it had the request is told by the leader's lines about
+that server.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import json
+from typing import Any
+
+# Time before the first and after the last line of a request in which lines
+# about its servers are shown, in seconds.
+MARGIN_S = 1.0
+# Leader's lines about a server that say nothing of a single request.
+_SERVER_EVENTS = frozenset(
+    (
+        "server_departing",
+        "server_aged_out",
+        "server_back",
+        "server_blocked",
+        "server_replaced",
+        "server_restarted",
+        "server_paused",
+        "limit_cut",
+        "crash_counted",
+    )
+)
+# Lines about a process that bear on every request that it has.
+_PROCESS_EVENTS = frozenset(
+    (
+        "control_lost",
+        "control_found",
+        "leader_left",
+        "leader_followed",
+        "leadership_gained",
+        "leadership_lost",
+        "environment_in_force",
+        "router_stopping",
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One log line.
+
+    Attributes:
+      time: Time as text; lines of one day sort by it.
+      node: Process.
+      event: Name of the event.
+      fields: All other fields.
+    """
+
+    time: str
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
+def read(texts: Iterable[str]) -> tuple[Line, ...]:
+    """Reads log lines; text before the first brace and other lines are left.
+
+    Args:
+      texts: Lines of one or more logs.
+    """
+    found = []
+    for text in texts:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            record = json.loads(text[begin:])
+            found.append(
+                Line(
+                    record.pop("time"),
+                    record.pop("node"),
+                    record.pop("event"),
+                    record,
+                )
+            )
+        except (ValueError, KeyError, AttributeError):
+            continue
+    return tuple(found)
+
+
+def explain(lines: tuple[Line, ...], request_id: str) -> tuple[Line, ...]:
+    """Selects the lines that tell what became of a request.
+
+    Args:
+      lines: Lines of all processes.
+      request_id: Id of the request.
+
+    Returns:
+      The lines in order of time; empty if no router knows the request.
+    """
+    own = [
+        line for line in lines if line.fields.get("request_id") == request_id
+    ]
+    if not own:
+        return ()
+    wants = {
+        (line.node, line.fields["want"])
+        for line in own
+        if line.event == "queued"
+    }
+    servers = {line.fields["server"] for line in own if "server" in line.fields}
+    routers = {line.node for line in own}
+    times = sorted(line.time for line in own)
+    first, last = _shifted(times[0], -MARGIN_S), _shifted(times[-1], MARGIN_S)
+    about = [
+        line
+        for line in lines
+        if (line.fields.get("router"), line.fields.get("want")) in wants
+        or (
+            first <= line.time <= last
+            and (
+                (
+                    line.event in _SERVER_EVENTS
+                    and line.fields.get("server") in servers
+                )
+                or (
+                    line.event in _PROCESS_EVENTS
+                    and (line.node in routers or "leadership" in line.event)
+                )
+            )
+        )
+    ]
+    return tuple(
+        sorted(itertools.chain(own, about), key=lambda line: line.time)
+    )
+
+
+def _shifted(stamp: str, seconds: float) -> str:
+    """Moves a time of day as it stands in a log line."""
+    day, clock = stamp.rstrip("Z").split("T")
+    hours, minutes, rest = clock.split(":")
+    total = int(hours) * 3600 + int(minutes) * 60 + float(rest) + seconds
+    total = min(max(total, 0.0), 86_399.999)
+    hour, within = divmod(total, 3600)
+    minute, second = divmod(within, 60)
+    return f"{day}T{int(hour):02d}:{int(minute):02d}:{second:06.3f}Z"
