Let a controller take part again after its disk refused a write

The platform fills disks for some seconds and restarts nothing, so a second loss could then leave no majority.

Weighed: to end the process and be restarted (counts as an end of its own, and loses the links) against reading the folder again (chosen).

Change: once a second the controller reads its folder again, rewrites and syncs the log, and starts its replica as after a restart of the process.

Test: the disk of one of five controllers takes no more bytes while a document is sent; the group is whole again once it does. It fails without the change.

--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -50,6 +50,12 @@
     Then a caller is served within 4 s
     And the killed leader comes back
 
+  Scenario: a controller whose disk was full takes part again
+    When the disk of a controller takes no more bytes while a document is sent
+    Then the group has 4 members that answer
+    When its disk takes bytes again
+    Then the group has 5 members that answer
+
   Scenario: every controller is killed at once
     When all controllers are killed and start again
     Then the document that was acknowledged last is read back
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import resource
 import time
 
 import behave
@@ -290,3 +291,37 @@
     fleet.wait_until(
         lambda: len(context.fleet.members()) == 5, WAIT_S, "five members"
     )
+
+
+@behave.when(
+    "the disk of a controller takes no more bytes while a document is sent"
+)
+def disk_full(context):
+    cluster = context.fleet
+    context.full = next(
+        machine
+        for machine in cluster.controllers
+        if machine is not cluster.leader()
+    )
+    # A limit on the size of files refuses writes as a full disk does.
+    pid = context.full.process.pid
+    context.limits = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, context.limits[1]))
+    cluster.last_document = _document(20)
+    cluster.until_accepted("POST", "/api/config/replace", cluster.last_document)
+
+
+@behave.when("its disk takes bytes again")
+def disk_has_room(context):
+    resource.prlimit(
+        context.full.process.pid, resource.RLIMIT_FSIZE, context.limits
+    )
+
+
+@behave.then("the group has {count:d} members that answer")
+def answering_members(context, count):
+    fleet.wait_until(
+        lambda: len(context.fleet.members()) == count,
+        WAIT_S,
+        f"{count} members that answer",
+    )
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -33,6 +33,9 @@
 from waxwingrack.operations import membership
 from waxwingrack.operations import servers
 
+# Interval at which a storage that refused a write is tried again.
+REOPEN_MS = 1_000
+
 CONSENSUS_MESSAGES = (
     messages.VoteRequest,
     messages.VoteReply,
@@ -127,6 +130,8 @@
         self.links = peer_links.PeerLinks(
             self._identity, self.counts, self._from_peer, clock, rng
         )
+        self._reopening: asyncio.Task | None = None
+        self._next_reopen_ms = 0
         self._server: ws_server.Server | None = None
         self._port: Any = None
         self._loop_task: asyncio.Task | None = None
@@ -177,6 +182,8 @@
         """Closes all connections, syncs the storage and frees the ports."""
         self._life.stop()
         self._loop_task.cancel()
+        if self._reopening is not None:
+            self._reopening.cancel()
         self.repairs.close()
         if self._group is not None:
             self._group.close()
@@ -228,6 +235,35 @@
         self.driver.on_applied = self._applied
         self.driver.on_change = self._replica_changed
 
+    def _reopen_if_due(self, now_ms: int) -> None:
+        if not self.driver.storage_failed or now_ms < self._next_reopen_ms:
+            return
+        self._next_reopen_ms = now_ms + REOPEN_MS
+        if self._reopening is None or self._reopening.done():
+            self._reopening = asyncio.ensure_future(self._reopen())
+
+    async def _reopen(self) -> None:
+        """Takes part again once the disk takes writes.
+
+        The replica starts as after a restart of the process, so it refuses
+        votes until a lease that it may have acknowledged has ended.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            found = await loop.run_in_executor(None, self._storage.reopen)
+        except OSError as exc:
+            logs.event("storage_unusable", reason=str(exc))
+            return
+        match found:
+            case result.Failure(damage):
+                logs.event("storage_unusable", reason=str(damage))
+            case result.Success(persisted):
+                await self.driver.stop()
+                self._create_driver(persisted)
+                self._update_peers()
+                self.driver.start()
+                logs.event("storage_reopened")
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(leader_module.TICK_S)
@@ -236,6 +272,7 @@
     def _periodic(self) -> None:
         if self.driver is None:
             return
+        self._reopen_if_due(self.clock())
         self.links.check_replies()
         self._replica_changed()
         if self._group is not None:
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -99,6 +99,7 @@
       applied: Index of the last applied entry.
       applied_term: Term of the last applied entry.
       failed: Why the replica does not take part any more, or None.
+      storage_failed: Whether a write was the reason.
       counts: What was done.
       on_applied: Called after entries were applied or a snapshot restored.
       on_change: Called after each step, for example to follow the role.
@@ -132,6 +133,7 @@
         self.applied = 0
         self.applied_term = 0
         self.failed: str | None = None
+        self.storage_failed = False
         self.counts = Counts()
         self.on_applied: Callable[[], None] = _nothing
         self.on_change: Callable[[], None] = _nothing
@@ -386,6 +388,7 @@
                     )
                 except Exception as exc:
                     logs.failure("storage_failed", exc)
+                    self.storage_failed = True
                     self.fail(f"storage failed: {exc}")
                     return
                 self.counts.syncs += 1
--- a/waxwingrack/daemons/storage.py
+++ b/waxwingrack/daemons/storage.py
@@ -86,6 +86,10 @@
         """See `DiskStorage.sync`."""
         self._synced = self._contents.copy()
 
+    def reopen(self) -> result.Result[consensus.Persisted, Damage]:
+        """See `DiskStorage.reopen`."""
+        return self.load()
+
     def crash(self) -> None:
         """Drops what was written since the last sync."""
         self._contents = self._synced.copy()
@@ -197,6 +201,26 @@
         persisted = self._contents.persisted(identity.disk)
         return result.Success(dataclasses.replace(persisted, new_disk=is_new))
 
+    def reopen(self) -> result.Result[consensus.Persisted, Damage]:
+        """Reads the folder again after a write has failed.
+
+        What the failed write left is kept like a write before a crash. The log
+        is rewritten and synced, as a sync that failed says nothing of what
+        earlier ones would have made durable.
+
+        Returns:
+          As `load`.
+
+        Raises:
+          OSError: The folder still cannot be read or written.
+        """
+        found = self.load()
+        if isinstance(found, result.Success):
+            self._rewrite_log()
+            self._snapshot_is_new = False
+            self._failed = False
+        return found
+
     def _load_snapshot(self) -> Damage | None:
         path = self._path("snapshot")
         if not path.exists():
