Try the room on a disk before a controller takes part again

The rewritten log was smaller than the one that had reached its limit, so the controller took part again, failed at the next record and so on, and was not shown as lagging.

Ruled out: load; nothing else ran.

Change: a file of the largest present size and 256 KiB more is written and removed before the folder is read again.

--- a/waxwingrack/daemons/storage.py
+++ b/waxwingrack/daemons/storage.py
@@ -30,6 +30,9 @@
 from waxwingrack.operations import consensus
 
 DISK_ID_BYTES = 16
+# Room beyond a copy of the largest file that a storage needs after a failed
+# write; the records of some minutes fit into it.
+ROOM_BYTES = 256 * 1024
 
 Damage = storage_files.Damage
 
@@ -206,7 +209,8 @@
 
         What the failed write left is kept like a write before a crash. The log
         is rewritten and synced, as a sync that failed says nothing of what
-        earlier ones would have made durable.
+        earlier ones would have made durable. Room for further records is tried
+        first, so that a disk that is nearly full does not fail again at once.
 
         Returns:
           As `load`.
@@ -214,6 +218,7 @@
         Raises:
           OSError: The folder still cannot be read or written.
         """
+        self._try_room()
         found = self.load()
         if isinstance(found, result.Success):
             self._rewrite_log()
@@ -221,6 +226,15 @@
             self._failed = False
         return found
 
+    def _try_room(self) -> None:
+        names = [self._path(name) for name in ("log", "snapshot")]
+        sizes = [path.stat().st_size for path in names if path.exists()]
+        trial = self._path("room.tmp")
+        try:
+            self._files.create(trial, bytes(max(sizes, default=0) + ROOM_BYTES))
+        finally:
+            trial.unlink(missing_ok=True)
+
     def _load_snapshot(self) -> Damage | None:
         path = self._path("snapshot")
         if not path.exists():
