Count the time without a leader for rollouts, and not the time before them

A new leader counted from its own election, so that the time since the last checkpoint and the time without a leader were lost, and with them the deadline moved. Reading the code showed a second fault: an idle leader saves no checkpoint, so a rollout that started after an idle time was charged that time and could be taken back at once.

Ruled out: a judge that took the good version back.

Change: a new leader counts on from the time at which it applied the last checkpoint, by its own monotonic clock; operators' commands save a checkpoint before them. The step of the matrix now fails at once, with the row, if a rollout ended in another phase than the awaited one.

After: both scenarios pass, with the other three of the feature.

Left: the time in which all controllers are down is still lost to a rollout.

--- a/features/controller_rollouts.feature
+++ b/features/controller_rollouts.feature
@@ -25,3 +25,23 @@
     When an operator starts a rollout of "desk" to version "v2"
     And 2.5 s later the controller group meets kill -9 of the leader
     Then the rollout has run for at least 1 s and at most 4 s at the new leader
+
+  Scenario: the time without a leader counts for a rollout
+    A rollout could end long after its deadline otherwise.
+
+    Given a group of 3 controllers
+    And environment "first" was applied at the number 0
+    When an operator starts a rollout of "desk" to version "v2"
+    And 1.5 s later the controller group meets 4 s without a majority
+    And 2.0 s pass
+    Then the rollout has run for at least 6 s and at most 11 s at the new leader
+
+  Scenario: the time before a rollout does not count for it
+    A rollout that starts after an idle time could be taken back at once.
+
+    Given a group of 3 controllers
+    And environment "first" was applied at the number 0
+    When 4.0 s pass
+    And an operator starts a rollout of "desk" to version "v2"
+    And 2.0 s pass
+    Then the rollout has run for at least 1 s and at most 3 s at the new leader
--- a/features/steps/controller_driver_steps.py
+++ b/features/steps/controller_driver_steps.py
@@ -317,6 +317,7 @@
     driver = types.SimpleNamespace(
         may_act=lambda: may == "may",
         state=data.ReplicatedState(),
+        counted_ms=0,
         replica=types.SimpleNamespace(term=1),
     )
     sessions = router_sessions.Sessions()
--- a/features/steps/controller_group_steps.py
+++ b/features/steps/controller_group_steps.py
@@ -9,6 +9,8 @@
 from waxwingrack.core import data
 
 FAULTS = {}
+# Time for which a group is left without a majority, in seconds.
+NO_MAJORITY_S = 4
 
 
 def fault(name):
@@ -24,6 +26,17 @@
     del fleet
 
 
+@fault(f"{NO_MAJORITY_S} s without a majority")
+def lose_majority(fleet):
+    """Kills the leader and stops another controller for a while."""
+    leader = fleet.leader()
+    paused = next(node_id for node_id in fleet.nodes if node_id != leader)
+    fleet.signal(paused, signal.SIGSTOP)
+    fleet.signal(leader, signal.SIGKILL)
+    time.sleep(NO_MAJORITY_S)
+    fleet.signal(paused, signal.SIGCONT)
+
+
 @fault("kill -9 of the leader")
 def kill_leader(fleet):
     fleet.signal(fleet.leader(), signal.SIGKILL)
--- a/features/steps/controller_rollout_steps.py
+++ b/features/steps/controller_rollout_steps.py
@@ -145,6 +145,11 @@
     context.execute_steps(f"When the controller group meets {name}")
 
 
+@behave.when("{time_s:f} s pass")
+def wait(context, time_s):
+    time.sleep(time_s)
+
+
 @behave.then(
     "the rollout has run for at least {low_s:d} s and at most {high_s:d} s at "
     "the new leader"
--- a/features/steps/fault_matrix_rollout_steps.py
+++ b/features/steps/fault_matrix_rollout_steps.py
@@ -66,23 +66,37 @@
             port = self.cluster.members[name].ports["requests"]
             fleet.request(port, "PUT", "/-/mode", {"errors": 1.0})
 
-    def phase(self):
-        """Returns the phase as the leader shows it; None without a leader."""
+    def row(self):
+        """Returns the row that the leader shows; None without a leader."""
         answer = self.cluster.operate("GET", "/v1/rollouts")
         if answer.status != 200 or not answer.whole:
             return None
         rows = json.loads(answer.body)["rollouts"]
-        return next(
-            row["phase"] for row in rows if row["plan"]["id"] == self.id
-        )
+        return next(row for row in rows if row["plan"]["id"] == self.id)
+
+    def phase(self):
+        """Returns the phase as the leader shows it; None without a leader."""
+        row = self.row()
+        return row and row["phase"]
 
     def wait_for(self, phases):
+        """Waits for one of the phases and returns it.
+
+        Raises:
+          AssertionError: The rollout ended in another phase, or entered none of
+            them before its deadline.
+        """
         left_s = self.started + DEADLINE_S + LATE_S - time.monotonic()
-        return fleet.wait_until(
-            lambda: self.phase() in phases and self.phase(),
-            max(left_s, 0),
-            f"rollout {phases}",
+        found = fleet.wait_until(
+            lambda: self._passed(phases), max(left_s, 0), f"rollout {phases}"
         )
+        assert found["phase"] in phases, found
+        return found["phase"]
+
+    def _passed(self, phases):
+        row = self.row()
+        wanted = row and row["phase"] in (*phases, *OUTCOMES)
+        return row if wanted else None
 
 
 def _retire(cluster, names):
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -109,8 +109,9 @@
         self._push: tuple[int, bytes] = (0, b"")
         self._saved_counters: dict[tuple[str, str], float] = {}
         self._saved_environment: data.Environment | None = None
-        # Start of the time that no committed checkpoint includes yet.
-        self._checkpoint_ms = self.since_ms
+        # Start of the time that no committed checkpoint includes yet. The time
+        # without a leader counts too, as deadlines are in real time.
+        self._checkpoint_ms = services.driver.counted_ms
         self._next_checkpoint_ms = self.since_ms + CHECKPOINT_MS
         self._checkpoint: asyncio.Future | None = None
         self._next_rollout_tick_ms = self.since_ms
@@ -606,6 +607,10 @@
             or self._changed_counters()
         )
 
+    def count_time(self) -> None:
+        """Saves the time until now, so that later changes do not count it."""
+        self._save_checkpoint(self.services.clock())
+
     def _save_checkpoint(self, now_ms: int) -> None:
         counters = self._changed_counters()
         command = commands.Checkpoint(
--- a/waxwingrack/daemons/proposals.py
+++ b/waxwingrack/daemons/proposals.py
@@ -12,6 +12,8 @@
 async def commit(controller: Any, command: Any) -> result.Result[Any, str]:
     """Proposes a command and waits until it is committed.
 
+    A rollout that the command starts does not count the time before it.
+
     Args:
       controller: The `controller.Controller`, which leads.
       command: A registered command.
@@ -20,6 +22,8 @@
       Success with the outcome of the command, or Failure with the reason. The
       command may be committed later in that case.
     """
+    if controller.leader is not None:
+        controller.leader.count_time()
     fut = controller.driver.propose(command)
     await asyncio.wait([fut], timeout=COMMIT_TIMEOUT_S)
     if not fut.done():
--- a/waxwingrack/daemons/replica_driver.py
+++ b/waxwingrack/daemons/replica_driver.py
@@ -98,6 +98,7 @@
       state: Replicated state after the last applied entry.
       applied: Index of the last applied entry.
       applied_term: Term of the last applied entry.
+      counted_ms: Own time at which the leader-counted clock went on last.
       failed: Why the replica does not take part any more, or None.
       storage_failed: Whether a write was the reason.
       counts: What was done.
@@ -132,6 +133,7 @@
         self.state = data.ReplicatedState()
         self.applied = 0
         self.applied_term = 0
+        self.counted_ms = clock()
         self.failed: str | None = None
         self.storage_failed = False
         self.counts = Counts()
@@ -455,6 +457,8 @@
             logs.failure("command_failed", exc, index=index)
             self.counts.dropped += 1
             return None
+        if applied.state.clock_s != self.state.clock_s:
+            self.counted_ms = self._clock()
         self.state = applied.state
         return applied.outcome
 
@@ -462,6 +466,7 @@
         match replicated.decode(snapshot.state):
             case result.Success(state):
                 self.state = state
+                self.counted_ms = self._clock()
                 self.applied = snapshot.index
                 self.applied_term = snapshot.term
                 self._compacted = snapshot.index
