Let engines fetch the parts of a prompt that another engine keeps

A shared part of 4,870 tokens takes 79 ms to read and about 6 ms to fetch.

Change: the leader names, with a grant, the engine that keeps most of the prompt; the router passes its address on. Parts that an engine is still reading do not count, and parts of requests that ended unread are forgotten. Fetching is used only where the engines' link makes it faster than reading.

What is still read again was not taken apart.

--- a/features/engine_placement.feature
+++ b/features/engine_placement.feature
@@ -21,6 +21,30 @@
       | the keeper is full, the request waits   | a:500 b:4000 | 9000  | a:500 b:4000 | 0     | nowhere |
       | it has waited long enough               | a:500 b:4000 | 9000  | a:500 b:4000 | 300   | not e1 |
 
+  Scenario Outline: engines fetch from each other: <case>
+    Given a scheduler with 3 model engines and links of <link> Mbit/s
+    And the engine e1 <state> the parts <kept>
+    And the engine e1 has <unread> tokens to read
+    When a request with the parts <parts> has waited 0 ms
+    Then it is granted <engine>
+    And it fetches from <source>
+
+    Examples:
+      | case                                | link     | state      | kept         | parts        | unread | engine  | source  |
+      | the keeper is free                  | 1000000  | has read   | a:500 b:4000 | a:500 b:4000 | 0      | e1      | nowhere |
+      | the keeper is full                  | 1000000  | has read   | a:500 b:4000 | a:500 b:4000 | 9000   | not e1  | e1      |
+      | the keeper keeps the first part     | 1000000  | has read   | a:500        | a:500 b:4000 | 9000   | not e1  | e1      |
+      | too little to fetch                 | 1000000  | has read   | a:50         | a:50 b:4000  | 9000   | not e1  | nowhere |
+      | the keeper is still reading         | 1000000  | is reading | a:500 b:4000 | a:500 b:4000 | 9000   | nowhere | nowhere |
+      | fetching is slower than reading     | 10000    | has read   | a:500 b:4000 | a:500 b:4000 | 9000   | nowhere | nowhere |
+      | the keeper leaves                   | 1000000  | has read   | a:500 b:4000 | a:500 b:4000 | leaves | not e1  | nowhere |
+
+  Scenario: a prompt that was not read is not kept
+    Given the engine e1 is reading the parts a:500 b:4000
+    When its request is cancelled
+    And a request with the parts a:500 b:4000 has waited 0 ms
+    Then its engine has 4500 tokens to read
+
   Scenario: engines whose queues are full get nothing
     Given every engine has 9000 tokens to read
     When a request with the parts x:500 has waited 900 ms
--- a/features/steps/engine_placement_steps.py
+++ b/features/steps/engine_placement_steps.py
@@ -1,7 +1,6 @@
 """Steps for the choice of a model engine."""
 
 import collections
-import dataclasses
 import itertools
 
 import behave
@@ -9,19 +8,23 @@
 from features.support import scheduler_tables as driver
 from waxwingrack.core import data
 from waxwingrack.operations import engine_load
+from waxwingrack.operations import scheduler
 from waxwingrack.operations import tables as tables_module
 
 ENGINES = ("e1", "e2", "e3")
 TICK_MS = 20
+TOKEN_BYTES = 163_840
+# Grant of a prompt that is still being read.
+READING = (0, 3)
 
 
-def _environment(memory=100_000, cold=None):
+def _environment(memory=100_000, cold=None, link_mbps=0.0):
     service = data.Service(
         "s",
         (),
         "v1",
         cost_meter=data.CostMeter.PROMPT_AND_OUTPUT,
-        engine=data.Engine(memory),
+        engine=data.Engine(memory, 1, TOKEN_BYTES, link_mbps),
         cold=cold and data.ColdLimit(cold),
         ramp=False,
     )
@@ -59,6 +62,11 @@
     )
 
 
+def _granted(load, key, want):
+    needed = engine_load.needs(load, want, 0)
+    return engine_load.granted(load, key, want, needed, 100_000)
+
+
 def _load(context, server_id, change):
     work = tables_module.Work(context.tables, context.at_ms)
     row = work.servers[server_id]
@@ -71,13 +79,55 @@
     _start(context, _environment(memory), ENGINES)
 
 
+@behave.given("a scheduler with 3 model engines and links of {link:d} Mbit/s")
+def linked_engines(context, link):
+    _start(context, _environment(link_mbps=float(link)), ENGINES)
+
+
+@behave.given("the engine {server_id} has leaves tokens to read")
+def leaves(context, server_id):
+    context.tables = scheduler.on_departure(
+        context.tables, server_id, context.at_ms
+    )
+
+
+@behave.given("the engine {server_id} is reading the parts {parts}")
+def is_reading(context, server_id, parts):
+    want = _want(context, _parts(parts))
+    _load(context, server_id, lambda load: _granted(load, READING, want))
+
+
+@behave.when("its request is cancelled")
+def cancelled(context):
+    _load(context, "e1", lambda load: engine_load.ended(load, READING))
+
+
+@behave.then("its engine has {tokens:d} tokens to read")
+def engine_reads(context, tokens):
+    (item,) = context.granted
+    server_id = item.grant.server_id
+    assert context.tables.servers[server_id].load.unread == tokens
+
+
+@behave.then("it fetches from {source}")
+def fetches(context, source):
+    found = [item.grant.fetch_from for item in context.granted]
+    rows = context.tables.servers
+    expected = (
+        [None] * len(found)
+        if source == "nowhere"
+        else [rows[source].announcement.address]
+    )
+    assert found == expected, context.granted
+
+
 @behave.given("the engine {server_id} has read the parts {parts}")
 def has_read(context, server_id, parts):
     want = _want(context, _parts(parts))
 
     def read(load):
-        load = engine_load.granted(load, (0, 1), want, 100_000)
-        return engine_load.ended(load, (0, 1))
+        load = _granted(load, (0, 1), want)
+        return engine_load.ended(engine_load.started(load, (0, 1)), (0, 1))
 
     _load(context, server_id, read)
 
@@ -88,7 +138,7 @@
         _load(
             context,
             server_id,
-            lambda load: engine_load.granted(load, (0, 2), want, 100_000),
+            lambda load: _granted(load, (0, 2), want),
         )
 
 
@@ -150,10 +200,8 @@
 
 @behave.when("{count:d} requests wait for {seconds:d} s")
 def many_wait(context, count, seconds):
-    wants = tuple(
-        dataclasses.replace(_want(context, (data.PromptPart("p", 10),)))
-        for _ in range(count)
-    )
+    parts = (data.PromptPart("p", 10),)
+    wants = tuple(_want(context, parts) for _ in range(count))
     driver.report(context, wants=wants)
     context.granted_ms = []
     for _ in range(seconds * 1000 // TICK_MS):
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -161,15 +161,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
-    """Memory and stream format of a service's model engines.
+    """Memory, links and stream format of a service's model engines.
 
     Attributes:
       memory_tokens: Tokens that running requests and cached prompts share.
       tokens_per_event: Output tokens in one event of a stream.
+      token_bytes: Size of the memory of one token.
+      link_mbps: Rate at which an engine fetches memory from another one, in
+        megabits per second; 0 if it cannot.
     """
 
     memory_tokens: int
     tokens_per_event: int = 1
+    token_bytes: int = 0
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -541,6 +546,8 @@
       incarnation: Incarnation of the backend server.
       address: Address of the backend server.
       version: Version of the backend server.
+      fetch_from: Address of the model engine from which this one fetches the
+        parts of the prompt that it does not keep; None if it reads them.
     """
 
     id: int
@@ -550,6 +557,7 @@
     incarnation: str
     address: Address
     version: str
+    fetch_from: Address | None = None
 
 
 class Outcome(enum.StrEnum):
@@ -1143,12 +1151,14 @@
       ahead: Tokens that the engine had to read before the answer could begin,
         those of the prompt included.
       started: Whether the answer has begun, so that the prompt is read.
+      reads: Parts of the prompt that the engine did not keep before.
     """
 
     unread: int
     memory: int
     ahead: int
     started: bool = False
+    reads: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -1159,13 +1169,15 @@
       uses: `EngineUse` by grant key.
       unread: Tokens of prompts that the engine still has to read.
       memory: Tokens that running requests take.
-      cache: Parts of prompts that it has read.
+      cache: Parts of prompts that it has read or is about to read.
+      reading: Grant key by part that it is still to read.
     """
 
     uses: immutables.Map = immutables.Map()
     unread: int = 0
     memory: int = 0
     cache: PromptCache = PromptCache()
+    reading: immutables.Map = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -62,6 +62,8 @@
       workspace: Workspace of the caller.
       caller: IP number of the caller.
       left_ms: Time left for the answer; None if it is not limited.
+      fetch_from: Model engine that keeps more of the prompt; None if there is
+        none to fetch from.
     """
 
     server_id: str
@@ -70,6 +72,7 @@
     workspace: str
     caller: str
     left_ms: int | None
+    fetch_from: data.Address | None = None
 
 
 class Dialect(Protocol):
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -324,6 +324,7 @@
                     workspace=admitted.workspace.id,
                     caller=req.getClientAddress().host,
                     left_ms=self._left_ms(),
+                    fetch_from=lease.grant.fetch_from,
                 ),
             ),
             body=admitted.body if self._has_body(admitted) else None,
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -50,12 +50,16 @@
       server: Server.
       candidate: Whether the server runs the candidate version.
       reason: Why this server.
+      needed: How a model engine gets the prompt; None for other servers.
+      source: Model engine to fetch the prompt from; None for none.
     """
 
     want: data.WantRow
     server: data.ServerRow
     candidate: bool
     reason: str
+    needed: engine_load.Needs | None = None
+    source: data.ServerRow | None = None
 
 
 def refuse_without_server(work: Work, service: str) -> None:
@@ -320,7 +324,7 @@
         for version, candidate in allowed:
             found = _pick_engine(work, row, version, avoid, engine)
             if found is not None:
-                return Choice(row, found[0], candidate, found[1])
+                return dataclasses.replace(found, candidate=candidate)
     return None
 
 
@@ -330,43 +334,78 @@
     version: str,
     avoid: tuple[str, ...],
     engine: data.Engine,
-) -> tuple[data.ServerRow, str] | None:
+) -> Choice | None:
     """Picks the model engine that suits a request best, if it has room."""
     want = row.want
     home = work.routers[row.router].ref.data_centre
     waited_ms = work.now_ms - row.at_ms
     patience = engine_load.patience(waited_ms, want)
-    found = [
+    reachable = [
         server
-        for group in _free_groups(work, want.service, version)
-        for server_id in work.groups[group]
-        if server_id not in avoid
-        and (server := work.servers[server_id])
-        and tables_module.free_level(server) is not None
+        for found, data_centre in work.pools[want.service].places
+        if found == version and data_centre not in work.drained
+        for server_id in work.groups[(want.service, version, data_centre)]
+        if (server := work.servers[server_id])
+        and tables_module.usable(server)
         and server.seen_ms + servers.MAX_AGE_MS > work.now_ms
     ]
+    fetch_weight = engine_load.fetch_weight(engine)
+    elsewhere, source = 0, None
+    if fetch_weight is not None:
+        elsewhere, source = _best_source(reachable, want, home)
     ranked = sorted(
-        (engine_load.rank(server, want, home, patience), server.key, server)
-        for server in found
-    )
-    rank, server = next(
         (
-            (rank, server)
-            for place, (rank, _, server) in enumerate(ranked)
-            if engine_load.fits(server.load, want, engine)
-            and (
-                place == 0
-                or patience == 0.0
-                or engine_load.takes_from_others(server.load, waited_ms, want)
+            engine_load.rank(
+                server, want, needed, home, patience, fetch_weight or 0.0
+            ),
+            server.key,
+            server,
+            needed,
+        )
+        for server in reachable
+        if server.announcement.server_id not in avoid
+        and tables_module.free_level(server) is not None
+        and (needed := engine_load.needs(server.load, want, elsewhere))
+    )
+    for place, (rank, _, server, needed) in enumerate(ranked):
+        if engine_load.fits(server.load, want, engine) and (
+            place == 0
+            or patience == 0.0
+            or engine_load.takes_from_others(server.load, waited_ms, want)
+        ):
+            return Choice(
+                row,
+                server,
+                False,
+                f"rank {rank:.0f}, {needed.unread} of {want.prompt_tokens} "
+                f"tokens to read, {needed.fetched} to fetch",
+                needed,
+                source if needed.fetched else None,
             )
-        ),
-        (0.0, None),
+    return None
+
+
+def _best_source(
+    reachable: list[data.ServerRow], want: data.Want, home: str
+) -> tuple[int, data.ServerRow | None]:
+    """Finds the engine that keeps most of a prompt.
+
+    Returns:
+      Tokens that it keeps, and the engine; of equal ones, one in the data
+      centre of the router with the fewest requests.
+    """
+    found = (
+        (
+            engine_load.fetchable_tokens(server.load, want),
+            server.announcement.data_centre == home,
+            -len(server.load.uses),
+            -server.key,
+            server,
+        )
+        for server in reachable
     )
-    if server is None:
-        return None
-    cached = engine_load.cached_tokens(server.load.cache, want)
-    most = max(engine_load.cached_tokens(row.load.cache, want) for row in found)
-    return server, f"rank {rank:.0f}, {cached} of {most} tokens cached"
+    best = max(found, default=None)
+    return (best[0], best[-1]) if best and best[0] else (0, None)
 
 
 def _engine_has_room(work: Work, service: str) -> bool:
@@ -624,6 +663,7 @@
                 incarnation=seen.incarnation,
                 address=seen.address,
                 version=seen.version,
+                fetch_from=choice.source and choice.source.announcement.address,
             ),
             reason,
         )
@@ -644,7 +684,10 @@
         solo=key if solo else None,
     )
     if engine is not None:
-        load = engine_load.granted(row.load, key, want, engine.memory_tokens)
+        needed = choice.needed or engine_load.needs(row.load, want, 0)
+        load = engine_load.granted(
+            row.load, key, want, needed, engine.memory_tokens
+        )
         row = data.evolve(row, load=load)
         forecast.observe_grant(work, want, load.uses[key])
     row = cold_servers.spend(work, row, declared and declared.cold)
--- a/waxwingrack/operations/engine_load.py
+++ b/waxwingrack/operations/engine_load.py
@@ -5,12 +5,18 @@
 behind it. The leader therefore counts the tokens that each engine has still to
 read and keeps this number low: requests wait at the leader, where they can be
 ordered, and not at the engine. This answers bursts of long prompts.
+
+Where engines can fetch memory from each other, an engine fetches the parts of a
+prompt that another one keeps. This answers prompts that more callers share than
+one engine can serve, and engines that come or go.
 """
 
 from collections.abc import Iterable
 import dataclasses
 import zlib
 
+import immutables
+
 from waxwingrack.core import data
 from waxwingrack.operations import tables as tables_module
 
@@ -37,10 +43,29 @@
 IDLE_TOKENS = 1_000
 # Latency target of requests that have none, in milliseconds.
 DEFAULT_TARGET_MS = 1_000
+# Fewest tokens that an engine fetches. Setting up a transfer takes as long as
+# reading about as many.
+MIN_FETCH_TOKENS = 100
+# Tokens that an engine reads in a millisecond, for comparing the time of
+# reading with that of fetching. The engines of both sites read 62.
+READ_TOKENS_PER_MS = 60.0
 
 GrantKey = tables_module.GrantKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Needs:
+    """How an engine gets a prompt, besides the tokens that it keeps.
+
+    Attributes:
+      unread: Tokens to read.
+      fetched: Tokens to fetch from another engine.
+    """
+
+    unread: int
+    fetched: int = 0
+
+
 def cached_tokens(cache: data.PromptCache, want: data.Want) -> int:
     """Returns the tokens of a prompt that an engine need not read.
 
@@ -54,9 +79,46 @@
     return tokens
 
 
-def unread_tokens(load: data.EngineLoad, want: data.Want) -> int:
-    """Returns the tokens of a prompt that an engine has to read."""
-    return max(0, want.prompt_tokens - cached_tokens(load.cache, want))
+def fetchable_tokens(load: data.EngineLoad, want: data.Want) -> int:
+    """Returns the tokens of a prompt that another engine can fetch now.
+
+    Parts that the engine is still reading do not count.
+    """
+    tokens = 0
+    for part in want.prompt:
+        if part.id not in load.cache.uses or part.id in load.reading:
+            break
+        tokens += part.tokens
+    return tokens
+
+
+def fetch_weight(engine: data.Engine) -> float | None:
+    """Returns the time of fetching a token relative to that of reading it.
+
+    Returns:
+      The relative time; None if the engines cannot fetch, or not faster than
+      they read.
+    """
+    if not engine.link_mbps:
+        return None
+    bits_per_ms = engine.link_mbps * 1_000
+    weight = engine.token_bytes * 8 / bits_per_ms * READ_TOKENS_PER_MS
+    return weight if weight < 1.0 else None
+
+
+def needs(load: data.EngineLoad, want: data.Want, elsewhere: int) -> Needs:
+    """Returns how an engine gets the prompt of a request.
+
+    Args:
+      load: Load of the engine.
+      want: The request.
+      elsewhere: Most tokens of the prompt that it could fetch.
+    """
+    own = cached_tokens(load.cache, want)
+    fetched = max(0, elsewhere - own)
+    if fetched < MIN_FETCH_TOKENS:
+        fetched = 0
+    return Needs(max(0, want.prompt_tokens - own - fetched), fetched)
 
 
 def has_room(load: data.EngineLoad) -> bool:
@@ -77,7 +139,12 @@
 
 
 def rank(
-    row: data.ServerRow, want: data.Want, home: str, patience: float
+    row: data.ServerRow,
+    want: data.Want,
+    needed: Needs,
+    home: str,
+    patience: float,
+    fetch_weight: float,
 ) -> float:
     """Returns how well an engine suits a request; lower is better.
 
@@ -88,18 +155,21 @@
     Args:
       row: The engine.
       want: The request.
+      needed: How the engine gets its prompt.
       home: Data centre of its router.
       patience: From 1 for a request that has just come to 0.
+      fetch_weight: Time of fetching a token relative to that of reading it.
     """
     load = row.load
     far = row.announcement.data_centre != home
     weight = 1.0 + REREAD_WEIGHT * patience
-    unread = unread_tokens(load, want)
+    unread: float = needed.unread
     if want.prompt and unread == want.prompt_tokens:
         unread -= HOME_PART * _home_tokens(row, want)
     return (
         load.unread
         + weight * unread
+        + fetch_weight * needed.fetched
         + RUNNING_TOKENS * len(load.uses)
         + (FAR_TOKENS if far else 0)
     )
@@ -136,7 +206,11 @@
 
 
 def granted(
-    load: data.EngineLoad, key: GrantKey, want: data.Want, memory_tokens: int
+    load: data.EngineLoad,
+    key: GrantKey,
+    want: data.Want,
+    needed: Needs,
+    memory_tokens: int,
 ) -> data.EngineLoad:
     """Counts a grant.
 
@@ -144,15 +218,17 @@
       load: Load before.
       key: The grant.
       want: Its request.
+      needed: How the engine gets its prompt.
       memory_tokens: Memory of the engine.
     """
-    unread = unread_tokens(load, want)
+    cache = load.cache
+    reads = tuple(part.id for part in want.prompt if part.id not in cache.uses)
     use = data.EngineUse(
-        unread,
+        needed.unread,
         want.prompt_tokens + want.output_tokens,
-        ahead=load.unread + unread,
+        ahead=load.unread + needed.unread,
+        reads=reads,
     )
-    cache = load.cache
     for part in want.prompt:
         cache = _read(cache, part)
     return data.EngineLoad(
@@ -161,6 +237,7 @@
         memory=load.memory + use.memory,
         # Running requests take their memory from the cached parts.
         cache=_bounded(cache, max(0, memory_tokens - load.memory - use.memory)),
+        reading=load.reading.update(dict.fromkeys(reads, key)),
     )
 
 
@@ -171,26 +248,45 @@
         return load
     return dataclasses.replace(
         load,
-        uses=load.uses.set(
-            key, data.EngineUse(use.unread, use.memory, use.ahead, True)
-        ),
+        uses=load.uses.set(key, dataclasses.replace(use, started=True)),
         unread=load.unread - use.unread,
+        reading=_without(load.reading, key, use),
     )
 
 
 def ended(load: data.EngineLoad, key: GrantKey) -> data.EngineLoad:
-    """Gives back what a grant took; its prompt stays in the cache."""
+    """Gives back what a grant took.
+
+    Its prompt stays in the cache, except for parts that were not read since the
+    request ended before its answer began.
+    """
     use = load.uses.get(key)
     if use is None:
         return load
+    cache = load.cache
+    for part in use.reads:
+        if load.reading.get(part) == key:
+            cache = _forget(cache, part)
     return dataclasses.replace(
         load,
         uses=load.uses.delete(key),
         unread=load.unread - (0 if use.started else use.unread),
         memory=load.memory - use.memory,
+        cache=cache,
+        reading=_without(load.reading, key, use),
     )
 
 
+def _without(
+    reading: immutables.Map, key: GrantKey, use: data.EngineUse
+) -> immutables.Map:
+    """Removes the parts that a grant was to read."""
+    for part in use.reads:
+        if reading.get(part) == key:
+            reading = reading.delete(part)
+    return reading
+
+
 def kept_parts(cache: data.PromptCache) -> tuple[data.PromptPart, ...]:
     """Returns the parts in a cache, the one read longest ago first."""
     return tuple(
@@ -228,12 +324,19 @@
         oldest = cache.oldest
         while oldest not in cache.order:
             oldest += 1
-        part = cache.order[oldest]
-        cache = data.PromptCache(
-            uses=cache.uses.delete(part),
-            order=cache.order.delete(oldest),
-            oldest=oldest + 1,
-            next=cache.next,
-            tokens=cache.tokens - cache.uses[part][1],
+        cache = _forget(
+            dataclasses.replace(cache, oldest=oldest), cache.order[oldest]
         )
     return cache
+
+
+def _forget(cache: data.PromptCache, part: str) -> data.PromptCache:
+    known = cache.uses.get(part)
+    if known is None:
+        return cache
+    return dataclasses.replace(
+        cache,
+        uses=cache.uses.delete(part),
+        order=cache.order.delete(known[0]),
+        tokens=cache.tokens - known[1],
+    )
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -13,12 +13,13 @@
 from waxwingrack.core import data
 
 _Count = Annotated[int, pydantic.Field(ge=0)]
+_Amount = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 _Name = Annotated[str, pydantic.StringConstraints(min_length=1)]
 
 
 class _Split(pydantic.BaseModel):
     service: _Name
-    weight: Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+    weight: _Amount
 
 
 class _Route(pydantic.BaseModel):
@@ -65,6 +66,9 @@
     kvCapacityTokens: Annotated[int, pydantic.Field(ge=1)]  # noqa: N815
     # Tokens in one event of a stream.
     stride: Annotated[int, pydantic.Field(ge=1)] = 1
+    # Size of the memory of one token, and rate at which engines fetch it.
+    kvTokenBytes: _Amount = 0.0  # noqa: N815
+    linkMbps: _Amount = 0.0  # noqa: N815
 
 
 class _Service(pydantic.BaseModel):
@@ -203,7 +207,13 @@
         cost_meter=data.CostMeter.PROMPT_AND_OUTPUT
         if engine
         else data.CostMeter.SLOT_MS,
-        engine=engine and data.Engine(engine.kvCapacityTokens, engine.stride),
+        engine=engine
+        and data.Engine(
+            engine.kvCapacityTokens,
+            engine.stride,
+            round(engine.kvTokenBytes),
+            engine.linkMbps,
+        ),
         cold=data.ColdLimit(service.coldPerS) if service.coldPerS else None,
         ramp=False,
         # Connections break here without a crash; see docs/platform.md.
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -20,6 +20,8 @@
 TOKEN_USAGE = b"Token-Usage"
 # Parts of the prompt in order, as ID:TOKENS with commas between.
 PREFIX_HASH = b"Prefix-Hash"
+# Engine that keeps more of the prompt, as IP:PORT.
+KV_FETCH = b"Kv-Fetch"
 # Expected tokens of the output.
 LENGTH_HINT = b"Length-Hint"
 
@@ -44,7 +46,7 @@
         b"Hold",
         b"Pin-Ms",
         b"Kv-Backup",
-        b"Kv-Fetch",
+        KV_FETCH,
         b"Kv-From",
     )
 )
@@ -84,6 +86,8 @@
             headers.setRawHeaders(DEADLINE_MS, [b"%d" % dispatch.left_ms])
         if dispatch.workspace != data.PUBLIC_WORKSPACE:
             headers.setRawHeaders(TENANT, [dispatch.workspace.encode()])
+        if dispatch.fetch_from is not None:
+            headers.setRawHeaders(KV_FETCH, [str(dispatch.fetch_from).encode()])
         return headers
 
     def own_answer_headers(self) -> frozenset[bytes]:
