Grant engines to the most urgent requests first

Cause: wants of a workspace stood in order of arrival, and workspaces in order of their counters, so a request for 300 ms waited behind prompts of 12,000 tokens for 800 ms; the forecast at arrival then refused it.

Ruled out: shorter queues at the engines.

Change: wants of all workspaces whose counter is at most half a second of their share ahead of the lowest one are served by due time; those that can no longer be in time come last. The forecast counts only the wants that are more urgent. The choice of an engine is a module of its own.

--- a/features/overload_decisions.feature
+++ b/features/overload_decisions.feature
@@ -19,6 +19,23 @@
       | 2      | 95      | 85   |
       | 5      | 95      | 85   |
 
+  Scenario Outline: short prompts pass long ones, <case>
+    Guards against long prompts that make requests with a short target late.
+
+    Given a service of 4 model engines that read 50 tokens in a millisecond
+    And the workspace flood that sends 2 times the capacity in prompts of 12000 tokens for 800 ms
+    And the workspace <short> that sends 0.1 times the capacity in prompts of 700 tokens for 300 ms
+    And the workspace large that sends 1 times the capacity in prompts of 12000 tokens for 800 ms
+    When they send for 4 s
+    Then at least 95 in 100 of the requests for 300 ms are answered within it
+    And the engines are busy for at least 85 in 100 of the time
+    And large gets at least 70 in 100 of the tokens that flood gets
+
+    Examples:
+      | case                  | short |
+      | of another workspace  | small |
+      | of the same workspace | flood |
+
   Scenario: backlogged workspaces get equal shares of the engines
     Given a service of 2 model engines that read 50 tokens in a millisecond
     And the workspace flood that sends 5 times the capacity
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,7 +1,9 @@
 """Steps that play an overload against the scheduler, without a network."""
 
+import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 import behave
@@ -19,6 +21,23 @@
 SEED = 20261204
 
 
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    """Requests of one workspace.
+
+    Attributes:
+      workspace: Workspace.
+      factor: Tokens that it sends, relative to the capacity.
+      tokens: Tokens of a prompt.
+      target_ms: Latency target.
+    """
+
+    workspace: str
+    factor: float
+    tokens: int
+    target_ms: int
+
+
 class _Engine:
     """Reads prompts one after the other."""
 
@@ -51,46 +70,54 @@
     engine_placement_steps._start(context, environment, names)
     context.engines = {name: _Engine() for name in names}
     context.rate = rate
-    context.load = {}
+    context.load = []
+
+
+@behave.given(
+    "the workspace {name} that sends {factor:g} times the capacity in prompts"
+    " of {tokens:d} tokens for {target_ms:d} ms"
+)
+def prompts(context, name, factor, tokens, target_ms):
+    context.load.append(_Kind(name, factor, tokens, target_ms))
 
 
 @behave.given("the workspace {name} that sends {factor:g} times the capacity")
 def workspace(context, name, factor):
-    context.load[name] = factor
+    prompts(context, name, factor, PROMPT_TOKENS, TARGET_MS)
 
 
 @behave.given("the workspace {name} that sends a tenth of the capacity")
 def small_workspace(context, name):
-    context.load[name] = 0.1
+    workspace(context, name, 0.1)
 
 
 @behave.when("they send for {seconds:d} s")
 def play(context, seconds):
     rng = random.Random(SEED)
     print(f"seed {SEED}")
-    capacity = len(context.engines) * context.rate / PROMPT_TOKENS
+    rate = len(context.engines) * context.rate
     start_ms, numbers = context.at_ms, itertools.count(1)
     context.sent, context.begun, context.refused = {}, {}, {}
     events = []
     while context.at_ms < start_ms + seconds * 1000:
         now_ms = context.at_ms
         wants = []
-        for name, factor in context.load.items():
-            expected = factor * capacity * TICK_MS
+        for kind in context.load:
+            expected = kind.factor * rate / kind.tokens * TICK_MS
             count = int(expected) + (rng.random() < expected % 1)
             for sequence in itertools.islice(numbers, count):
-                context.sent[sequence] = (name, now_ms)
-                parts = (data.PromptPart(f"p{sequence}", PROMPT_TOKENS),)
+                context.sent[sequence] = (kind.workspace, now_ms, kind)
+                parts = (data.PromptPart(f"p{sequence}", kind.tokens),)
                 wants.append(
                     data.Want(
                         sequence,
-                        name,
+                        kind.workspace,
                         "s",
                         "r",
                         prompt=parts,
-                        prompt_tokens=PROMPT_TOKENS,
+                        prompt_tokens=kind.tokens,
                         output_tokens=50,
-                        target_ms=TARGET_MS,
+                        target_ms=kind.target_ms,
                     )
                 )
         started, finished = [], []
@@ -114,8 +141,9 @@
             context.refused[refusal.want] = (now_ms, refusal)
         for item in decisions.grants:
             grant = item.grant
+            tokens = context.sent[grant.want][2].tokens
             begin_ms = context.engines[grant.server_id].read(
-                now_ms, PROMPT_TOKENS, context.rate
+                now_ms, tokens, context.rate
             )
             context.begun[grant.want] = begin_ms
             first_ms = begin_ms - now_ms
@@ -134,7 +162,7 @@
                         data.Outcome.COMPLETED,
                         first_ms,
                         first_ms + OUTPUT_MS,
-                        PROMPT_TOKENS + 100.0,
+                        tokens + 100.0,
                     ),
                 ),
             ):
@@ -156,6 +184,21 @@
     assert share >= percent, share
 
 
+@behave.then(
+    "at least {percent:d} in 100 of the requests for {target_ms:d} ms are"
+    " answered within it"
+)
+def answered_on_time(context, percent, target_ms):
+    end_ms = context.at_ms - target_ms
+    waits = [
+        context.begun.get(sequence, math.inf) - at_ms
+        for sequence, (_, at_ms, kind) in context.sent.items()
+        if kind.target_ms == target_ms and at_ms < end_ms
+    ]
+    share = 100 * sum(wait <= target_ms for wait in waits) / len(waits)
+    assert share >= percent, (share, len(waits))
+
+
 @behave.then("no request of {name} is refused")
 def none_refused(context, name):
     refused = [s for s in context.refused if context.sent[s][0] == name]
@@ -182,7 +225,9 @@
 def shares(context, name, percent, other):
     counts = {
         workspace: sum(
-            context.sent[sequence][0] == workspace for sequence in context.begun
+            context.sent[sequence][2].tokens
+            for sequence in context.begun
+            if context.sent[sequence][0] == workspace
         )
         for workspace in (name, other)
     }
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -17,6 +17,7 @@
 from waxwingrack.core import errors
 from waxwingrack.operations import cold_servers
 from waxwingrack.operations import crashes
+from waxwingrack.operations import engine_choice
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import forecast
@@ -33,8 +34,8 @@
 MAX_HOLDERS = 8
 # Servers looked at for an idle one.
 MAX_IDLE_TRIES = 8
-# Wants of a workspace looked at for one whose best engine has room.
-MAX_LOOK_AHEAD = 12
+# Wants of a service for which an engine is looked for in one tick.
+MAX_ENGINE_TRIES = 48
 # Share of a service's servers that may run a request alone, and at least one.
 SOLO_SHARE = 0.1
 
@@ -98,11 +99,12 @@
     if service not in work.backlog or not any_free(work, service, share):
         return
     engine = work.scope.engine(service)
+    if engine is not None:
+        _serve_engines(work, service, share, engine)
+        return
     heap = _join(work, service)
     blocked = False
     while heap and any_free(work, service, share):
-        if engine is not None and not _engine_has_room(work, service):
-            return
         value, workspace = heap[0]
         if not blocked:
             _advance(work, service, value)
@@ -125,6 +127,101 @@
             heapq.heappop(heap)
 
 
+def _serve_engines(
+    work: Work, service: str, share: data.VersionShare, engine: data.Engine
+) -> None:
+    """Grants free slots of model engines, the most urgent requests first.
+
+    This answers long prompts that would make requests with a short target late.
+    A workspace takes part while its counter is not far ahead of the lowest one,
+    so over a few seconds all get their shares; if no request of such a
+    workspace can use a slot, the others may.
+    """
+    if not engine_choice.has_room(work, service):
+        return
+    if work.suspicions and work.scope.isolates(service):
+        _isolate_suspects(work, service)
+        if service not in work.backlog:
+            return
+    values = {workspace: value for value, workspace in _join(work, service)}
+    lead = forecast.lead(work, service)
+    rows = forecast.by_urgency(work, service)[:MAX_ENGINE_TRIES]
+    while rows and engine_choice.has_room(work, service):
+        limit = lead + min(values[row.want.workspace] for row in rows)
+        eligible = [row for row in rows if values[row.want.workspace] <= limit]
+        choice, tried = _first_choice(work, eligible, share, engine)
+        rows = [row for row in rows if row.arrival not in tried]
+        if choice is None:
+            continue
+        _advance(
+            work, service, min(values[name] for name in work.backlog[service])
+        )
+        workspace = choice.want.want.workspace
+        value = values[workspace]
+        account = _grant(
+            work,
+            choice,
+            share,
+            f"counter {value:.1f} is at most {limit:.1f}; {choice.reason}",
+        )
+        values[workspace] = account.value
+
+
+def _first_choice(
+    work: Work,
+    rows: list[data.WantRow],
+    share: data.VersionShare,
+    engine: data.Engine,
+) -> tuple[Choice | None, set[int]]:
+    """Finds the first want that an engine can take.
+
+    Returns:
+      The choice, and the arrival numbers of the wants that were tried.
+    """
+    tried: set[int] = set()
+    for row in rows:
+        tried.add(row.arrival)
+        choice = _choose_engine(work, row, share, engine)
+        if choice is not None:
+            return choice, tried
+    return None, tried
+
+
+def _isolate_suspects(work: Work, service: str) -> None:
+    """Moves wants with suspected digests to the lane of their own."""
+    suspects = [
+        row
+        for lane in waiting.of_workspaces(work, service)
+        for row in lane.rows.values()
+        if row.want.digest in work.suspicions
+    ]
+    for row in suspects:
+        waiting.isolate(work, waiting.place_of(work, row))
+
+
+def _choose_engine(
+    work: Work,
+    row: data.WantRow,
+    share: data.VersionShare,
+    engine: data.Engine,
+) -> Choice | None:
+    """Finds a model engine for a want, of a version that is owed a request."""
+    pool = work.pools[row.want.service]
+    avoid = _avoided(work, pool, row.want, share)
+    for version, candidate in placement.versions(share, pool.credit):
+        pick = engine_choice.pick(work, row, version, avoid, engine)
+        if pick is not None:
+            return Choice(
+                row,
+                pick.server,
+                candidate,
+                pick.reason,
+                pick.needed,
+                pick.source,
+            )
+    return None
+
+
 def any_free(work: Work, service: str, share: data.VersionShare) -> bool:
     """Tells whether a server of a wanted version has a free slot."""
     return (service, share.current) in work.free_totals or (
@@ -190,9 +287,6 @@
     """Finds the earliest want of a workspace that a free slot can serve."""
     if work.suspicions and work.scope.isolates(service):
         _isolate_heads(work, service, workspace)
-    engine = work.scope.engine(service)
-    if engine is not None:
-        return _choose_engine(work, service, workspace, share, engine)
     lanes = work.queues.get((service, workspace))
     if not lanes:
         return None
@@ -297,131 +391,6 @@
             servers.age(work, server.announcement.server_id)
 
 
-def _choose_engine(
-    work: Work,
-    service: str,
-    workspace: str,
-    share: data.VersionShare,
-    engine: data.Engine,
-) -> Choice | None:
-    """Finds the first want of a workspace whose best engine can take it.
-
-    A request whose best engine has no room yet lets others pass, and takes the
-    next best one as its time runs out.
-    """
-    lanes = work.queues.get((service, workspace), _EMPTY)
-    rows = sorted(
-        itertools.chain.from_iterable(
-            itertools.islice(waiting.in_order(lane), MAX_LOOK_AHEAD)
-            for lane in lanes.values()
-        ),
-        key=lambda row: row.arrival,
-    )[:MAX_LOOK_AHEAD]
-    pool = work.pools[service]
-    allowed = placement.versions(share, pool.credit)
-    for row in rows:
-        avoid = _avoided(work, pool, row.want, share)
-        for version, candidate in allowed:
-            found = _pick_engine(work, row, version, avoid, engine)
-            if found is not None:
-                return dataclasses.replace(found, candidate=candidate)
-    return None
-
-
-def _pick_engine(
-    work: Work,
-    row: data.WantRow,
-    version: str,
-    avoid: tuple[str, ...],
-    engine: data.Engine,
-) -> Choice | None:
-    """Picks the model engine that suits a request best, if it has room."""
-    want = row.want
-    home = work.routers[row.router].ref.data_centre
-    waited_ms = work.now_ms - row.at_ms
-    patience = engine_load.patience(waited_ms, want)
-    reachable = [
-        server
-        for found, data_centre in work.pools[want.service].places
-        if found == version and data_centre not in work.drained
-        for server_id in work.groups[(want.service, version, data_centre)]
-        if (server := work.servers[server_id])
-        and tables_module.usable(server)
-        and server.seen_ms + servers.MAX_AGE_MS > work.now_ms
-    ]
-    fetch_weight = engine_load.fetch_weight(engine)
-    elsewhere, source = 0, None
-    if fetch_weight is not None:
-        elsewhere, source = _best_source(reachable, want, home)
-    ranked = sorted(
-        (
-            engine_load.rank(
-                server, want, needed, home, patience, fetch_weight or 0.0
-            ),
-            server.key,
-            server,
-            needed,
-        )
-        for server in reachable
-        if server.announcement.server_id not in avoid
-        and tables_module.free_level(server) is not None
-        and (needed := engine_load.needs(server.load, want, elsewhere))
-    )
-    for place, (rank, _, server, needed) in enumerate(ranked):
-        if engine_load.fits(server.load, want, engine) and (
-            place == 0
-            or patience == 0.0
-            or engine_load.takes_from_others(server.load, waited_ms, want)
-        ):
-            return Choice(
-                row,
-                server,
-                False,
-                f"rank {rank:.0f}, {needed.unread} of {want.prompt_tokens} "
-                f"tokens to read, {needed.fetched} to fetch",
-                needed,
-                source if needed.fetched else None,
-            )
-    return None
-
-
-def _best_source(
-    reachable: list[data.ServerRow], want: data.Want, home: str
-) -> tuple[int, data.ServerRow | None]:
-    """Finds the engine that keeps most of a prompt.
-
-    Returns:
-      Tokens that it keeps, and the engine; of equal ones, one in the data
-      centre of the router with the fewest requests.
-    """
-    found = (
-        (
-            engine_load.fetchable_tokens(server.load, want),
-            server.announcement.data_centre == home,
-            -len(server.load.uses),
-            -server.key,
-            server,
-        )
-        for server in reachable
-    )
-    best = max(found, default=None)
-    return (best[0], best[-1]) if best and best[0] else (0, None)
-
-
-def _engine_has_room(work: Work, service: str) -> bool:
-    """Tells whether an engine of a service may get a further request."""
-    rows = (
-        work.servers[server_id]
-        for version, data_centre in work.pools[service].places
-        for server_id in work.groups[(service, version, data_centre)]
-    )
-    return any(
-        engine_load.has_room(row.load)
-        and tables_module.free_level(row) is not None
-        for row in rows
-    )
-
-
 def _holders(
     work: Work, want: data.Want, version: str, avoid: tuple[str, ...]
 ) -> Iterator[data.ServerRow]:
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -8,10 +8,13 @@
 
 The wait is the work that the workspace has queued, divided by its part of what
 the servers get done: prompt tokens that engines read, or milliseconds of slots.
-Workspaces with wants share equally, by weight.
+Workspaces with wants share equally, by weight. At model engines only the wants
+that are more urgent count, and a workspace that is not ahead of the others
+waits for no more than all of these.
 """
 
 import dataclasses
+import itertools
 
 import immutables
 
@@ -36,6 +39,11 @@
 SURE_PART = 0.85
 # Cost of a request of which none has ended yet, in milliseconds of a slot.
 FIRST_SLOT_MS = 50.0
+# Time by whose share of the engines a workspace may be ahead of the others, in
+# milliseconds; well below the seconds over which shares must be equal.
+LEAD_MS = 500.0
+# Wants of a queue that are put in order of urgency.
+MAX_LOOK_AHEAD = 64
 # Shortest time after which a refused caller is asked back, in milliseconds.
 MIN_RETRY_MS = 300
 
@@ -100,18 +108,17 @@
     capacity = _capacity(work, service, drained)
     if capacity is None:
         return
-    queued: dict[str, float] = {}
+    engines = work.scope.engine(service) is not None
     for row in arrived:
         workspace = row.want.workspace
-        if workspace not in queued:
-            queued[workspace] = _queued(work, service, workspace)
-        forecast = _forecast(
-            work, row.want, queued[workspace] - _cost(work, row.want), capacity
-        )
+        if engines:
+            forecast = _engine_forecast(work, row, capacity)
+        else:
+            ahead = _queued(work, service, workspace) - _cost(work, row.want)
+            forecast = _forecast(work, row.want, ahead, capacity)
         slack_ms = SURE_PART * row.want.target_ms - forecast.run_ms
         if forecast.wait_ms <= max(slack_ms, OVERHEAD_MS):
             continue
-        queued[workspace] -= _cost(work, row.want)
         waiting.refuse(
             work,
             row.router,
@@ -122,6 +129,66 @@
         )
 
 
+def by_urgency(work: Work, service: str) -> list[data.WantRow]:
+    """Returns the wants of a service, those that are due first in front.
+
+    Wants that can no longer be served in time stand behind all others.
+    """
+    return sorted(
+        itertools.chain.from_iterable(
+            itertools.islice(waiting.in_order(lane), MAX_LOOK_AHEAD)
+            for lane in waiting.of_workspaces(work, service)
+        ),
+        key=lambda row: _urgency(work, row),
+    )
+
+
+def lead(work: Work, service: str) -> float:
+    """Returns by how much a counter may be ahead of the lowest one."""
+    capacity = _capacity(work, service, work.drained)
+    if capacity is None:
+        return 0.0
+    return LEAD_MS * capacity.rate / max(1.0, _weights(work, service))
+
+
+def _urgency(work: Work, row: data.WantRow) -> tuple[bool, int, int]:
+    due_ms = row.at_ms + (row.want.target_ms or engine_load.DEFAULT_TARGET_MS)
+    late = work.now_ms + _run_ms(work, row.want) > due_ms
+    return (late, due_ms, row.arrival)
+
+
+def _engine_forecast(
+    work: Work, row: data.WantRow, capacity: "_Capacity"
+) -> Wait:
+    """Forecasts the wait of a want behind those that are more urgent."""
+    want = row.want
+    urgency = _urgency(work, row)
+    own = everybody = 0.0
+    for lane in waiting.of_workspaces(work, want.service):
+        for other in lane.rows.values():
+            if _urgency(work, other) < urgency:
+                cost = _cost(work, other.want)
+                everybody += cost
+                if other.want.workspace == want.workspace:
+                    own += cost
+    forecast = _forecast(work, want, own, capacity)
+    values = {
+        workspace: tables_module.account(work, want.service, workspace).value
+        for workspace in work.backlog[want.service]
+    }
+    limit = min(values.values()) + lead(work, want.service)
+    if values[want.workspace] + own > limit:
+        return forecast
+    wait_ms = min(forecast.wait_ms, everybody / capacity.rate)
+    return Wait(wait_ms, forecast.run_ms)
+
+
+def _weights(work: Work, service: str) -> float:
+    """Returns the weights of all workspaces with wants."""
+    backlog = work.backlog.get(service, immutables.Map())
+    return sum(work.scope.weight(workspace) for workspace in backlog)
+
+
 def _row(
     work: Work, router: str, sequence: int, service: str
 ) -> data.WantRow | None:
@@ -188,10 +255,8 @@
 def _forecast(
     work: Work, want: data.Want, ahead: float, capacity: _Capacity
 ) -> Wait:
-    backlog = work.backlog.get(want.service, immutables.Map())
-    weights = sum(work.scope.weight(workspace) for workspace in backlog)
     own = work.scope.weight(want.workspace)
-    part = own / max(own, weights)
+    part = own / max(own, _weights(work, want.service))
     run_ms = OVERHEAD_MS + capacity.queue_ms + _run_ms(work, want)
     return Wait(ahead / (capacity.rate * part), run_ms)
 
--- a/waxwingrack/operations/waiting.py
+++ b/waxwingrack/operations/waiting.py
@@ -165,13 +165,18 @@
     return tuple(row for lane in lanes for row in lane.rows.values())
 
 
-def of_service(work: Work, service: str) -> tuple[data.Lane, ...]:
-    """Returns the lanes of a service."""
-    lanes = [
+def of_workspaces(work: Work, service: str) -> list[data.Lane]:
+    """Returns the lanes of a service without those of crash suspects."""
+    return [
         lane
         for workspace in work.backlog.get(service, _NO_LANES)
         for lane in work.queues[(service, workspace)].values()
     ]
+
+
+def of_service(work: Work, service: str) -> tuple[data.Lane, ...]:
+    """Returns the lanes of a service."""
+    lanes = of_workspaces(work, service)
     if service in work.alone:
         lanes.append(work.alone[service])
     return tuple(lanes)
