Keep a flood of urgent requests from hiding those of other workspaces

Cause: only the 48 most urgent wants of a service were looked at, and the counters of just their workspaces compared. A workspace with 48 urgent wants or more was thus not ahead of anybody.

Ruled out: the lead of half a second; the played load fails with it and passes with it.

Change: all wants take part; the bound is now on the wants that are tried.

--- a/features/overload_decisions.feature
+++ b/features/overload_decisions.feature
@@ -37,6 +37,15 @@
       | of another workspace  | small |
       | of the same workspace | flood |
 
+  Scenario: a flood of short prompts leaves others their shares
+    Guards against urgent requests of one workspace that hide all others.
+
+    Given a service of 16 model engines that read 50 tokens in a millisecond
+    And the workspace flood that sends 5 times the capacity in prompts of 700 tokens for 300 ms
+    And the workspace large that sends 1 times the capacity in prompts of 12000 tokens for 800 ms
+    When they send for 4 s
+    Then large gets at least 70 in 100 of the tokens that flood gets
+
   Scenario: backlogged workspaces get equal shares of the engines
     Given a service of 2 model engines that read 50 tokens in a millisecond
     And the workspace flood that sends 5 times the capacity
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -34,7 +34,8 @@
 MAX_HOLDERS = 8
 # Servers looked at for an idle one.
 MAX_IDLE_TRIES = 8
-# Wants of a service for which an engine is looked for in one tick.
+# Wants of a service for which an engine is looked for in one tick, after which
+# it grants no more.
 MAX_ENGINE_TRIES = 48
 # Share of a service's servers that may run a request alone, and at least one.
 SOLO_SHARE = 0.1
@@ -145,11 +146,17 @@
             return
     values = {workspace: value for value, workspace in _join(work, service)}
     lead = forecast.lead(work, service)
-    rows = forecast.by_urgency(work, service)[:MAX_ENGINE_TRIES]
-    while rows and engine_choice.has_room(work, service):
+    rows = forecast.by_urgency(work, service)
+    tries = 0
+    while (
+        rows
+        and tries < MAX_ENGINE_TRIES
+        and engine_choice.has_room(work, service)
+    ):
         limit = lead + min(values[row.want.workspace] for row in rows)
         eligible = [row for row in rows if values[row.want.workspace] <= limit]
         choice, tried = _first_choice(work, eligible, share, engine)
+        tries += len(tried)
         rows = [row for row in rows if row.arrival not in tried]
         if choice is None:
             continue
