--- a/features/steps/controller_router_steps.py
+++ b/features/steps/controller_router_steps.py
@@ -460,9 +460,31 @@
 # ---------------------------------------------------------------------------
 
 
-def send_and_wait(router, items):
+# Events that end the connections of routers, for the message of a failure.
+LEADERSHIP_EVENTS = (
+    "leadership_gained",
+    "leadership_lost",
+    "lease_lapsed",
+    "router_session_ended",
+)
+
+
+def send_and_wait(context, router, items):
     router.send_all(items)
-    wait_for(lambda: all(item.call in router.answers for item in items), 20)
+    try:
+        wait_for(lambda: all(item.call in router.answers for item in items), 20)
+    except AssertionError as exc:
+        unanswered = sum(item.call not in router.answers for item in items)
+        lines = [
+            (node_id, line["time"], line["event"], line.get("reason"))
+            for node_id in context.fleet.nodes
+            for line in context.fleet.log(node_id)
+            if line["event"] in LEADERSHIP_EVENTS
+        ]
+        raise AssertionError(
+            f"{unanswered} of {len(items)} unanswered; connection ended: "
+            f"{router.ended}; {lines}"
+        ) from exc
     return [router.answers[item.call].state for item in items]
 
 
@@ -482,12 +504,16 @@
         messages.KeyClaim(20_000 + number, "ws1", key, "same")
         for number, key in enumerate(keys)
     ]
-    assert set(send_and_wait(router, claims)) == {data.KeyState.CLAIMED}
+    assert set(send_and_wait(context, router, claims)) == {
+        data.KeyState.CLAIMED
+    }
     outcomes = [
         messages.KeyOutcome(30_000 + number, "ws1", key, answer)
         for number, key in enumerate(keys)
     ]
-    assert set(send_and_wait(router, outcomes)) == {data.KeyState.ANSWERED}
+    assert set(send_and_wait(context, router, outcomes)) == {
+        data.KeyState.ANSWERED
+    }
     for start in range(0, further, 250):
         claims = [
             messages.KeyClaim(
@@ -495,7 +521,9 @@
             )
             for number in range(start, min(start + 250, further))
         ]
-        assert set(send_and_wait(router, claims)) == {data.KeyState.CLAIMED}
+        assert set(send_and_wait(context, router, claims)) == {
+            data.KeyState.CLAIMED
+        }
     wait_for(lambda: log_has_lost_its_start(context, router))
 
 
@@ -533,7 +561,7 @@
         )
         for number in range(count)
     ]
-    found = send_and_wait(router, lookups)
+    found = send_and_wait(context, router, lookups)
     assert found == [data.KeyState.ANSWERED] * count, found
 
 
