Call one piece of code for servers of a service, deferreds and capacity

Behaviour stays as it is.

- Four places walked the pools and groups for the servers of a service; they call tables.of_service.
Its groups hold only servers that stay, so the check of that in engine_choice was dead.
- operators_api and control_api each turned coroutines into deferreds alike; both call event_loop.deferred.
- The forecast computed the capacity of a service again for the lead of each new want, and in each tick before it looked for overdue wants; it computes it where it is used.
Its argument `drained` always came from the tables.

--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -16,6 +16,7 @@
 
 from twisted import logger
 from twisted.internet import asyncioreactor
+from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import main as internet_main
@@ -243,6 +244,11 @@
         reactor.write_now(transport)
 
 
+def deferred(coroutine: Coroutine[Any, Any, Any]) -> defer.Deferred:
+    """Runs a coroutine of asyncio where twisted expects a deferred."""
+    return defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
 def on_reload(call: Callable[[], None]) -> None:
     """Calls a function at each SIGHUP."""
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, call)
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 import dataclasses
 import functools
 import hmac
@@ -12,7 +11,6 @@
 import klein
 import pydantic
 from returns import result
-from twisted.internet import defer
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import resource
@@ -22,6 +20,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import fleet_status
 from waxwingrack.daemons import metrics as metrics_module
 from waxwingrack.daemons import proposals
@@ -400,7 +399,9 @@
         )
 
     async def _change(self, request: iweb.IRequest, command: Any) -> bytes:
-        committed = await _deferred(proposals.commit(self._controller, command))
+        committed = await event_loop.deferred(
+            proposals.commit(self._controller, command)
+        )
         match committed:
             case result.Success(data.OperationOutcome() as outcome):
                 logs.decision(
@@ -488,11 +489,9 @@
 
 async def _wait(fut: asyncio.Future) -> None:
     """Waits for a future up to the commit timeout, without ending it."""
-    await _deferred(asyncio.wait([fut], timeout=proposals.COMMIT_TIMEOUT_S))
-
-
-def _deferred(coroutine: Coroutine) -> defer.Deferred:
-    return defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
+    await event_loop.deferred(
+        asyncio.wait([fut], timeout=proposals.COMMIT_TIMEOUT_S)
+    )
 
 
 def _ok(request: iweb.IRequest, body: Any) -> bytes:
--- a/waxwingrack/operations/dispatch.py
+++ b/waxwingrack/operations/dispatch.py
@@ -527,13 +527,11 @@
     work: Work, service: str, version: str, avoid: tuple[str, ...]
 ) -> None:
     """Empties the server with the fewest requests."""
-    pool = work.pools[service]
     rows = [
-        work.servers[server_id]
-        for found, data_centre in pool.places
-        for server_id in work.groups[(service, found, data_centre)]
+        row
+        for row in tables_module.of_service(work, service)
+        if _may_run(work, row, version, avoid)
     ]
-    rows = [row for row in rows if _may_run(work, row, version, avoid)]
     if not rows:
         return
     row = min(rows, key=lambda row: (placement.in_use(row), row.key))
--- a/waxwingrack/operations/engine_choice.py
+++ b/waxwingrack/operations/engine_choice.py
@@ -33,15 +33,10 @@
 
 def has_room(work: Work, service: str) -> bool:
     """Tells whether an engine of a service may get a further request."""
-    rows = (
-        work.servers[server_id]
-        for version, data_centre in work.pools[service].places
-        for server_id in work.groups[(service, version, data_centre)]
-    )
     return any(
         engine_load.has_room(row.load)
         and tables_module.free_level(row) is not None
-        for row in rows
+        for row in tables_module.of_service(work, service)
     )
 
 
@@ -104,11 +99,9 @@
     """Returns the engines of a version that announced themselves lately."""
     return [
         server
-        for found, data_centre in work.pools[service].places
-        if found == version and data_centre not in work.drained
-        for server_id in work.groups[(service, version, data_centre)]
-        if (server := work.servers[server_id])
-        and tables_module.usable(server)
+        for server in tables_module.of_service(work, service)
+        if server.announcement.version == version
+        and server.announcement.data_centre not in work.drained
         and server.seen_ms + servers.MAX_AGE_MS > work.now_ms
     ]
 
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -92,14 +92,8 @@
     )
 
 
-def refuse_late(work: Work, service: str, drained: frozenset[str]) -> None:
-    """Refuses the wants that have just come and would be served too late.
-
-    Args:
-      work: Tables.
-      service: Service.
-      drained: Drained data centres.
-    """
+def refuse_late(work: Work, service: str) -> None:
+    """Refuses the wants that have just come and would be served too late."""
     arrived = [
         row
         for router, sequence in work.arrived
@@ -108,7 +102,7 @@
     ]
     if not arrived:
         return
-    capacity = _capacity(work, service, drained)
+    capacity = _capacity(work, service)
     if capacity is None:
         return
     engines = work.scope.engine(service) is not None
@@ -138,8 +132,7 @@
     More urgent wants have passed them, and may go on to do so until their
     callers give up.
     """
-    capacity = _capacity(work, service, work.drained)
-    if capacity is None or work.scope.engine(service) is None:
+    if work.scope.engine(service) is None:
         return
     overdue = [
         row
@@ -148,6 +141,9 @@
         if row.want.target_ms
         and work.now_ms - row.at_ms >= MAX_WAIT_TARGETS * row.want.target_ms
     ]
+    capacity = _capacity(work, service) if overdue else None
+    if capacity is None:
+        return
     for row in overdue:
         queued = _queued(work, service, row.want.workspace)
         wait_ms = _forecast(work, row.want, queued, capacity).wait_ms
@@ -177,9 +173,11 @@
 
 def lead(work: Work, service: str) -> float:
     """Returns by how much a counter may be ahead of the lowest one."""
-    capacity = _capacity(work, service, work.drained)
-    if capacity is None:
-        return 0.0
+    capacity = _capacity(work, service)
+    return 0.0 if capacity is None else _lead(work, service, capacity)
+
+
+def _lead(work: Work, service: str, capacity: "_Capacity") -> float:
     return LEAD_MS * capacity.rate / max(1.0, _weights(work, service))
 
 
@@ -208,7 +206,7 @@
         workspace: tables_module.account(work, want.service, workspace).value
         for workspace in work.backlog[want.service]
     }
-    limit = min(values.values()) + lead(work, want.service)
+    limit = min(values.values()) + _lead(work, want.service, capacity)
     if values[want.workspace] + own > limit:
         return forecast
     wait_ms = min(forecast.wait_ms, everybody / capacity.rate)
@@ -265,15 +263,12 @@
     queue_ms: float
 
 
-def _capacity(
-    work: Work, service: str, drained: frozenset[str]
-) -> _Capacity | None:
+def _capacity(work: Work, service: str) -> _Capacity | None:
     pool = work.pools[service]
     rows = [
-        work.servers[server_id]
-        for version, data_centre in pool.places
-        if data_centre not in drained
-        for server_id in work.groups[(service, version, data_centre)]
+        row
+        for row in tables_module.of_service(work, service)
+        if row.announcement.data_centre not in work.drained
     ]
     if not rows:
         return None
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -618,7 +618,7 @@
     if not work.open:
         return
     share = _share(work, policy, service)
-    forecast.refuse_late(work, service, work.drained)
+    forecast.refuse_late(work, service)
     forecast.refuse_overdue(work, service)
     if (
         service in work.alone
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 from typing import Any
 
@@ -292,6 +293,13 @@
     return not row.aged and not row.announcement.departing
 
 
+def of_service(work: Work, service: str) -> Iterator[data.ServerRow]:
+    """Yields the servers of a service that are announced and stay."""
+    for version, data_centre in work.pools[service].places:
+        for server_id in work.groups[(service, version, data_centre)]:
+            yield work.servers[server_id]
+
+
 def _group(row: data.ServerRow | None) -> tuple[str, str, str] | None:
     if row is None or not usable(row):
         return None
--- a/waxwingrack/platform/control_api.py
+++ b/waxwingrack/platform/control_api.py
@@ -14,7 +14,6 @@
 import klein
 import pydantic
 from returns import result
-from twisted.internet import defer
 from twisted.web import http
 from twisted.web import resource
 from twisted.web import server
@@ -22,6 +21,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import logs
 from waxwingrack.daemons import changes
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import metrics as metrics_module
 from waxwingrack.platform import announcements
 from waxwingrack.platform import configuration
@@ -79,7 +79,7 @@
         answer = handler(self, request, **path)
         if not asyncio.iscoroutine(answer):
             return answer
-        return _deferred(self.guarded(request, answer))
+        return event_loop.deferred(self.guarded(request, answer))
 
     return checked
 
@@ -214,7 +214,3 @@
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", metrics_module.JSON_TYPE)
     return json.dumps(body).encode()
-
-
-def _deferred(coroutine: Coroutine) -> defer.Deferred:
-    return defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
