Log what a new version got and what its judges can compare

The logs of a rollout did not tell how many requests a version had had in all, how many were still running when a step was left, or how many latencies the judges could use. The leader now counts the requests granted during a rollout, on all versions and on the new one, writes the counts into its checkpoints, so that a new leader counts on, and logs them once a second with the samples of the step (rollout_progress). No decision uses them yet.

--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -169,11 +169,13 @@
       seconds: Time since the last checkpoint or since the election.
       counters: Fairness counters that changed.
       routers: Incarnations of the routers connected to the leader.
+      exposures: Requests granted during unfinished rollouts.
     """
 
     seconds: float
     counters: tuple[data.CounterRow, ...]
     routers: tuple[str, ...]
+    exposures: tuple[data.ExposureRow, ...] = ()
 
 
 @COMMANDS.register("note_routers")
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -751,6 +751,34 @@
     TAKEN_BACK = "taken_back"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exposure:
+    """Requests that were granted since the start of a rollout.
+
+    Attributes:
+      requests: Requests of the service on all versions.
+      to_candidate: Requests on the new version, included in `requests`.
+    """
+
+    requests: int = 0
+    to_candidate: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExposureRow:
+    """Exposure of the new version of a service.
+
+    Attributes:
+      service: Service.
+      version: New version.
+      exposure: Requests since the start of its rollout.
+    """
+
+    service: str
+    version: str
+    exposure: Exposure
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rollout:
     """State of a rollout.
@@ -764,6 +792,7 @@
       phase_elapsed_s: Leader-counted time since the last change of phase or
         share, in seconds.
       reason: Reason for the last transition.
+      exposure: Requests granted since the start, as of the last checkpoint.
     """
 
     plan: RolloutPlan
@@ -773,6 +802,7 @@
     elapsed_s: float = 0.0
     phase_elapsed_s: float = 0.0
     reason: str = ""
+    exposure: Exposure = Exposure()
 
 
 class OrderState(enum.StrEnum):
@@ -1005,12 +1035,15 @@
       share: Share of the candidate version, from 0 to 1.
       overflow: Whether the candidate version also receives requests beyond its
         share while the current version has no free slot.
+      exposure: Requests granted since the start of the rollout, as of the last
+        checkpoint. A new leader counts on from here.
     """
 
     current: str
     candidate: str = ""
     share: float = 0.0
     overflow: bool = False
+    exposure: Exposure = Exposure()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -1362,6 +1395,7 @@
       candidate: Version to which `candidate_credit` belongs.
       candidate_credit: Fraction of a request that the candidate version is
         owed.
+      exposure: Requests granted since the start of the rollout to `candidate`.
       no_server_since_ms: Time since which no server is usable.
       read_rate: Prompt tokens that an engine reads per millisecond, as a
         running mean; 0 if it is not known yet.
@@ -1376,6 +1410,7 @@
     paused_servers: immutables.Map = immutables.Map()
     candidate: str = ""
     candidate_credit: float = 0.0
+    exposure: Exposure = Exposure()
     no_server_since_ms: int = 0
     read_rate: float = 0.0
     unread_share: float = 1.0
@@ -1429,6 +1464,8 @@
       charged_to_candidate: Whether the grant was charged to the share of the
         candidate version.
       candidate_share: Share of the candidate version at the time of the grant.
+      candidate: Candidate version in whose exposure the grant counts; empty
+        outside a rollout.
       orphaned: Whether its router is lost.
       server_load: Requests in flight on the server at the time of the grant,
         this one included; 0 if a former leader made the grant.
@@ -1453,6 +1490,20 @@
     candidate_share: float = 0.0
     orphaned: bool = False
     server_load: int = 0
+    candidate: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningCount:
+    """Granted requests of a version that have not ended.
+
+    Attributes:
+      requests: Number of the requests.
+      oldest_ms: Time since the oldest of their grants.
+    """
+
+    requests: int
+    oldest_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -33,6 +33,8 @@
 # Interval at which changed environment numbers of routers are replicated.
 ENVIRONMENT_NUMBERS_INTERVAL_MS = 60_000
 ROLLOUT_INTERVAL_MS = 200
+# Interval of the log lines that show the progress of a rollout.
+ROLLOUT_LOG_INTERVAL_MS = 1_000
 # Interval at which the known backend servers are sent to the other controllers.
 SHARE_SERVERS_INTERVAL_MS = 1_000
 
@@ -118,6 +120,7 @@
         self._next_checkpoint_ms = self.since_ms + CHECKPOINT_INTERVAL_MS
         self._pending_checkpoint: asyncio.Future | None = None
         self._next_rollouts_ms = self.since_ms
+        self._next_rollout_log_ms = self.since_ms
         self._pending_moves: set[str] = set()
         self._pending_digests: set[str] = set()
         self._next_routers_ms = self.since_ms + CHECKPOINT_INTERVAL_MS
@@ -578,6 +581,9 @@
     def _move_rollouts(self, now_ms: int) -> None:
         if not self._has_active_rollouts():
             return
+        if now_ms >= self._next_rollout_log_ms:
+            self._next_rollout_log_ms = now_ms + ROLLOUT_LOG_INTERVAL_MS
+            self._log_rollouts(now_ms)
         elapsed_s = (now_ms - self._uncounted_since_ms) / 1000
         moves = rollouts.decide_moves(
             self.state, self._version_samples, elapsed_s, now_ms
@@ -595,6 +601,35 @@
         for move in moves:
             self._move_rollout(move)
 
+    def _log_rollouts(self, now_ms: int) -> None:
+        """Logs what the new version got and what the judges can compare."""
+        exposures = {
+            row.service: row.exposure
+            for row in scheduler.list_exposures(self.tables)
+        }
+        for rollout in self.state.rollouts.values():
+            if rollout.phase in _FINAL_PHASES:
+                continue
+            plan = rollout.plan
+            running = scheduler.count_running(
+                self.tables, plan.service, plan.version, now_ms
+            )
+            counts = rollouts.count_evidence(
+                self._version_samples, rollout, now_ms
+            )
+            exposure = exposures.get(plan.service, rollout.exposure)
+            logs.event(
+                "rollout_progress",
+                rollout=plan.id,
+                phase=rollout.phase,
+                share=rollout.share,
+                requests=exposure.requests,
+                to_candidate=exposure.to_candidate,
+                running=running.requests,
+                oldest_running_ms=running.oldest_ms,
+                **dataclasses.asdict(counts),
+            )
+
     def _move_rollout(self, move: commands.MoveRollout) -> None:
         self._pending_moves.add(move.rollout)
         fut = self.services.driver.propose(move)
@@ -656,6 +691,7 @@
             seconds=(now_ms - self._uncounted_since_ms) / 1000,
             counters=counters,
             routers=tuple(sorted(self.live_incarnations())),
+            exposures=scheduler.list_exposures(self.tables),
         )
         # Entries of one term are committed in order, so the next checkpoint
         # can count from here before this one is committed.
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -100,7 +100,10 @@
     pool = tables_module.get_pool(txn, service)
     if pool.candidate != share.candidate:
         txn.pools[service] = data.evolve(
-            pool, candidate=share.candidate, candidate_credit=0.0
+            pool,
+            candidate=share.candidate,
+            candidate_credit=0.0,
+            exposure=share.exposure,
         )
     _grant_isolated_requests(txn, service, share.current)
     if service not in txn.backlog or not has_free_slot(txn, service, share):
@@ -708,6 +711,7 @@
                 pool.candidate_credit, candidate_share, assignment.to_candidate
             ),
         )
+    _count_exposure(txn, request.service, announcement.version, 1)
     txn.grants[key] = data.GrantRow(
         router=assignment.entry.router,
         server_id=announcement.server_id,
@@ -725,6 +729,7 @@
         charged_to_candidate=assignment.to_candidate,
         candidate_share=candidate_share,
         server_load=placement.count_used_slots(assignment.server) + 1,
+        candidate=pool.candidate,
     )
     txn.grant_decisions.append(
         data.GrantDecision(
@@ -746,6 +751,29 @@
     return account
 
 
+def uncount_exposure(txn: Transaction, grant: data.GrantRow) -> None:
+    """Takes a grant out of the exposure that its request never reached."""
+    pool = txn.pools.get(grant.service)
+    if pool is not None and grant.candidate == pool.candidate:
+        _count_exposure(txn, grant.service, grant.version, -1)
+
+
+def _count_exposure(
+    txn: Transaction, service: str, version: str, change: int
+) -> None:
+    pool = txn.pools[service]
+    if not pool.candidate:
+        return
+    is_candidate = version == pool.candidate
+    txn.pools[service] = data.evolve(
+        pool,
+        exposure=data.Exposure(
+            pool.exposure.requests + change,
+            pool.exposure.to_candidate + (change if is_candidate else 0),
+        ),
+    )
+
+
 def _record_grant(
     txn: Transaction,
     assignment: Assignment,
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -108,4 +108,5 @@
         routers=frozenset(command.routers),
     )
     state = replicated_rollouts.advance_clock(state, seconds)
+    state = replicated_rollouts.record_exposures(state, command.exposures)
     return CommandResult(replicated_keys.expire_records(state), None)
--- a/waxwingrack/operations/replicated_rollouts.py
+++ b/waxwingrack/operations/replicated_rollouts.py
@@ -155,6 +155,32 @@
     return dataclasses.replace(state, rollouts=rollouts)
 
 
+def record_exposures(
+    state: data.ReplicatedState, rows: tuple[data.ExposureRow, ...]
+) -> data.ReplicatedState:
+    """Stores the leader's counts of requests in unfinished rollouts.
+
+    A count never falls: a checkpoint of a former leader may be committed late.
+    """
+    counted = {(row.service, row.version): row.exposure for row in rows}
+    rollouts = state.rollouts
+    for service, rollout in unfinished_by_service(state).items():
+        exposure = counted.get((service, rollout.plan.version))
+        if exposure is None:
+            continue
+        rollouts = rollouts.set(
+            rollout.plan.id,
+            dataclasses.replace(
+                rollout,
+                exposure=data.Exposure(
+                    max(exposure.requests, rollout.exposure.requests),
+                    max(exposure.to_candidate, rollout.exposure.to_candidate),
+                ),
+            ),
+        )
+    return dataclasses.replace(state, rollouts=rollouts)
+
+
 def drop_oldest_finished(state: data.ReplicatedState) -> data.ReplicatedState:
     """Drops the oldest finished rollouts beyond MAX_FINISHED_ROLLOUTS."""
     declared = {plan.id for plan in state.environment.rollouts}
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -170,6 +170,7 @@
             rollout.plan.version,
             rollout.share,
             overflow=rollout.phase is data.RolloutPhase.WATCHING,
+            exposure=rollout.exposure,
         )
         for rollout in state.rollouts.values()
         if is_unfinished(rollout) and rollout.plan.service in current
@@ -202,6 +203,63 @@
     return tuple(move for move in moves if move is not None)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvidenceCounts:
+    """Samples of a rollout, for the log.
+
+    Attributes:
+      ended: Ended requests of the new version in the current phase.
+      failed: Those of them that the version failed.
+      latencies: Latencies of the new version that the judges may use.
+      old_latencies: Latencies of the old version that the judges may use.
+      same_load: Those of `latencies` at a load level and in a group for which
+        the old version has latencies, too.
+    """
+
+    ended: int
+    failed: int
+    latencies: int
+    old_latencies: int
+    same_load: int
+
+
+def count_evidence(
+    stats: version_samples.VersionSamples, rollout: data.Rollout, now_ms: int
+) -> EvidenceCounts:
+    """Counts the samples that the judges have of a rollout.
+
+    Args:
+      stats: Samples of all versions.
+      rollout: The rollout.
+      now_ms: Leader's monotonic clock.
+    """
+    service = rollout.plan.service
+    start_ms = now_ms - int(rollout.phase_elapsed_s * 1000)
+    new = version_samples.select_samples(stats, service, rollout.plan.version)
+    ended = [
+        sample
+        for samples in new.values()
+        for sample in version_samples.samples_since(samples, start_ms)
+    ]
+    warm = version_samples.select_warm_samples(
+        stats, service, rollout.plan.version
+    )
+    old_warm = version_samples.select_warm_samples(
+        stats, service, rollout.old_version
+    )
+    return EvidenceCounts(
+        ended=len(ended),
+        failed=sum(sample.failed for sample in ended),
+        latencies=sum(map(len, warm.values())),
+        old_latencies=sum(map(len, old_warm.values())),
+        same_load=sum(
+            len(samples)
+            for group, samples in warm.items()
+            if old_warm.get(group)
+        ),
+    )
+
+
 def _decide_move(
     rollout: data.Rollout,
     stats: version_samples.VersionSamples,
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -164,6 +164,34 @@
     return tuple(data.CounterRow(*key, value) for key, value in changed)
 
 
+def list_exposures(tables: Tables) -> tuple[data.ExposureRow, ...]:
+    """Returns the requests granted during the rollouts that are under way."""
+    return tuple(
+        data.ExposureRow(service, pool.candidate, pool.exposure)
+        for service, pool in sorted(tables.pools.items())
+        if pool.candidate
+    )
+
+
+def count_running(
+    tables: Tables, service: str, version: str, now_ms: int
+) -> data.RunningCount:
+    """Counts the granted requests of a version that have not ended.
+
+    Args:
+      tables: Tables.
+      service: Service.
+      version: Version.
+      now_ms: Present time.
+    """
+    ages_ms = [
+        now_ms - grant.granted_ms
+        for grant in tables.grants.values()
+        if grant.service == service and grant.version == version
+    ]
+    return data.RunningCount(len(ages_ms), max(ages_ms, default=0))
+
+
 # ---------------------------------------------------------------------------
 # Reports
 # ---------------------------------------------------------------------------
@@ -472,6 +500,8 @@
     ran = not not_dispatched and outcome not in NOT_RUN
     cost = _sanitize_cost(finished.cost) if ran else 0.0
     _close_grant(txn, key, cost, None if not_dispatched else finished)
+    if not_dispatched or outcome is data.Outcome.CONNECT_FAILED:
+        granting.uncount_exposure(txn, grant)
     if not_dispatched:
         _refund_version_share(txn, grant)
         return
