Limit the requests that a new version gets before its rollout is done

Cause: the share of the traffic rose with time, and nothing counted the requests that the version had had in all. The bound held only if a judge found the fault in time.

Change: a rollout has a limit (`max_exposure`, `exposure_reserve`), on the platform that of its bounds. The leader counts grants on both versions since the start and gives the new version none beyond the limit, by share or by overflow. The counts are in the checkpoints of the replicated log, so a new leader counts on; a fifth of the limit stays unused for grants after a former leader's last checkpoint.

Tests: four rows in scheduler_placement.feature that fail without the check (large share, overflow, four leaders in turn, no reserve).

--- a/features/scheduler_placement.feature
+++ b/features/scheduler_placement.feature
@@ -38,6 +38,32 @@
       | 1       | 0.89-0.95 |
       | 0       | 1.00-1.00 |
 
+  Scenario Outline: a new version gets no more requests than its rollout may expose, <case>
+    Guards against a bad version that has had too many requests before its fault
+    shows: at a large share, by overflow, or because a new leader counts from zero.
+
+    Given a scheduler with servers of version "v1" with <current> slots and "v2" with 24 slots
+    And a share of <share> with overflow for the version "v2"
+    And an exposure of at most 0.1 of the requests and 50 more
+    When 600 requests are granted in <periods> periods of leadership
+    Then the version "v2" got at most 0.1 of them and 50 more
+    And the version "v2" got at least 40 of them
+
+    Examples:
+      | case                        | current | share | periods |
+      | at a large share            | 8       | 0.9   | 1       |
+      | while the old one is busy   | 2       | 0.05  | 1       |
+      | after changes of the leader | 8       | 0.9   | 4       |
+
+  Scenario: a version at the limit of its exposure leaves requests to the old version
+    Guards against requests that are granted to nobody at the limit.
+
+    Given a scheduler with servers of version "v1" with 8 slots and "v2" with 24 slots
+    And a share of 0.9 with overflow for the version "v2"
+    And an exposure of at most 0.1 of the requests and 0 more
+    When 300 requests are granted in 1 periods of leadership
+    Then the version "v2" got at most 0.1 of them and 0 more
+
   Scenario: a candidate version without servers saves up at most one request
     Guards against a burst on the candidate version once it can run requests.
 
--- a/features/steps/scheduler_placement_steps.py
+++ b/features/steps/scheduler_placement_steps.py
@@ -1,5 +1,6 @@
 """Steps for version shares, placement preferences and prefix caches."""
 
+import dataclasses
 import random
 
 import behave
@@ -8,8 +9,12 @@
 from features.support import scheduler_tables as driver
 from waxwingrack.core import data
 from waxwingrack.operations import placement
+from waxwingrack.operations import scheduler
 from waxwingrack.operations import tables as tables_module
 
+# Grants that a simulated leader makes after its last checkpoint.
+LOST_GRANTS = 5
+
 
 def _create_scheduler(context):
     driver.create_scheduler(context, 100_000)
@@ -64,6 +69,66 @@
     version_share(context, share, overflow=True)
 
 
+@behave.given(
+    "an exposure of at most {share:g} of the requests and {reserve:d} more"
+)
+def limited_exposure(context, share, reserve):
+    limited = dataclasses.replace(
+        context.policy.shares["s"],
+        max_exposure=share,
+        exposure_reserve=reserve,
+    )
+    context.policy = dataclasses.replace(
+        context.policy, shares=immutables.Map({"s": limited})
+    )
+
+
+@behave.when(
+    "{count:d} requests are granted in {periods:d} periods of leadership"
+)
+def grant_under_leaders(context, count, periods):
+    context.versions = []
+    checkpoint = ()
+    for number in range(1, periods + 1):
+        if number > 1:
+            _replace_leader(context, number, checkpoint)
+        # The leader ends some grants after its last checkpoint.
+        _grant_until(context, count * number // periods - LOST_GRANTS, 0)
+        checkpoint = scheduler.list_exposures(context.tables)
+        _grant_until(context, count * number // periods, 0)
+
+
+def _replace_leader(context, term, checkpoint):
+    """Replaces the leader by one that knows what the checkpoint holds."""
+    share = dataclasses.replace(
+        context.policy.shares["s"], exposure=checkpoint[0].exposure
+    )
+    context.policy = dataclasses.replace(
+        context.policy, shares=immutables.Map({"s": share})
+    )
+    announcements = tuple(
+        row.announcement for row in context.tables.servers.values()
+    )
+    context.tables = scheduler.create_tables(term, context.at_ms, (), ())
+    driver.send_report(context, first=True, announcements=announcements)
+    for announcement in announcements:
+        _raise_limit(context, announcement.server_id)
+
+
+@behave.then(
+    'the version "v2" got at most {share:g} of them and {reserve:d} more'
+)
+def exposure_kept(context, share, reserve):
+    got = context.versions.count("v2")
+    assert got <= share * len(context.versions) + reserve, got
+
+
+@behave.then('the version "v2" got at least {least:d} of them')
+def exposure_used(context, least):
+    got = context.versions.count("v2")
+    assert got >= least, got
+
+
 @behave.when(
     "{count:d} requests are granted while {unused:d} of 10 come back"
     " undispatched"
@@ -114,7 +179,9 @@
                 else data.Outcome.COMPLETED
             )
             end_ms = context.at_ms + rng.randint(5, 60)
-            finished = data.FinishedRequest(1, grant.id, outcome, 20, 20, 20)
+            finished = data.FinishedRequest(
+                grant.term, grant.id, outcome, 20, 20, 20
+            )
             running.append((end_ms, finished))
         due = [
             finished for end_ms, finished in running if end_ms <= context.at_ms
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -257,6 +257,9 @@
       deadline_s: Time after the start by which the rollout must be done or is
         rolled back, in seconds.
       watch_s: Time at full share before the rollout is done, in seconds.
+      max_exposure: Share of the service's requests since the start that the
+        version may get before the rollout is done; 1 sets no limit.
+      exposure_reserve: Number of requests that it may get beyond that share.
     """
 
     id: str
@@ -264,6 +267,8 @@
     version: str
     deadline_s: float = 600.0
     watch_s: float = 60.0
+    max_exposure: float = 1.0
+    exposure_reserve: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -421,6 +426,10 @@
       reuse_idle_s: Maximum idle time of a connection to a backend server that
         is reused for a request that must not be repeated; 0 opens a new
         connection for each such request.
+      max_exposure: Share of a service's requests that a new version may get
+        before its rollout is done, if the rollout has no limit of its own; 1
+        sets no limit. Controllers only.
+      exposure_reserve: Number of requests that it may get beyond that share.
     """
 
     role: Role
@@ -452,6 +461,8 @@
     retry_reserve: float = 10.0
     control_silence_s: float = 2.0
     reuse_idle_s: float = 0.0
+    max_exposure: float = 1.0
+    exposure_reserve: int = 0
 
 
 # ---------------------------------------------------------------------------
@@ -1037,6 +1048,9 @@
         share while the current version has no free slot.
       exposure: Requests granted since the start of the rollout, as of the last
         checkpoint. A new leader counts on from here.
+      max_exposure: Share of these requests that the candidate version may get;
+        1 sets no limit.
+      exposure_reserve: Number of requests that it may get beyond that share.
     """
 
     current: str
@@ -1044,6 +1058,8 @@
     share: float = 0.0
     overflow: bool = False
     exposure: Exposure = Exposure()
+    max_exposure: float = 1.0
+    exposure_reserve: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/waxwingrack/daemons/changes.py
+++ b/waxwingrack/daemons/changes.py
@@ -102,7 +102,10 @@
         last = rollouts.latest_rollout(state, service)
         if last is not None and last.plan.version == version:
             return ChangeResult(ChangeStatus.DONE)
-        plan = rollouts.plan_by_deadline(state, service, version, deadline_s)
+        plan = rollouts.limit_exposure(
+            rollouts.plan_by_deadline(state, service, version, deadline_s),
+            self._controller.settings,
+        )
         return await self._commit_and_log(
             commands.StartRollout(
                 uuid.uuid4().hex, UNNAMED_OPERATOR, None, plan
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -26,6 +26,7 @@
 from waxwingrack.daemons import proposals
 from waxwingrack.daemons import repair
 from waxwingrack.load import environment as environment_module
+from waxwingrack.operations import rollouts
 
 # Largest request body. A change must fit into one frame of the log.
 MAX_BODY_BYTES = 1024 * 1024
@@ -285,7 +286,10 @@
         if plan_errors:
             return _respond_invalid(request, plan_errors)
         command = commands.StartRollout(
-            body.operation, body.operator, body.expected, body.plan
+            body.operation,
+            body.operator,
+            body.expected,
+            rollouts.limit_exposure(body.plan, self._controller.settings),
         )
         return await self._commit_change(request, command)
 
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -40,6 +40,10 @@
     "$.workspaces[*].max_queue": (1, 1_000_000),
     "$.workspaces[*].max_connections": (1, 1_000_000),
 }
+EXPOSURE_LIMITS = {
+    "$.rollouts[*].max_exposure": (0.001, 1.0),
+    "$.rollouts[*].exposure_reserve": (0, 1_000_000),
+}
 LOADING_LIMITS = {"$.max_loading": (1, 10_000)}
 SHARE_LIMITS = {"$.services[*].orders.min_serving_share": (0.0, 1.0)}
 # With a larger ratio of weights, the workspace with the smaller weight would
@@ -160,6 +164,7 @@
 def _check_counts(document: Any) -> Faults:
     yield from documents.check_ranges(document, COUNT_LIMITS, "requests")
     yield from documents.check_ranges(document, BYTE_LIMITS, "bytes")
+    yield from documents.check_ranges(document, EXPOSURE_LIMITS, "of requests")
 
 
 @RULES.register("orders")
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -50,6 +50,10 @@
     "$.retry_share": (0.0, 1.0),
     "$.retry_reserve": (0.0, 1_000.0),
 }
+EXPOSURE_LIMITS = {
+    "$.max_exposure": (0.001, 1.0),
+    "$.exposure_reserve": (0, 1_000_000),
+}
 # Bodies of the largest size that the buffer must hold: a single workspace may
 # use half of the buffer, each of two workspaces a third.
 MIN_BUFFERED_BODIES = 4
@@ -191,6 +195,7 @@
         document, GROUP_SIZE_LIMITS, "controllers"
     )
     yield from documents.check_ranges(document, RETRY_LIMITS, "retries")
+    yield from documents.check_ranges(document, EXPOSURE_LIMITS, "of requests")
 
 
 @RULES.register("buffered_bodies")
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -244,7 +244,7 @@
     pool = txn.pools[entry.request.service]
     avoided_servers = _list_avoided_servers(txn, pool, entry.request, share)
     for version, candidate in placement.rank_versions(
-        share, pool.candidate_credit
+        share, pool.candidate_credit, pool.exposure
     ):
         picked = engine_choice.choose_engine(
             txn, engines, entry, version, avoided_servers
@@ -344,7 +344,9 @@
     if len(heads) > 1:
         heads.sort(key=lambda entry: entry.arrival_number)
     pool = txn.pools[service]
-    versions = placement.rank_versions(share, pool.candidate_credit)
+    versions = placement.rank_versions(
+        share, pool.candidate_credit, pool.exposure
+    )
     for entry in heads:
         avoided_servers = _list_avoided_servers(txn, pool, entry.request, share)
         for version, candidate in versions:
--- a/waxwingrack/operations/placement.py
+++ b/waxwingrack/operations/placement.py
@@ -6,7 +6,9 @@
 most its share plus one request, even after a time without a free slot. In the
 watch period of a rollout, requests of the current version may overflow to the
 candidate: the current version then gets its small share only while it has a
-free slot.
+free slot. A rollout may also limit the exposure of the candidate version: the
+number of requests that it gets before the rollout is done. At the limit it gets
+no request, whatever its share, until the service has had more requests.
 
 Among the free servers of that version, the registered preferences are compared
 in order of registration. They only rank servers with a free slot, so no
@@ -22,6 +24,9 @@
 
 # Prefixes that are kept for one server; the oldest is dropped first.
 MAX_PREFIXES = 512
+# Fraction of the allowed exposure that the leader uses. The rest covers grants
+# that a former leader made after its last checkpoint.
+USABLE_EXPOSURE = 0.8
 # Tolerance for sums of shares such as 20 * 0.05.
 _SHARE_TOLERANCE = 1e-9
 
@@ -106,19 +111,26 @@
 
 
 def rank_versions(
-    share: data.VersionShare, credit: float
+    share: data.VersionShare,
+    credit: float,
+    exposure: data.Exposure,
 ) -> tuple[tuple[str, bool], ...]:
     """Lists the versions that the next request may run on, best first.
 
     Args:
       share: Division of the traffic between versions.
       credit: Credit of the candidate version.
+      exposure: Requests granted since the start of the rollout.
 
     Returns:
       Pairs of a version and whether it is the candidate.
     """
     current = (share.current, False)
-    if not share.candidate or share.share <= 0:
+    if (
+        not share.candidate
+        or share.share <= 0
+        or not may_expose(share, exposure)
+    ):
         return (current,)
     candidate = (share.candidate, True)
     if is_candidate_owed(share, credit):
@@ -128,6 +140,19 @@
     return (current,)
 
 
+def may_expose(share: data.VersionShare, exposure: data.Exposure) -> bool:
+    """Tells whether the candidate version may get one more request.
+
+    Args:
+      share: Division of the traffic, with the limit of the rollout.
+      exposure: Requests granted since the start of the rollout.
+    """
+    if share.max_exposure >= 1:
+        return True
+    limit = share.max_exposure * exposure.requests + share.exposure_reserve
+    return exposure.to_candidate + 1 <= USABLE_EXPOSURE * limit
+
+
 def is_candidate_owed(share: data.VersionShare, credit: float) -> bool:
     """Tells whether the candidate version is owed the next request."""
     return credit + share.share >= 1 - _SHARE_TOLERANCE
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -83,6 +83,19 @@
     return rollout.phase in _UNFINISHED
 
 
+def limit_exposure(
+    plan: data.RolloutPlan, settings: data.Settings
+) -> data.RolloutPlan:
+    """Applies the limit of the settings to a plan that has none."""
+    if plan.max_exposure < 1:
+        return plan
+    return dataclasses.replace(
+        plan,
+        max_exposure=settings.max_exposure,
+        exposure_reserve=settings.exposure_reserve,
+    )
+
+
 def plan_by_deadline(
     state: data.ReplicatedState, service: str, version: str, deadline_s: float
 ) -> data.RolloutPlan:
@@ -171,6 +184,8 @@
             rollout.share,
             overflow=rollout.phase is data.RolloutPhase.WATCHING,
             exposure=rollout.exposure,
+            max_exposure=rollout.plan.max_exposure,
+            exposure_reserve=rollout.plan.exposure_reserve,
         )
         for rollout in state.rollouts.values()
         if is_unfinished(rollout) and rollout.plan.service in current
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -54,6 +54,10 @@
     graceS: float = 8.0  # noqa: N815
     retryBudgetRatio: float = 0.2  # noqa: N815
     retryBudgetSlack: float = 50.0  # noqa: N815
+    # Share of a service's requests that a bad version may get, and the number
+    # that it may get beyond.
+    exposureShare: float = 0.1  # noqa: N815
+    exposureSlack: float = 50.0  # noqa: N815
 
 
 class _Tolerance(pydantic.BaseModel):
@@ -142,6 +146,8 @@
             data_folder=file.dataDir,
             group_size=2 * file.faultTolerance.machines + 1,
             found_group=file.bootstrap,
+            max_exposure=file.bounds.exposureShare,
+            exposure_reserve=int(file.bounds.exposureSlack),
             **common_fields,
         )
     max_buffered_bytes = int(file.limits.memoryMb * BUFFER_MEMORY_SHARE * 2**20)
