Hold a crash suspect until its verdicts, and keep the evidence over a change of leader

Cause: a crash was judged 4 s after the last broken connection, and on services without isolation nothing waited for the verdict, so a caller that sent again at once crashed server after server meanwhile. The evidence was in the memory of one leader and routers reported a broken connection once, so a new leader counted from zero. An announcement that a crashed server had sent before, and that came more than a second late, cleared it.

Change: from as many broken connections on as refuse a digest, it waits for the verdicts (at most 4 s) while all other requests go on. A server that appears at the address of another one settles that one's crash at once. A server counts as silent at the end of the window unless announcements followed the first one. The leader sends its evidence to the other controllers with each change, and routers report broken connections of the last 8 s again to a new leader.

--- a/features/controller_faults.feature
+++ b/features/controller_faults.feature
@@ -29,3 +29,15 @@
     When the fake router "r1" reports that digest "boom" crashed the server until it is refused
     Then the status lists the refused digest "boom"
     And the fake router "r1" is told to refuse digest "boom"
+
+  Scenario: a new leader counts on from the crashes that the former one counted
+    Guards against a request that crashes servers and gets as many attempts from
+    each new leader.
+
+    Given a group of 3 controllers
+    And environment "first" was applied at the number 0
+    And a fake router "r1" at the leading controller with a backend server
+    When the fake router "r1" reports one crash of the server under digest "boom"
+    And the leading controller is killed and "r1" connects to the next one
+    And the fake router "r1" reports one crash of the server under digest "boom"
+    Then the digest "boom" is refused within 2 s
--- a/features/scheduler_crashes.feature
+++ b/features/scheduler_crashes.feature
@@ -66,6 +66,38 @@
     When the digest "bad" breaks a connection and is sent again at once
     Then "bad" is granted again after 4 s to 6 s
 
+  Scenario Outline: a request that crashes servers stops reaching them <case>
+    Guards against a request that is sent again and again while the verdicts on
+    its crashes are pending, lost with a leader or never given, on a service
+    whose suspects run beside other requests.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When "bad" crashes each server and is sent again at once for 40 s <case>
+    Then at most 3 requests of "bad" reach a server later than 3 s after its third crash
+    And every sound request that was sent beside it is granted within 6 s
+
+    Examples:
+      | case                                                 |
+      | while servers are back after 3 s                     |
+      | while servers are back after 8 s                     |
+      | while servers are back at once                       |
+      | while servers are back under the same id             |
+      | while late announcements of crashed servers arrive   |
+      | while the leader is replaced after the first crash   |
+      | while the leader is replaced after the second crash  |
+      | while the leader is replaced after the third crash   |
+      | while each leader is replaced after a crash          |
+      | while a leader that forgets is replaced after a crash |
+
+  Scenario: a request whose connections break without a crash is served without isolation
+    Guards against refusing or holding back requests because a data centre lost
+    its connections.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When the connections of "popular" to 5 servers break without a crash
+    Then "popular" is granted within 6 s
+    And the scheduler refuses "nothing"
+
   Scenario: queued requests of a refused digest are refused and others are served
     Given a crash simulation with 6 servers of 4 slots
     When the policy refuses "bad" while "bad" and "good" wait
--- a/features/steps/controller_router_steps.py
+++ b/features/steps/controller_router_steps.py
@@ -678,11 +678,44 @@
     time.sleep(0.2)
 
 
+@behave.when(
+    'the fake router "{name}" reports one crash of the server under digest'
+    ' "{digest}"'
+)
+def reports_one_crash(context, name, digest):
+    router = context.routers[name]
+    number = context.crashes = getattr(context, "crashes", 0) + 1
+    grant_count = len(router.grants)
+    report_crash(router, digest, number)
+    assert len(router.grants) == grant_count + 1, router.grants
+
+
+@behave.when(
+    'the leading controller is killed and "{name}" connects to the next one'
+)
+def follow_next_leader(context, name):
+    fleet = context.fleet
+    # The evidence is sent to the other controllers with a tick.
+    time.sleep(0.5)
+    leader = fleet.leader()
+    fleet.signal(leader, signal.SIGKILL)
+    router = fleet.router(name, fleet.leader(but=leader))
+    context.routers[name] = router
+    server = controller_fleet.server(incarnation=f"after-{context.crashes}")
+    router.send_report(announcements=(server,))
+    wait_for(lambda: router.number == 1)
+
+
 @behave.then('the status lists the refused digest "{digest}"')
 def lists_digest(context, digest):
     assert list_refused_digests(context) == [digest]
 
 
+@behave.then('the digest "{digest}" is refused within {seconds:d} s')
+def is_refused(context, digest, seconds):
+    wait_for(lambda: list_refused_digests(context) == [digest], seconds)
+
+
 @behave.then('the fake router "{name}" is told to refuse digest "{digest}"')
 def told_digest(context, name, digest):
     router = context.routers[name]
--- a/features/steps/scheduler_crashes_steps.py
+++ b/features/steps/scheduler_crashes_steps.py
@@ -1,6 +1,7 @@
 """Steps for the refusal of requests that crash backend servers."""
 
 import collections
+import dataclasses
 import random
 
 import behave
@@ -9,9 +10,15 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
+from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import crashes
+from waxwingrack.operations import scheduler
 
 STEP_MS = 20
+# Interval between two announcements of a server without isolation.
+ANNOUNCE_MS = 1_200
+# Time that a request runs before it crashes its server or completes.
+RUN_MS = 200
 
 
 class CrashSimulation:
@@ -357,3 +364,317 @@
     ]
     assert len(waits) == 1, waits
     assert low * 1_000 <= waits[0] <= high * 1_000, waits
+
+
+class _Server:
+    """A server that comes back under another id at its address."""
+
+    def __init__(self, number, born_ms):
+        self.number = number
+        self.starts = 1
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.back_ms = None
+        self.renamed = True
+
+    @property
+    def server_id(self):
+        return f"b{self.number}-{self.starts if self.renamed else 1}"
+
+    def announce(self):
+        """Returns the next announcement."""
+        self.sequence += 1
+        return data.Announcement(
+            self.server_id,
+            str(self.born_ms),
+            data.Address("127.0.0.1", 9_000 + self.number),
+            "s",
+            "v1",
+            "a",
+            slots=8,
+            born_ms=self.born_ms,
+            sequence=self.sequence,
+        )
+
+
+class UnisolatedSimulation:
+    """Servers of a service without isolation, routers and leaders in turn."""
+
+    def __init__(self, servers):
+        driver.create_scheduler(self, 100_000)
+        self.policy = data.Policy(
+            dataclasses.replace(
+                driver.ENVIRONMENT,
+                services=(
+                    data.Service(
+                        "s", (), "v1", isolate_suspects=False, ramp=False
+                    ),
+                ),
+            )
+        )
+        self.term = 1
+        self.back_after_ms = 3_000
+        self.late_announcements = False
+        self.renamed = True
+        self.servers = [_Server(n, self.at_ms + n) for n in range(servers)]
+        self.queued = {}
+        self.running = {}
+        self.outbox = collections.defaultdict(list)
+        self.recent_suspects = []
+        self.delayed = []
+        self.crash_times = []
+        self.arrivals = []
+        self.granted_ms = {}
+        self.sent_ms = {}
+        self.refused = set()
+        driver.send_report(self, first=True)
+        self.run(2_000)
+
+    def queue_request(self, digest):
+        """Queues a request."""
+        self.sequence += 1
+        self.queued[self.sequence] = digest
+        self.sent_ms.setdefault(digest, self.at_ms)
+        self.outbox["wants"].append(
+            driver.create_request(self.sequence, digest=digest)
+        )
+
+    def _find_server(self, server_id):
+        return next(
+            (row for row in self.servers if row.server_id == server_id), None
+        )
+
+    def break_connections(self, server):
+        """Breaks the connections of all requests on a server."""
+        for key, run in list(self.running.items()):
+            if run[1] != server.server_id:
+                continue
+            del self.running[key]
+            suspect = messages.CrashSuspect(run[0], *run[1:3])
+            self.outbox["crash_suspects"].append(suspect)
+            self.recent_suspects.append((self.at_ms, suspect))
+            self._finish(key, data.Outcome.CONNECTION_LOST)
+
+    def crash(self, server):
+        """Crashes a server."""
+        self.crash_times.append(self.at_ms)
+        if self.late_announcements:
+            late = server.announce()
+            self.delayed.append((self.at_ms + 1_400, late))
+        self.break_connections(server)
+        server.back_ms = self.at_ms + self.back_after_ms
+
+    def replace_leader(self, forgets=False):
+        """Replaces the leader; routers report again what is recent."""
+        known = crash_evidence.export_evidence(self.tables, self.at_ms)
+        self.term += 1
+        self.at_ms += 800
+        self.tables = scheduler.create_tables(self.term, self.at_ms, (), ())
+        if not forgets:
+            self.tables = crash_evidence.import_evidence(
+                self.tables, known, 800, self.at_ms
+            )
+        self.running.clear()
+        wants = [
+            driver.create_request(sequence, digest=digest)
+            for sequence, digest in self.queued.items()
+        ]
+        self.outbox.clear()
+        driver.send_report(
+            self,
+            first=True,
+            wants=tuple(wants),
+            announcements=tuple(
+                row.announce() for row in self.servers if row.back_ms is None
+            ),
+        )
+        self.outbox["crash_suspects"] += [
+            suspect
+            for sent_ms, suspect in self.recent_suspects
+            if self.at_ms - sent_ms < crashes.REPEAT_REPORT_MS
+        ]
+
+    def _finish(self, key, outcome):
+        self.outbox["finished"].append(
+            data.FinishedRequest(*key, outcome, 50, 50, 50)
+        )
+
+    def _announce(self):
+        for server in self.servers:
+            server.renamed = self.renamed
+            if server.back_ms is not None:
+                if self.at_ms < server.back_ms:
+                    continue
+                server.back_ms = None
+                server.starts += 1
+                server.born_ms = self.at_ms
+                server.sequence = 0
+            elif (self.at_ms + 100 * server.number) % ANNOUNCE_MS >= STEP_MS:
+                continue
+            self.outbox["announcements"].append(server.announce())
+        due = [row for at_ms, row in self.delayed if at_ms <= self.at_ms]
+        self.delayed = [row for row in self.delayed if row[0] > self.at_ms]
+        self.outbox["announcements"] += due
+
+    def step(self):
+        """Advances the time by one step."""
+        self.at_ms += STEP_MS
+        self._announce()
+        report_fields = {
+            name: tuple(rows) for name, rows in self.outbox.items()
+        }
+        self.outbox.clear()
+        driver.send_report(self, **report_fields)
+        decisions = driver.run_tick(self)
+        self.refused.update(decisions.crashed_digests)
+        self.policy = dataclasses.replace(
+            self.policy, refused_digests=frozenset(self.refused)
+        )
+        for _, refusal, _ in decisions.refusals:
+            self.queued.pop(refusal.want)
+        for decision in decisions.grants:
+            grant = decision.grant
+            digest = self.queued.pop(grant.want)
+            server = self._find_server(grant.server_id)
+            if server is None or server.back_ms is not None:
+                self._finish(
+                    (grant.term, grant.id), data.Outcome.CONNECT_FAILED
+                )
+                # Its router tries again, as nothing was sent.
+                self.queue_request(digest)
+                continue
+            self.granted_ms.setdefault(digest, self.at_ms)
+            self.arrivals.append((self.at_ms, digest))
+            self.running[grant.term, grant.id] = (
+                digest,
+                grant.server_id,
+                grant.incarnation,
+                self.at_ms,
+            )
+
+    def run(self, length_ms, bad=(), after_step=None):
+        """Advances the time; bad digests crash, all others complete."""
+        for _ in range(length_ms // STEP_MS):
+            self.step()
+            for key, run in list(self.running.items()):
+                if key not in self.running or self.at_ms - run[3] < RUN_MS:
+                    continue
+                if run[0] in bad:
+                    self.crash(self._find_server(run[1]))
+                else:
+                    del self.running[key]
+                    self._finish(key, data.Outcome.COMPLETED)
+            if after_step:
+                after_step()
+
+
+@behave.given(
+    "a crash simulation of a service without isolation with {servers:d} servers"
+)
+def create_unisolated(context, servers):
+    context.simulation = UnisolatedSimulation(servers)
+
+
+_CASES = {
+    "servers are back after 3 s": {},
+    "servers are back after 8 s": {"back_after_ms": 8_000},
+    "servers are back at once": {"back_after_ms": STEP_MS},
+    "servers are back under the same id": {"renamed": False},
+    "late announcements of crashed servers arrive": {
+        "late_announcements": True
+    },
+}
+# Numbers of the crashes after which the leader is replaced.
+_LEADER_CASES = {
+    "the leader is replaced after the first crash": {1},
+    "the leader is replaced after the second crash": {2},
+    "the leader is replaced after the third crash": {3},
+    "each leader is replaced after a crash": {1, 2, 3, 4},
+    "a leader that forgets is replaced after a crash": {1, 2},
+}
+
+
+@behave.when(
+    '"bad" crashes each server and is sent again at once for {seconds:d} s'
+    " while {case}"
+)
+def crash_unisolated(context, seconds, case):
+    simulation = context.simulation
+    for name, value in _CASES.get(case, {}).items():
+        setattr(simulation, name, value)
+    replaced_after = set(_LEADER_CASES.get(case, ()))
+
+    def each():
+        pending = [
+            *simulation.queued.values(),
+            *(run[0] for run in simulation.running.values()),
+        ]
+        if pending.count("bad") < 2:
+            simulation.queue_request("bad")
+        if simulation.at_ms % 200 == 0:
+            simulation.queue_request(f"sound{simulation.at_ms}")
+        if len(simulation.crash_times) in replaced_after:
+            replaced_after.clear() if "forgets" in case else None
+            replaced_after.discard(len(simulation.crash_times))
+            simulation.replace_leader(forgets="forgets" in case)
+
+    simulation.run(seconds * 1_000, ("bad",), each)
+
+
+@behave.then(
+    'at most {count:d} requests of "bad" reach a server later than'
+    " {seconds:d} s after its third crash"
+)
+def few_arrivals(context, count, seconds):
+    simulation = context.simulation
+    assert len(simulation.crash_times) >= 3, simulation.crash_times
+    since_ms = simulation.crash_times[2] + seconds * 1_000
+    late = [
+        at_ms
+        for at_ms, digest in simulation.arrivals
+        if digest == "bad" and at_ms > since_ms
+    ]
+    assert len(late) <= count, (simulation.crash_times, late)
+
+
+@behave.then(
+    "every sound request that was sent beside it is granted within"
+    " {seconds:d} s"
+)
+def sound_granted(context, seconds):
+    simulation = context.simulation
+    late = [
+        digest
+        for digest, sent_ms in simulation.sent_ms.items()
+        if digest.startswith("sound")
+        and simulation.at_ms - sent_ms > seconds * 1_000
+        and simulation.granted_ms.get(digest, simulation.at_ms) - sent_ms
+        > seconds * 1_000
+    ]
+    assert not late, late
+
+
+@behave.when(
+    'the connections of "{digest}" to {count:d} servers break without a crash'
+)
+def break_without_crash(context, digest, count):
+    simulation = context.simulation
+    for _ in range(count):
+        simulation.queue_request(digest)
+    simulation.run(60)
+    for server in simulation.servers[:count]:
+        for _ in range(3):
+            simulation.queue_request(digest)
+        simulation.run(60)
+        simulation.break_connections(server)
+    simulation.sent_ms[digest] = simulation.at_ms
+    simulation.granted_ms.pop(digest, None)
+    simulation.queue_request(digest)
+    simulation.run(8_000)
+
+
+@behave.then('"{digest}" is granted within {seconds:d} s')
+def granted_within(context, digest, seconds):
+    simulation = context.simulation
+    waited_ms = simulation.granted_ms[digest] - simulation.sent_ms[digest]
+    assert waited_ms <= seconds * 1_000, waited_ms
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -294,6 +294,61 @@
     prompts: tuple[KeptPrompts, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownSuspect:
+    """Evidence against a request digest; see `data.CrashSuspicion`.
+
+    Attributes:
+      digest: Request digest.
+      unjudged_servers: Server incarnations that may have crashed under it.
+      crashed_servers: Server incarnations that crashed under it.
+      isolated_crashes: Number of these crashes without another request.
+      age_ms: Time since the latest evidence.
+    """
+
+    digest: str
+    unjudged_servers: tuple[tuple[str, str], ...]
+    crashed_servers: tuple[tuple[str, str], ...]
+    isolated_crashes: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownBreak:
+    """Broken connections that are not judged; see `data.BrokenConnections`.
+
+    Attributes:
+      server_id: Backend server.
+      incarnation: Incarnation of the server.
+      digests: Digests of the requests.
+      had_other_grants: Whether other grants were in use on the server.
+      age_ms: Time since the latest report.
+    """
+
+    server_id: str
+    incarnation: str
+    digests: tuple[str, ...]
+    had_other_grants: bool
+    age_ms: int
+
+
+@MESSAGES.register("crash_evidence")
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """Evidence about crashes that the leader sends to its followers.
+
+    Like `ServersKnown`, it is kept in memory for the case that the follower
+    becomes the leader.
+
+    Attributes:
+      suspects: Evidence by request digest.
+      breaks: Broken connections that are not judged yet.
+    """
+
+    suspects: tuple[KnownSuspect, ...] = ()
+    breaks: tuple[KnownBreak, ...] = ()
+
+
 @MESSAGES.register("join")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Join:
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -33,6 +33,7 @@
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import consensus
+from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import membership
 from waxwingrack.operations import servers
 
@@ -165,6 +166,8 @@
             None,
             0,
         )
+        # The latest evidence about crashes and the time of its arrival.
+        self._known_evidence: tuple[messages.CrashEvidence, int] | None = None
 
     # -----------------------------------------------------------------------
     # Life
@@ -390,10 +393,20 @@
             self.settings.operators.port,
         )
 
-    def _send_to_controllers(self, message: messages.ServersKnown) -> None:
+    def _send_to_controllers(
+        self, message: messages.ServersKnown | messages.CrashEvidence
+    ) -> None:
         for peer in self._peers:
             self.links.send(peer.id, message)
 
+    def _known_evidence_with_age(
+        self,
+    ) -> tuple[messages.CrashEvidence, int] | None:
+        if self._known_evidence is None:
+            return None
+        evidence, received_ms = self._known_evidence
+        return evidence, self.clock() - received_ms
+
     def _recently_known_servers(self) -> messages.ServersKnown | None:
         known_servers, received_ms = self._known_servers
         if self.clock() - received_ms > servers.MAX_ANNOUNCEMENT_AGE_MS:
@@ -460,6 +473,9 @@
         if isinstance(message, messages.ServersKnown):
             self._known_servers = (message, self.clock())
             return
+        if isinstance(message, messages.CrashEvidence):
+            self._known_evidence = (message, self.clock())
+            return
         if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
             logs.event(
                 "unexpected_message",
@@ -483,6 +499,7 @@
                 list_added_peers=self._added_peers,
                 send_to_controllers=self._send_to_controllers,
                 known_servers=self._recently_known_servers(),
+                known_evidence=self._known_evidence_with_age(),
             )
         )
 
@@ -508,6 +525,11 @@
         """Ends the work of the leader and redirects the connected routers."""
         logs.event("leadership_lost", term=self.driver.replica.term)
         self.leader.end()
+        now_ms = self.clock()
+        self._known_evidence = (
+            crash_evidence.export_evidence(self.leader.tables, now_ms),
+            now_ms,
+        )
         self.leader = None
         self.held_messages.clear()
         for session in self.sessions:
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -14,6 +14,7 @@
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.operations import costs
+from waxwingrack.operations import crashes
 from waxwingrack.operations import router_queues
 
 # Minimum interval between two reports of the cost of a running request.
@@ -113,6 +114,9 @@
         self._started_answers: list[data.StartedAnswer] = []
         self._announcements: dict[str, data.Announcement] = {}
         self._crash_suspects: list[messages.CrashSuspect] = []
+        # Reported suspects with their times, for a leader that does not know
+        # them.
+        self._reported_suspects: list[tuple[int, messages.CrashSuspect]] = []
 
     # -- waiting ------------------------------------------------------------
 
@@ -328,7 +332,17 @@
           The report.
         """
         now_ms = self._clock()
+        self._reported_suspects = [
+            entry
+            for entry in self._reported_suspects
+            if now_ms - entry[0] < crashes.REPEAT_REPORT_MS
+        ]
         if first:
+            self._crash_suspects = [
+                *(suspect for _, suspect in self._reported_suspects),
+                *self._crash_suspects,
+            ]
+            self._reported_suspects.clear()
             self._withdrawn_sequences.clear()
             self.queues = router_queues.clear_reported(self.queues)
         self.queues, queued_requests = router_queues.take_unreported(
@@ -362,6 +376,9 @@
         self._finished_requests.clear()
         self._started_answers.clear()
         self._announcements.clear()
+        self._reported_suspects += [
+            (now_ms, suspect) for suspect in self._crash_suspects
+        ]
         self._crash_suspects.clear()
         return report
 
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -24,6 +24,7 @@
 from waxwingrack.daemons import replica_driver
 from waxwingrack.daemons import router_sessions
 from waxwingrack.daemons import transport
+from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import known_routers
 from waxwingrack.operations import rollouts
 from waxwingrack.operations import scheduler
@@ -62,6 +63,8 @@
       send_to_controllers: Sends a message to all other controllers.
       known_servers: Backend servers that the former leader sent recently, or
         None.
+      known_evidence: Evidence about crashes that the former leader sent, and
+        the time since then in milliseconds, or None.
     """
 
     driver: replica_driver.ReplicaDriver
@@ -72,6 +75,7 @@
     list_added_peers: Callable[[], tuple[data.Peer, ...]] = tuple
     send_to_controllers: Callable[[Any], None] = lambda message: None
     known_servers: messages.ServersKnown | None = None
+    known_evidence: tuple[messages.CrashEvidence, int] | None = None
 
 
 class Leader:
@@ -104,6 +108,19 @@
                 "servers_taken_over",
                 count=len(services.known_servers.announcements),
             )
+        if services.known_evidence is not None:
+            evidence, age_ms = services.known_evidence
+            self.tables = crash_evidence.import_evidence(
+                self.tables, evidence, age_ms, self.since_ms
+            )
+            logs.event(
+                "crash_evidence_taken_over",
+                suspects=len(evidence.suspects),
+                breaks=len(evidence.breaks),
+                age_ms=age_ms,
+            )
+        self._shared_evidence: tuple = ()
+        self._next_evidence_share_ms = self.since_ms
         self._next_servers_share_ms = self.since_ms
         self.orders = engine_orders.EngineOrders(services)
         # Router incarnations of the last checkpoint that were not lost since.
@@ -440,12 +457,33 @@
         if now_ms >= self._next_routers_ms and not self._routers_pending:
             self._next_routers_ms = now_ms + CHECKPOINT_INTERVAL_MS
             self._update_known_routers(now_ms)
+        self._share_crash_evidence(now_ms)
         if now_ms >= self._next_servers_share_ms:
             self._next_servers_share_ms = now_ms + SHARE_SERVERS_INTERVAL_MS
             self.services.send_to_controllers(
                 scheduler.export_known_servers(self.tables)
             )
 
+    def _share_crash_evidence(self, now_ms: int) -> None:
+        """Sends the evidence about crashes to the other controllers.
+
+        It is sent when it has changed, and once a second for controllers that
+        were not connected then.
+        """
+        evidence = (self.tables.suspicions, self.tables.broken_connections)
+        unchanged = len(self._shared_evidence) == len(evidence) and all(
+            map(operator.is_, evidence, self._shared_evidence)
+        )
+        is_due = now_ms >= self._next_evidence_share_ms
+        if not is_due and (unchanged or not any(evidence)):
+            return
+        if is_due:
+            self._next_evidence_share_ms = now_ms + SHARE_SERVERS_INTERVAL_MS
+        self._shared_evidence = evidence
+        self.services.send_to_controllers(
+            crash_evidence.export_evidence(self.tables, now_ms)
+        )
+
     def _end_silent_sessions(self, now_ms: int) -> None:
         for session in self.services.sessions.list_silent(now_ms):
             session.conn.close()
--- a/waxwingrack/operations/crash_evidence.py
+++ b/waxwingrack/operations/crash_evidence.py
@@ -1,6 +1,7 @@
 """Collects evidence against requests that crash backend servers."""
 
 import dataclasses
+import heapq
 
 from waxwingrack.core import data
 from waxwingrack.core import messages
@@ -69,7 +70,7 @@
         settle_broken_connections(txn, server, True, "came back")
         return
     crashed = (
-        crashes.is_silent(broken.reported_ms, row.announced_ms)
+        crashes.is_silent(broken.reported_ms, row.announced_ms, txn.now_ms)
         and not row.announcement.departing
     )
     settle_broken_connections(txn, server, crashed, "went silent")
@@ -117,6 +118,94 @@
             txn.crashing_digests[digest] = -1
 
 
+def export_evidence(
+    tables: tables_module.Tables, now_ms: int
+) -> messages.CrashEvidence:
+    """Returns the evidence for the other controllers.
+
+    Args:
+      tables: Tables of the leader.
+      now_ms: Present time.
+    """
+    latest = heapq.nlargest(
+        crashes.MAX_SHARED_SUSPECTS,
+        tables.suspicions.items(),
+        key=lambda item: item[1].updated_ms,
+    )
+    return messages.CrashEvidence(
+        suspects=tuple(
+            messages.KnownSuspect(
+                digest,
+                suspicion.unjudged_servers,
+                suspicion.crashed_servers,
+                suspicion.isolated_crashes,
+                now_ms - suspicion.updated_ms,
+            )
+            for digest, suspicion in latest
+        ),
+        breaks=tuple(
+            messages.KnownBreak(
+                server_id,
+                incarnation,
+                broken.digests,
+                broken.had_other_grants,
+                now_ms - broken.reported_ms,
+            )
+            for (
+                server_id,
+                incarnation,
+            ), broken in tables.broken_connections.items()
+        ),
+    )
+
+
+def import_evidence(
+    tables: tables_module.Tables,
+    known: messages.CrashEvidence,
+    age_ms: int,
+    now_ms: int,
+) -> tables_module.Tables:
+    """Adds the evidence that the former leader had to new tables.
+
+    Args:
+      tables: Tables of a new leader.
+      known: Evidence as the former leader sent it.
+      age_ms: Time since it was received.
+      now_ms: Present time.
+
+    Returns:
+      The new tables.
+    """
+    txn = Transaction(tables, now_ms)
+    for suspect in known.suspects:
+        txn.suspicions[suspect.digest] = data.CrashSuspicion(
+            suspect.unjudged_servers,
+            suspect.crashed_servers,
+            suspect.isolated_crashes,
+            now_ms - suspect.age_ms - age_ms,
+        )
+        tables_module.set_timer(
+            txn,
+            now_ms + crashes.EVIDENCE_LIFETIME_MS,
+            "evidence",
+            suspect.digest,
+        )
+    for broken in known.breaks:
+        server = (broken.server_id, broken.incarnation)
+        txn.broken_connections = txn.broken_connections.set(
+            server,
+            data.BrokenConnections(
+                broken.digests,
+                now_ms - broken.age_ms - age_ms,
+                broken.had_other_grants,
+            ),
+        )
+        tables_module.set_timer(
+            txn, now_ms + crashes.VERDICT_WINDOW_MS, "crash", server
+        )
+    return txn.commit()
+
+
 @tables_module.TIMERS.register("evidence")
 def _expire_evidence(txn: Transaction, digest: str) -> None:
     suspicion = txn.suspicions.get(digest)
--- a/waxwingrack/operations/crashes.py
+++ b/waxwingrack/operations/crashes.py
@@ -11,6 +11,14 @@
 other request was at the server in at least one of them. A completed run clears
 the digest. While a second broken connection is not judged yet, the digest
 waits, so that fast retries cannot crash a third server.
+
+A service may forgo isolation, because its connections also break for other
+reasons. There a digest is refused after one more crash. It runs beside other
+requests until as many connections have broken, and then waits for the verdicts.
+
+The leader holds the evidence in its tables. It sends a copy to the other
+controllers whenever it changes, and routers report their recent broken
+connections again to a new leader. Verdicts are in the replicated log.
 """
 
 import dataclasses
@@ -27,6 +35,15 @@
 # An announcement that is received within this time after the broken connection
 # may have been sent before it.
 ANNOUNCEMENT_LAG_MS = 1_000
+# Time without an announcement after which a server counts as silent at the end
+# of the verdict window: two intervals between announcements.
+MAX_SILENCE_MS = 2_500
+# Time for which a router reports its broken connections again to a new leader.
+# It covers the verdict window and an election.
+REPEAT_REPORT_MS = 8_000
+# Digests of which the leader sends its evidence to the other controllers, the
+# ones with the latest evidence.
+MAX_SHARED_SUSPECTS = 512
 # Time after which evidence expires.
 EVIDENCE_LIFETIME_MS = 600_000
 
@@ -106,17 +123,33 @@
     )
 
 
-def must_wait(suspicion: data.CrashSuspicion) -> bool:
-    """Tells whether a digest waits for a verdict or for its isolated run."""
+def must_wait(suspicion: data.CrashSuspicion, isolated: bool = True) -> bool:
+    """Tells whether a digest waits for a verdict or for its isolated run.
+
+    Args:
+      suspicion: Evidence.
+      isolated: Whether the service isolates suspects.
+    """
     server_count = len(suspicion.unjudged_servers) + len(
         suspicion.crashed_servers
     )
+    crashes_to_refuse = CRASHES_TO_REFUSE + (0 if isolated else 1)
     awaits_verdict = (
-        bool(suspicion.unjudged_servers) and server_count >= CRASHES_TO_REFUSE
+        bool(suspicion.unjudged_servers) and server_count >= crashes_to_refuse
     )
     return awaits_verdict or suspicion.isolated_grant is not None
 
 
+def leaves_queue(suspicion: data.CrashSuspicion, isolated: bool) -> bool:
+    """Tells whether a digest may not run beside other requests now.
+
+    Args:
+      suspicion: Evidence.
+      isolated: Whether the service isolates suspects.
+    """
+    return isolated or must_wait(suspicion, isolated=False)
+
+
 def add_broken_connection(
     broken_connections: immutables.Map,
     server: tuple[str, str],
@@ -148,6 +181,18 @@
     )
 
 
-def is_silent(reported_ms: int, announced_ms: int) -> bool:
-    """Tells whether a server has sent no announcement since the report."""
-    return announced_ms <= reported_ms + ANNOUNCEMENT_LAG_MS
+def is_silent(reported_ms: int, announced_ms: int, now_ms: int) -> bool:
+    """Tells whether a server is silent since its connections broke.
+
+    An announcement of a crashed server may arrive late. So one that came after
+    the report shows a running server only if further ones followed.
+
+    Args:
+      reported_ms: Time of the latest report of a broken connection.
+      announced_ms: Time of the latest announcement.
+      now_ms: Present time.
+    """
+    return (
+        announced_ms <= reported_ms + ANNOUNCEMENT_LAG_MS
+        or now_ms - announced_ms >= MAX_SILENCE_MS
+    )
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -153,7 +153,7 @@
     engines = engine_choice.Engines(txn, service, engine)
     if not engines.has_room():
         return
-    if txn.suspicions and txn.environment_index.isolates_suspects(service):
+    if txn.suspicions:
         _isolate_suspects(txn, service)
         if service not in txn.backlog:
             return
@@ -226,7 +226,7 @@
         entry
         for queue in leader_queues.list_workspace_queues(txn, service)
         for entry in queue.entries.values()
-        if entry.request.digest in txn.suspicions
+        if leader_queues.must_leave_queue(txn, entry.request)
     ]
     for entry in suspects:
         leader_queues.requeue_request(
@@ -335,7 +335,7 @@
     txn: Transaction, service: str, workspace: str, share: data.VersionShare
 ) -> Assignment | None:
     """Assigns a free server to the workspace's earliest request that fits."""
-    if txn.suspicions and txn.environment_index.isolates_suspects(service):
+    if txn.suspicions:
         _isolate_suspected_heads(txn, service, workspace)
     queues = txn.queues.get((service, workspace))
     if not queues:
@@ -366,7 +366,7 @@
         queues = txn.queues.get((service, workspace), _EMPTY)
         for queue in queues.values():
             entry = queue.entries[queue.head]
-            if entry.request.digest in txn.suspicions:
+            if leader_queues.must_leave_queue(txn, entry.request):
                 leader_queues.requeue_request(
                     txn, leader_queues.get_position(txn, entry)
                 )
@@ -548,13 +548,16 @@
         if entry is None:
             continue
         suspicion = txn.suspicions.get(entry.request.digest)
-        if suspicion is None:
-            # The suspicion was cleared in the meantime: return the request to
-            # the queue of its workspace.
+        if not leader_queues.must_leave_queue(txn, entry.request):
+            # The suspicion was cleared or judged in the meantime: return the
+            # request to the queue of its workspace.
             leader_queues.requeue_request(
                 txn, leader_queues.get_position(txn, entry)
             )
-        elif not crashes.must_wait(suspicion):
+        elif not crashes.must_wait(
+            suspicion,
+            txn.environment_index.isolates_suspects(entry.request.service),
+        ):
             return entry
     return None
 
--- a/waxwingrack/operations/leader_queues.py
+++ b/waxwingrack/operations/leader_queues.py
@@ -12,13 +12,15 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
+from waxwingrack.operations import crashes
 from waxwingrack.operations import tables as tables_module
 
 Transaction = tables_module.Transaction
 
 _NO_QUEUES = immutables.Map()
 _EMPTY_QUEUE = data.RequestQueue()
-# Workspace in the position of a request in the isolated queue of its service.
+# Workspace in the position of a request in the isolated queue of its service,
+# which also holds the requests that wait for a verdict.
 ISOLATED_WORKSPACE = ""
 
 
@@ -81,8 +83,7 @@
 ) -> data.QueuePosition:
     request = entry.request
     tables_module.get_pool(txn, request.service)
-    suspected = request.digest and request.digest in txn.suspicions
-    if suspected and txn.environment_index.isolates_suspects(request.service):
+    if must_leave_queue(txn, request):
         queue = txn.isolated_queues.get(request.service, _EMPTY_QUEUE)
         txn.isolated_queues[request.service], index = append_entry(queue, entry)
         return data.QueuePosition(
@@ -100,6 +101,14 @@
     )
 
 
+def must_leave_queue(txn: Transaction, request: data.QueuedRequest) -> bool:
+    """Tells whether a crash suspect may not run beside other requests now."""
+    suspicion = request.digest and txn.suspicions.get(request.digest)
+    return bool(suspicion) and crashes.leaves_queue(
+        suspicion, txn.environment_index.isolates_suspects(request.service)
+    )
+
+
 def pop_request(
     txn: Transaction, position: data.QueuePosition
 ) -> data.QueueEntry:
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -138,6 +138,11 @@
         "another server uses its address",
         server=row.announcement.server_id,
     )
+    server = (row.announcement.server_id, row.announcement.incarnation)
+    if server in txn.broken_connections:
+        crash_evidence.settle_broken_connections(
+            txn, server, not row.announcement.departing, "was replaced"
+        )
     orphans.release_pause(txn, row)
     tables_module.store_server(txn, data.evolve(row, stale=True, paused=False))
     tables_module.set_timer(
