Let a new leader judge a version by the samples of the former one

A new leader started with no samples of either version, while the share and the time of a rollout go on from the replicated log. So a change of leader during a rollout moved a bad version on without evidence.

Change: once a second while a rollout is under way, the leader sends the latest 64 samples of each group of its service to the other controllers, which keep them in memory; a new leader takes them over with their times on its own clock.

--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -61,6 +61,24 @@
       | failing_a_third      | 22   |
       | failing_on_one_route | 23   |
 
+  Scenario Outline: a new leader judges by the samples of the former ones, <kind>
+    Guards against a bad version that is kept, or gets far more requests, because
+    each new leader starts without samples.
+
+    Given a simulated rollout with deadline 120 s and watch period 20 s
+    And the simulated traffic is 50 requests per second with seed <seed>
+    And the simulated new version is <kind>
+    And the simulated leader is replaced every 2 s
+    When the simulated rollout runs to its end
+    Then the simulated rollout ends as taken_back within 120 s
+    And at most 5 in 100 simulated requests went to the new version
+
+    Examples:
+      | kind            | seed |
+      | failing         | 41   |
+      | failing_a_third | 42   |
+      | slow            | 43   |
+
   Scenario: good versions are not taken back by chance
     Given a simulated rollout with deadline 60 s and watch period 10 s
     And the simulated traffic is 50 requests per second with seed 100
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -17,6 +17,8 @@
 _LAST_STEP = 0.75
 # Requests in flight on a server from which a version counts as under load.
 _LOADED = 3
+# Difference between the clocks of two simulated leaders.
+_CLOCK_GAP_MS = 777_000
 # Slots of a simulated server; requests beyond wait at the router.
 _SLOTS = 16
 _Outcome = data.Outcome
@@ -156,7 +158,17 @@
     )
 
 
-def simulate(plan, kind, rate, seed):
+def _replace_leader(stats, now_ms):
+    """Hands the samples to a leader with another clock, and back."""
+    evidence = version_samples.export_samples(stats, {"sketch"}, now_ms)
+    other = version_samples.import_samples(evidence, 0, now_ms + _CLOCK_GAP_MS)
+    evidence = version_samples.export_samples(
+        other, {"sketch"}, now_ms + _CLOCK_GAP_MS
+    )
+    return version_samples.import_samples(evidence, 0, now_ms)
+
+
+def simulate(plan, kind, rate, seed, leader_ms=None):
     """Runs requests, judges and moves until the rollout ends."""
     rng = random.Random(seed)
     answer = _KINDS[kind]
@@ -196,6 +208,8 @@
             if len(server) < _SLOTS:
                 server.append(at_ms + samples[-1].duration_ms)
         stats = rollouts.add_samples(stats, tuple(samples))
+        if leader_ms and now_ms % leader_ms == 0:
+            stats = _replace_leader(stats, now_ms)
         state = data.ReplicatedState(
             environment=_environment(),
             rollouts=immutables.Map({plan.id: rollout}),
@@ -283,10 +297,19 @@
     context.kind = kind
 
 
+@behave.given("the simulated leader is replaced every {period:d} s")
+def given_leaders(context, period):
+    context.leader_ms = 1_000 * period
+
+
 @behave.when("the simulated rollout runs to its end")
 def run_rollout(context):
     context.result = simulate(
-        context.plan, context.kind, context.rate, context.seed
+        context.plan,
+        context.kind,
+        context.rate,
+        context.seed,
+        getattr(context, "leader_ms", None),
     )
 
 
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -349,6 +349,47 @@
     breaks: tuple[KnownBreak, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredSamples:
+    """Packed samples of one version in one group; see `version_samples`.
+
+    Attributes:
+      service: Service.
+      route: Route.
+      data_centre: Data centre of the backend servers.
+      version: Version.
+      level: Load level of latencies; -1 for the samples of all loads.
+      blob: Packed samples, oldest first.
+    """
+
+    service: str
+    route: str
+    data_centre: str
+    version: str
+    level: int
+    blob: bytes
+
+
+@MESSAGES.register("version_evidence")
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionEvidence:
+    """Samples of versions that the leader sends during a rollout.
+
+    Like `ServersKnown`, it is kept in memory for the case that the follower
+    becomes the leader.
+
+    Attributes:
+      sent_ms: Time of sending on the leader's clock, to which the times of the
+        samples relate.
+      samples: Samples of both versions.
+      first_ms: Time of the first sample since the last start, by server.
+    """
+
+    sent_ms: int
+    samples: tuple[StoredSamples, ...] = ()
+    first_ms: tuple[tuple[str, int], ...] = ()
+
+
 @MESSAGES.register("join")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Join:
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import random
 import secrets
 from typing import Any
@@ -51,6 +52,11 @@
     messages.AppendReply,
     messages.InstallSnapshot,
 )
+# What the leader tells the other controllers of its memory.
+LEADER_MEMORY_MESSAGES = (messages.CrashEvidence, messages.VersionEvidence)
+# Age above which the samples of a former leader are not used: the load and the
+# versions may have changed.
+MAX_SAMPLES_AGE_MS = 60_000
 
 
 class _PhaseEvents(Protocol):
@@ -166,8 +172,8 @@
             None,
             0,
         )
-        # The latest evidence about crashes and the time of its arrival.
-        self._known_evidence: tuple[messages.CrashEvidence, int] | None = None
+        # What the leader sent last of each kind, with the time of its arrival.
+        self._known: dict[type, tuple[Any, int]] = {}
 
     # -----------------------------------------------------------------------
     # Life
@@ -394,18 +400,23 @@
         )
 
     def _send_to_controllers(
-        self, message: messages.ServersKnown | messages.CrashEvidence
+        self,
+        message: messages.ServersKnown
+        | messages.CrashEvidence
+        | messages.VersionEvidence,
     ) -> None:
         for peer in self._peers:
             self.links.send(peer.id, message)
 
-    def _known_evidence_with_age(
-        self,
-    ) -> tuple[messages.CrashEvidence, int] | None:
-        if self._known_evidence is None:
+    def _known_with_age(
+        self, kind: type, max_age_ms: float = math.inf
+    ) -> tuple[Any, int] | None:
+        """Returns what the former leader sent and the time since then."""
+        if kind not in self._known:
             return None
-        evidence, received_ms = self._known_evidence
-        return evidence, self.clock() - received_ms
+        message, received_ms = self._known[kind]
+        age_ms = self.clock() - received_ms
+        return (message, age_ms) if age_ms <= max_age_ms else None
 
     def _recently_known_servers(self) -> messages.ServersKnown | None:
         known_servers, received_ms = self._known_servers
@@ -473,8 +484,8 @@
         if isinstance(message, messages.ServersKnown):
             self._known_servers = (message, self.clock())
             return
-        if isinstance(message, messages.CrashEvidence):
-            self._known_evidence = (message, self.clock())
+        if isinstance(message, LEADER_MEMORY_MESSAGES):
+            self._known[type(message)] = (message, self.clock())
             return
         if self.driver is None or not isinstance(message, CONSENSUS_MESSAGES):
             logs.event(
@@ -499,7 +510,10 @@
                 list_added_peers=self._added_peers,
                 send_to_controllers=self._send_to_controllers,
                 known_servers=self._recently_known_servers(),
-                known_evidence=self._known_evidence_with_age(),
+                known_evidence=self._known_with_age(messages.CrashEvidence),
+                known_samples=self._known_with_age(
+                    messages.VersionEvidence, MAX_SAMPLES_AGE_MS
+                ),
             )
         )
 
@@ -526,10 +540,11 @@
         logs.event("leadership_lost", term=self.driver.replica.term)
         self.leader.end()
         now_ms = self.clock()
-        self._known_evidence = (
+        for message in (
             crash_evidence.export_evidence(self.leader.tables, now_ms),
-            now_ms,
-        )
+            self.leader.export_samples(),
+        ):
+            self._known[type(message)] = (message, now_ms)
         self.leader = None
         self.held_messages.clear()
         for session in self.sessions:
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -28,6 +28,7 @@
 from waxwingrack.operations import known_routers
 from waxwingrack.operations import rollouts
 from waxwingrack.operations import scheduler
+from waxwingrack.operations import version_samples
 
 TICK_S = 0.05
 CHECKPOINT_INTERVAL_MS = 1_000
@@ -65,6 +66,8 @@
         None.
       known_evidence: Evidence about crashes that the former leader sent, and
         the time since then in milliseconds, or None.
+      known_samples: Samples of versions that the former leader sent, and the
+        time since then in milliseconds, or None.
     """
 
     driver: replica_driver.ReplicaDriver
@@ -76,6 +79,7 @@
     send_to_controllers: Callable[[Any], None] = lambda message: None
     known_servers: messages.ServersKnown | None = None
     known_evidence: tuple[messages.CrashEvidence, int] | None = None
+    known_samples: tuple[messages.VersionEvidence, int] | None = None
 
 
 class Leader:
@@ -126,6 +130,16 @@
         # Router incarnations of the last checkpoint that were not lost since.
         self._former_routers = self.state.routers
         self._version_samples = rollouts.VersionSamples()
+        if services.known_samples is not None:
+            samples, age_ms = services.known_samples
+            self._version_samples = version_samples.import_samples(
+                samples, age_ms, self.since_ms
+            )
+            logs.event(
+                "version_samples_taken_over",
+                groups=len(samples.samples),
+                age_ms=age_ms,
+            )
         self._policy_parts: tuple = ()
         self._policy: data.Policy | None = None
         self._encoded_push: tuple[int, bytes] = (0, b"")
@@ -463,6 +477,8 @@
             self.services.send_to_controllers(
                 scheduler.export_known_servers(self.tables)
             )
+            if self._has_active_rollouts():
+                self.services.send_to_controllers(self.export_samples())
 
     def _share_crash_evidence(self, now_ms: int) -> None:
         """Sends the evidence about crashes to the other controllers.
@@ -639,6 +655,18 @@
         for move in moves:
             self._move_rollout(move)
 
+    def export_samples(self) -> messages.VersionEvidence:
+        """Returns the samples of services with a rollout that is under way."""
+        return version_samples.export_samples(
+            self._version_samples,
+            {
+                rollout.plan.service
+                for rollout in self.state.rollouts.values()
+                if rollout.phase not in _FINAL_PHASES
+            },
+            self.services.clock(),
+        )
+
     def _log_rollouts(self, now_ms: int) -> None:
         """Logs what the new version got and what the judges can compare."""
         exposures = {
--- a/waxwingrack/operations/version_samples.py
+++ b/waxwingrack/operations/version_samples.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+from collections.abc import Collection
 import dataclasses
 import functools
 import struct
@@ -13,6 +14,7 @@
 import immutables
 
 from waxwingrack.core import data
+from waxwingrack.core import messages
 
 # Samples kept per service, route, data centre and version.
 MAX_SAMPLES = 256
@@ -20,6 +22,9 @@
 # MAX_WARM of them, every second one of the oldest THINNED_WARM is dropped, so
 # that a load that a version had some time ago can still be compared.
 MAX_WARM = 192
+# Samples of each group that the leader sends to the other controllers while a
+# rollout is under way. A judge needs tens of them.
+MAX_SHARED = 64
 THINNED_WARM = 64
 # Connections that a backend server loses within this time count as one error,
 # as one crash ends all requests that run on the server.
@@ -184,6 +189,75 @@
     maps.warm[warm_key] = packed + stored
 
 
+def export_samples(
+    stats: VersionSamples, services: Collection[str], now_ms: int
+) -> messages.VersionEvidence:
+    """Returns the latest samples of services for the other controllers.
+
+    Args:
+      stats: All samples.
+      services: Services to include.
+      now_ms: Leader's monotonic clock.
+    """
+    groups = [
+        (*key, -1, stored)
+        for key, stored in stats.recent.items()
+        if key[0].service in services
+    ]
+    groups += [
+        (*key, stored)
+        for key, stored in stats.warm.items()
+        if key[0].service in services
+    ]
+    return messages.VersionEvidence(
+        sent_ms=now_ms,
+        samples=tuple(
+            messages.StoredSamples(
+                *dataclasses.astuple(stratum),
+                version,
+                level,
+                stored[-MAX_SHARED * _STORED.size :],
+            )
+            for stratum, version, level, stored in groups
+        ),
+        first_ms=tuple(stats.first_ms.items()),
+    )
+
+
+def import_samples(
+    evidence: messages.VersionEvidence, age_ms: int, now_ms: int
+) -> VersionSamples:
+    """Builds the samples of a new leader from those of the former one.
+
+    Args:
+      evidence: Samples as the former leader sent them.
+      age_ms: Time since they were received.
+      now_ms: Monotonic clock of the new leader.
+
+    Returns:
+      The samples, with times on the clock of the new leader.
+    """
+    shift_ms = now_ms - age_ms - evidence.sent_ms
+    recent, warm = {}, {}
+    for row in evidence.samples:
+        stratum = Stratum(row.service, row.route, row.data_centre)
+        stored = b"".join(
+            _STORED.pack(at_ms + shift_ms, *rest)
+            for at_ms, *rest in _STORED.iter_unpack(row.blob)
+        )
+        if row.level < 0:
+            recent[stratum, row.version] = stored
+        else:
+            warm[stratum, row.version, row.level] = stored
+    return VersionSamples(
+        recent=immutables.Map(recent),
+        warm=immutables.Map(warm),
+        first_ms=immutables.Map(
+            {server: at_ms + shift_ms for server, at_ms in evidence.first_ms}
+        ),
+    )
+
+
 def _drop_every_second(stored: bytes) -> bytes:
     """Drops every second one of the oldest `THINNED_WARM` samples."""
     size = _STORED.size
