Count crashes that happen together once on services without isolation

Found while looking for the same cause elsewhere: a frequent request that ran on three servers when a data centre lost its power was refused for good, as if it had ended them one after the other. Isolation prevents that only where it is on.

Change: a router reports how long a run lasted until its connection broke, and crashes of runs that overlap in time count as one. A request that ends servers one after the other counts as before.

Test: five servers that run a frequent request crash together; without the change it is refused.

--- a/features/scheduler_crashes.feature
+++ b/features/scheduler_crashes.feature
@@ -98,6 +98,15 @@
     Then "popular" is granted within 6 s
     And the scheduler refuses "nothing"
 
+  Scenario: a frequent request on servers that fail together is not refused without isolation
+    Guards against refusing a frequent request because several servers that ran it
+    lost their power at the same time.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When 5 servers crash at once while each runs "popular"
+    Then "popular" is granted within 1 s
+    And the scheduler refuses "nothing"
+
   Scenario: queued requests of a refused digest are refused and others are served
     Given a crash simulation with 6 servers of 4 slots
     When the policy refuses "bad" while "bad" and "good" wait
--- a/features/steps/scheduler_crashes_steps.py
+++ b/features/steps/scheduler_crashes_steps.py
@@ -450,7 +450,9 @@
             if run[1] != server.server_id:
                 continue
             del self.running[key]
-            suspect = messages.CrashSuspect(run[0], *run[1:3])
+            suspect = messages.CrashSuspect(
+                run[0], *run[1:3], ran_ms=self.at_ms - run[3]
+            )
             self.outbox["crash_suspects"].append(suspect)
             self.recent_suspects.append((self.at_ms, suspect))
             self._finish(key, data.Outcome.CONNECTION_LOST)
@@ -489,7 +491,7 @@
             ),
         )
         self.outbox["crash_suspects"] += [
-            suspect
+            dataclasses.replace(suspect, age_ms=self.at_ms - sent_ms)
             for sent_ms, suspect in self.recent_suspects
             if self.at_ms - sent_ms < crashes.REPEAT_REPORT_MS
         ]
@@ -678,3 +680,21 @@
     simulation = context.simulation
     waited_ms = simulation.granted_ms[digest] - simulation.sent_ms[digest]
     assert waited_ms <= seconds * 1_000, waited_ms
+
+
+@behave.when('{count:d} servers crash at once while each runs "{digest}"')
+def crash_together_unisolated(context, count, digest):
+    simulation = context.simulation
+    for _ in range(4 * len(simulation.servers)):
+        simulation.queue_request(digest)
+    simulation.run(100)
+    hosts = {run[1] for run in simulation.running.values()}
+    assert len(hosts) >= count, hosts
+    for server in simulation.servers[:count]:
+        simulation.crash(server)
+    # No other run may complete and so clear the request.
+    simulation.running.clear()
+    simulation.sent_ms[digest] = simulation.at_ms
+    simulation.granted_ms.pop(digest, None)
+    simulation.queue_request(digest)
+    simulation.run(8_000)
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -1537,6 +1537,23 @@
     had_other_grants: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """Run of a request whose connection broke.
+
+    Attributes:
+      server_id: Backend server.
+      incarnation: Incarnation of the server.
+      sent_ms: Time of the dispatch.
+      broken_ms: Time at which the connection broke.
+    """
+
+    server_id: str
+    incarnation: str
+    sent_ms: int
+    broken_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSuspicion:
     """Evidence against a request digest.
@@ -1549,6 +1566,7 @@
         server.
       updated_ms: Time of the latest evidence.
       isolated_grant: Grant of an isolated run of the digest, if any.
+      runs: One run for each of these servers.
     """
 
     unjudged_servers: tuple[tuple[str, str], ...] = ()
@@ -1556,6 +1574,7 @@
     isolated_crashes: int = 0
     updated_ms: int = 0
     isolated_grant: tuple[int, int] | None = None
+    runs: tuple[BrokenRun, ...] = ()
 
 
 @quick_init
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -78,11 +78,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSuspect:
-    """A request whose connection to a backend server broke."""
+    """A request whose connection to a backend server broke.
+
+    Attributes:
+      digest: Digest of the request.
+      server_id: Backend server.
+      incarnation: Incarnation of the server.
+      ran_ms: Time from the dispatch until the connection broke.
+      age_ms: Time since then; more than 0 in a repeated report.
+    """
 
     digest: str
     server_id: str
     incarnation: str
+    ran_ms: int = 0
+    age_ms: int = 0
 
 
 @MESSAGES.register("report")
@@ -304,6 +314,7 @@
       crashed_servers: Server incarnations that crashed under it.
       isolated_crashes: Number of these crashes without another request.
       age_ms: Time since the latest evidence.
+      runs: The runs whose connections broke; their times are ages.
     """
 
     digest: str
@@ -311,6 +322,7 @@
     crashed_servers: tuple[tuple[str, str], ...]
     isolated_crashes: int
     age_ms: int
+    runs: tuple[data.BrokenRun, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -307,6 +307,7 @@
                 lease.queued.digest,
                 lease.grant.server_id,
                 lease.grant.incarnation,
+                ran_ms=self._clock() - (lease.sent_ms or self._clock()),
             )
         )
 
@@ -339,7 +340,10 @@
         ]
         if first:
             self._crash_suspects = [
-                *(suspect for _, suspect in self._reported_suspects),
+                *(
+                    dataclasses.replace(suspect, age_ms=now_ms - reported_ms)
+                    for reported_ms, suspect in self._reported_suspects
+                ),
                 *self._crash_suspects,
             ]
             self._reported_suspects.clear()
@@ -377,7 +381,8 @@
         self._started_answers.clear()
         self._announcements.clear()
         self._reported_suspects += [
-            (now_ms, suspect) for suspect in self._crash_suspects
+            (now_ms - suspect.age_ms, suspect)
+            for suspect in self._crash_suspects
         ]
         self._crash_suspects.clear()
         return report
--- a/waxwingrack/operations/crash_evidence.py
+++ b/waxwingrack/operations/crash_evidence.py
@@ -19,8 +19,10 @@
         return
     server = (report.server_id, report.incarnation)
     row = txn.servers.get(report.server_id)
+    broken_ms = txn.now_ms - report.age_ms
+    run = data.BrokenRun(*server, broken_ms - report.ran_ms, broken_ms)
     suspicion = crashes.add_unjudged_server(
-        txn.suspicions.get(report.digest), server, txn.now_ms
+        txn.suspicions.get(report.digest), run, txn.now_ms
     )
     if suspicion is txn.suspicions.get(report.digest):
         return
@@ -140,6 +142,7 @@
                 suspicion.crashed_servers,
                 suspicion.isolated_crashes,
                 now_ms - suspicion.updated_ms,
+                tuple(_shift_run(run, now_ms) for run in suspicion.runs),
             )
             for digest, suspicion in latest
         ),
@@ -159,6 +162,13 @@
     )
 
 
+def _shift_run(run: data.BrokenRun, now_ms: int) -> data.BrokenRun:
+    """Converts the times of a run to ages, or ages to times."""
+    return dataclasses.replace(
+        run, sent_ms=now_ms - run.sent_ms, broken_ms=now_ms - run.broken_ms
+    )
+
+
 def import_evidence(
     tables: tables_module.Tables,
     known: messages.CrashEvidence,
@@ -183,6 +193,9 @@
             suspect.crashed_servers,
             suspect.isolated_crashes,
             now_ms - suspect.age_ms - age_ms,
+            runs=tuple(
+                _shift_run(run, now_ms - age_ms) for run in suspect.runs
+            ),
         )
         tables_module.set_timer(
             txn,
--- a/waxwingrack/operations/crashes.py
+++ b/waxwingrack/operations/crashes.py
@@ -15,13 +15,17 @@
 A service may forgo isolation, because its connections also break for other
 reasons. There a digest is refused after one more crash. It runs beside other
 requests until as many connections have broken, and then waits for the verdicts.
+Crashes of runs that overlap in time count once, since servers that fail
+together end all their requests, frequent ones on several of them.
 
 The leader holds the evidence in its tables. It sends a copy to the other
 controllers whenever it changes, and routers report their recent broken
 connections again to a new leader. Verdicts are in the replicated log.
 """
 
+from collections.abc import Collection
 import dataclasses
+import math
 
 import immutables
 
@@ -49,19 +53,20 @@
 
 
 def add_unjudged_server(
-    suspicion: data.CrashSuspicion | None, server: tuple[str, str], now_ms: int
+    suspicion: data.CrashSuspicion | None, run: data.BrokenRun, now_ms: int
 ) -> data.CrashSuspicion:
     """Adds a broken connection to the evidence against a digest.
 
     Args:
       suspicion: Current evidence; None if there is none.
-      server: Server id and incarnation.
+      run: Run whose connection broke.
       now_ms: Present time.
 
     Returns:
       The new evidence.
     """
     suspicion = suspicion or data.CrashSuspicion()
+    server = (run.server_id, run.incarnation)
     if (
         server in suspicion.unjudged_servers
         or server in suspicion.crashed_servers
@@ -71,6 +76,7 @@
         suspicion,
         unjudged_servers=(*suspicion.unjudged_servers, server),
         updated_ms=now_ms,
+        runs=(*suspicion.runs, run),
     )
 
 
@@ -103,10 +109,37 @@
         else suspicion.crashed_servers,
         isolated_crashes=suspicion.isolated_crashes
         + (1 if crashed and isolated else 0),
+        runs=suspicion.runs
+        if crashed
+        else tuple(
+            run
+            for run in suspicion.runs
+            if (run.server_id, run.incarnation) != server
+        ),
     )
     return judged if judged.unjudged_servers or judged.crashed_servers else None
 
 
+def count_successive(
+    suspicion: data.CrashSuspicion, servers: Collection[tuple[str, str]]
+) -> int:
+    """Counts the runs that followed each other.
+
+    Args:
+      suspicion: Evidence.
+      servers: Servers whose runs count.
+
+    Returns:
+      The largest number of runs of which no two overlap in time.
+    """
+    count, end_ms = 0, -math.inf
+    for run in sorted(suspicion.runs, key=lambda run: run.broken_ms):
+        if (run.server_id, run.incarnation) in servers and run.sent_ms > end_ms:
+            count += 1
+            end_ms = run.broken_ms
+    return count
+
+
 def must_refuse(suspicion: data.CrashSuspicion, isolated: bool = True) -> bool:
     """Tells whether the digest has to be refused.
 
@@ -116,7 +149,8 @@
         replaces the evidence that no other request was at the server.
     """
     if not isolated:
-        return len(suspicion.crashed_servers) > CRASHES_TO_REFUSE
+        crashes = count_successive(suspicion, suspicion.crashed_servers)
+        return crashes > CRASHES_TO_REFUSE
     return (
         len(suspicion.crashed_servers) >= CRASHES_TO_REFUSE
         and suspicion.isolated_crashes >= 1
@@ -130,14 +164,14 @@
       suspicion: Evidence.
       isolated: Whether the service isolates suspects.
     """
-    server_count = len(suspicion.unjudged_servers) + len(
-        suspicion.crashed_servers
-    )
-    crashes_to_refuse = CRASHES_TO_REFUSE + (0 if isolated else 1)
-    awaits_verdict = (
-        bool(suspicion.unjudged_servers) and server_count >= crashes_to_refuse
-    )
-    return awaits_verdict or suspicion.isolated_grant is not None
+    if suspicion.isolated_grant is not None:
+        return True
+    if not suspicion.unjudged_servers:
+        return False
+    servers = (*suspicion.unjudged_servers, *suspicion.crashed_servers)
+    if isolated:
+        return len(servers) >= CRASHES_TO_REFUSE
+    return count_successive(suspicion, servers) > CRASHES_TO_REFUSE
 
 
 def leaves_queue(suspicion: data.CrashSuspicion, isolated: bool) -> bool:
