Refuse prompts with a part that crashes servers

Cause: the crash guard knew whole requests only. No two of these requests are alike; what they share is a part of their prompts.

Change: the shared parts of a prompt, all but the last, are crash suspects like the digest: held while verdicts are pending, refused after three crashes of runs that followed each other, cleared by the next completed request with the part. The refusal of a part ends after ten minutes and one more crash renews it. Routers report the parts with a broken connection, so a new leader learns them again. The protocol version is 5, as compact frames hold a new field.

--- a/features/scheduler_crashes.feature
+++ b/features/scheduler_crashes.feature
@@ -107,6 +107,45 @@
     Then "popular" is granted within 1 s
     And the scheduler refuses "nothing"
 
+  Scenario Outline: requests with a prompt part that crashes servers stop reaching them <case>
+    Guards against requests of which no two are alike and that crash one server
+    after the other by a part of their prompts.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When prompts with the part "bad" are sent beside others for 30 s <case>
+    Then at most 3 prompts with the part "bad" reach a server later than 3 s after its fifth crash
+    And at least 9 in 10 prompts without it that were sent later than 12 s are served
+    And the scheduler refuses "part:bad"
+
+    Examples:
+      | case                                                 |
+      | while servers are back after 3 s                     |
+      | while servers are back after 8 s                     |
+      | while servers are back under the same id             |
+      | while late announcements of crashed servers arrive   |
+      | while the leader is replaced after the second crash  |
+      | while each leader is replaced after a crash          |
+      | while a leader that forgets is replaced after a crash |
+
+  Scenario: the refusal of a prompt part ends and one more crash renews it
+    Guards against a part that is refused for ever by mistake, and against three
+    more crashes each time its refusal ends.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When prompts with the part "bad" are sent beside others for 30 s while servers are back after 3 s
+    And 10 minutes pass
+    And prompts with the part "bad" are sent again until one crashes
+    Then the scheduler refuses the part "bad" within 6 s
+
+  Scenario: a prompt part that all servers ran as they failed together is not refused
+    Guards against refusing a part that most prompts share because a service lost
+    all its servers at once.
+
+    Given a crash simulation of a service without isolation with 8 servers
+    When all servers crash at once while they run prompts with the part "popular"
+    Then a prompt with the part "popular" is granted within 8 s
+    And the scheduler refuses "nothing"
+
   Scenario: queued requests of a refused digest are refused and others are served
     Given a crash simulation with 6 servers of 4 slots
     When the policy refuses "bad" while "bad" and "good" wait
--- a/features/steps/scheduler_crashes_steps.py
+++ b/features/steps/scheduler_crashes_steps.py
@@ -419,6 +419,8 @@
         self.servers = [_Server(n, self.at_ms + n) for n in range(servers)]
         self.queued = {}
         self.running = {}
+        self.prompts = {}
+        self.completed = set()
         self.outbox = collections.defaultdict(list)
         self.recent_suspects = []
         self.delayed = []
@@ -435,9 +437,22 @@
         self.sequence += 1
         self.queued[self.sequence] = digest
         self.sent_ms.setdefault(digest, self.at_ms)
-        self.outbox["wants"].append(
-            driver.create_request(self.sequence, digest=digest)
+        self.outbox["wants"].append(self._create_request(self.sequence, digest))
+
+    def queue_prompt(self, digest, *parts):
+        """Queues a request whose prompt has shared parts and one of its own."""
+        self.prompts[digest] = (*parts, f"own-{digest}")
+        self.queue_request(digest)
+
+    def _create_request(self, sequence, digest):
+        prompt = tuple(
+            data.PromptPart(part, 100) for part in self.prompts.get(digest, ())
         )
+        return driver.create_request(sequence, digest=digest, prompt=prompt)
+
+    def holds_part(self, digest, part):
+        """Tells whether the prompt of a request has a part."""
+        return part in self.prompts.get(digest, ())
 
     def _find_server(self, server_id):
         return next(
@@ -451,7 +466,10 @@
                 continue
             del self.running[key]
             suspect = messages.CrashSuspect(
-                run[0], *run[1:3], ran_ms=self.at_ms - run[3]
+                run[0],
+                *run[1:3],
+                ran_ms=self.at_ms - run[3],
+                parts=self.prompts.get(run[0], ())[:-1],
             )
             self.outbox["crash_suspects"].append(suspect)
             self.recent_suspects.append((self.at_ms, suspect))
@@ -478,7 +496,7 @@
             )
         self.running.clear()
         wants = [
-            driver.create_request(sequence, digest=digest)
+            self._create_request(sequence, digest)
             for sequence, digest in self.queued.items()
         ]
         self.outbox.clear()
@@ -529,6 +547,7 @@
         driver.send_report(self, **report_fields)
         decisions = driver.run_tick(self)
         self.refused.update(decisions.crashed_digests)
+        self.refused.difference_update(decisions.released_suspects)
         self.policy = dataclasses.replace(
             self.policy, refused_digests=frozenset(self.refused)
         )
@@ -561,10 +580,13 @@
             for key, run in list(self.running.items()):
                 if key not in self.running or self.at_ms - run[3] < RUN_MS:
                     continue
-                if run[0] in bad:
+                if run[0] in bad or any(
+                    self.holds_part(run[0], part) for part in bad
+                ):
                     self.crash(self._find_server(run[1]))
                 else:
                     del self.running[key]
+                    self.completed.add(run[0])
                     self._finish(key, data.Outcome.COMPLETED)
             if after_step:
                 after_step()
@@ -596,15 +618,30 @@
 }
 
 
+def _prepare_case(simulation, case):
+    """Applies a case; returns a function to call after each step."""
+    for name, value in _CASES.get(case, {}).items():
+        setattr(simulation, name, value)
+    replaced_after = set(_LEADER_CASES.get(case, ()))
+
+    def replace_leader():
+        if len(simulation.crash_times) not in replaced_after:
+            return
+        replaced_after.discard(len(simulation.crash_times))
+        if "forgets" in case:
+            replaced_after.clear()
+        simulation.replace_leader(forgets="forgets" in case)
+
+    return replace_leader
+
+
 @behave.when(
     '"bad" crashes each server and is sent again at once for {seconds:d} s'
     " while {case}"
 )
 def crash_unisolated(context, seconds, case):
     simulation = context.simulation
-    for name, value in _CASES.get(case, {}).items():
-        setattr(simulation, name, value)
-    replaced_after = set(_LEADER_CASES.get(case, ()))
+    replace_leader = _prepare_case(simulation, case)
 
     def each():
         pending = [
@@ -615,10 +652,7 @@
             simulation.queue_request("bad")
         if simulation.at_ms % 200 == 0:
             simulation.queue_request(f"sound{simulation.at_ms}")
-        if len(simulation.crash_times) in replaced_after:
-            replaced_after.clear() if "forgets" in case else None
-            replaced_after.discard(len(simulation.crash_times))
-            simulation.replace_leader(forgets="forgets" in case)
+        replace_leader()
 
     simulation.run(seconds * 1_000, ("bad",), each)
 
@@ -698,3 +732,113 @@
     simulation.granted_ms.pop(digest, None)
     simulation.queue_request(digest)
     simulation.run(8_000)
+
+
+def _send_prompts(simulation, with_bad):
+    """Sends a prompt every 50 ms, with the part `bad` in one of 20."""
+    number = simulation.at_ms // 50
+    if simulation.at_ms % 100 >= STEP_MS:
+        return
+    shared = (f"system{number % 3}", f"subject{number % 41}")
+    if with_bad and number % 20 == 0:
+        simulation.queue_prompt(f"p{number}", shared[0], "bad", shared[1])
+    else:
+        simulation.queue_prompt(f"p{number}", *shared)
+
+
+@behave.when(
+    'prompts with the part "bad" are sent beside others for {seconds:d} s'
+    " while {case}"
+)
+def send_bad_prompts(context, seconds, case):
+    simulation = context.simulation
+    context.since_ms = simulation.at_ms
+    replace_leader = _prepare_case(simulation, case)
+
+    def each():
+        _send_prompts(simulation, with_bad=True)
+        replace_leader()
+
+    simulation.run(seconds * 1_000, ("bad",), each)
+
+
+@behave.then(
+    'at most {count:d} prompts with the part "bad" reach a server later than'
+    " {seconds:d} s after its fifth crash"
+)
+def few_prompts(context, count, seconds):
+    simulation = context.simulation
+    if len(simulation.crash_times) < 5:
+        return
+    since_ms = simulation.crash_times[4] + seconds * 1_000
+    late = [
+        at_ms
+        for at_ms, digest in simulation.arrivals
+        if simulation.holds_part(digest, "bad") and at_ms > since_ms
+    ]
+    assert len(late) <= count, (simulation.crash_times, late)
+
+
+@behave.then(
+    "at least 9 in 10 prompts without it that were sent later than"
+    " {seconds:d} s are served"
+)
+def sound_prompts_served(context, seconds):
+    simulation = context.simulation
+    sound = [
+        digest
+        for digest, sent_ms in simulation.sent_ms.items()
+        if digest in simulation.prompts
+        and not simulation.holds_part(digest, "bad")
+        and sent_ms > context.since_ms + 1_000 * seconds
+        and simulation.at_ms - sent_ms > 2_000
+    ]
+    served = [digest for digest in sound if digest in simulation.completed]
+    assert len(sound) >= 100, len(sound)
+    assert len(served) >= 0.9 * len(sound), (len(served), len(sound))
+
+
+@behave.when("{minutes:d} minutes pass")
+def minutes_pass(context, minutes):
+    simulation = context.simulation
+    simulation.run(60_000 * minutes)
+    assert not simulation.refused, simulation.refused
+
+
+@behave.when('prompts with the part "bad" are sent again until one crashes')
+def send_until_crash(context):
+    simulation = context.simulation
+    crashes_before = len(simulation.crash_times)
+    while len(simulation.crash_times) == crashes_before:
+        simulation.queue_prompt(f"later{simulation.sequence}", "system0", "bad")
+        simulation.run(400, ("bad",))
+
+
+@behave.then('the scheduler refuses the part "bad" within {seconds:d} s')
+def refuses_part(context, seconds):
+    simulation = context.simulation
+    simulation.run(1_000 * seconds)
+    assert simulation.refused == {"part:bad"}, simulation.refused
+
+
+@behave.when(
+    'all servers crash at once while they run prompts with the part "{part}"'
+)
+def crash_all(context, part):
+    simulation = context.simulation
+    for number in range(4 * len(simulation.servers)):
+        simulation.queue_prompt(f"first{number}", part)
+    simulation.run(100)
+    for server in simulation.servers:
+        simulation.crash(server)
+    simulation.running.clear()
+    simulation.queue_prompt("next", part)
+    simulation.run(10_000)
+
+
+@behave.then('a prompt with the part "{part}" is granted within {seconds:d} s')
+def part_granted(context, part, seconds):
+    simulation = context.simulation
+    assert simulation.holds_part("next", part)
+    waited_ms = simulation.granted_ms["next"] - simulation.sent_ms["next"]
+    assert waited_ms <= 1_000 * seconds, waited_ms
--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -155,7 +155,23 @@
 @COMMANDS.register("refuse_digest")
 @dataclasses.dataclass(frozen=True, slots=True)
 class RefuseDigest:
-    """Refuses all later requests with a digest that crashes servers."""
+    """Refuses all later requests with a digest that crashes servers.
+
+    Attributes:
+      digest: Request digest, or prompt part; see `operations.crashes`.
+    """
+
+    digest: str
+
+
+@COMMANDS.register("release_digest")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseDigest:
+    """Ends the refusal of a digest or a prompt part.
+
+    Attributes:
+      digest: Request digest, or prompt part.
+    """
 
     digest: str
 
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -908,7 +908,8 @@
         seconds as written by the caller, by workspace.
       outcomes: Outcomes of operators' commands by operation id, in order of
         arrival.
-      refused_digests: Request digests refused because they crash servers.
+      refused_digests: Request digests and prompt parts that are refused because
+        they crash servers; see `operations.crashes`.
       counters: Fairness counters by (service, workspace).
       routers: Router incarnations at the last checkpoint.
       clock_s: Leader-counted clock at the last checkpoint, in seconds. Each
@@ -1470,6 +1471,8 @@
       service: Service.
       route: Route.
       digest: Digest of the request.
+      parts: Parts of its prompt that other requests may share, as crash
+        suspects.
       weight: Weight of the workspace at the time of the grant.
       charged: Cost charged so far.
       cost: Cost reported so far.
@@ -1507,6 +1510,7 @@
     orphaned: bool = False
     server_load: int = 0
     candidate: str = ""
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1556,7 +1560,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashSuspicion:
-    """Evidence against a request digest.
+    """Evidence against a request digest or a prompt part.
 
     Attributes:
       unjudged_servers: Server incarnations whose connection broke and that may
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -9,7 +9,7 @@
 
 # Processes refuse connections of another protocol version. The compact frames
 # of `wire` came with version 2.
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Maximum interval between two reports of a router, in milliseconds.
 HEARTBEAT_MS = 250
@@ -86,6 +86,7 @@
       incarnation: Incarnation of the server.
       ran_ms: Time from the dispatch until the connection broke.
       age_ms: Time since then; more than 0 in a repeated report.
+      parts: Ids of the parts of its prompt that other requests may share.
     """
 
     digest: str
@@ -93,6 +94,7 @@
     incarnation: str
     ran_ms: int = 0
     age_ms: int = 0
+    parts: tuple[str, ...] = ()
 
 
 @MESSAGES.register("report")
@@ -306,10 +308,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownSuspect:
-    """Evidence against a request digest; see `data.CrashSuspicion`.
+    """Evidence against a crash suspect; see `data.CrashSuspicion`.
 
     Attributes:
-      digest: Request digest.
+      digest: Request digest, or prompt part.
       unjudged_servers: Server incarnations that may have crashed under it.
       crashed_servers: Server incarnations that crashed under it.
       isolated_crashes: Number of these crashes without another request.
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -308,6 +308,7 @@
                 lease.grant.server_id,
                 lease.grant.incarnation,
                 ran_ms=self._clock() - (lease.sent_ms or self._clock()),
+                parts=crashes.list_shared_parts(lease.queued.prompt),
             )
         )
 
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -23,6 +23,7 @@
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import keyed_requests
 from waxwingrack.operations import costs
+from waxwingrack.operations import crashes
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -139,7 +140,8 @@
         digest = routing.digest_request(
             workspace.id, method, req.uri.decode("latin-1"), body
         )
-        if digest in host.tables.refused_digests:
+        refused = host.tables.refused_digests
+        if digest in refused:
             raise dispatch.RefusedError(kinds.REQUEST_CRASHES_SERVERS)
         if not host.link.alive:
             raise dispatch.RefusedError(
@@ -148,6 +150,12 @@
         hints = host.dialect.read_hints(
             req.requestHeaders, self._first_header("Content-Type") or "", body
         )
+        if refused and not refused.isdisjoint(
+            crashes.name_parts(crashes.list_shared_parts(hints.prompt))
+        ):
+            raise dispatch.RefusedError(
+                kinds.REQUEST_CRASHES_SERVERS, "prompt_part"
+            )
         now_ms = host.clock()
         left_ms = routing.min_time_left_ms(target.route, hints.left_ms)
         self._deadline_ms = None if left_ms is None else now_ms + left_ms
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -436,6 +436,11 @@
             )
         for digest in decisions.crashed_digests:
             self._refuse_digest(digest)
+        for suspect in decisions.released_suspects:
+            logs.decision(
+                "release_digest", "the refusal has expired", digest=suspect
+            )
+            self.services.driver.propose(commands.ReleaseDigest(suspect))
 
     def _refuse_digest(self, digest: str) -> None:
         if (
--- a/waxwingrack/operations/crash_evidence.py
+++ b/waxwingrack/operations/crash_evidence.py
@@ -10,32 +10,41 @@
 
 Transaction = tables_module.Transaction
 
+# Interval at which the end of a refusal is proposed until it is committed.
+RELEASE_REPEAT_MS = 1_000
+
 
 def record_crash_suspect(
     txn: Transaction, report: messages.CrashSuspect
 ) -> None:
-    """Records a request whose connection broke as a crash suspect."""
-    if not report.digest:
-        return
+    """Records a request whose connection broke, and its shared parts."""
+    for suspect in (report.digest, *crashes.name_parts(report.parts)):
+        if suspect:
+            _record_suspect(txn, report, suspect)
+
+
+def _record_suspect(
+    txn: Transaction, report: messages.CrashSuspect, suspect: str
+) -> None:
     server = (report.server_id, report.incarnation)
     row = txn.servers.get(report.server_id)
     broken_ms = txn.now_ms - report.age_ms
     run = data.BrokenRun(*server, broken_ms - report.ran_ms, broken_ms)
     suspicion = crashes.add_unjudged_server(
-        txn.suspicions.get(report.digest), run, txn.now_ms
+        txn.suspicions.get(suspect), run, txn.now_ms
     )
-    if suspicion is txn.suspicions.get(report.digest):
+    if suspicion is txn.suspicions.get(suspect):
         return
     # Other grants of an incarnation are unknown once it has been replaced.
     is_current = row is not None and (
         row.announcement.incarnation == report.incarnation
     )
-    txn.suspicions[report.digest] = suspicion
+    txn.suspicions[suspect] = suspicion
     txn.broken_connections = crashes.add_broken_connection(
         txn.broken_connections,
         server,
-        report.digest,
-        not is_current or _has_other_grants(txn, row, report.digest),
+        suspect,
+        not is_current or _has_other_grants(txn, row, suspect),
         txn.now_ms,
     )
     tables_module.set_timer(
@@ -45,7 +54,7 @@
         txn,
         txn.now_ms + crashes.EVIDENCE_LIFETIME_MS,
         "evidence",
-        report.digest,
+        suspect,
     )
 
 
@@ -91,7 +100,8 @@
     """
     broken = txn.broken_connections[server]
     txn.broken_connections = txn.broken_connections.delete(server)
-    isolated = len(broken.digests) == 1 and not broken.had_other_grants
+    requests = [name for name in broken.digests if not crashes.is_part(name)]
+    isolated = len(requests) == 1 and not broken.had_other_grants
     row = txn.servers.get(server[0])
     isolates_suspects = row is None or txn.environment_index.isolates_suspects(
         row.announcement.service
@@ -113,9 +123,14 @@
                 incarnation=server[1],
                 digest=digest,
                 alone=isolated,
+                requests=len(requests),
                 crashes=len(judged.crashed_servers),
+                successive=crashes.count_successive(
+                    judged, judged.crashed_servers
+                ),
             )
-        if crashes.must_refuse(judged, isolates_suspects):
+        isolates = isolates_suspects and not crashes.is_part(digest)
+        if crashes.must_refuse(judged, isolates):
             del txn.suspicions[digest]
             txn.crashing_digests[digest] = -1
 
@@ -233,6 +248,22 @@
     del txn.suspicions[digest]
 
 
+@tables_module.TIMERS.register("release")
+def _release_part(txn: Transaction, part: str) -> None:
+    """Ends the refusal of a prompt part; one more crash renews it."""
+    if part not in txn.refused_digests:
+        return
+    txn.suspects_to_release.append(part)
+    txn.suspicions[part] = crashes.renew_after_release(txn.now_ms)
+    tables_module.set_timer(
+        txn, txn.now_ms + crashes.EVIDENCE_LIFETIME_MS, "evidence", part
+    )
+    # The proposal may be lost with the leadership or the majority.
+    tables_module.set_timer(
+        txn, txn.now_ms + RELEASE_REPEAT_MS, "release", part
+    )
+
+
 def end_isolated_run(
     txn: Transaction, grant: data.GrantRow, key: tables_module.GrantKey
 ) -> None:
--- a/waxwingrack/operations/crashes.py
+++ b/waxwingrack/operations/crashes.py
@@ -18,13 +18,23 @@
 Crashes of runs that overlap in time count once, since servers that fail
 together end all their requests, frequent ones on several of them.
 
+What crashes servers may also be a part of a prompt that many requests share. So
+the shared parts of a prompt are suspects like the digest, under the prefix
+`PART_PREFIX`. They never run isolated, as one crash makes suspects of all parts
+that were on the server; the sound ones are cleared by the next request with the
+part that completes. The refusal of a part ends after a time; one more crash
+then renews it.
+
 The leader holds the evidence in its tables. It sends a copy to the other
 controllers whenever it changes, and routers report their recent broken
 connections again to a new leader. Verdicts are in the replicated log.
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
+import enum
 import math
 
 import immutables
@@ -50,6 +60,55 @@
 MAX_SHARED_SUSPECTS = 512
 # Time after which evidence expires.
 EVIDENCE_LIFETIME_MS = 600_000
+# Time after which the refusal of a prompt part ends.
+PART_REFUSAL_MS = 600_000
+# Marks the crash suspects that are parts of prompts.
+PART_PREFIX = "part:"
+
+
+class Hold(enum.Enum):
+    """What the evidence demands of a queued request."""
+
+    NONE = "none"
+    ISOLATE = "isolate"
+    WAIT = "wait"
+
+
+def list_shared_parts(prompt: Sequence[data.PromptPart]) -> tuple[str, ...]:
+    """Returns the ids of the parts that other requests may share.
+
+    The last part of a prompt belongs to its request alone.
+    """
+    return tuple(part.id for part in prompt[:-1])
+
+
+def name_parts(parts: Iterable[str]) -> tuple[str, ...]:
+    """Returns the crash suspects for parts of a prompt."""
+    return tuple(PART_PREFIX + part for part in parts)
+
+
+def is_part(suspect: str) -> bool:
+    """Tells whether a crash suspect is a part of a prompt."""
+    return suspect.startswith(PART_PREFIX)
+
+
+def renew_after_release(now_ms: int) -> data.CrashSuspicion:
+    """Returns evidence that needs one more crash for a refusal.
+
+    Args:
+      now_ms: Time at which the refusal ends.
+    """
+    servers = tuple(
+        ("released", str(number)) for number in range(CRASHES_TO_REFUSE)
+    )
+    return data.CrashSuspicion(
+        crashed_servers=servers,
+        updated_ms=now_ms,
+        runs=tuple(
+            data.BrokenRun(*server, now_ms + number, now_ms + number)
+            for number, server in enumerate(servers)
+        ),
+    )
 
 
 def add_unjudged_server(
@@ -174,16 +233,6 @@
     return count_successive(suspicion, servers) > CRASHES_TO_REFUSE
 
 
-def leaves_queue(suspicion: data.CrashSuspicion, isolated: bool) -> bool:
-    """Tells whether a digest may not run beside other requests now.
-
-    Args:
-      suspicion: Evidence.
-      isolated: Whether the service isolates suspects.
-    """
-    return isolated or must_wait(suspicion, isolated=False)
-
-
 def add_broken_connection(
     broken_connections: immutables.Map,
     server: tuple[str, str],
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -226,7 +226,7 @@
         entry
         for queue in leader_queues.list_workspace_queues(txn, service)
         for entry in queue.entries.values()
-        if leader_queues.must_leave_queue(txn, entry.request)
+        if leader_queues.find_hold(txn, entry.request) is not crashes.Hold.NONE
     ]
     for entry in suspects:
         leader_queues.requeue_request(
@@ -366,7 +366,8 @@
         queues = txn.queues.get((service, workspace), _EMPTY)
         for queue in queues.values():
             entry = queue.entries[queue.head]
-            if leader_queues.must_leave_queue(txn, entry.request):
+            hold = leader_queues.find_hold(txn, entry.request)
+            if hold is not crashes.Hold.NONE:
                 leader_queues.requeue_request(
                     txn, leader_queues.get_position(txn, entry)
                 )
@@ -547,17 +548,14 @@
         entry = queue.entries.get(position)
         if entry is None:
             continue
-        suspicion = txn.suspicions.get(entry.request.digest)
-        if not leader_queues.must_leave_queue(txn, entry.request):
+        hold = leader_queues.find_hold(txn, entry.request)
+        if hold is crashes.Hold.NONE:
             # The suspicion was cleared or judged in the meantime: return the
             # request to the queue of its workspace.
             leader_queues.requeue_request(
                 txn, leader_queues.get_position(txn, entry)
             )
-        elif not crashes.must_wait(
-            suspicion,
-            txn.environment_index.isolates_suspects(entry.request.service),
-        ):
+        elif hold is crashes.Hold.ISOLATE:
             return entry
     return None
 
@@ -735,6 +733,7 @@
         candidate_share=candidate_share,
         server_load=placement.count_used_slots(assignment.server) + 1,
         candidate=pool.candidate,
+        parts=crashes.name_parts(crashes.list_shared_parts(request.prompt)),
     )
     txn.grant_decisions.append(
         data.GrantDecision(
--- a/waxwingrack/operations/leader_queues.py
+++ b/waxwingrack/operations/leader_queues.py
@@ -83,7 +83,7 @@
 ) -> data.QueuePosition:
     request = entry.request
     tables_module.get_pool(txn, request.service)
-    if must_leave_queue(txn, request):
+    if find_hold(txn, request) is not crashes.Hold.NONE:
         queue = txn.isolated_queues.get(request.service, _EMPTY_QUEUE)
         txn.isolated_queues[request.service], index = append_entry(queue, entry)
         return data.QueuePosition(
@@ -101,12 +101,24 @@
     )
 
 
-def must_leave_queue(txn: Transaction, request: data.QueuedRequest) -> bool:
-    """Tells whether a crash suspect may not run beside other requests now."""
+def find_hold(txn: Transaction, request: data.QueuedRequest) -> crashes.Hold:
+    """Finds out whether a crash suspect may run beside other requests now."""
+    if not txn.suspicions:
+        return crashes.Hold.NONE
+    isolates = txn.environment_index.isolates_suspects(request.service)
     suspicion = request.digest and txn.suspicions.get(request.digest)
-    return bool(suspicion) and crashes.leaves_queue(
-        suspicion, txn.environment_index.isolates_suspects(request.service)
-    )
+    found = [(suspicion, isolates)] if suspicion else []
+    found += [
+        (suspicion, False)
+        for part in crashes.name_parts(
+            crashes.list_shared_parts(request.prompt)
+        )
+        if (suspicion := txn.suspicions.get(part))
+    ]
+    if any(crashes.must_wait(*item) for item in found):
+        return crashes.Hold.WAIT
+    isolate = any(isolated for _, isolated in found)
+    return crashes.Hold.ISOLATE if isolate else crashes.Hold.NONE
 
 
 def pop_request(
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -57,6 +57,7 @@
 HANDLERS.register(commands.RecordKeyOutcome)(replicated_keys.record_outcome)
 HANDLERS.register(commands.ReleaseKey)(replicated_keys.release_key)
 HANDLERS.register(commands.RefuseDigest)(replicated_environment.refuse_digest)
+HANDLERS.register(commands.ReleaseDigest)(replicated_environment.release_digest)
 HANDLERS.register(commands.NoteRouters)(known_routers.apply_note)
 HANDLERS.register(commands.SetController)(replicated_controllers.set_controller)
 HANDLERS.register(commands.ForgetController)(
--- a/waxwingrack/operations/replicated_environment.py
+++ b/waxwingrack/operations/replicated_environment.py
@@ -117,6 +117,24 @@
     return replicated_outcomes.CommandResult(state, None)
 
 
+def release_digest(
+    state: data.ReplicatedState, command: commands.ReleaseDigest
+) -> replicated_outcomes.CommandResult:
+    """Ends the refusal of a request digest or a prompt part."""
+    if command.digest not in state.refused_digests:
+        return replicated_outcomes.CommandResult(state, None)
+    digest_order = tuple(
+        digest for digest in state.digest_order if digest != command.digest
+    )
+    state = dataclasses.replace(
+        state,
+        digest_order=digest_order,
+        refused_digests=frozenset(digest_order),
+    )
+    state = replicated_outcomes.increment_number(state, CRASH_GUARD)
+    return replicated_outcomes.CommandResult(state, None)
+
+
 def _drained_data_centres(
     document: data.Environment, drained: frozenset[str]
 ) -> frozenset[str]:
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -28,6 +28,7 @@
 from waxwingrack.core import errors
 from waxwingrack.core import messages
 from waxwingrack.operations import crash_evidence
+from waxwingrack.operations import crashes
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import forecast
@@ -61,8 +62,9 @@
       grants: New grants with their routers and reasons.
       refusals: Tuples of router node id, refusal and reason.
       samples: Requests that have ended since the last tick.
-      crashed_digests: Digests to refuse from now on; repeated every
-        `REFUSAL_REPEAT_MS` until the policy lists them.
+      crashed_digests: Digests and prompt parts to refuse from now on; repeated
+        every `REFUSAL_REPEAT_MS` until the policy lists them.
+      released_suspects: Prompt parts whose refusal ends.
       events: Other events to log.
     """
 
@@ -70,6 +72,7 @@
     refusals: tuple[tuple[str, messages.Refusal, str], ...] = ()
     samples: tuple[data.RequestSample, ...] = ()
     crashed_digests: tuple[str, ...] = ()
+    released_suspects: tuple[str, ...] = ()
     events: tuple[data.SchedulerEvent, ...] = ()
 
 
@@ -505,8 +508,10 @@
     if not_dispatched:
         _refund_version_share(txn, grant)
         return
-    if outcome is data.Outcome.COMPLETED and grant.digest in txn.suspicions:
-        _clear_suspect(txn, grant.digest)
+    if outcome is data.Outcome.COMPLETED:
+        for suspect in (grant.digest, *grant.parts):
+            if suspect in txn.suspicions:
+                _clear_suspect(txn, suspect)
     data_centre = grant.data_centre
     if not data_centre:
         server = txn.servers.get(grant.server_id)
@@ -679,6 +684,7 @@
         refusals=tuple(txn.refusals),
         samples=tuple(txn.samples),
         crashed_digests=tuple(txn.digests_to_refuse),
+        released_suspects=tuple(txn.suspects_to_release),
         events=tuple(txn.events),
     )
     txn.samples.clear()
@@ -751,6 +757,10 @@
     changed = False
     if refused is not txn.refused_digests and refused != txn.refused_digests:
         changed = True
+        for part in filter(crashes.is_part, refused - txn.refused_digests):
+            tables_module.set_timer(
+                txn, txn.now_ms + crashes.PART_REFUSAL_MS, "release", part
+            )
     txn.refused_digests = refused
     crashing = txn.crashing_digests.finish()
     txn.crashing_digests = crashing.mutate()
@@ -773,25 +783,34 @@
         position = row.queue_positions.get(sequence) if row else None
         if position is None:
             continue
-        digest = _get_digest(txn, position)
-        if digest and (digest in refused or digest in txn.crashing_digests):
+        request = _get_request(txn, position)
+        suspects = (
+            request.digest,
+            *crashes.name_parts(crashes.list_shared_parts(request.prompt)),
+        )
+        if any(
+            suspect in refused or suspect in txn.crashing_digests
+            for suspect in suspects
+        ):
             leader_queues.refuse_request(
                 txn,
                 router,
                 sequence,
                 errors.ErrorKind.REQUEST_CRASHES_SERVERS,
-                "the request digest is refused",
+                "the request digest or a part of its prompt is refused",
             )
 
 
-def _get_digest(txn: Transaction, position: data.QueuePosition) -> str:
+def _get_request(
+    txn: Transaction, position: data.QueuePosition
+) -> data.QueuedRequest:
     if position.workspace == leader_queues.ISOLATED_WORKSPACE:
         queue = txn.isolated_queues[position.service]
     else:
         queue = txn.queues[(position.service, position.workspace)][
             position.avoided_servers
         ]
-    return queue.entries[position.index].request.digest
+    return queue.entries[position.index].request
 
 
 def _rebase_counters(txn: Transaction, service: str) -> None:
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -170,7 +170,8 @@
       now_ms: Present time.
       grant_decisions: Grants decided in this call.
       refusals: Refusals decided in this call, as (router, refusal, reason).
-      digests_to_refuse: Digests to be refused, found in this call.
+      digests_to_refuse: Crash suspects to be refused, found in this call.
+      suspects_to_release: Crash suspects whose refusal ends with this call.
     """
 
     def __init__(self, tables: Tables, now_ms: int):
@@ -211,6 +212,7 @@
         self.grant_decisions: list[data.GrantDecision] = []
         self.refusals: list[tuple[str, Any, str]] = []
         self.digests_to_refuse: list[str] = []
+        self.suspects_to_release: list[str] = []
 
     def commit(self) -> Tables:
         """Returns the tables with every change of this call."""
