Take a stream without length that ends inside an event as broken off

An answer may come with neither a length nor chunks, and a server that crashes closes its connections like one that has finished. The router took such an end as the whole answer, passed it on as complete, and cleared the request of suspicion.

Change: an event stream whose end is the end of the connection is whole only if its last bytes end an event.

Tests: three forms of broken streams and two whole ones in router_answers.feature; the broken ones came as whole answers before.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -15,6 +15,9 @@
       | cut_last    | connection_lost |
       | bad_chunk   | connection_lost |
       | until_reset | connection_lost |
+      | stream_in_event      | connection_lost |
+      | stream_in_line_end   | connection_lost |
+      | stream_without_event | connection_lost |
       | stall_body  | timed_out       |
 
   Scenario Outline: whole answers of every form arrive whole
@@ -30,6 +33,8 @@
       | GET    | status&code=500    | 500    | 6       | server_error |
       | GET    | early              | 200    | 11      | completed    |
       | GET    | until_close        | 200    | 17      | completed    |
+      | GET    | stream_until_close | 200    | 18      | completed    |
+      | GET    | stream_crlf        | 200    | 11      | completed    |
       | GET    | large&bytes=3000000 | 200   | 3000000 | completed    |
       | HEAD   | ok                 | 200    | 0       | completed    |
       | HEAD   | large&bytes=5      | 200    | 0       | completed    |
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -298,6 +298,8 @@
 
 
 _LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"
+# A stream with neither a length nor chunks; the connection's end is its end.
+_UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 _CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
 
 
@@ -330,6 +332,23 @@
         b"HTTP/1.0 200 OK\r\n\r\nwhole until close",
         After.CLOSE,
     ),
+    "stream_until_close": (
+        _UNFRAMED_STREAM + b"data: 1\n\ndata: 2\n\n",
+        After.CLOSE,
+    ),
+    "stream_crlf": (
+        _UNFRAMED_STREAM + b"data: 1\r\n\r\n",
+        After.CLOSE,
+    ),
+    "stream_in_event": (
+        _UNFRAMED_STREAM + b"data: 1\n\ndata: 2",
+        After.CLOSE,
+    ),
+    "stream_in_line_end": (
+        _UNFRAMED_STREAM + b"data: 1\n\ndata: 2\n",
+        After.CLOSE,
+    ),
+    "stream_without_event": (_UNFRAMED_STREAM, After.CLOSE),
 }
 
 
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -30,6 +30,9 @@
 _RESPONSE_DONE = client.ResponseDone
 _POTENTIAL_DATA_LOSS = http.PotentialDataLoss
 _NO_BODY_STATUS = frozenset({204, 304})
+_EVENT_STREAM = b"text/event-stream"
+# Line ends that close an event of a stream.
+_EVENT_ENDS = (b"\n\n", b"\r\r", b"\r\n\r\n")
 
 
 class CallerWriter:
@@ -151,6 +154,14 @@
     transport.abortConnection()
 
 
+def _is_event_stream(head: forwarding.AnswerHead) -> bool:
+    return any(
+        value.lower().startswith(_EVENT_STREAM)
+        for name, value in head.headers
+        if name.lower() == b"content-type"
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyEnd:
     """End of the body of an answer.
@@ -208,6 +219,9 @@
         self._paused = False
         self._done = False
         self._fault: router_queues.Fault | None = None
+        self._is_event_stream = _is_event_stream(head)
+        # Last bytes of the body, as many as the longest end of an event.
+        self._last_bytes = b""
         self._last_active_s = reactor.seconds()
         self._timer: Any = None
 
@@ -244,6 +258,7 @@
             on_first_byte, self._on_first_byte = self._on_first_byte, None
             on_first_byte()
         self._meter.feed(chunk)
+        self._last_bytes = (self._last_bytes + chunk)[-4:]
         if self._stored_body is not None and not self._truncated:
             self._store_chunk(chunk)
         self._writer.write(chunk)
@@ -270,7 +285,9 @@
             return
         self._stop()
         complete = reason.check(_RESPONSE_DONE) or (
-            reason.check(_POTENTIAL_DATA_LOSS) and self._is_closed_cleanly()
+            reason.check(_POTENTIAL_DATA_LOSS)
+            and self._is_closed_cleanly()
+            and self._is_whole_stream()
         )
         fault = None
         if self._fault or not complete:
@@ -281,6 +298,16 @@
         reason = self._head.conn.lost_reason
         return reason is not None and bool(reason.check(error.ConnectionDone))
 
+    def _is_whole_stream(self) -> bool:
+        """Returns whether an event stream ended after a whole event.
+
+        Where only the end of the connection ends a stream, a server that
+        crashed looks like one that has finished.
+        """
+        return not self._is_event_stream or self._last_bytes.endswith(
+            _EVENT_ENDS
+        )
+
     def abort(self, fault: router_queues.Fault) -> None:
         """Closes the connection to the backend server.
 
