Judge the latencies of a new version from the start of a short rollout

Cause: the judges had nothing to judge. The log of the run shows 0 latencies of the new version until 11 s after the order, of 15 s: latencies of a server counted only 10 s after its first sample, a stream gave its latency when it ended, and at the low load of a new version there was no group of the old version at the same load. The steps passed on time, and so did the end.

Change: servers that announce for how long they are cold count as soon as they are warm. A model engine gives its latency when its answer begins, as a multiple of what the leader expected from the tokens to read, so that long prompts and empty caches do not look like a slow version. Where the old version has no samples at the same load, those at the next higher load are compared, which can only hide a slowdown. A version without latencies is not declared done if the old version has some.

--- a/features/rollout_decisions.feature
+++ b/features/rollout_decisions.feature
@@ -79,6 +79,49 @@
       | failing_a_third | 42   |
       | slow            | 43   |
 
+  Scenario Outline: a short rollout of long streams ends as <end> for a <kind> version
+    Guards against a slow version that is kept because its rollout ends before its
+    servers count as warm, before its slow answers have ended, or with nothing to
+    compare at its low load.
+
+    Given a simulated rollout with deadline 15 s and watch period 3 s
+    And the simulated traffic is 150 requests per second with seed <seed>
+    And the simulated answers are long streams of servers that announce cold starts
+    And the simulated new version is <kind>
+    When the simulated rollout runs to its end
+    Then the simulated rollout ends as <end> within 15 s
+    And at most <share> in 100 simulated requests and 50 more went to the new version
+
+    Examples:
+      | kind      | seed | end        | share |
+      | slow      | 51   | taken_back | 10    |
+      | slow      | 52   | taken_back | 10    |
+      | half_slow | 53   | taken_back | 10    |
+      | half_slow | 54   | taken_back | 10    |
+      | slow_on_one_route | 55 | taken_back | 10 |
+      | good      | 56   | done       | 100   |
+      | good      | 57   | done       | 100   |
+      | good_slower_with_load | 58 | done | 100  |
+
+  Scenario: good versions in short rollouts are not taken back by chance
+    Given a simulated rollout with deadline 15 s and watch period 3 s
+    And the simulated traffic is 150 requests per second with seed 200
+    And the simulated answers are long streams of servers that announce cold starts
+    And the simulated new version is good_slower_with_load
+    When the simulated rollout runs with 20 seeds in turn
+    Then every simulated rollout ended as done
+
+  Scenario: a version without a latency to compare is not declared done
+    Guards against a version that is kept although no judge could look at it.
+
+    Given a simulated rollout with deadline 6 s and watch period 1 s
+    And the simulated traffic is 50 requests per second with seed 61
+    And the simulated new version is good
+    And the old version has latencies from before
+    When the simulated rollout runs to its end
+    Then the simulated rollout ends as taken_back within 7 s
+    And the simulated reason contains "too few latencies"
+
   Scenario: good versions are not taken back by chance
     Given a simulated rollout with deadline 60 s and watch period 10 s
     And the simulated traffic is 50 requests per second with seed 100
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -58,6 +58,11 @@
     return answer
 
 
+def _half_slow(req, rng):
+    outcome, latency = _good(req, rng)
+    return outcome, latency * (5 if req.is_new and rng.random() < 0.5 else 1)
+
+
 def _watched(req):
     return req.share > _LAST_STEP
 
@@ -112,6 +117,7 @@
     "failing_on_one_route": _failing(0.8, lambda req: req.route == "draft"),
     "slow": _slow(3),
     "slow_late": _slow(3, lambda req: req.at_ms > _LATE_MS),
+    "half_slow": _half_slow,
     "slow_on_one_route": _slow(3, lambda req: req.route == "draft"),
     "good_slower_with_load": _with_load(0.5),
     "good_in_busy_service": _with_load(0.25),
@@ -168,14 +174,76 @@
     return version_samples.import_samples(evidence, 0, now_ms)
 
 
-def simulate(plan, kind, rate, seed, leader_ms=None):
+@dataclasses.dataclass(frozen=True)
+class _World:
+    """What a simulation does besides sending requests.
+
+    Attributes:
+      leader_ms: Time for which each leader leads; None for one leader.
+      streams: Whether answers are long streams of servers that announce that
+        they are cold, and are warm.
+      old_latencies: Latencies of the old version from before the rollout.
+    """
+
+    leader_ms: int | None = None
+    streams: bool = False
+    old_latencies: int = 0
+
+
+def _deliver(pending, samples, now_ms, rng):
+    """Returns the samples that are due by now, of streams that take seconds."""
+    for sample in samples:
+        begun_ms = sample.at_ms + round(sample.first_byte_ms)
+        pending.append(
+            dataclasses.replace(
+                sample, outcome=None, at_ms=begun_ms, was_cold=False
+            )
+        )
+        pending.append(
+            dataclasses.replace(
+                sample,
+                at_ms=begun_ms + rng.randint(2_000, 8_000),
+                was_cold=False,
+                latency_known=True,
+            )
+        )
+    due = sorted(
+        (row for row in pending if row.at_ms <= now_ms),
+        key=lambda row: row.at_ms,
+    )
+    pending[:] = [row for row in pending if row.at_ms > now_ms]
+    return due
+
+
+def _old_samples(count, rng):
+    return tuple(
+        data.RequestSample(
+            "sketch",
+            "draft",
+            "a",
+            "v1",
+            "v1-a",
+            _Outcome.COMPLETED,
+            rng.lognormvariate(4, 0.5),
+            100.0,
+            -20_000 + number * 20_000 // count,
+            1,
+        )
+        for number in range(count)
+    )
+
+
+def simulate(plan, kind, rate, seed, world=_World()):
     """Runs requests, judges and moves until the rollout ends."""
     rng = random.Random(seed)
     answer = _KINDS[kind]
     rollout = data.Rollout(
         plan, "v1", data.RolloutPhase.TRIAL, rollouts.TRIAL_SHARE
     )
-    stats = version_samples.VersionSamples()
+    stats = rollouts.add_samples(
+        version_samples.VersionSamples(), _old_samples(world.old_latencies, rng)
+    )
+    pending = []
     result = _Result(rollout, 0, 0, 0, 0, None)
     credit = 0.0
     in_flight = {}
@@ -207,8 +275,10 @@
             samples.append(_run(answer, req, rng, result))
             if len(server) < _SLOTS:
                 server.append(at_ms + samples[-1].duration_ms)
+        if world.streams:
+            samples = _deliver(pending, samples, now_ms, rng)
         stats = rollouts.add_samples(stats, tuple(samples))
-        if leader_ms and now_ms % leader_ms == 0:
+        if world.leader_ms and now_ms % world.leader_ms == 0:
             stats = _replace_leader(stats, now_ms)
         state = data.ReplicatedState(
             environment=_environment(),
@@ -299,7 +369,20 @@
 
 @behave.given("the simulated leader is replaced every {period:d} s")
 def given_leaders(context, period):
-    context.leader_ms = 1_000 * period
+    context.world = _World(leader_ms=1_000 * period)
+
+
+@behave.given(
+    "the simulated answers are long streams of servers that announce cold"
+    " starts"
+)
+def given_streams(context):
+    context.world = _World(streams=True)
+
+
+@behave.given("the old version has latencies from before")
+def given_old_latencies(context):
+    context.world = _World(old_latencies=200)
 
 
 @behave.when("the simulated rollout runs to its end")
@@ -309,14 +392,20 @@
         context.kind,
         context.rate,
         context.seed,
-        getattr(context, "leader_ms", None),
+        getattr(context, "world", _World()),
     )
 
 
 @behave.when("the simulated rollout runs with {count:d} seeds in turn")
 def run_seeds(context, count):
     context.results = {
-        seed: simulate(context.plan, context.kind, context.rate, seed)
+        seed: simulate(
+            context.plan,
+            context.kind,
+            context.rate,
+            seed,
+            getattr(context, "world", _World()),
+        )
         for seed in range(context.seed, context.seed + count)
     }
 
@@ -341,6 +430,15 @@
     assert result.to_new * 100 <= result.total * share, result
 
 
+@behave.then(
+    "at most {share:d} in 100 simulated requests and {reserve:d} more went to"
+    " the new version"
+)
+def limited_exposure(context, share, reserve):
+    result = context.result
+    assert result.to_new <= result.total * share / 100 + reserve, result
+
+
 @behave.then(
     "no simulated request went to it later than {limit:d} s"
     " after its fault showed"
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -215,6 +215,9 @@
         grows. Otherwise all announced slots are used at once.
       isolate_suspects: Whether a request whose connection broke is isolated: it
         runs next on a backend server without other requests.
+      announces_cold: Whether every backend server announces for how long it is
+        still slow after its start. Otherwise its latencies do not count in a
+        rollout for some time.
     """
 
     id: str
@@ -229,6 +232,7 @@
     cold: ColdLimit | None = None
     ramp: bool = True
     isolate_suspects: bool = True
+    announces_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1091,12 +1095,17 @@
       data_centre: Data centre of the backend server.
       version: Version of the backend server.
       server_id: Backend server.
-      outcome: How the request ended.
+      outcome: How the request ended; None if its answer has begun.
       first_byte_ms: Time from dispatch to the first answer byte.
       duration_ms: Time from dispatch to the end.
       at_ms: Time of the result on the leader's monotonic clock.
       load: Requests in flight on the server at the time of the grant, this one
         included; 0 if not known.
+      expected_ms: Time to the first byte that the leader expected of any
+        version at the time of the grant; 0 if not known.
+      was_cold: Whether the server announced at the time of the grant that it
+        was cold; None if servers of the service do not announce it.
+      latency_known: Whether an earlier sample has told the latency.
     """
 
     service: str
@@ -1104,11 +1113,14 @@
     data_centre: str
     version: str
     server_id: str
-    outcome: Outcome
+    outcome: Outcome | None
     first_byte_ms: float
     duration_ms: float
     at_ms: int
     load: int = 0
+    expected_ms: float = 0.0
+    was_cold: bool | None = None
+    latency_known: bool = False
 
 
 def evolve(row: Any, **changes: Any) -> Any:
@@ -1473,6 +1485,10 @@
       digest: Digest of the request.
       parts: Parts of its prompt that other requests may share, as crash
         suspects.
+      expected_ms: Time to the first byte that was expected at the grant; 0 if
+        not known.
+      was_cold: Whether the server announced then that it was cold; None if
+        servers of the service do not announce it.
       weight: Weight of the workspace at the time of the grant.
       charged: Cost charged so far.
       cost: Cost reported so far.
@@ -1511,6 +1527,8 @@
     server_load: int = 0
     candidate: str = ""
     parts: tuple[str, ...] = ()
+    expected_ms: float = 0.0
+    was_cold: bool | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -107,6 +107,27 @@
     return txn.pools[service].read_rate or DEFAULT_TOKENS_PER_MS
 
 
+def expect_first_byte(
+    txn: Transaction,
+    service: str,
+    reservation: data.EngineReservation | None,
+) -> float:
+    """Returns the expected time from a grant to the first byte.
+
+    Args:
+      txn: Tables.
+      service: Service.
+      reservation: Reservation of the grant; None for other servers.
+
+    Returns:
+      The time in milliseconds; 0 if nothing is known about the prompt.
+    """
+    if reservation is None or not reservation.tokens_ahead:
+        return 0.0
+    read_ms = reservation.tokens_ahead / get_read_rate(txn, service)
+    return FIRST_BYTE_OVERHEAD_MS + read_ms
+
+
 def refuse_late_arrivals(txn: Transaction, service: str) -> None:
     """Refuses newly arrived requests that would be served too late."""
     arrivals = [
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -734,6 +734,14 @@
         server_load=placement.count_used_slots(assignment.server) + 1,
         candidate=pool.candidate,
         parts=crashes.name_parts(crashes.list_shared_parts(request.prompt)),
+        expected_ms=forecast.expect_first_byte(
+            txn,
+            request.service,
+            txn.servers[announcement.server_id].load.reservations.get(key),
+        ),
+        was_cold=assignment.server.cold_until_ms > txn.now_ms
+        if txn.environment_index.announces_cold(request.service)
+        else None,
     )
     txn.grant_decisions.append(
         data.GrantDecision(
--- a/waxwingrack/operations/rollouts.py
+++ b/waxwingrack/operations/rollouts.py
@@ -13,6 +13,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.operations import version_judges
+from waxwingrack.operations import version_latencies
 from waxwingrack.operations import version_samples
 
 VersionSamples = version_samples.VersionSamples
@@ -29,6 +30,8 @@
 # of the phase has passed.
 MIN_TRIAL_SAMPLES = 20
 MIN_STEP_SAMPLES = 20
+# Latencies of the new version without which it is not declared done.
+MIN_COMPARED = 8
 # Shortest and longest times of a phase or step, as fractions of the time before
 # the watch period. The shortest times use most of it, so that a fault that
 # appears late or under load shows at a small share. The longest times apply
@@ -72,10 +75,13 @@
     Attributes:
       answers: All successful answers.
       warm: Answers whose latency the judges can compare.
+      compared: Whether the judges have had enough latencies in all phases, or
+        the old version has none to compare with.
     """
 
     answers: int
     warm: int
+    compared: bool
 
 
 def is_unfinished(rollout: data.Rollout) -> bool:
@@ -291,40 +297,43 @@
     old = version_samples.select_samples(
         stats, plan.service, rollout.old_version
     )
+    new_warm = version_samples.select_warm_samples(
+        stats, plan.service, plan.version
+    )
+    old_warm = version_samples.select_warm_samples(
+        stats, plan.service, rollout.old_version
+    )
     fault = version_judges.judge(
-        version_judges.Comparison(
-            new,
-            old,
-            version_samples.select_warm_samples(
-                stats, plan.service, plan.version
-            ),
-            version_samples.select_warm_samples(
-                stats, plan.service, rollout.old_version
-            ),
-        )
+        version_judges.Comparison(new, old, new_warm, old_warm)
     )
     if fault:
         return _roll_back(rollout, fault)
     start_ms = now_ms - int(position.phase_elapsed_s * 1000)
     successes = _SuccessCounts(
-        answers=_count_since(new, start_ms, warm=False),
-        warm=_count_since(new, start_ms, warm=True),
+        answers=_count_answers(new, start_ms),
+        warm=_count_latencies(new_warm, start_ms),
+        compared=_count_latencies(new_warm, 0) >= MIN_COMPARED or not old_warm,
     )
     if position.elapsed_s >= plan.deadline_s:
         return _decide_at_deadline(rollout, position, successes)
     return _PHASE_DECISIONS[rollout.phase](rollout, position, successes)
 
 
-def _count_since(
-    new: version_judges.SamplesByStratum, start_ms: int, warm: bool
-) -> int:
+def _count_answers(new: version_judges.SamplesByStratum, start_ms: int) -> int:
     return sum(
-        sample.latency_ms is not None if warm else not sample.failed
+        not sample.failed
         for samples in new.values()
         for sample in version_samples.samples_since(samples, start_ms)
     )
 
 
+def _count_latencies(warm: version_latencies.WarmSamples, start_ms: int) -> int:
+    return sum(
+        len(version_samples.samples_since(samples, start_ms))
+        for samples in warm.values()
+    )
+
+
 def _make_move(
     rollout: data.Rollout, phase: data.RolloutPhase, share: float, reason: str
 ) -> commands.MoveRollout:
@@ -346,6 +355,8 @@
         and watched
         and successes.answers
     ):
+        if not successes.compared:
+            return _roll_back(rollout, "deadline reached, too few latencies")
         return _make_move(
             rollout, data.RolloutPhase.DONE, 1.0, "deadline, no fault seen"
         )
@@ -416,7 +427,11 @@
     position: _SchedulePosition,
     successes: _SuccessCounts,
 ) -> commands.MoveRollout | None:
-    if position.phase_elapsed_s < rollout.plan.watch_s or not successes.answers:
+    if (
+        position.phase_elapsed_s < rollout.plan.watch_s
+        or not successes.answers
+        or not successes.compared
+    ):
         return None
     return _make_move(
         rollout,
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -341,6 +341,8 @@
         )
         load = engine_load.mark_answer_started(row.load, key, txn.now_ms)
         txn.servers[grant.server_id] = data.evolve(row, load=load)
+        if not reservation.answer_started:
+            _add_sample(txn, grant, started.first_byte_ms)
 
 
 def _enqueue_requests(
@@ -501,6 +503,7 @@
     outcome = finished.outcome
     not_dispatched = outcome is data.Outcome.NOT_DISPATCHED
     ran = not not_dispatched and outcome not in NOT_RUN
+    latency_known = _has_answer_started(txn, grant, key)
     cost = _sanitize_cost(finished.cost) if ran else 0.0
     _close_grant(txn, key, cost, None if not_dispatched else finished)
     if not_dispatched or outcome is data.Outcome.CONNECT_FAILED:
@@ -512,6 +515,25 @@
         for suspect in (grant.digest, *grant.parts):
             if suspect in txn.suspicions:
                 _clear_suspect(txn, suspect)
+    _add_sample(txn, grant, finished.first_byte_ms, finished, latency_known)
+
+
+def _has_answer_started(
+    txn: Transaction, grant: data.GrantRow, key: tables_module.GrantKey
+) -> bool:
+    row = txn.servers.get(grant.server_id)
+    reservation = row and row.load.reservations.get(key)
+    return bool(reservation) and reservation.answer_started
+
+
+def _add_sample(
+    txn: Transaction,
+    grant: data.GrantRow,
+    first_byte_ms: float,
+    finished: data.FinishedRequest | None = None,
+    latency_known: bool = False,
+) -> None:
+    """Adds a sample of a grant whose answer has begun, or which has ended."""
     data_centre = grant.data_centre
     if not data_centre:
         server = txn.servers.get(grant.server_id)
@@ -523,11 +545,14 @@
             data_centre=data_centre,
             version=grant.version,
             server_id=grant.server_id,
-            outcome=outcome,
-            first_byte_ms=finished.first_byte_ms,
-            duration_ms=finished.duration_ms,
+            outcome=finished.outcome if finished else None,
+            first_byte_ms=first_byte_ms,
+            duration_ms=finished.duration_ms if finished else 0.0,
             at_ms=txn.now_ms,
             load=grant.server_load,
+            expected_ms=grant.expected_ms,
+            was_cold=grant.was_cold,
+            latency_known=latency_known,
         )
     )
 
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -59,6 +59,11 @@
         declared = self.services.get(service)
         return declared is None or declared.isolate_suspects
 
+    def announces_cold(self, service: str) -> bool:
+        """Returns whether servers of a service announce that they are cold."""
+        declared = self.services.get(service)
+        return declared is not None and declared.announces_cold
+
     def weight(self, workspace: str) -> float:
         """Returns the weight of a workspace."""
         return self.weights.get(workspace, 1.0)
--- a/waxwingrack/operations/version_latencies.py
+++ b/waxwingrack/operations/version_latencies.py
@@ -4,7 +4,8 @@
 of the server, since a slow data centre or a busy service slows both versions.
 Three comparisons are tried in turn:
 
-* Same period: samples of both versions from the judged time.
+* Same period: samples of both versions from the judged time. At a load that the
+  old version does not have, its samples at the next higher load are used.
 * Earlier period: when the new version has nearly the full share, the servers of
   the old one are nearly idle. At load levels that they no longer have, the new
   version is compared with their earlier latencies at that level. This counts
@@ -184,22 +185,52 @@
     Without them, a data centre or service that became slower in that half would
     look like a slower new version.
     """
-    recent = (
-        version_samples.samples_since(
-            judged.old.get(group, ()), judged.middle_ms
-        )
+    groups = {
+        found
         for group in judged.new
+        if (found := _find_old_group(judged, group, judged.middle_ms))
+    }
+    recent = (
+        version_samples.samples_since(judged.old[group], judged.middle_ms)
+        for group in groups
     )
     return sum(map(len, recent)) >= MIN_SAMPLES
 
 
+def _find_old_group(
+    judged: _JudgedWindow,
+    group: tuple[version_samples.Stratum, int],
+    start_ms: float,
+) -> tuple[version_samples.Stratum, int] | None:
+    """Finds the group of old samples to compare a group of new ones with.
+
+    A new version with a small share has less load than the old one. Latencies
+    grow with the load, so a new version that is slower than the old one at a
+    higher load is slower.
+
+    Returns:
+      The group at the same load level, or else at the lowest higher one with
+      samples since `start_ms`; None if there is none.
+    """
+    stratum, level = group
+    levels = [
+        other_level
+        for (other_stratum, other_level), samples in judged.old.items()
+        if other_stratum == stratum
+        and other_level >= level
+        and samples[-1].at_ms >= start_ms
+    ]
+    return (stratum, min(levels)) if levels else None
+
+
 def _compare_same_period(judged: _JudgedWindow) -> str | None:
     pairs = [
         (group[1], _LatencyPair(_list_latencies(samples), _list_latencies(old)))
         for group, samples in judged.new.items()
-        if (
+        if (old_group := _find_old_group(judged, group, judged.start_ms))
+        and (
             old := version_samples.samples_since(
-                judged.old.get(group, ()), judged.start_ms
+                judged.old[old_group], judged.start_ms
             )
         )
     ]
@@ -343,7 +374,7 @@
 ) -> list[tuple[int, float]]:
     """Divides latencies by the median of earlier latencies at their load."""
     return [
-        (sample.at_ms, sample.latency_ms / median)
+        (sample.at_ms, sample.latency / median)
         for group, samples in now.items()
         if len(before[group]) >= MIN_SAMPLES
         and (median := statistics.median(_list_latencies(before[group])))
@@ -477,7 +508,7 @@
 def _list_latencies(
     samples: Iterable[version_samples.JudgedSample],
 ) -> list[float]:
-    return [sample.latency_ms for sample in samples]
+    return [sample.latency for sample in samples]
 
 
 def _mean_load(samples: Iterable[version_samples.JudgedSample]) -> float:
--- a/waxwingrack/operations/version_samples.py
+++ b/waxwingrack/operations/version_samples.py
@@ -1,4 +1,7 @@
-"""Samples of ended requests, stored per version for the rollout judges.
+"""Samples of requests, stored per version for the rollout judges.
+
+A request of a model engine gives its latency when its answer begins, and its
+outcome when it has ended. Otherwise the latencies of a slow version come late.
 
 A stored sample is packed into 21 bytes. As Python objects, samples took 131
 bytes each, which was 17 MB at the leader for 15 services in 8 data centres.
@@ -30,7 +33,7 @@
 # as one crash ends all requests that run on the server.
 SAME_CRASH_MS = 2_000
 # A server's latencies do not count until this time after its first sample, as a
-# server that has just started is slow.
+# server that has just started is slow, unless it announces whether it is cold.
 WARM_UP_MS = 10_000
 
 # Stored sample: time, latency, flags and load.
@@ -76,14 +79,15 @@
     Attributes:
       at_ms: End of the request by the leader's monotonic clock.
       failed: Whether the version failed the request.
-      latency_ms: Time to the first answer byte, or None if it does not count.
+      latency: Time to the first answer byte, in milliseconds or, where the
+        leader expected a time, as a multiple of it; None if it does not count.
       load: Requests in flight on the server at the time of the grant, this
         request included; 0 if not known.
     """
 
     at_ms: int
     failed: bool
-    latency_ms: float | None
+    latency: float | None
     load: int = 0
 
 
@@ -167,19 +171,29 @@
     if is_same_crash:
         return
     failed = sample.outcome in _FAILED
-    is_warm = sample.at_ms - first_ms >= WARM_UP_MS
-    latency_counts = is_warm and not failed and bool(sample.load)
+    is_warm = (
+        sample.at_ms - first_ms >= WARM_UP_MS
+        if sample.was_cold is None
+        else not sample.was_cold
+    )
+    latency_counts = (
+        is_warm
+        and not failed
+        and not sample.latency_known
+        and bool(sample.load)
+    )
     stored = _STORED.pack(
         sample.at_ms,
-        sample.first_byte_ms if latency_counts else 0.0,
+        _relative_latency(sample) if latency_counts else 0.0,
         (_FAILED_FLAG if failed else 0)
         | (_LATENCY_FLAG if latency_counts else 0),
         sample.load,
     )
     stratum = Stratum(sample.service, sample.route, sample.data_centre)
     key = stratum, sample.version
-    packed = maps.recent.get(key, b"")
-    maps.recent[key] = packed[-(MAX_SAMPLES - 1) * _STORED.size :] + stored
+    if sample.outcome is not None:
+        packed = maps.recent.get(key, b"")
+        maps.recent[key] = packed[-(MAX_SAMPLES - 1) * _STORED.size :] + stored
     if not latency_counts:
         return
     warm_key = (*key, load_level(sample.load))
@@ -258,6 +272,15 @@
     )
 
 
+def _relative_latency(sample: data.RequestSample) -> float:
+    """Returns the latency as a multiple of the expected one, if there is one.
+
+    Engines read prompts of very different lengths, and how much of a prompt an
+    engine has cached depends on its age and not on its version.
+    """
+    return sample.first_byte_ms / (sample.expected_ms or 1.0)
+
+
 def _drop_every_second(stored: bytes) -> bytes:
     """Drops every second one of the oldest `THINNED_WARM` samples."""
     size = _STORED.size
@@ -280,10 +303,10 @@
             JudgedSample(
                 at_ms,
                 bool(flags & _FAILED_FLAG),
-                latency_ms if flags & _LATENCY_FLAG else None,
+                latency if flags & _LATENCY_FLAG else None,
                 load,
             )
-            for at_ms, latency_ms, flags, load in _STORED.iter_unpack(stored)
+            for at_ms, latency, flags, load in _STORED.iter_unpack(stored)
         ]
     )
 
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -250,6 +250,7 @@
         # On the platform connections also break without a crash, so a broken
         # connection is no evidence; see docs/platform.md.
         isolate_suspects=False,
+        announces_cold=True,
     )
 
 
