End a request whose answer without length is aborted

Found while testing bodies without end: when a caller left an answer that had neither a length nor chunks, or its deadline passed, the body never ended for the router. The request stayed among the running ones and its slot was not freed.

Cause: Twisted calls the end of such a body while the connection is being aborted, a state for which it has no method; the exception was logged and the end lost.

Change: the connection accepts that call.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -39,6 +39,13 @@
       | HEAD   | ok                 | 200    | 0       | completed    |
       | HEAD   | large&bytes=5      | 200    | 0       | completed    |
 
+  Scenario: a body without end is passed on only as fast as its caller reads
+  A router that reads ahead of its caller runs out of memory.
+    Given a router with 1 fake backend servers
+    When the router's caller reads 1 MiB of a body without end and leaves
+    Then the fake backend server sent less than 24 MiB on each connection until it was closed
+    And the router reports the outcome cancelled
+
   Scenario: headers of one hop and secrets are not passed on
     Given a router with 2 fake backend servers
     When the router's caller requests GET /sketch/a?do=headers with {"Connection": "X-Own, keep-alive", "X-Own": "1", "X-Kept": "2", "X-Request-Id": "my-id", "X-Workspace": "other", "TE": "trailers"}
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -1,5 +1,6 @@
 """Steps for answers that pass a router; a world holds router and fakes."""
 
+import asyncio
 import atexit
 import concurrent.futures
 import http.client
@@ -159,6 +160,44 @@
     assert len(reply.body) == size, len(reply.body)
 
 
+@behave.then("the router's caller is answered {status:d}")
+def is_answered(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@behave.when("the router's caller reads 1 MiB of a body without end and leaves")
+def read_and_leave(context):
+    world = context.world
+
+    async def read_part():
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.router.port
+        )
+        writer.write(
+            b"GET /sketch/a?do=endless_body HTTP/1.1\r\nHost: a\r\n"
+            + f"Authorization: Bearer {router_fakes.TOKEN}\r\n\r\n".encode()
+        )
+        await reader.readexactly(2**20)
+        # The router must not read on while its caller does not.
+        await asyncio.sleep(1.0)
+        writer.transport.abort()
+
+    world.loop.run(read_part())
+
+
+@behave.then(
+    "the fake backend server sent less than {size:d} MiB on each connection"
+    " until it was closed"
+)
+def sent_little(context, size):
+    world = context.world
+    server = world.backends[0]
+    world.wait_for(lambda: server.open_connections == 0, "a closed connection")
+    # The buffers of the operating system take several MiB.
+    limit = size * 2**20 * server.connections
+    assert server.sent_bytes < limit, (server.sent_bytes, server.connections)
+
+
 @behave.then("the router passed on {headers}")
 def passed_on(context, headers):
     (_, _, seen, _) = next(s for b in context.world.backends for s in b.seen)
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -367,6 +367,7 @@
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.cancelled: list[str] = []
         self.connections = 0
+        self.open_connections = 0
         # Port of the router's end, by request.
         self.used: list[int] = []
         self.sent_bytes = 0
@@ -385,12 +386,14 @@
 
     async def _serve(self, reader: Any, writer: Any) -> None:
         self.connections += 1
+        self.open_connections += 1
         try:
             while await self._handle(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.open_connections -= 1
             writer.close()
 
     async def _handle(self, reader: Any, writer: Any) -> bool:
@@ -524,6 +527,52 @@
         )
         writer.transport.abort()
 
+    async def _send_endlessly(self, writer, part):
+        """Sends until the router closes; counts the bytes that it took."""
+        while True:
+            writer.write(part)
+            await writer.drain()
+            self.sent_bytes += len(part)
+
+    async def _do_endless_line(self, writer, query, request_id, body, method):
+        await self._send_endlessly(writer, b"x" * 65_536)
+
+    async def _do_endless_lines(self, writer, query, request_id, body, method):
+        await self._send_endlessly(writer, b"no answer\r\n" * 6_000)
+
+    async def _do_endless_head(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        await self._send_endlessly(writer, b"X-Fill: 0123456789\r\n" * 3_000)
+
+    async def _do_endless_interim(
+        self, writer, query, request_id, body, method
+    ):
+        await self._send_endlessly(
+            writer, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
+        )
+
+    async def _do_endless_chunk_line(
+        self, writer, query, request_id, body, method
+    ):
+        writer.write(_CHUNKS)
+        await self._send_endlessly(writer, b"0" * 65_536)
+
+    async def _do_endless_trailer(
+        self, writer, query, request_id, body, method
+    ):
+        writer.write(_CHUNKS + b"0\r\n")
+        await self._send_endlessly(writer, b"X-Fill: 0123456789\r\n" * 3_000)
+
+    async def _do_endless_surplus(
+        self, writer, query, request_id, body, method
+    ):
+        writer.write(_response(b"endless"))
+        await self._send_endlessly(writer, b"x" * 65_536)
+
+    async def _do_endless_body(self, writer, query, request_id, body, method):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        await self._send_endlessly(writer, b"x" * 65_536)
+
     async def _do_until_reset(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\n\r\npart until reset")
         await writer.drain()
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -141,6 +141,11 @@
 
     _finishResponse_TRANSMITTING = _finishResponse_WAITING
 
+    def _finishResponse_ABORTING(self, rest: bytes) -> None:
+        # Without this method, the end of an answer without length that is being
+        # aborted raises an exception, and its body never ends.
+        del rest
+
     def is_closed_by_peer(self) -> bool:
         """Returns whether the idle connection was closed or received bytes.
 
