Bound the bytes of a head that a backend server sends without end

A server in trouble may send bytes that are no answer until its caller closes. The router read header lines and interim answers without a limit until the answer timeout; at the rate of a fast link that exceeds the memory of its process.

Change: a connection that has sent 64 KiB without the end of a head is closed, and the attempt counts as a lost connection. Endless lines, chunk sizes, trailers, surplus bytes and bodies were bounded before and have tests now.

Tests: seven places in router_answers.feature; without the limit the rows for headers and interim answers fail (no answer within 8 s).

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -39,6 +39,24 @@
       | HEAD   | ok                 | 200    | 0       | completed    |
       | HEAD   | large&bytes=5      | 200    | 0       | completed    |
 
+  Scenario Outline: bytes without end are cut off in <place>
+  A server in trouble may send bytes that are no answer until its caller closes. A
+  router that keeps reading runs out of memory.
+    Given a router with 1 fake backend servers and an answer timeout of 10 seconds
+    When the router's caller requests GET /sketch/a?do=<act>
+    Then the router's caller <sees>
+    And the fake backend server sent less than 8 MiB on each connection until it was closed
+
+    Examples:
+      | place               | act                | sees                    |
+      | a line without end  | endless_line       | is answered 502         |
+      | lines without sense | endless_lines      | is answered 502         |
+      | headers             | endless_head       | is answered 502         |
+      | interim answers     | endless_interim    | is answered 502         |
+      | the size of a chunk | endless_chunk_line | sees a broken transfer  |
+      | trailers            | endless_trailer    | sees a broken transfer  |
+      | surplus bytes       | endless_surplus    | gets 200 with 7 bytes   |
+
   Scenario: a body without end is passed on only as fast as its caller reads
   A router that reads ahead of its caller runs out of memory.
     Given a router with 1 fake backend servers
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -40,10 +40,16 @@
 # a request sent on a connection that is just being closed is lost.
 POOL_IDLE_TIMEOUT_S = 4
 MAX_IDLE_PER_SERVER = 64
+# Maximum number of bytes before the end of the head of an answer, those of
+# interim answers included.
+MAX_HEAD_BYTES = 64 * 1024
 # Number of backend servers whose endpoints are cached.
 MAX_CACHED_ENDPOINTS = 1024
 
 
+_HEAD_STATES = (_newclient.STATUS, _newclient.HEADER)
+
+
 class NotSentError(Exception):
     """The request has not run: it was not sent, or the server says so.
 
@@ -127,6 +133,27 @@
 
     lost_reason: failure.Failure | None = None
     idle_since_s: float = 0.0
+    _head_bytes: int = 0
+
+    def request(self, request: Any) -> defer.Deferred:
+        """Sends a request."""
+        self._head_bytes = 0
+        return super().request(request)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Handles bytes; ends the connection if a head exceeds its limit.
+
+        The parser limits each line of a head, but not their number, and a
+        server in trouble may send without end.
+        """
+        super().dataReceived(data)
+        parser = self._parser
+        if parser is None or parser.state not in _HEAD_STATES:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            logs.event("answer_head_too_large", bytes=self._head_bytes)
+            self.transport.abortConnection()
 
     def connectionLost(self, reason: failure.Failure) -> None:
         """Keeps the reason, which tells how an answer without length ended."""
