Refuse announcements whose numbers are out of all proportion

Other operators reported that one odd entry among those of the servers ended the processes that read it. Here a heartbeat with an endless cold time raised an exception in its handler, and one with slots, a start or a sequence of any size, a port out of range or a name in place of an IP number was accepted. The leader computes with slots and times, so such a number would fail each of its decisions, and a start far in the future would hide all later servers at its address. Deeply nested entries were refused before and have tests now.

Change: the bounds of announcements (ids, slots, cold time, start, sequence, address) stand in one place, and both the product's and the platform's formats apply them.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -105,6 +105,41 @@
       | no port            | address         | "127.0.0.1" | refused   |
       | a fraction of a ms | coldRemainingMs | 12.5        | ready     |
       | a fraction at birth | born           | 12.5        | refused   |
+      | a port out of range | address        | "127.0.0.1:70000" | refused |
+      | the port 0         | address         | "127.0.0.1:0" | refused   |
+      | a negative port    | address         | "127.0.0.1:-1" | refused  |
+      | a port of digits   | address         | "127.0.0.1:999999999999999999999" | refused |
+      | a name of a host   | address         | "host.example:80" | refused |
+      | slots too large    | slots           | 1000000000000000000000000000000 | refused |
+      | cold for ever      | coldRemainingMs | Infinity    | refused   |
+      | cold for too long  | coldRemainingMs | 1e300       | refused   |
+      | born too late      | born            | 1000000000000000000000000000000 | refused |
+      | a sequence too large | sequence      | 1000000000000000000000000000000 | refused |
+      | lists nested deeply | colour         | nested 100000 lists | refused |
+      | nested where a number is due | slots | nested 100000 lists | refused |
+
+  Scenario: an odd entry takes no server away from the others
+    Guards against one announcement after which the leader ends or decides nothing.
+
+    Given a scheduler with a backend server that announced itself on the platform
+    When odd announcements arrive at the scheduler
+      | field   | value                             |
+      | slots   | 1000000000000000000000000000000   |
+      | slots   | nested 100000 lists               |
+      | address | "127.0.0.1:70000"                 |
+      | born    | 1000000000000000000000000000000   |
+      | coldRemainingMs | Infinity                  |
+    Then the scheduler grants the server to a request with a latency target
+
+  Scenario Outline: an odd id of a server is refused, <case>
+    Given the announcement of a backend server of the platform
+    Then the id "<id>" is refused
+
+    Examples:
+      | case             | id          |
+      | a line end       | a%0Ab       |
+      | a byte of zero   | a%00b       |
+      | no character     |             |
 
   Scenario: a backend server gets only what the system sets
     When a caller's headers are passed on for the workspace "w" with 1500 ms left
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -5,15 +5,18 @@
 import pathlib
 import re
 import tempfile
+import urllib.parse
 
 import behave
 from returns import result
 from twisted.web import http_headers
 import yaml
 
+from features.support import scheduler_tables
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.daemons import dialects
+from waxwingrack.operations import scheduler
 from waxwingrack.platform import announcements
 from waxwingrack.platform import configuration
 from waxwingrack.platform import headers
@@ -101,6 +104,8 @@
     ],
 }
 
+# Stands for a value that is nested deeply.
+_NESTED = "@nested"
 HEARTBEAT = {
     "service": "s",
     "address": "127.0.0.1:80",
@@ -153,10 +158,22 @@
         target = target[int(key)] if key.isdecimal() else target[key]
     if value == "absent":
         del target[field]
+    elif value.startswith("nested "):
+        target[field] = _NESTED
     else:
         target[field] = json.loads(value)
 
 
+def _encode(document):
+    """Encodes a document; Python cannot encode lists nested that deeply."""
+    depth = 100_000
+    return (
+        json.dumps(document)
+        .replace(json.dumps(_NESTED), "[" * depth + "]" * depth)
+        .encode()
+    )
+
+
 def _load_settings(context):
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "settings.yaml"
@@ -248,7 +265,7 @@
 
 @behave.then("the announcement is {verdict}")
 def announcement_verdict(context, verdict):
-    body = json.dumps(context.document).encode()
+    body = _encode(context.document)
     match announcements.parse_announcement("i-1", body):
         case result.Success(announcement):
             assert verdict == (
@@ -262,6 +279,61 @@
             assert verdict == "refused", reason
 
 
+@behave.then('the id "{server_id}" is refused')
+@behave.then('the id "" is refused')
+def refused_id(context, server_id=""):
+    found = announcements.parse_announcement(
+        urllib.parse.unquote(server_id), _encode(context.document)
+    )
+    assert isinstance(found, result.Failure), found
+
+
+def _announce(context, server_id):
+    """Passes an announcement on to the scheduler if it is valid."""
+    found = announcements.parse_announcement(
+        server_id, _encode(context.document)
+    )
+    if isinstance(found, result.Success):
+        context.tables = scheduler.on_announcement(
+            context.tables,
+            dataclasses.replace(found.unwrap(), version="v1"),
+            context.at_ms,
+        )
+
+
+@behave.given(
+    "a scheduler with a backend server that announced itself on the platform"
+)
+def scheduler_with_server(context):
+    scheduler_tables.create_scheduler(context, 100_000)
+    scheduler_tables.send_report(context, first=True)
+    scheduler_tables.run_tick(context)
+    context.document = _deep_copy(HEARTBEAT) | {"service": "s"}
+    _announce(context, "good")
+
+
+@behave.when("odd announcements arrive at the scheduler")
+def odd_announcements(context):
+    for number, row in enumerate(context.table):
+        context.document = _deep_copy(HEARTBEAT) | {
+            "service": "s",
+            "address": f"127.0.0.1:{9_000 + number}",
+        }
+        set_field(context, row["field"], row["value"])
+        _announce(context, f"odd-{number}")
+
+
+@behave.then(
+    "the scheduler grants the server to a request with a latency target"
+)
+def grants_server(context):
+    request = scheduler_tables.create_request(1, target_ms=1_000)
+    scheduler_tables.send_report(context, wants=(request,))
+    context.at_ms += 20
+    grants = scheduler_tables.run_tick(context).grants
+    assert [row.grant.server_id for row in grants] == ["good"], grants
+
+
 @behave.when(
     'a caller\'s headers are passed on for the workspace "{workspace}" with'
     " {left:d} ms left"
--- a/waxwingrack/operations/announcements.py
+++ b/waxwingrack/operations/announcements.py
@@ -10,7 +10,23 @@
 
 from waxwingrack.core import data
 
-_Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=128)]
+MAX_ID_CHARS = 128
+# Bounds of what a server may announce. The leader computes with these numbers,
+# so one that is out of all proportion would end each of its decisions.
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 86_400_000
+MAX_SEQUENCE = 2**53
+# The year 2100, in Unix milliseconds. A later start would hide all true ones.
+MAX_BORN_MS = 4_102_444_800_000
+
+Name = Annotated[
+    str, pydantic.StringConstraints(min_length=1, max_length=MAX_ID_CHARS)
+]
+Slots = Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
+ColdMs = Annotated[float, pydantic.Field(ge=0, le=MAX_COLD_MS)]
+BornMs = Annotated[int, pydantic.Field(ge=0, le=MAX_BORN_MS)]
+Sequence = Annotated[int, pydantic.Field(ge=0, le=MAX_SEQUENCE)]
+Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,28 +45,28 @@
 class _CacheEvent(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
-    sequence: int = pydantic.Field(ge=0)
-    prefix: _Name
+    sequence: Sequence
+    prefix: Name
     stored: bool
 
 
 class _Document(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
-    incarnation: _Name
+    incarnation: Name
     host: str
-    port: int = pydantic.Field(ge=1, le=65_535)
-    service: _Name
-    version: _Name
-    data_centre: _Name
-    slots: int = pydantic.Field(ge=1, le=100_000)
-    in_flight: int = pydantic.Field(default=0, ge=0)
+    port: Port
+    service: Name
+    version: Name
+    data_centre: Name
+    slots: Slots
+    in_flight: int = pydantic.Field(default=0, ge=0, le=MAX_SLOTS)
     load: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
     checks_fencing: bool = False
     departing: bool = False
-    cold_ms: int = pydantic.Field(default=0, ge=0)
-    born_ms: int = pydantic.Field(default=0, ge=0)
-    sequence: int = pydantic.Field(default=0, ge=0)
+    cold_ms: int = pydantic.Field(default=0, ge=0, le=MAX_COLD_MS)
+    born_ms: BornMs = 0
+    sequence: Sequence = 0
     cache_events: list[_CacheEvent] = pydantic.Field(
         default=[], max_length=10_000
     )
@@ -69,6 +85,11 @@
         return name
 
 
+def is_server_id(text: str) -> bool:
+    """Tells whether a text can be the id of a backend server."""
+    return 0 < len(text) <= MAX_ID_CHARS and text.isprintable()
+
+
 def parse_announcement(
     server_id: str, body: bytes, environment: data.Environment
 ) -> result.Result[data.Announcement, tuple[Fault, ...]]:
@@ -82,7 +103,7 @@
     Returns:
       Success with the announcement or Failure with all faults.
     """
-    if not 0 < len(server_id) <= 128 or not server_id.isprintable():
+    if not is_server_id(server_id):
         return result.Failure(
             (Fault("server_id", "1 to 128 printable characters"),)
         )
--- a/waxwingrack/platform/announcements.py
+++ b/waxwingrack/platform/announcements.py
@@ -1,30 +1,30 @@
 """Parses the heartbeats by which backend servers announce themselves."""
 
-from typing import Annotated
 from typing import Literal
 
 import pydantic
 from returns import result
 
 from waxwingrack.core import data
+from waxwingrack.operations import announcements
 from waxwingrack.platform import settings
 
 
 class _Heartbeat(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
-    service: Annotated[str, pydantic.StringConstraints(min_length=1)]
+    service: announcements.Name
     address: str
-    zone: str
+    zone: announcements.Name
     # Version of the server software.
-    version: str
-    slots: Annotated[int, pydantic.Field(ge=1)]
+    version: announcements.Name
+    slots: announcements.Slots
     state: Literal["ready", "draining"]
-    coldRemainingMs: Annotated[float, pydantic.Field(ge=0)] = 0  # noqa: N815
+    coldRemainingMs: announcements.ColdMs = 0  # noqa: N815
     # Increases with each heartbeat until the server restarts.
-    sequence: Annotated[int, pydantic.Field(ge=0)]
+    sequence: announcements.Sequence
     # Start time of the server as Unix time in milliseconds.
-    born: Annotated[int, pydantic.Field(ge=0)] = 0
+    born: announcements.BornMs = 0
 
 
 def parse_announcement(
@@ -39,6 +39,8 @@
     Returns:
       Success with the announcement, or Failure with the validation error.
     """
+    if not announcements.is_server_id(server_id):
+        return result.Failure("the id is not 1 to 128 printable characters")
     try:
         heartbeat = _Heartbeat.model_validate_json(body)
         address = settings.parse_address(heartbeat.address)
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -1,7 +1,9 @@
 """Reads the settings file that the platform writes for each process."""
 
+import ipaddress
 import os
 import pathlib
+import re
 from typing import Any
 
 import pydantic
@@ -34,6 +36,8 @@
 RETRY_RESERVE_SHARE = 0.05
 # Share of the permitted ratio of retries to requests that routers use.
 RETRY_RATIO_SHARE = 0.5
+MAX_PORT = 65_535
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 # Body size limit until a configuration document declares one.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # Share of the memory of a process for buffered request bodies.
@@ -176,11 +180,12 @@
       text: Text to parse; None raises an error like a malformed one.
 
     Raises:
-      ValueError: The text is missing or has another form.
+      ValueError: The text is missing, or is no IP number with a TCP port.
     """
     host, _, port = (text or "").rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not an address of the form IP:PORT")
+    if not _PORT_PATTERN.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{text!r:.80} is not an address of the form IP:PORT")
+    ipaddress.ip_address(host)
     return data.Address(host, int(port))
 
 
