Refuse endless and negative numbers in documents of the platform's operators

Found while looking for the cause of the odd entry elsewhere: a document with an endless time limit or latency target was acknowledged, and each request of the route then raised an exception in its router; a rollout took any duration.

Change: such numbers are refused like a time limit of 0. Tests: four rows in platform_adapter.feature, which fail on the code before.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -53,6 +53,10 @@
       | weights of 0           | routes.1.trafficSplit | [{"service": "s", "weight": 0}] | refused | add up to 0 |
       | a negative weight      | routes.1.trafficSplit.0.weight | -1        | refused  | weight |
       | no time                | routes.0.timeoutMs  | 0                    | refused  | timeoutMs |
+      | an endless time        | routes.0.timeoutMs  | Infinity             | refused  | timeoutMs |
+      | an endless target      | routes.0.targetLatencyMs | 1e999           | refused  | targetLatencyMs |
+      | a negative target      | routes.0.targetLatencyMs | -1              | refused  | targetLatencyMs |
+      | an endless cold rate   | services.0.coldPerS | Infinity             | refused  | coldPerS |
       | an unknown kind        | routes.0.kind       | "odd"                | refused  | kind |
       | the same prefix twice  | routes.1.pathPrefix | "/a/"                | refused  | pathPrefix of a route occurs twice |
       | another host           | routes.1.host       | "other.example"      | accepted |        |
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -27,8 +27,10 @@
     host: _Name
     pathPrefix: str  # noqa: N815  name of the platform
     kind: Literal["safe", "unsafe", "streaming"]
-    timeoutMs: Annotated[float, pydantic.Field(gt=0)]  # noqa: N815
-    targetLatencyMs: float | None = None  # noqa: N815
+    timeoutMs: Annotated[  # noqa: N815
+        float, pydantic.Field(gt=0, allow_inf_nan=False)
+    ]
+    targetLatencyMs: _NonNegative | None = None  # noqa: N815
     # A route has either `service` or `trafficSplit`.
     service: str | None = None
     trafficSplit: tuple[_WeightedService, ...] = ()  # noqa: N815
@@ -77,7 +79,7 @@
     engine: _Engine | None = None
     # Requests per second that a cold server can take; 0 if servers of the
     # service are never cold.
-    coldPerS: float = 0.0  # noqa: N815
+    coldPerS: _NonNegative = 0.0  # noqa: N815
 
 
 class _Tenant(pydantic.BaseModel):
--- a/waxwingrack/platform/control_api.py
+++ b/waxwingrack/platform/control_api.py
@@ -9,6 +9,7 @@
 from collections.abc import Coroutine
 import functools
 import json
+from typing import Annotated
 from typing import Any
 
 import klein
@@ -45,7 +46,9 @@
     # Candidate version of the rollout.
     target: str
     # Seconds within which the rollout must be completed or rolled back.
-    durationS: float  # noqa: N815  name of the platform
+    durationS: Annotated[  # noqa: N815  name of the platform
+        float, pydantic.Field(gt=0, allow_inf_nan=False)
+    ]
 
 
 def build_site(controller: Any, regions: dict[str, str]) -> server.Site:
