Send a request that crashes servers in every run of the soak

A run is broken if more than three of them reach servers later than 3 s after the third crash.

Five rows check that the promise can be broken.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,18 @@
       | cut by something else   | a server that fails at 4 s    | was cut        | 0     |
       | after another fault     | a server that fails at 0.1 s  | was cut        | 1     |
 
+  Scenario Outline: a request that keeps crashing servers is found: <case>
+    Given crashes under one request at "<times>" s
+    Then the check of crashes finds <count> broken promises
+
+    Examples:
+      | case                     | times                       | count |
+      | none                     |                             | 0     |
+      | refused after two        | 1 2                         | 0     |
+      | many at once             | 1 1.1 1.2 1.3 1.4 1.5 4.1   | 0     |
+      | again at a new leader    | 1 2 3 7 9 11                | 0     |
+      | for ever                 | 1 2 3 7 9 11 13             | 1     |
+
   Scenario Outline: an environment that is taken back is found: <case>
     Given the numbers "<decreases>" shown, <acknowledged> accepted and <final> at the end
     Then the check of numbers finds <count> broken promises
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -223,3 +223,14 @@
         STOP_TIMEOUT_S,
         "the end of the processes of the soak",
     )
+
+
+@behave.given('crashes under one request at "{times}" s')
+@behave.given('crashes under one request at "" s')
+def crashes_at(context, times=""):
+    context.crashes = [float(word) for word in times.split()]
+
+
+@behave.then("the check of crashes finds {count:d} broken promises")
+def crashes_found(context, count):
+    assert len(checks.crashes_end(context.crashes)) == count
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,11 @@
 from soak import plan
 from soak import traffic
 
+# Crashes under one request after which it must be known, time for that, in
+# seconds, and requests that may still reach servers later.
+KNOWN_AFTER_CRASHES = 3
+KNOWN_AFTER_S = 3.0
+MAX_LATE_CRASHES = 3
 # Time before a planned stop within which another fault may have its effect, in
 # seconds: the silence after which a router considers control lost, and the
 # length of a request.
@@ -96,3 +101,22 @@
             f"number {final} is in force, {acknowledged} was accepted"
         )
     return broken
+
+
+def crashes_end(times_s: Iterable[float]) -> list[str]:
+    """Checks that a request that crashes servers stops reaching them.
+
+    Args:
+      times_s: Times of the crashes under one request.
+    """
+    crashes = sorted(times_s)
+    if len(crashes) < KNOWN_AFTER_CRASHES:
+        return []
+    known_s = crashes[KNOWN_AFTER_CRASHES - 1] + KNOWN_AFTER_S
+    late = [at_s for at_s in crashes if at_s > known_s]
+    if len(late) <= MAX_LATE_CRASHES:
+        return []
+    return [
+        f"a request crashed {len(crashes)} servers, {len(late)} later than "
+        f"{KNOWN_AFTER_S:g} s after the third"
+    ]
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -94,7 +94,7 @@
             "operation": str(uuid.uuid4()),
             "operator": name,
             "expected": number,
-            "environment": fleet.environment(),
+            "environment": cluster.document,
         }
         with contextlib.suppress(OSError, AssertionError):
             found = cluster.operate(
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,9 @@
 
 import collections
 import dataclasses
+import datetime
+import itertools
+import json
 import pathlib
 import shutil
 import subprocess
@@ -96,11 +99,16 @@
             "data_centre": "abc"[number % 3],
             "linked": True,
             "runs_file": str(cluster.folder / f"{service}-{number + 1}.runs"),
+            "mode": {"crash_on": traffic.CRASH_WORD},
         }
         for service in ("sketch", "booking")
         for number in range(size.servers)
     }
     cluster.serve(**servers)
+    # Half of the seeds play with crash suspects that run beside other requests.
+    cluster.document = fleet.environment()
+    cluster.document["services"][0]["isolate_suspects"] = bool(seed % 2)
+    cluster.apply(cluster.document)
     cluster.last_leader = cluster.leader()
     # Numbers that operators got an acknowledgement for, and processes that were
     # asked to stop.
@@ -126,6 +134,7 @@
     )
     calls = tuple(callers.calls)
     broken += [
+        *checks.crashes_end(_crash_times(cluster)),
         *checks.ran_once(calls, _runs(cluster)),
         *checks.answers_own(calls),
         *checks.planned_stops_cut_nothing(calls, steps),
@@ -175,6 +184,18 @@
     return broken
 
 
+def _crash_times(cluster: fleet.Fleet) -> list[float]:
+    lines = itertools.chain.from_iterable(
+        member.log.read_text(errors="replace").splitlines()
+        for member in cluster.members.values()
+    )
+    return [
+        datetime.datetime.fromisoformat(json.loads(line)["time"]).timestamp()
+        for line in lines
+        if '"stand_in_crash"' in line
+    ]
+
+
 def _runs(cluster: fleet.Fleet) -> collections.Counter:
     return collections.Counter(
         key
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -20,6 +20,9 @@
 # seconds.
 INSIST_S = 20.0
 TOKENS = 40
+# Word in a request that crashes each server that runs it. Its caller sends it
+# again and again.
+CRASH_WORD = "deadly word"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,7 +30,7 @@
     """One request of a caller.
 
     Attributes:
-      kind: `read`, `stream` or `deposit`.
+      kind: `read`, `stream`, `deposit` or `crash`.
       key: Idempotency key, or empty.
       router: Router that was asked.
       start_s: Start, from the start of the traffic.
@@ -73,6 +76,9 @@
             for kind in ("read", "stream", "deposit")
             for number in range(callers)
         ]
+        self._threads.append(
+            threading.Thread(target=self._call_forever, args=("crash", 0))
+        )
 
     def now_s(self):
         """Returns the time since the start of the traffic."""
@@ -202,4 +208,9 @@
         json.dumps({"prompt": "a heron", "stream": True, "max_tokens": TOKENS}),
     ),
     "deposit": ("POST", "/booking/confirm", json.dumps({"deposit": 1})),
+    "crash": (
+        "POST",
+        "/sketch/draft",
+        json.dumps({"prompt": f"a {CRASH_WORD}", "max_tokens": TOKENS}),
+    ),
 }
