Send nothing to a server that says in its answers that it leaves

A server that leaves now says so in each answer. No request may reach it from a router later than the drain time after the router has passed on such an answer, whoever granted it and whether or not the router reaches the controllers.

Change: the router decodes the header once, keeps the departure by server and incarnation, gives back grants for it, and reports it; the leader marks that incarnation as departing, so no router gets a grant there, and an older announcement does not bring it back. A router reports its departures again to each new leader. A misdirected answer tells nothing of the server that was asked.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -168,6 +168,17 @@
       | Expect-Instance | i-1     |
       | Deadline-Ms     | 1500    |
 
+  Scenario Outline: an answer of status <status> with Server-Leaving "<value>" is read
+    Then the notice of an answer of status <status> with Server-Leaving "<value>" is <result>
+
+    Examples:
+      | status | value | result  |
+      | 200    | 1     | leaving |
+      | 503    | 1     | leaving |
+      | 200    | 0     | nothing |
+      | 200    |       | nothing |
+      | 421    | 1     | nothing |
+
   Scenario Outline: the headers <usage> and <prefix> are read
     When a request has the headers "<usage>", "<prefix>" and "<hint>"
     Then its prompt has <tokens> tokens in <parts> and <output> tokens are expected
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -404,3 +404,17 @@
         errors.ErrorKind(kind), errors.Execution(stated)
     )
     assert found == status, found
+
+
+@behave.then(
+    "the notice of an answer of status {status:d} with Server-Leaving"
+    ' "{value}" is {result}'
+)
+@behave.then(
+    'the notice of an answer of status {status:d} with Server-Leaving "" is'
+    " {result}"
+)
+def notice_read(context, status, result, value=""):
+    received = http_headers.Headers({"Server-Leaving": [value]})
+    notice = headers.PlatformDialect().read_notice(status, received)
+    assert notice.leaving == (result == "leaving"), notice
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -459,6 +459,10 @@
         writer.write(sent)
         return True
 
+    async def _do_leaving(self, writer, query, request_id, body, method):
+        writer.write(_response(b"leaving", extra="X-Server-Leaving: 1\r\n"))
+        return True
+
     async def _do_json(self, writer, query, request_id, body, method):
         text = query["text"].encode()
         head = f"Content-Type: application/json\r\nContent-Length: {len(text)}"
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -531,6 +531,21 @@
     sequence: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server told a router about itself in an answer.
+
+    Attributes:
+      server_id: Backend server.
+      incarnation: Incarnation of the server.
+      leaving: Whether it leaves and wants no further requests.
+    """
+
+    server_id: str
+    incarnation: str
+    leaving: bool = False
+
+
 @quick_init
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -120,6 +120,7 @@
       data_centre: Data centre of the router, in the first report on a
         connection.
       started: Granted requests whose answers have begun.
+      notices: What servers told about themselves in answers.
     """
 
     sent_ms: int
@@ -135,6 +136,7 @@
     draining: bool = False
     data_centre: str = ""
     started: tuple[data.StartedAnswer, ...] = ()
+    notices: tuple[data.ServerNotice, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -75,6 +75,17 @@
     fetch_from: data.Address | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerNotice:
+    """What a backend server tells about itself in the head of an answer.
+
+    Attributes:
+      leaving: Whether it leaves and wants no further requests.
+    """
+
+    leaving: bool = False
+
+
 class Dialect(Protocol):
     """Names and meaning of the headers towards callers and servers.
 
@@ -104,6 +115,11 @@
     ) -> bool:
         """Returns whether an answer states that the request has not run."""
 
+    def read_notice(
+        self, status: int, headers: http_headers.Headers
+    ) -> AnswerNotice:
+        """Reads what a backend server tells about itself in an answer."""
+
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
         """Returns headers that tell the caller which server answered."""
 
@@ -182,6 +198,15 @@
         del status, headers
         return False
 
+    def read_notice(
+        self, status: int, headers: http_headers.Headers
+    ) -> AnswerNotice:
+        """Reads what a backend server tells about itself in an answer."""
+        del status
+        return AnswerNotice(
+            leaving=first_value(headers, b"X-Server-Leaving") == "1"
+        )
+
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
         """Returns headers that tell the caller which server answered."""
         return {
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -13,9 +13,11 @@
 from waxwingrack.core import errors
 from waxwingrack.core import logs
 from waxwingrack.core import messages
+from waxwingrack.daemons import dialects
 from waxwingrack.operations import costs
 from waxwingrack.operations import crashes
 from waxwingrack.operations import router_queues
+from waxwingrack.operations import server_notices
 
 # Minimum interval between two reports of the cost of a running request.
 PROGRESS_MS = 500
@@ -114,6 +116,8 @@
         self._started_answers: list[data.StartedAnswer] = []
         self._announcements: dict[str, data.Announcement] = {}
         self._crash_suspects: list[messages.CrashSuspect] = []
+        self._server_notices = server_notices.Notices()
+        self._unreported_notices: list[data.ServerNotice] = []
         # Reported suspects with their times, for a leader that does not know
         # them.
         self._reported_suspects: list[tuple[int, messages.CrashSuspect]] = []
@@ -312,6 +316,42 @@
             )
         )
 
+    def note_server(
+        self, grant: data.Grant, notice: dialects.AnswerNotice
+    ) -> None:
+        """Records and reports what a server told in an answer.
+
+        Args:
+          grant: Grant under which the server answered.
+          notice: What it told.
+        """
+        if not notice.leaving:
+            return
+        server = (grant.server_id, grant.incarnation)
+        known = self._server_notices
+        self._server_notices = server_notices.note_leaving(
+            known, server, self._clock()
+        )
+        if self._server_notices is known:
+            return
+        logs.decision(
+            "server_leaving",
+            "told in an answer",
+            server=grant.server_id,
+            incarnation=grant.incarnation,
+            grant=grant.id,
+        )
+        self._unreported_notices.append(
+            data.ServerNotice(*server, leaving=True)
+        )
+        self._schedule_report(True)
+
+    def find_bar(self, grant: data.Grant) -> server_notices.Bar | None:
+        """Tells why the request of a grant may not be sent to its server."""
+        return server_notices.find_bar(
+            self._server_notices, (grant.server_id, grant.incarnation)
+        )
+
     def take_report(
         self,
         first: bool,
@@ -348,6 +388,9 @@
                 *self._crash_suspects,
             ]
             self._reported_suspects.clear()
+            self._unreported_notices = list(
+                server_notices.list_reports(self._server_notices, now_ms)
+            )
             self._withdrawn_sequences.clear()
             self.queues = router_queues.clear_reported(self.queues)
         self.queues, queued_requests = router_queues.take_unreported(
@@ -376,7 +419,9 @@
             announcements=tuple(self._announcements.values()),
             crash_suspects=tuple(self._crash_suspects),
             draining=draining,
+            notices=tuple(self._unreported_notices),
         )
+        self._unreported_notices.clear()
         self._withdrawn_sequences.clear()
         self._finished_requests.clear()
         self._started_answers.clear()
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -35,6 +35,7 @@
     router_queues.Fault.GRANT_EXPIRED: data.Outcome.NOT_DISPATCHED,
     router_queues.Fault.CLAIM_LOST: data.Outcome.NOT_DISPATCHED,
     router_queues.Fault.REJECTED: data.Outcome.REJECTED,
+    router_queues.Fault.SERVER_BARRED: data.Outcome.NOT_DISPATCHED,
 }
 # Time past the deadline of its route after which an unfinished answer is
 # aborted. Normally the backend server ends it at the deadline itself.
@@ -323,6 +324,7 @@
         try:
             head = await self._send_request(admitted, lease)
         except forwarding.NotSentError as exc:
+            self._host.dispatcher.note_server(lease.grant, exc.notice)
             self._end_lease(lease, _OUTCOME_BY_FAULT[exc.fault])
             if admitted.key is not None:
                 await self._release_key()
@@ -331,6 +333,7 @@
             return exc.fault
         except forwarding.NoAnswerError as exc:
             return await self._handle_broken_attempt(admitted, lease, exc.fault)
+        self._host.dispatcher.note_server(lease.grant, head.notice)
         return await self._relay_answer(admitted, lease, head)
 
     async def _send_request(
@@ -360,9 +363,11 @@
             answer_timeout_s=self._answer_timeout_s(admitted),
         )
         sent_before = self._request_sent
+        self._require_open_server(lease)
 
         def may_send() -> bool:
             now_ms = host.clock()
+            self._require_open_server(lease)
             if self._caller_left or not router_queues.is_grant_valid(
                 lease.valid_from_ms, now_ms
             ):
@@ -397,6 +402,21 @@
         finally:
             self._cancel_step = None
 
+    def _require_open_server(self, lease: dispatch.Lease) -> None:
+        """Raises NotSentError if the server wants no request of this router."""
+        bar = self._host.dispatcher.find_bar(lease.grant)
+        if bar is None:
+            return
+        logs.decision(
+            "server_barred",
+            bar,
+            **self._log_fields(),
+            server=lease.grant.server_id,
+            incarnation=lease.grant.incarnation,
+            grant=lease.grant.id,
+        )
+        raise forwarding.NotSentError(router_queues.Fault.SERVER_BARRED)
+
     def _remaining_ms(self) -> int | None:
         """Returns the time until the deadline, None without a deadline."""
         if self._deadline_ms is None:
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -55,11 +55,17 @@
 
     Attributes:
       fault: How the attempt failed.
+      notice: What the server told about itself.
     """
 
-    def __init__(self, fault: router_queues.Fault):
+    def __init__(
+        self,
+        fault: router_queues.Fault,
+        notice: dialects.AnswerNotice | None = None,
+    ):
         super().__init__(fault)
         self.fault = fault
+        self.notice = notice or dialects.AnswerNotice()
 
 
 class NoAnswerError(Exception):
@@ -112,6 +118,7 @@
         body; None if the server sent none.
       response: Response whose body has not been read yet.
       conn: Connection of the response.
+      notice: What the server told about itself.
     """
 
     status: int
@@ -121,6 +128,7 @@
     content_length: bytes | None
     response: Any
     conn: "BackendConnection"
+    notice: dialects.AnswerNotice = dialects.AnswerNotice()
 
 
 class BackendConnection(_newclient.HTTP11ClientProtocol):
@@ -355,14 +363,16 @@
             # reused.
             conn.transport.abortConnection()
             raise NoAnswerError(router_queues.Fault.CONNECTION_LOST)
+        notice = self._dialect.read_notice(response.code, response.headers)
         if self._dialect.states_not_run(response.code, response.headers):
             # The body of this short answer is not read: that would keep the
             # connection busy.
             conn.transport.abortConnection()
-            raise NotSentError(router_queues.Fault.REJECTED)
-        return _build_head(
+            raise NotSentError(router_queues.Fault.REJECTED, notice)
+        head = _build_head(
             response, parser, conn, self._dialect.reserved_answer_headers()
         )
+        return dataclasses.replace(head, notice=notice)
 
     async def close(self) -> None:
         """Closes the idle connections."""
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -822,6 +822,7 @@
         or report.running
         or report.progress
         or report.crash_suspects
+        or report.notices
     )
 
 
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -62,6 +62,7 @@
       stall: Whether requests are accepted and never answered.
       cut: Whether the connection is closed in the middle of an answer.
       departing: Whether the server announces its departure.
+      leaving: Whether each answer says that the server leaves.
       hold_orders: Whether orders wait, neither applied nor answered.
       lose_orders: Whether orders are dropped, as if lost on the network.
       order_flood: Bytes per second of an endless answer to order calls; 0 for a
@@ -76,6 +77,7 @@
     stall: bool = False
     cut: bool = False
     departing: bool = False
+    leaving: bool = False
     hold_orders: bool = False
     lose_orders: bool = False
     order_flood: float = 0.0
@@ -563,6 +565,8 @@
 
     async def _run_request(self, req: iweb.IRequest, body: bytes) -> bytes:
         mode = self.mode
+        if mode.leaving:
+            req.setHeader("X-Server-Leaving", "1")
         count = self._increment_run_count(_get_header(req, "Idempotency-Key"))
         if mode.crash_on and mode.crash_on.encode() in body:
             await self._crash()
--- a/waxwingrack/operations/explanations.py
+++ b/waxwingrack/operations/explanations.py
@@ -28,6 +28,7 @@
         "server_paused",
         "limit_cut",
         "crash_counted",
+        "server_leaving",
     )
 )
 # Events of a process that affect all its requests.
--- a/waxwingrack/operations/router_queues.py
+++ b/waxwingrack/operations/router_queues.py
@@ -285,6 +285,7 @@
     GRANT_EXPIRED = "grant_expired"
     CLAIM_LOST = "claim_lost"
     REJECTED = "rejected"
+    SERVER_BARRED = "server_barred"
 
 
 # Faults after which the attempt has not run and will not run.
@@ -294,11 +295,14 @@
         Fault.GRANT_EXPIRED,
         Fault.CLAIM_LOST,
         Fault.REJECTED,
+        Fault.SERVER_BARRED,
     }
 )
 # Faults that are not caused by a backend server, so they neither count as
 # attempts nor use the retry budget.
-UNCOUNTED_FAULTS = frozenset({Fault.GRANT_EXPIRED, Fault.CLAIM_LOST})
+UNCOUNTED_FAULTS = frozenset(
+    {Fault.GRANT_EXPIRED, Fault.CLAIM_LOST, Fault.SERVER_BARRED}
+)
 
 ERROR_KINDS = {
     Fault.CONNECT_FAILED: errors.ErrorKind.BACKEND_CONNECT_FAILED,
@@ -307,6 +311,7 @@
     Fault.GRANT_EXPIRED: errors.ErrorKind.QUEUE_TIMEOUT,
     Fault.CLAIM_LOST: errors.ErrorKind.CONTROL_UNAVAILABLE,
     Fault.REJECTED: errors.ErrorKind.SERVER_REJECTED,
+    Fault.SERVER_BARRED: errors.ErrorKind.SERVER_REJECTED,
 }
 
 
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -234,6 +234,8 @@
         crash_evidence.record_crash_suspect(txn, suspect)
     for announcement in report.announcements:
         servers.apply_announcement(txn, announcement)
+    for notice in report.notices:
+        servers.apply_notice(txn, router.node_id, notice)
     for started in report.started:
         _record_answer_start(txn, started)
     for finished in report.finished:
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -83,17 +83,37 @@
     tables_module.store_server(txn, row)
 
 
-def mark_departing(txn: Transaction, server_id: str) -> None:
-    """Marks a server as departing that deregistered without an announcement.
+def apply_notice(
+    txn: Transaction, router: str, notice: data.ServerNotice
+) -> None:
+    """Applies what a server told a router about itself.
+
+    Args:
+      txn: Tables.
+      router: Node id of the router.
+      notice: Notice; one of another incarnation than the present is ignored.
+    """
+    row = txn.servers.get(notice.server_id)
+    if row is None or row.announcement.incarnation != notice.incarnation:
+        return
+    if notice.leaving:
+        mark_departing(txn, notice.server_id, f"told {router} in an answer")
+
+
+def mark_departing(
+    txn: Transaction, server_id: str, observation: str = "deregistered"
+) -> None:
+    """Marks a server as departing that did not announce its departure.
 
     Args:
       txn: Tables.
       server_id: Id of the server; an unknown one is ignored.
+      observation: How the departure became known, for the log.
     """
     row = txn.servers.get(server_id)
     if row is None or row.announcement.departing:
         return
-    txn.log_event("server_departing", "deregistered", server=server_id)
+    txn.log_event("server_departing", observation, server=server_id)
     announcement = dataclasses.replace(row.announcement, departing=True)
     tables_module.store_server(txn, data.evolve(row, announcement=announcement))
 
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -22,6 +22,8 @@
 PREFIX_HASH = b"Prefix-Hash"
 # Engine from which to fetch cached prompt parts, as IP:PORT.
 KV_FETCH = b"Kv-Fetch"
+# "1" in each answer of a backend server that leaves.
+SERVER_LEAVING = b"Server-Leaving"
 # Expected number of output tokens.
 LENGTH_HINT = b"Length-Hint"
 
@@ -109,6 +111,20 @@
         """Returns whether an answer states that the request has not run."""
         return status == MISDIRECTED or headers.hasHeader(NOT_EXECUTED)
 
+    def read_notice(
+        self, status: int, headers: http_headers.Headers
+    ) -> dialects.AnswerNotice:
+        """Reads what a backend server tells about itself in an answer.
+
+        A misdirected request was answered by another server than the one that
+        it was sent to, so nothing is known of the latter.
+        """
+        if status == MISDIRECTED:
+            return dialects.AnswerNotice()
+        return dialects.AnswerNotice(
+            leaving=dialects.first_value(headers, SERVER_LEAVING) == "1"
+        )
+
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
         """Returns no headers: callers are not told which server answered."""
         del grant
