Respect the pause that a server asks of one router

A server that turns a request away with 503 may add Retry-After: it wants nothing from that router for so long. From half a second after the answer to the end of that time at most two requests may reach it from that router. The router took no notice, and a rejection kept the server from all routers for a fixed back-off.

Change: the router reads the value (with stated bounds), sends nothing to that incarnation until the end, gives back grants, and reports the pause. The leader grants the router's requests on other servers, and the server to other routers; a paused router's request no longer holds back those of other routers behind it in the queue of the workspace. After the pause its requests come back within 2 s, one first. If every server of a service has paused a router, its requests are refused at once with the time at which the first pause ends.

Tests: tables of the header and of both decisions, a router whose leader goes on granting, and two routers of a real fleet of which a server pauses one. Found by the tables: the head of a queue that is paused held back the others.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -53,3 +53,78 @@
     And the callers of each other router are served by booking-2
     When booking-1 ends and starts again
     Then booking-1 runs requests again
+
+  Scenario Outline: the pause that a server asks for is read: <text>
+    Guards against a pause without end, and against an exception for any value.
+
+    Then a Retry-After of "<text>" asks for a pause of <pause> ms
+
+    Examples:
+      | text                          | pause      |
+      | 2                             | 2000       |
+      | 0.25                          | 250        |
+      | 0                             | 0          |
+      | -3                            | 0          |
+      | 1e12                          | 3600000    |
+      | inf                           | 3600000    |
+      | nan                           | unreadable |
+      | soon                          | unreadable |
+      |                               | unreadable |
+      | Thu, 01 Jan 1970 00:16:45 GMT | 5000       |
+      | Thu, 01 Jan 1970 00:16:35 GMT | 0          |
+      | Thu, 99 Foo 1970 00:16:35 GMT | unreadable |
+
+  Scenario Outline: a router sends nothing during a pause: <case>
+    Guards against requests that reach a server which has asked for a pause.
+
+    Given a router that "b1" of the incarnation "i1" asks at 0 s for a pause of <first> s and at 1 s of <second> s
+    Then at <at> s it <may> send to "b1" of the incarnation "<incarnation>"
+
+    Examples:
+      | case                   | first | second | at | may     | incarnation |
+      | during it              | 5     | 0      | 4  | may not | i1          |
+      | after it               | 5     | 0      | 5  | may     | i1          |
+      | a longer one           | 5     | 9      | 6  | may not | i1          |
+      | a shorter one later    | 5     | 1      | 4  | may not | i1          |
+      | another incarnation    | 5     | 0      | 4  | may     | i2          |
+
+  Scenario Outline: a pause concerns one router and one server: <case>
+    Guards against a pause that keeps other routers from the server, that the leader
+    does not respect, or that ends with a burst.
+
+    Given a scheduler with the servers "<servers>" of 8 slots and the routers "r1 r2"
+    When "<paused>" ask "r1" for a pause of 4 s
+    And <time> s pass and <later>
+    And r1 queues 6 requests and r2 queues 2
+    Then "r1" is granted <granted> and "r2" is granted <others>
+    And <refused> requests of "r1" are refused with servers_paused
+
+    Examples:
+      | case                      | servers | paused | time | later                 | granted     | others  | refused |
+      | another server serves     | b1 b2   | b1     | 1    | nothing else happens  | b2          | b1 or b2 | 0      |
+      | no server serves          | b1      | b1     | 1    | nothing else happens  | nothing     | b1      | 6       |
+      | the pause has ended       | b1      | b1     | 4.2  | nothing else happens  | 1 of b1     | b1      | 0       |
+      | some time after its end   | b1      | b1     | 5.0  | nothing else happens  | 4 of b1     | b1      | 0       |
+      | long after its end        | b1      | b1     | 7    | nothing else happens  | b1          | b1      | 0       |
+      | the server starts again   | b1      | b1     | 1    | b1 starts again       | b1          | b1      | 0       |
+      | a new leader is told      | b1 b2   | b1     | 1    | a new leader is told  | b2          | b1 or b2 | 0      |
+
+  Scenario: a router gives back grants for a server that has asked for a pause
+    Guards against a grant that was given before the leader knew, and against a
+    router that forgets the server after the pause.
+
+    Given a router with 2 fake backend servers
+    When the router's second server turns a request away for 1.5 s
+    And the router's caller sends 8 requests in turn
+    Then the router's caller got 8 answers of the first server
+    And after the pause the second server gets requests again
+
+  Scenario: a server that pauses one router serves the other one
+    Guards against a pause that becomes a limit for the whole fleet.
+
+    Given a fleet with 1 booking servers and callers at each router
+    When booking-1 turns requests of r1 away for 5 s
+    Then r1 sends at most 2 requests to booking-1 from 0.5 s later until the end of the pause
+    And r1 refuses its callers at once, and tells them when to come back
+    And the callers of each other router are served by booking-1
+    And r1 serves its callers again after the pause
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -463,6 +463,11 @@
         writer.write(_response(b"leaving", extra="X-Server-Leaving: 1\r\n"))
         return True
 
+    async def _do_busy(self, writer, query, request_id, body, method):
+        extra = f"Retry-After: {query['after']}\r\n"
+        writer.write(_response(b"busy", "503 X", extra=extra))
+        return True
+
     async def _do_json(self, writer, query, request_id, body, method):
         text = query["text"].encode()
         head = f"Content-Type: application/json\r\nContent-Length: {len(text)}"
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -1,5 +1,8 @@
 """Steps for what backend servers tell about themselves in answers."""
 
+import collections
+import dataclasses
+import itertools
 import json
 import threading
 import time
@@ -9,6 +12,7 @@
 from features.support import fleet
 from features.support import scheduler_tables as driver
 from waxwingrack.core import data
+from waxwingrack.core import errors
 from waxwingrack.operations import scheduler
 from waxwingrack.operations import server_notices
 
@@ -89,8 +93,9 @@
     'at {at:d} s it {may} send to "{server}" of the incarnation "{incarnation}"'
 )
 def may_send(context, at, may, server, incarnation):
-    del at
-    bar = server_notices.find_bar(context.notices, (server, incarnation))
+    bar = server_notices.find_bar(
+        context.notices, (server, incarnation), 1_000 * at
+    )
     assert (bar is None) == (may == "may"), bar
 
 
@@ -152,11 +157,13 @@
         context.calls[router].append((start_s, answer))
 
 
-@behave.given("a fleet with 2 booking servers and callers at each router")
-def fleet_with_callers(context):
+@behave.given(
+    "a fleet with {servers:d} booking servers and callers at each router"
+)
+def fleet_with_callers(context, servers):
     context.fleet = cluster = fleet.Fleet()
     context.add_cleanup(cluster.stop)
-    cluster.serve(**{"booking-1": {}, "booking-2": {}})
+    cluster.serve(**{f"booking-{n + 1}": {} for n in range(servers)})
     context.ended = threading.Event()
     context.calls = {router: [] for router in cluster.routers}
     threads = [
@@ -217,8 +224,9 @@
     assert served == context.served, (context.served, served)
 
 
-@behave.then("the callers of each other router are served by booking-2")
-def served_elsewhere(context):
+@behave.then("the callers of each other router are served by {server}")
+def served_elsewhere(context, server):
+    del server
     since_s = context.left_s + DRAIN_S
     for router in context.fleet.routers[1:]:
         served = [
@@ -241,3 +249,229 @@
     fleet.wait_until(
         lambda: _count_served(context, "booking-1") > 0, WAIT_S, "a request"
     )
+
+
+# ---------------------------------------------------------------------------
+# Pauses
+# ---------------------------------------------------------------------------
+
+
+@behave.then('a Retry-After of "{text}" asks for a pause of {pause} ms')
+@behave.then('a Retry-After of "" asks for a pause of {pause} ms')
+def pause_read(context, pause, text=""):
+    found = server_notices.parse_retry_after(text, 1_000.0)
+    assert str(found) == pause.replace("unreadable", "None"), found
+
+
+@behave.given(
+    'a router that "{server}" of the incarnation "{incarnation}" asks at 0 s'
+    " for a pause of {first:d} s and at 1 s of {second:d} s"
+)
+def asked(context, server, incarnation, first, second):
+    notices = server_notices.Notices()
+    for at_ms, pause_s in ((0, first), (1_000, second)):
+        notices = server_notices.note_pause(
+            notices, (server, incarnation), 1_000 * pause_s, at_ms
+        )
+    context.notices = notices
+
+
+@behave.given(
+    'a scheduler with the servers "{servers}" of {slots:d} slots and the'
+    ' routers "r1 r2"'
+)
+def scheduler_with_routers(context, servers, slots):
+    driver.create_scheduler(context, 100_000)
+    service = dataclasses.replace(driver.ENVIRONMENT.services[0], ramp=False)
+    context.policy = data.Policy(
+        dataclasses.replace(driver.ENVIRONMENT, services=(service,))
+    )
+    context.routers = {
+        name: data.RouterRef(name, name, "a") for name in ("r1", "r2")
+    }
+    context.incarnations = dict.fromkeys(servers.split(), "i1")
+    context.slots = slots
+    driver.run_tick(context)
+    _connect_routers(context)
+
+
+def _connect_routers(context):
+    for router in context.routers.values():
+        driver.send_report(context, router=router, first=True)
+    _announce_all(context)
+
+
+def _announce_all(context):
+    driver.send_report(
+        context,
+        router=context.routers["r2"],
+        announcements=tuple(
+            driver.create_announcement(name, incarnation, context.slots)
+            for name, incarnation in context.incarnations.items()
+        ),
+    )
+
+
+def _tell_pauses(context, servers, pause_ms):
+    driver.send_report(
+        context,
+        router=context.routers["r1"],
+        notices=tuple(
+            data.ServerNotice(name, "i1", pause_ms=pause_ms) for name in servers
+        ),
+    )
+
+
+@behave.when('"{servers}" ask "r1" for a pause of {pause:d} s')
+def ask_pause(context, servers, pause):
+    context.paused = servers.split()
+    context.pause_ms = 1_000 * pause
+    _tell_pauses(context, context.paused, context.pause_ms)
+
+
+@behave.when("{seconds:g} s pass and {later}")
+def time_passes(context, seconds, later):
+    passed_ms = round(1_000 * seconds)
+    context.at_ms += passed_ms
+    if later == "b1 starts again":
+        context.incarnations["b1"] = "i2"
+    elif later == "a new leader is told":
+        context.tables = scheduler.create_tables(2, context.at_ms, (), ())
+        driver.run_tick(context)
+        _connect_routers(context)
+        _tell_pauses(context, context.paused, context.pause_ms - passed_ms)
+    _announce_all(context)
+    driver.run_tick(context)
+
+
+@behave.when("r1 queues {first:d} requests and r2 queues {second:d}")
+def queue_requests(context, first, second):
+    sequence = itertools.count(1)
+    for router, count in zip(
+        context.routers.values(), (first, second), strict=True
+    ):
+        driver.send_report(
+            context,
+            router=router,
+            wants=tuple(
+                driver.create_request(next(sequence)) for _ in range(count)
+            ),
+        )
+    decisions = driver.run_tick(context)
+    context.granted = collections.defaultdict(collections.Counter)
+    for row in decisions.grants:
+        context.granted[row.router][row.grant.server_id] += 1
+    context.refusals = [
+        (router, refusal.kind, refusal.retry_after_ms)
+        for router, refusal, _ in decisions.refusals
+    ]
+
+
+def _check_granted(found, text):
+    if text == "nothing":
+        assert not found, found
+    elif " of " in text:
+        count, _, server = text.partition(" of ")
+        assert found == {server: int(count)}, found
+    else:
+        assert set(found) <= set(text.split(" or ")), found
+        assert found, text
+
+
+@behave.then('"r1" is granted {granted} and "r2" is granted {others}')
+def granted_to(context, granted, others):
+    _check_granted(context.granted["r1"], granted)
+    _check_granted(context.granted["r2"], others)
+
+
+@behave.then('{count:d} requests of "r1" are refused with servers_paused')
+def refused_paused(context, count):
+    kind = errors.ErrorKind.SERVERS_PAUSED
+    found = [row for row in context.refusals if row[:2] == ("r1", kind)]
+    assert len(found) == count == len(context.refusals), context.refusals
+    # The callers are told when the pause ends.
+    assert all(2_900 <= wait_ms <= 3_000 for *_, wait_ms in found), found
+
+
+@behave.when(
+    "the router's second server turns a request away for {seconds:g} s"
+)
+def second_pauses(context, seconds):
+    world = context.world
+    first, second = world.backends
+    while not second.runs:
+        world.send("GET", f"/sketch/a?do=busy&after={seconds:g}")
+        if not second.runs:
+            # The first server was asked as well; let its pause end.
+            time.sleep(seconds + 0.1)
+    context.paused_s = time.monotonic()
+    context.pause_s = seconds
+    context.runs_before = sum(second.runs.values())
+    context.first_before = sum(first.runs.values())
+
+
+@behave.then("after the pause the second server gets requests again")
+def second_again(context):
+    world = context.world
+    second = world.backends[1]
+    time.sleep(max(0.0, context.paused_s + context.pause_s - time.monotonic()))
+    for _ in range(8):
+        assert world.send("GET", "/sketch/a").status == 200
+    assert sum(second.runs.values()) > context.runs_before
+
+
+@behave.when("booking-1 turns requests of r1 away for {seconds:d} s")
+def turns_away(context, seconds):
+    _set_mode(
+        context,
+        "booking-1",
+        busy_path="/booking/busy",
+        retry_after=str(seconds),
+    )
+    context.left_s = time.monotonic()
+    context.pause_s = seconds
+    answer = context.fleet.call("r1", "GET", "/booking/busy")
+    assert answer.status == 503, answer
+    context.asked_s = time.monotonic()
+
+
+def _calls_of(context, router, from_s, until_s):
+    return [
+        answer
+        for start_s, answer in context.calls[router]
+        if context.asked_s + from_s <= start_s <= context.asked_s + until_s
+    ]
+
+
+@behave.then(
+    "r1 sends at most {count:d} requests to booking-1 from {start:g} s later"
+    " until the end of the pause"
+)
+def sends_few(context, count, start):
+    end_s = context.asked_s + context.pause_s
+    time.sleep(max(0.0, end_s - time.monotonic()))
+    served = [
+        answer
+        for answer in _calls_of(context, "r1", start, context.pause_s - 0.2)
+        if answer.status == 200
+    ]
+    assert len(served) <= count, len(served)
+
+
+@behave.then("r1 refuses its callers at once, and tells them when to come back")
+def refuses_at_once(context):
+    refused = _calls_of(context, "r1", 0.5, context.pause_s - 0.5)
+    assert len(refused) > 10, len(refused)
+    for answer in refused:
+        assert answer.status == 503, answer
+        assert json.loads(answer.body)["error"]["kind"] == "servers_paused"
+        assert float(answer.headers["retry-after"]) >= 1, answer.headers
+
+
+@behave.then("r1 serves its callers again after the pause")
+def serves_again(context):
+    fleet.wait_until(
+        lambda: context.fleet.call("r1", "GET", "/booking/free").status == 200,
+        WAIT_S,
+        "r1 serves",
+    )
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -539,11 +539,14 @@
       server_id: Backend server.
       incarnation: Incarnation of the server.
       leaving: Whether it leaves and wants no further requests.
+      pause_ms: Time from the report on for which it wants no requests of this
+        router, in milliseconds; 0 for none.
     """
 
     server_id: str
     incarnation: str
     leaving: bool = False
+    pause_ms: int = 0
 
 
 @quick_init
@@ -1460,6 +1463,19 @@
     unread_share: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerPause:
+    """Time for which a server wants no requests of one router.
+
+    Attributes:
+      incarnation: Incarnation of the server.
+      until_ms: End of the pause.
+    """
+
+    incarnation: str
+    until_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class RouterRow:
     """A router as the leader knows it.
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -42,6 +42,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_NOT_KEPT = "answer_not_kept"
     SERVER_REJECTED = "server_rejected"
+    SERVERS_PAUSED = "servers_paused"
     BACKEND_CONNECT_FAILED = "backend_connect_failed"
     BACKEND_CONNECTION_LOST = "backend_connection_lost"
     BACKEND_TIMEOUT = "backend_timeout"
@@ -169,6 +170,12 @@
     ErrorKind.SERVER_REJECTED: Answer(
         503, _NOT_RUN, 1.0, "The backend server had no room for the request."
     ),
+    ErrorKind.SERVERS_PAUSED: Answer(
+        503,
+        _NOT_RUN,
+        1.0,
+        "Every backend server of the service has asked for a pause.",
+    ),
     ErrorKind.BACKEND_CONNECT_FAILED: Answer(
         502, _NOT_RUN, 1.0, "No connection to a backend server was possible."
     ),
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Protocol
 
+from twisted.web import http
 from twisted.web import http_headers
 
 from waxwingrack.core import data
@@ -81,9 +82,12 @@
 
     Attributes:
       leaving: Whether it leaves and wants no further requests.
+      retry_after: Value of `Retry-After` with which it turned the request away;
+        None if it did not.
     """
 
     leaving: bool = False
+    retry_after: str | None = None
 
 
 class Dialect(Protocol):
@@ -202,9 +206,9 @@
         self, status: int, headers: http_headers.Headers
     ) -> AnswerNotice:
         """Reads what a backend server tells about itself in an answer."""
-        del status
         return AnswerNotice(
-            leaving=first_value(headers, b"X-Server-Leaving") == "1"
+            leaving=first_value(headers, b"X-Server-Leaving") == "1",
+            retry_after=read_retry_after(status, headers),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
@@ -240,6 +244,13 @@
     return values[0].decode("latin-1") if values else None
 
 
+def read_retry_after(status: int, headers: http_headers.Headers) -> str | None:
+    """Returns the `Retry-After` of an answer that turns a request away."""
+    if status != http.SERVICE_UNAVAILABLE:
+        return None
+    return first_value(headers, b"Retry-After")
+
+
 def connection_tokens(values: Sequence[bytes]) -> frozenset[bytes]:
     """Returns the lower-case header names in values of `Connection`."""
     return frozenset(
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
+import time
 
 import immutables
 from returns import result
@@ -21,6 +22,8 @@
 
 # Minimum interval between two reports of the cost of a running request.
 PROGRESS_MS = 500
+# Longest part of a header's value that is logged.
+MAX_LOGGED_CHARS = 64
 
 
 class RefusedError(Exception):
@@ -325,8 +328,12 @@
           grant: Grant under which the server answered.
           notice: What it told.
         """
-        if not notice.leaving:
-            return
+        if notice.leaving:
+            self._note_leaving(grant)
+        if notice.retry_after is not None:
+            self._note_pause(grant, notice.retry_after)
+
+    def _note_leaving(self, grant: data.Grant) -> None:
         server = (grant.server_id, grant.incarnation)
         known = self._server_notices
         self._server_notices = server_notices.note_leaving(
@@ -346,10 +353,43 @@
         )
         self._schedule_report(True)
 
+    def _note_pause(self, grant: data.Grant, retry_after: str) -> None:
+        server = (grant.server_id, grant.incarnation)
+        pause_ms = server_notices.parse_retry_after(retry_after, time.time())
+        reason = "asked for in an answer"
+        if pause_ms is None:
+            pause_ms = server_notices.DEFAULT_PAUSE_MS
+            reason = "its Retry-After cannot be read"
+        elif pause_ms == 0:
+            reason = "its Retry-After asks for no time"
+        elif pause_ms == server_notices.MAX_PAUSE_MS:
+            reason = "asked for the longest pause or more"
+        known = self._server_notices
+        self._server_notices = server_notices.note_pause(
+            known, server, pause_ms, self._clock()
+        )
+        logs.decision(
+            "server_pauses_router",
+            reason,
+            server=grant.server_id,
+            incarnation=grant.incarnation,
+            grant=grant.id,
+            pause_ms=pause_ms,
+            retry_after=retry_after[:MAX_LOGGED_CHARS],
+        )
+        if self._server_notices is known:
+            return
+        self._unreported_notices.append(
+            data.ServerNotice(*server, pause_ms=pause_ms)
+        )
+        self._schedule_report(True)
+
     def find_bar(self, grant: data.Grant) -> server_notices.Bar | None:
         """Tells why the request of a grant may not be sent to its server."""
         return server_notices.find_bar(
-            self._server_notices, (grant.server_id, grant.incarnation)
+            self._server_notices,
+            (grant.server_id, grant.incarnation),
+            self._clock(),
         )
 
     def take_report(
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -63,6 +63,9 @@
       cut: Whether the connection is closed in the middle of an answer.
       departing: Whether the server announces its departure.
       leaving: Whether each answer says that the server leaves.
+      busy_path: Path prefix on which requests are turned away with 503; empty
+        for none.
+      retry_after: `Retry-After` of these answers; empty for none.
       hold_orders: Whether orders wait, neither applied nor answered.
       lose_orders: Whether orders are dropped, as if lost on the network.
       order_flood: Bytes per second of an endless answer to order calls; 0 for a
@@ -78,6 +81,8 @@
     cut: bool = False
     departing: bool = False
     leaving: bool = False
+    busy_path: str = ""
+    retry_after: str = ""
     hold_orders: bool = False
     lose_orders: bool = False
     order_flood: float = 0.0
@@ -221,6 +226,7 @@
       most_in_flight: Maximum of `in_flight` since the stand-in was created.
       overloads: Number of requests refused because the server was cold.
       served: Number of requests that the simulated service processed.
+      turned_away: Number of requests that it turned away as busy.
       streamed_bytes: Bytes of streamed events.
     """
 
@@ -236,6 +242,7 @@
         self.most_in_flight = 0
         self.overloads = 0
         self.served = 0
+        self.turned_away = 0
         self.streamed_bytes = 0
         self._rng = random.Random(config.seed)
         self._pending_orders = 0
@@ -410,6 +417,7 @@
                 "most_in_flight": self.most_in_flight,
                 "overloads": self.overloads,
                 "served": self.served,
+                "turned_away": self.turned_away,
                 "streamed_bytes": self.streamed_bytes,
                 "incarnation": self.incarnation,
                 "cold": self.cold,
@@ -567,6 +575,12 @@
         mode = self.mode
         if mode.leaving:
             req.setHeader("X-Server-Leaving", "1")
+        path = req.path.decode()
+        if mode.busy_path and path.startswith(mode.busy_path):
+            self.turned_away += 1
+            if mode.retry_after:
+                req.setHeader("Retry-After", mode.retry_after)
+            return _json_response(req, 503, {"message": "busy"})
         count = self._increment_run_count(_get_header(req, "Idempotency-Key"))
         if mode.crash_on and mode.crash_on.encode() in body:
             await self._crash()
--- a/waxwingrack/operations/explanations.py
+++ b/waxwingrack/operations/explanations.py
@@ -29,6 +29,8 @@
         "limit_cut",
         "crash_counted",
         "server_leaving",
+        "server_pauses_router",
+        "router_paused",
     )
 )
 # Events of a process that affect all its requests.
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -23,6 +23,7 @@
 from waxwingrack.operations import fairness
 from waxwingrack.operations import forecast
 from waxwingrack.operations import leader_queues
+from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
@@ -38,6 +39,9 @@
 # Queued requests of a service that one tick tries to assign to an engine; it
 # grants no more of them afterwards.
 MAX_ENGINE_ATTEMPTS = 48
+# Requests of a queue that are looked through for the first one of each router
+# while servers pause routers.
+MAX_PAUSED_ATTEMPTS = 64
 # Share of a service's servers that may run isolated requests; at least one may.
 ISOLATION_SHARE = 0.1
 
@@ -242,7 +246,7 @@
 ) -> Assignment | None:
     """Finds a model engine for a request, in order of preferred version."""
     pool = txn.pools[entry.request.service]
-    avoided_servers = _list_avoided_servers(txn, pool, entry.request, share)
+    avoided_servers = _list_avoided_servers(txn, pool, entry, share)
     for version, candidate in placement.rank_versions(
         share, pool.candidate_credit, pool.exposure
     ):
@@ -340,7 +344,7 @@
     queues = txn.queues.get((service, workspace))
     if not queues:
         return None
-    heads = [queue.entries[queue.head] for queue in queues.values()]
+    heads = _list_heads(txn, queues)
     if len(heads) > 1:
         heads.sort(key=lambda entry: entry.arrival_number)
     pool = txn.pools[service]
@@ -348,7 +352,7 @@
         share, pool.candidate_credit, pool.exposure
     )
     for entry in heads:
-        avoided_servers = _list_avoided_servers(txn, pool, entry.request, share)
+        avoided_servers = _list_avoided_servers(txn, pool, entry, share)
         for version, candidate in versions:
             picked = _pick_server(txn, entry, version, avoided_servers)
             if picked is not None:
@@ -356,6 +360,24 @@
     return None
 
 
+def _list_heads(
+    txn: Transaction, queues: immutables.Map
+) -> list[data.QueueEntry]:
+    """Returns the requests of a workspace that may be granted next.
+
+    While servers pause routers, a request that has to wait must not hold back
+    those of other routers behind it.
+    """
+    if not len(txn.pauses):
+        return [queue.entries[queue.head] for queue in queues.values()]
+    heads: dict[tuple[int, str], data.QueueEntry] = {}
+    for number, queue in enumerate(queues.values()):
+        entries = leader_queues.iter_entries(queue)
+        for entry in itertools.islice(entries, MAX_PAUSED_ATTEMPTS):
+            heads.setdefault((number, entry.router), entry)
+    return list(heads.values())
+
+
 def _isolate_suspected_heads(
     txn: Transaction, service: str, workspace: str
 ) -> None:
@@ -378,12 +400,18 @@
 def _list_avoided_servers(
     txn: Transaction,
     pool: data.PoolRow,
-    request: data.QueuedRequest,
+    entry: data.QueueEntry,
     share: data.VersionShare,
 ) -> tuple[str, ...]:
-    """Returns a request's avoided servers, or none if no other is left."""
+    """Returns the servers that may not get a request.
+
+    Those on which an attempt of the request failed may get it if no other is
+    left, unlike those that want no requests of its router.
+    """
+    request = entry.request
+    barred = pauses.list_barred(txn, entry.router)
     if not request.avoid:
-        return ()
+        return barred
     versions = {share.current}
     if share.share > 0:
         versions.add(share.candidate)
@@ -402,7 +430,8 @@
         and row.announcement.version in versions
         and row.announcement.data_centre not in txn.drained
     )
-    return request.avoid if avoided_count < server_count else ()
+    avoid = request.avoid if avoided_count < server_count else ()
+    return (*avoid, *barred)
 
 
 def _list_free_groups(
@@ -567,7 +596,7 @@
     request = entry.request
     pool = txn.pools[request.service]
     share = data.VersionShare(version)
-    avoided_servers = _list_avoided_servers(txn, pool, request, share)
+    avoided_servers = _list_avoided_servers(txn, pool, entry, share)
     reserved_row = txn.servers.get(pool.reserved_server)
     if reserved_row is not None and reserved_row.reserved_for_isolation:
         if not _can_run_isolated(txn, reserved_row, version, avoided_servers):
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -35,6 +35,7 @@
 from waxwingrack.operations import granting
 from waxwingrack.operations import leader_queues
 from waxwingrack.operations import orphans
+from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
@@ -730,6 +731,7 @@
     if not txn.grants_allowed:
         return
     share = _get_version_share(txn, policy, service)
+    pauses.refuse_paused_routers(txn, service)
     forecast.refuse_late_arrivals(txn, service)
     forecast.refuse_overdue_requests(txn, service)
     if (
--- a/waxwingrack/operations/server_notices.py
+++ b/waxwingrack/operations/server_notices.py
@@ -7,11 +7,19 @@
 server that starts again at the same address, or under the same id, is another
 one.
 
+A server that turns a request away may name a time for which it wants nothing
+from the router (`Retry-After`). This is a limit of one router towards one
+server: the router gives back grants for it, and the leader grants its requests
+elsewhere and the server to other routers. Afterwards the leader raises the
+number of requests of that router step by step.
+
 A router keeps what it was told in memory, and reports it again to a new leader.
 """
 
 import dataclasses
+import email.utils
 import enum
+import math
 
 import immutables
 
@@ -22,6 +30,15 @@
 LEAVING_LIFETIME_MS = 300_000
 # Departures that a router keeps; the oldest one is dropped first.
 MAX_LEAVING = 1_024
+# Pauses that a router keeps; the one that ends first is dropped first.
+MAX_PAUSES = 1_024
+# Longest pause that a server gets; it may ask for another one.
+MAX_PAUSE_MS = 3_600_000
+# Pause of a server whose value cannot be read.
+DEFAULT_PAUSE_MS = 1_000
+# Time after a pause within which the leader raises the number of requests of
+# the router at the server from one to all slots.
+RAMP_MS = 2_000
 
 # A server id and its incarnation.
 ServerKey = tuple[str, str]
@@ -31,6 +48,7 @@
     """Why a router may not send a request to a server."""
 
     LEAVING = "server_leaving"
+    PAUSED = "server_paused_router"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,9 +58,11 @@
     Attributes:
       leaving: Time of the first answer that told it, by server and incarnation,
         oldest first.
+      pauses: End of the pause that it asked for, by server and incarnation.
     """
 
     leaving: immutables.Map = immutables.Map()
+    pauses: immutables.Map = immutables.Map()
 
 
 def note_leaving(notices: Notices, server: ServerKey, now_ms: int) -> Notices:
@@ -70,17 +90,93 @@
     )
 
 
-def find_bar(notices: Notices, server: ServerKey) -> Bar | None:
+def parse_retry_after(text: str, wall_s: float) -> int | None:
+    """Parses the time for which a server wants nothing from a router.
+
+    Args:
+      text: Value of the header: seconds, also with a fraction, or an HTTP date.
+      wall_s: Present time of the wall clock, in Unix seconds.
+
+    Returns:
+      The pause in milliseconds, at most `MAX_PAUSE_MS`; 0 for a time that is
+      not positive or lies in the past, which asks for no pause; None if the
+      value cannot be read.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        try:
+            date = email.utils.parsedate_to_datetime(text.strip())
+            seconds = date.timestamp() - wall_s
+        except (ValueError, TypeError, OverflowError):
+            return None
+    if math.isnan(seconds):
+        return None
+    return round(min(max(seconds * 1_000, 0.0), MAX_PAUSE_MS))
+
+
+def note_pause(
+    notices: Notices, server: ServerKey, pause_ms: int, now_ms: int
+) -> Notices:
+    """Records that a server wants nothing for a time.
+
+    Args:
+      notices: Notices so far.
+      server: Server id and incarnation.
+      pause_ms: Time from now on.
+      now_ms: Present time.
+
+    Returns:
+      The new notices; the same object if a pause lasts at least as long.
+    """
+    until_ms = now_ms + pause_ms
+    if notices.pauses.get(server, now_ms) >= until_ms:
+        return notices
+    kept = {
+        known: end_ms
+        for known, end_ms in notices.pauses.items()
+        if end_ms > now_ms
+    }
+    if len(kept) >= MAX_PAUSES:
+        del kept[min(kept, key=kept.__getitem__)]
+    return dataclasses.replace(
+        notices, pauses=immutables.Map(kept | {server: until_ms})
+    )
+
+
+def find_bar(notices: Notices, server: ServerKey, now_ms: int) -> Bar | None:
     """Tells why a request may not be sent to a server.
 
     Args:
       notices: Notices of the router.
       server: Server id and incarnation.
+      now_ms: Present time.
 
     Returns:
       The reason, or None if the request may be sent.
     """
-    return Bar.LEAVING if server in notices.leaving else None
+    if server in notices.leaving:
+        return Bar.LEAVING
+    if notices.pauses.get(server, now_ms) > now_ms:
+        return Bar.PAUSED
+    return None
+
+
+def count_allowed(slots: int, until_ms: int, now_ms: int) -> int:
+    """Counts the requests that a router may have at a server after a pause.
+
+    Args:
+      slots: Slots of the server.
+      until_ms: End of the pause.
+      now_ms: Present time.
+
+    Returns:
+      0 during the pause, then 1 and more.
+    """
+    if now_ms < until_ms:
+        return 0
+    fraction = min(1.0, (now_ms - until_ms) / RAMP_MS)
+    return max(1, int(fraction * slots))
 
 
 def list_reports(
@@ -92,8 +188,14 @@
       notices: Notices of the router.
       now_ms: Present time.
     """
-    return tuple(
-        data.ServerNotice(server_id, incarnation, leaving=True)
-        for (server_id, incarnation), at_ms in sorted(notices.leaving.items())
+    leaving = (
+        data.ServerNotice(*server, leaving=True)
+        for server, at_ms in sorted(notices.leaving.items())
         if now_ms - at_ms < LEAVING_LIFETIME_MS
     )
+    pauses = (
+        data.ServerNotice(*server, pause_ms=until_ms - now_ms)
+        for server, until_ms in sorted(notices.pauses.items())
+        if until_ms > now_ms
+    )
+    return (*leaving, *pauses)
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -22,6 +22,7 @@
 from waxwingrack.operations import cold_servers
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import orphans
+from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
 from waxwingrack.operations import slot_limits
 from waxwingrack.operations import tables as tables_module
@@ -98,6 +99,8 @@
         return
     if notice.leaving:
         mark_departing(txn, notice.server_id, f"told {router} in an answer")
+    if notice.pause_ms > 0:
+        pauses.record(txn, router, notice)
 
 
 def mark_departing(
@@ -477,6 +480,9 @@
       The new row, not stored yet.
     """
     if finished.outcome in (data.Outcome.CONNECT_FAILED, data.Outcome.REJECTED):
+        if (grant.router, grant.server_id) in txn.pauses:
+            # The server has limited this router only.
+            return row
         return start_back_off(txn, row, grant.granted_ms)
     latency_ratio = 1.0
     if finished.outcome is data.Outcome.COMPLETED:
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -106,6 +106,7 @@
       suspicions: `data.CrashSuspicion` by request digest.
       crashing_digests: Time of the tick that last reported a digest to be
         refused, by digest; negative if none has.
+      pauses: `data.ServerPause` by (router, server id).
       timers: Pairs of timer kind and key, by timer step.
       broken_connections: `data.BrokenConnections` by (server id, incarnation).
       drained: Drained data centres at the last tick.
@@ -142,6 +143,7 @@
     latencies: immutables.Map = immutables.Map()
     suspicions: immutables.Map = immutables.Map()
     crashing_digests: immutables.Map = immutables.Map()
+    pauses: immutables.Map = immutables.Map()
     timers: immutables.Map = immutables.Map()
     broken_connections: immutables.Map = immutables.Map()
     drained: frozenset[str] = frozenset()
@@ -198,6 +200,7 @@
         self.latencies = tables.latencies.mutate()
         self.suspicions = tables.suspicions.mutate()
         self.crashing_digests = tables.crashing_digests.mutate()
+        self.pauses = tables.pauses.mutate()
         self.timers = tables.timers.mutate()
         self.free_totals = tables.free_totals.mutate()
         self.term = tables.term
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -122,7 +122,8 @@
         if status == MISDIRECTED:
             return dialects.AnswerNotice()
         return dialects.AnswerNotice(
-            leaving=dialects.first_value(headers, SERVER_LEAVING) == "1"
+            leaving=dialects.first_value(headers, SERVER_LEAVING) == "1",
+            retry_after=dialects.read_retry_after(status, headers),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
