Let servers of the soak leave and ask for pauses in their answers

Two faults of servers: every answer says that the server leaves, until it is ended; and all requests are turned away with a Retry-After of 2 s. A run is broken if a server that leaves serves a request 3 s later while no router was struck, or if one that asks for pauses is asked more than its routers and callers may in each pause.

Four rows check that both promises can be broken.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -48,6 +48,18 @@
       | again at a new leader    | 1 2 3 7 9 11                | 0     |
       | for ever                 | 1 2 3 7 9 11 13             | 1     |
 
+  Scenario Outline: a server that is not left alone is found: <case>
+    Given a server that left from 2 s to 6 s and served <late> requests late, beside <other>
+    And a server that asked for pauses for 4 s and turned <away> requests away
+    Then the checks of notices find <count> broken promises
+
+    Examples:
+      | case                 | late | other            | away | count |
+      | both respected       | 0    | no other fault   | 20   | 0     |
+      | requests come later  | 1    | no other fault   | 20   | 1     |
+      | a router restarted   | 1    | a router restart | 20   | 0     |
+      | asked without end    | 0    | no other fault   | 500  | 1     |
+
   Scenario Outline: an environment that is taken back is found: <case>
     Given the numbers "<decreases>" shown, <acknowledged> accepted and <final> at the end
     Then the check of numbers finds <count> broken promises
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -234,3 +234,33 @@
 @behave.then("the check of crashes finds {count:d} broken promises")
 def crashes_found(context, count):
     assert len(checks.crashes_end(context.crashes)) == count
+
+
+@behave.given(
+    "a server that left from {told:d} s to {ended:d} s and served {late:d}"
+    " requests late, beside {other}"
+)
+def left_server(context, told, ended, late, other):
+    context.departures = [checks.Departure("s", told, ended, late)]
+    context.steps = (
+        (plan.Step(3.0, 1.0, "router restarts empty", "r1", "s"),)
+        if other == "a router restart"
+        else ()
+    )
+
+
+@behave.given(
+    "a server that asked for pauses for {seconds:d} s and turned {away:d}"
+    " requests away"
+)
+def pausing_server(context, seconds, away):
+    context.pauses = [checks.Paused("s", float(seconds), away)]
+
+
+@behave.then("the checks of notices find {count:d} broken promises")
+def notices_found(context, count):
+    found = [
+        *checks.departures_respected(context.departures, context.steps, 0.0),
+        *checks.pauses_respected(context.pauses, 3, 10),
+    ]
+    assert len(found) == count, found
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 import itertools
 
-from soak import injection
 from soak import plan
 from soak import traffic
 
@@ -13,12 +13,103 @@
 KNOWN_AFTER_CRASHES = 3
 KNOWN_AFTER_S = 3.0
 MAX_LATE_CRASHES = 3
+# Time after which a server that says that it leaves gets nothing more, and some
+# for the answer that tells it first, in seconds.
+DRAIN_S = 3.0
+# Pause that a server asks for, in seconds.
+PAUSE_S = 2.0
+# Planned work, which cuts no request.
+PLANNED = frozenset({"router stopped", "operators race"})
+# Faults after which a router knows nothing of what servers told it.
+_FORGETTING = "router"
 # Time before a planned stop within which another fault may have its effect, in
 # seconds: the silence after which a router considers control lost, and the
 # length of a request.
 SETTLE_S = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A server that said in its answers that it leaves.
+
+    Attributes:
+      server: Server.
+      told_s: Time from which it said so.
+      ended_s: Time at which it was ended.
+      late_runs: Requests that it served later than `DRAIN_S` after `told_s`.
+    """
+
+    server: str
+    told_s: float
+    ended_s: float
+    late_runs: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Paused:
+    """A server that turned requests away and asked for pauses.
+
+    Attributes:
+      server: Server.
+      seconds: Time for which it did so.
+      turned_away: Requests that it turned away.
+    """
+
+    server: str
+    seconds: float
+    turned_away: int
+
+
+def departures_respected(
+    departures: Iterable[Departure],
+    steps: tuple[plan.Step, ...],
+    start_s: float,
+) -> list[str]:
+    """Checks that servers that leave get nothing more.
+
+    A router that was restarted or frozen in that time is excused.
+
+    Args:
+      departures: Departures of servers.
+      steps: Faults.
+      start_s: Start of the traffic on the clock of `departures`.
+    """
+    return [
+        f"{row.server} served {row.late_runs} requests after it had left"
+        for row in departures
+        if row.late_runs
+        and not any(
+            _FORGETTING in step.fault
+            for step in plan.overlap(
+                steps, row.told_s - start_s - SETTLE_S, row.ended_s - start_s
+            )
+        )
+    ]
+
+
+def pauses_respected(
+    pauses: Iterable[Paused], routers: int, callers: int
+) -> list[str]:
+    """Checks that servers that ask for pauses are not asked without end.
+
+    Args:
+      pauses: Times in which servers asked for pauses.
+      routers: Number of routers.
+      callers: Number of callers, each with one request at a time.
+    """
+    broken = []
+    for row in pauses:
+        # In each pause, the requests that were under way and two more from each
+        # router; a router that has restarted begins anew.
+        allowed = (row.seconds / PAUSE_S + 2) * (2 * routers + callers)
+        if row.turned_away > allowed:
+            broken.append(
+                f"{row.server} turned {row.turned_away} requests away in "
+                f"{row.seconds:.1f} s"
+            )
+    return broken
+
+
 def ran_once(
     calls: Iterable[traffic.Call], runs: Mapping[str, int]
 ) -> list[str]:
@@ -74,7 +165,7 @@
         and not call.whole
         and call.start_s <= step.at_s <= call.end_s
         and not any(
-            other.fault not in injection.PLANNED
+            other.fault not in PLANNED
             for other in plan.overlap(
                 steps, call.start_s - SETTLE_S, call.end_s
             )
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -13,6 +13,7 @@
 
 from features.support import faults
 from features.support import fleet
+from soak import checks
 from soak import plan
 
 # Faults that take controllers out. Three of them bear the loss of one.
@@ -30,8 +31,7 @@
         "leader and server killed",
     }
 )
-# Planned work, which cuts no request.
-PLANNED = frozenset({"router stopped", "operators race"})
+PLANNED = checks.PLANNED
 OF_ROUTERS_AND_LINKS = (
     "router killed",
     "router restarts empty",
@@ -48,6 +48,8 @@
     "answer lost",
     "server fails",
     "server cuts answers",
+    "server says that it leaves",
+    "server asks for pauses",
 )
 ALL = (
     *sorted(OF_CONTROLLERS),
@@ -124,6 +126,72 @@
     return lambda: _switch(cluster, server, cut=False)
 
 
+def _read_counts(cluster, server):
+    """Returns the counts of a stand-in, None if it cannot be asked."""
+    port = cluster.members[server].ports["requests"]
+    answer = fleet.request(port, "GET", "/-/runs", timeout_s=2.0)
+    return json.loads(answer.body) if answer.status == 200 else None
+
+
+@faults.FAULTS.register("server says that it leaves")
+def _server_says_that_it_leaves(cluster, router, server):
+    _switch(cluster, server, leaving=True)
+    told_s, process = time.monotonic(), cluster.members[server].process
+    counts = {}
+
+    def read_after_drain():
+        with contextlib.suppress(OSError):
+            counts["drained"] = _read_counts(cluster, server)
+
+    timer = threading.Timer(checks.DRAIN_S, read_after_drain)
+    timer.daemon = True
+    timer.start()
+
+    def repair():
+        member = cluster.members[server]
+        drained, last = counts.get("drained"), None
+        if member.process is process and member.alive:
+            last = _read_counts(cluster, server)
+            member.kill()
+        if drained and last:
+            cluster.departures.append(
+                checks.Departure(
+                    server,
+                    told_s,
+                    time.monotonic(),
+                    last["served"] - drained["served"],
+                )
+            )
+
+    return repair
+
+
+@faults.FAULTS.register("server asks for pauses")
+def _server_asks_for_pauses(cluster, router, server):
+    before = _read_counts(cluster, server)
+    start_s = time.monotonic()
+    _switch(
+        cluster,
+        server,
+        busy_path="/",
+        retry_after=f"{checks.PAUSE_S:g}",
+    )
+
+    def repair():
+        last = _read_counts(cluster, server)
+        _switch(cluster, server, busy_path="")
+        if before and last and last["turned_away"] >= before["turned_away"]:
+            cluster.pauses.append(
+                checks.Paused(
+                    server,
+                    time.monotonic() - start_s,
+                    last["turned_away"] - before["turned_away"],
+                )
+            )
+
+    return repair
+
+
 class Injector(threading.Thread):
     """Injects the faults of a plan and repairs them.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -113,6 +113,8 @@
     # Numbers that operators got an acknowledgement for, and processes that were
     # asked to stop.
     cluster.acknowledged, cluster.stopping = [], []
+    # What servers told about themselves in answers, and what they got then.
+    cluster.departures, cluster.pauses = [], []
     steps = plan.draw(
         seed,
         seconds,
@@ -135,6 +137,12 @@
     calls = tuple(callers.calls)
     broken += [
         *checks.crashes_end(_crash_times(cluster)),
+        *checks.departures_respected(
+            cluster.departures, steps, callers.started_s
+        ),
+        *checks.pauses_respected(
+            cluster.pauses, size.routers, callers.caller_count
+        ),
         *checks.ran_once(calls, _runs(cluster)),
         *checks.answers_own(calls),
         *checks.planned_stops_cut_nothing(calls, steps),
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -80,6 +80,16 @@
             threading.Thread(target=self._call_forever, args=("crash", 0))
         )
 
+    @property
+    def started_s(self):
+        """Time of the start on the monotonic clock."""
+        return self._start_s
+
+    @property
+    def caller_count(self):
+        """Number of callers."""
+        return len(self._threads)
+
     def now_s(self):
         """Returns the time since the start of the traffic."""
         return time.monotonic() - self._start_s
