Do not count a peer that goes away during the handshake as refused

Its logs showed routers that gave up connections to controllers that were still starting; a controller counted each as a peer that did not authenticate.

Change: a connection that ends within the handshake without a close frame and without a TLS error is logged as abandoned and not counted.

--- a/features/fleet_tls.feature
+++ b/features/fleet_tls.feature
@@ -1,11 +1,15 @@
 @fixture.tls_fleet
 Feature: Processes of a fleet authenticate each other by mutual TLS
 
-  @known_red
   Scenario: a request passes a fleet whose processes speak TLS only
     When a deposit is confirmed through the fleet over TLS
     Then it ran once and no process of the fleet refused a peer
 
+  Scenario: a peer that goes away during the handshake is not counted as refused
+  A process that is slow to start would report strangers that do not exist.
+    When a peer with a valid certificate goes away during the handshake
+    Then the controller logs that and counts no refused peer
+
   Scenario Outline: a peer with <certificate> is refused and counted
   A stranger that gets in could report grants, read the environment and vote.
     When a peer with <certificate> connects to a controller of the fleet
--- a/features/steps/fleet_tls_steps.py
+++ b/features/steps/fleet_tls_steps.py
@@ -105,6 +105,35 @@
             context.got = b""
 
 
+@behave.when("a peer with {certificate} goes away during the handshake")
+def peer_goes_away(context, certificate):
+    context.refused_before = refused(context, "c1")
+    port = context.fleet.members["c1"].ports["control"]
+    files = issue(context, certificate, "impatient")
+    with (
+        socket.create_connection(("127.0.0.1", port), timeout=10) as conn,
+        context_of(files).wrap_socket(conn) as secure,
+    ):
+        secure.sendall(
+            b"GET / HTTP/1.1\r\nHost: c1\r\nUpgrade: websocket\r\n"
+            b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+            b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+        )
+        assert b" 101 " in secure.recv(4_096)
+
+
+@behave.then("the controller logs that and counts no refused peer")
+def logs_departure(context):
+    def is_logged():
+        return any(
+            line["event"] == "handshake_abandoned"
+            for line in context.fleet.members["c1"].decisions()
+        )
+
+    fleet.wait_until(is_logged, 5, "a line about the handshake")
+    assert refused(context, "c1") == context.refused_before
+
+
 @behave.then('the controller refuses the peer and counts and logs "{reason}"')
 def controller_refused(context, reason):
     assert b"HTTP" not in context.got, context.got
--- a/waxwingrack/daemons/transport.py
+++ b/waxwingrack/daemons/transport.py
@@ -487,6 +487,19 @@
     )
 
 
+def _was_abandoned(exc: BaseException) -> bool:
+    """Tells whether the peer went away, rather than that it was refused.
+
+    A process gives up a connection to a peer that is starting and takes too
+    long; its bytes then end without a close frame and without a TLS alert.
+    """
+    return (
+        isinstance(exc, exceptions.ConnectionClosedError)
+        and exc.rcvd is None
+        and tls.find_tls_error(exc) is None
+    )
+
+
 async def _run_handshake(
     exchange: Awaitable[messages.Hello],
     socket: ws_connection.Connection,
@@ -501,7 +514,14 @@
         OSError,
         exceptions.ConnectionClosed,
     ) as exc:
-        _record_refusal(counts, side, str(socket.remote_address), exc)
+        if _was_abandoned(exc):
+            logs.event(
+                "handshake_abandoned",
+                side=side,
+                remote=str(socket.remote_address),
+            )
+        else:
+            _record_refusal(counts, side, str(socket.remote_address), exc)
         if isinstance(exc, VersionError):
             # The close reason lets the peer log the same fault.
             await socket.close(frames.CloseCode.PROTOCOL_ERROR, str(exc))
