Bound the copies of crash evidence that the leader sends

Read-through: the leader would have sent up to 512 suspects with each tick while any evidence changed, and most of it is a single broken connection, which the routers report again anyway. It now sends what is more than that, at most 256 suspects and five times a second, and only when it has changed or a second has passed.

--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -39,6 +39,8 @@
 ROLLOUT_LOG_INTERVAL_MS = 1_000
 # Interval at which the known backend servers are sent to the other controllers.
 SHARE_SERVERS_INTERVAL_MS = 1_000
+# Shortest interval at which the evidence about crashes is sent to them.
+SHARE_EVIDENCE_INTERVAL_MS = 200
 
 # Handlers of messages from routers, by message type. A handler is called with
 # the leader, the session and the message.
@@ -123,8 +125,9 @@
                 breaks=len(evidence.breaks),
                 age_ms=age_ms,
             )
-        self._shared_evidence: tuple = ()
-        self._next_evidence_share_ms = self.since_ms
+        self._shared_evidence: list[tuple] = []
+        self._next_evidence_check_ms = self.since_ms
+        self._evidence_shared_ms = self.since_ms
         self._next_servers_share_ms = self.since_ms
         self.orders = engine_orders.EngineOrders(services)
         # Router incarnations of the last checkpoint that were not lost since.
@@ -491,19 +494,20 @@
         It is sent when it has changed, and once a second for controllers that
         were not connected then.
         """
-        evidence = (self.tables.suspicions, self.tables.broken_connections)
-        unchanged = len(self._shared_evidence) == len(evidence) and all(
-            map(operator.is_, evidence, self._shared_evidence)
-        )
-        is_due = now_ms >= self._next_evidence_share_ms
-        if not is_due and (unchanged or not any(evidence)):
+        if now_ms < self._next_evidence_check_ms:
             return
-        if is_due:
-            self._next_evidence_share_ms = now_ms + SHARE_SERVERS_INTERVAL_MS
-        self._shared_evidence = evidence
-        self.services.send_to_controllers(
-            crash_evidence.export_evidence(self.tables, now_ms)
-        )
+        self._next_evidence_check_ms = now_ms + SHARE_EVIDENCE_INTERVAL_MS
+        evidence = crash_evidence.export_evidence(self.tables, now_ms)
+        summary = [
+            (suspect.digest, suspect.unjudged_servers, suspect.crashed_servers)
+            for suspect in evidence.suspects
+        ]
+        is_due = now_ms - self._evidence_shared_ms >= SHARE_SERVERS_INTERVAL_MS
+        if not is_due and summary == self._shared_evidence:
+            return
+        self._evidence_shared_ms = now_ms
+        self._shared_evidence = summary
+        self.services.send_to_controllers(evidence)
 
     def _end_silent_sessions(self, now_ms: int) -> None:
         for session in self.services.sessions.list_silent(now_ms):
--- a/waxwingrack/operations/crash_evidence.py
+++ b/waxwingrack/operations/crash_evidence.py
@@ -146,9 +146,14 @@
     """
     latest = heapq.nlargest(
         crashes.MAX_SHARED_SUSPECTS,
-        tables.suspicions.items(),
+        (
+            item
+            for item in tables.suspicions.items()
+            if crashes.is_worth_sharing(item[1])
+        ),
         key=lambda item: item[1].updated_ms,
     )
+    shared = {digest for digest, _ in latest}
     return messages.CrashEvidence(
         suspects=tuple(
             messages.KnownSuspect(
@@ -165,14 +170,17 @@
             messages.KnownBreak(
                 server_id,
                 incarnation,
-                broken.digests,
-                broken.had_other_grants,
+                tuple(filter(shared.__contains__, broken.digests)),
+                # The digests that are left out were on the server as well.
+                broken.had_other_grants
+                or not shared.issuperset(broken.digests),
                 now_ms - broken.reported_ms,
             )
             for (
                 server_id,
                 incarnation,
             ), broken in tables.broken_connections.items()
+            if not shared.isdisjoint(broken.digests)
         ),
     )
 
--- a/waxwingrack/operations/crashes.py
+++ b/waxwingrack/operations/crashes.py
@@ -25,9 +25,10 @@
 part that completes. The refusal of a part ends after a time; one more crash
 then renews it.
 
-The leader holds the evidence in its tables. It sends a copy to the other
-controllers whenever it changes, and routers report their recent broken
-connections again to a new leader. Verdicts are in the replicated log.
+The leader holds the evidence in its tables. It sends a copy of what is more
+than a single broken connection to the other controllers when it changes, and
+routers report their recent broken connections again to a new leader. Verdicts
+are in the replicated log.
 """
 
 from collections.abc import Collection
@@ -55,9 +56,9 @@
 # Time for which a router reports its broken connections again to a new leader.
 # It covers the verdict window and an election.
 REPEAT_REPORT_MS = 8_000
-# Digests of which the leader sends its evidence to the other controllers, the
+# Suspects of which the leader sends its evidence to the other controllers, the
 # ones with the latest evidence.
-MAX_SHARED_SUSPECTS = 512
+MAX_SHARED_SUSPECTS = 256
 # Time after which evidence expires.
 EVIDENCE_LIFETIME_MS = 600_000
 # Time after which the refusal of a prompt part ends.
@@ -199,6 +200,11 @@
     return count
 
 
+def is_worth_sharing(suspicion: data.CrashSuspicion) -> bool:
+    """Tells whether the evidence is more than a single broken connection."""
+    return bool(suspicion.crashed_servers) or len(suspicion.runs) > 1
+
+
 def must_refuse(suspicion: data.CrashSuspicion, isolated: bool = True) -> bool:
     """Tells whether the digest has to be refused.
 
