Test that a model engine gives its latency when its answer begins

Two rows through the scheduler: a warm and a cold engine. The sample of the start tells the latency, the expected time and the coldness; the one of the end only the outcome.

--- a/features/scheduler_placement.feature
+++ b/features/scheduler_placement.feature
@@ -131,3 +131,16 @@
       | none  | x      |
       | x     | y      |
       | x y   | x      |
+
+  Scenario Outline: an engine that announces <cold> ms of cold start gives its latency when its answer begins
+    Guards against a slow version that is judged only when its long answers have
+    ended, or by latencies of servers that have just started.
+
+    Given a scheduler with a model engine that announces <cold> ms of cold start
+    When a prompt of 6000 tokens is granted, answered after 200 ms and completed later
+    Then the samples are "<samples>"
+
+    Examples:
+      | cold | samples                           |
+      | 0    | begun warm, completed latency-known |
+      | 3000 | begun cold, completed latency-known |
--- a/features/steps/scheduler_placement_steps.py
+++ b/features/steps/scheduler_placement_steps.py
@@ -320,3 +320,57 @@
     assert len(context.cache.stored) == count
     assert len(context.cache.order) == count
     assert context.latest in context.cache.stored
+
+
+@behave.given(
+    "a scheduler with a model engine that announces {cold:d} ms of cold start"
+)
+def engine_scheduler(context, cold):
+    driver.create_scheduler(context, 100_000)
+    service = data.Service(
+        "s",
+        (),
+        "v1",
+        engine=data.Engine(400_000),
+        ramp=False,
+        announces_cold=True,
+    )
+    context.policy = data.Policy(
+        dataclasses.replace(driver.ENVIRONMENT, services=(service,))
+    )
+    driver.run_tick(context)
+    announcement = driver.create_announcement("b1", cold_ms=cold)
+    driver.send_report(context, first=True, announcements=(announcement,))
+
+
+@behave.when(
+    "a prompt of {tokens:d} tokens is granted, answered after {first:d} ms and"
+    " completed later"
+)
+def answer_prompt(context, tokens, first):
+    request = driver.create_request(1, prompt_tokens=tokens, output_tokens=50)
+    driver.send_report(context, wants=(request,))
+    (decision,) = driver.run_tick(context).grants
+    key = (decision.grant.term, decision.grant.id)
+    context.at_ms += first
+    started = data.StartedAnswer(*key, float(first))
+    driver.send_report(context, started=(started,))
+    context.samples = list(driver.run_tick(context).samples)
+    context.at_ms += 4_000
+    finished = data.FinishedRequest(
+        *key, data.Outcome.COMPLETED, float(first), 4_000.0, 100.0
+    )
+    driver.send_report(context, finished=(finished,))
+    context.samples += driver.run_tick(context).samples
+
+
+@behave.then('the samples are "{samples}"')
+def samples_are(context, samples):
+    begun, ended = context.samples
+    assert begun.outcome is None and begun.expected_ms > 0, begun
+    assert ended.outcome is data.Outcome.COMPLETED, ended
+    found = (
+        f"begun {'cold' if begun.was_cold else 'warm'}, completed"
+        f"{' latency-known' if ended.latency_known else ''}"
+    )
+    assert found == samples, found
