Move callers away from a router whose link or processor is full

Its 10 Mbit/s link was full for seconds while its event loop was idle, so it stayed ready; the messages of the leader waited behind the bodies, the router left its leader, and each new handshake timed out after 0.6 s for six seconds, in which all callers were refused while their kept connections brought them back.

Change: the link counts as a resource of the router (link_mbps); a saturated router closes the connections above what it can bear once the load balancer has seen that it is not ready; a refusal for lack of control closes its connection; attempts to connect to controllers overlap; a leader may be silent for four round trips.

--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -68,3 +68,24 @@
     Given a router with 1 fake backend servers
     When the router is idle for 2 seconds
     Then the router sent at most 10 reports and 5 KB/s
+
+  Scenario Outline: how long a leader may be silent: <case>
+    Guards against a router that leaves its leader because the network is slow, and
+    against one that stays with a leader that is gone.
+
+    Given a router that looks for another leader after 700 ms of silence
+    Then with round trips of <round_trip> ms it does so after <silence> ms
+
+    Examples:
+      | case                     | round_trip | silence |
+      | a fast link              | 4          | 700     |
+      | a slow one               | 300        | 1200    |
+      | longer than any grant    | 900        | 2000    |
+
+  Scenario: a router finds and keeps its leader over a slow link
+    A handshake takes several round trips. A router that begins it anew again and
+    again refuses all requests for as long as its link is full.
+
+    Given a router that reaches 5 controllers over links with round trips of 500 ms
+    Then the router is ready within 4 seconds
+    And it stays with its leader for 3 seconds
--- a/features/router_saturation.feature
+++ b/features/router_saturation.feature
@@ -1,4 +1,4 @@
-Feature: A router with more work than processor time leaves the rotation
+Feature: A router with more work than it can do leaves the rotation
 
   Scenario Outline: saturation begins and ends with several samples: <case>
     Guards against a router that stays in the rotation while all its requests
@@ -43,3 +43,63 @@
       | state         | count |
       | saturated     | 32    |
       | not saturated | 256   |
+
+  Scenario Outline: a link is full of requests and answers: <case>
+    Guards against a router whose link delays every message, those of the leader
+    included, while its event loop is idle.
+
+    Given a router on a link of <mbps> Mbit/s that relays <bytes> bytes in <seconds> s
+    Then its link use is <use>
+
+    Examples:
+      | case                  | mbps   | bytes     | seconds | use  |
+      | nothing relayed       | 10     | 0         | 0.25    | 0.0  |
+      | half of what it bears | 10     | 125000    | 0.25    | 0.5  |
+      | all that it bears     | 10     | 250000    | 0.25    | 1.0  |
+      | a fast link           | 1000   | 250000    | 0.25    | 0.01 |
+      | capacity not known    | 0      | 250000    | 0.25    | 0.0  |
+      | no time has passed    | 10     | 250000    | 0       | 0.0  |
+
+  Scenario Outline: connections that a saturated router closes: <case>
+    At least half of the surplus within the time, and never more than that.
+    Guards against callers that keep bringing their requests to a saturated router,
+    against callers that come back to it at once as the load balancer has not seen
+    that it is saturated, and against a whole load that moves on in one step.
+
+    Given 40 connections that each get an answer every 0.25 s
+    When a router has a use of <use> for 1.0 s and was found saturated by <checks> readiness checks
+    Then it has closed from <least> to <most> connections
+
+    Examples:
+      | case                             | use | checks | least | most |
+      | not found saturated yet          | 1.0 | 0      | 0     | 0    |
+      | found once                       | 1.0 | 1      | 0     | 0    |
+      | found twice                      | 1.0 | 2      | 10    | 20   |
+      | found often                      | 1.0 | 9      | 10    | 20   |
+      | a link that is asked for twice   | 2.0 | 2      | 15    | 30   |
+      | little above the use that it keeps | 0.6 | 2      | 3     | 7    |
+      | below it                         | 0.4 | 2      | 0     | 0    |
+
+  Scenario: a single connection that brings all requests is closed, too
+    Guards against a caller whose one connection saturates a router for good.
+
+    Given 1 connections that each get an answer every 0.25 s
+    When a router has a use of 1.0 for 2.5 s and was found saturated by 2 readiness checks
+    Then it has closed from 1 to 1 connections
+
+  Scenario: a router that has caught up closes no more connections
+    Guards against a router that goes on to drive callers away.
+
+    Given a router that was found saturated by 2 readiness checks
+    When a readiness check finds that it has caught up
+    Then it closes no connection at a use of 1.0
+
+  Scenario: the callers of a saturated router move on without a lost answer
+    Guards against callers that stay at a router whose link is full, and against
+    answers that are cut when their connections are closed.
+
+    Given a router on a link of 2 Mbit/s with 8 callers that keep their connections
+    When the router has become saturated
+    Then no caller's connection is closed before two readiness checks
+    And after two readiness checks callers' connections are closed, each after a whole answer
+    And a refused readiness check names "saturated"
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -1,5 +1,6 @@
 """Steps for the control connection, the environment and the stop."""
 
+import asyncio
 import json
 import signal
 import time
@@ -318,3 +319,95 @@
     port = context.world.router.operators_port
     reply = router_fakes.send(port, "GET", path, token=None)
     assert reply.status == status and text in reply.body.decode(), reply
+
+
+@behave.given(
+    "a router that looks for another leader after {silence:d} ms of silence"
+)
+def looks_after(context, silence):
+    context.silence_ms = silence
+
+
+@behave.then(
+    "with round trips of {round_trip:d} ms it does so after {silence:d} ms"
+)
+def does_so(context, round_trip, silence):
+    assert silence == control_link.compute_max_silence_ms(
+        context.silence_ms, round_trip
+    )
+
+
+class _SlowLink:
+    """Forwards connections to a port and delays each direction."""
+
+    def __init__(self, port, delay_s):
+        self._port = port
+        self._delay_s = delay_s
+
+    async def open(self):
+        """Opens the link and returns its port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Accepts no more connections."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        try:
+            await asyncio.gather(
+                self._forward(reader, far_writer),
+                self._forward(far_reader, writer),
+            )
+        finally:
+            far_writer.transport.abort()
+            writer.transport.abort()
+
+    async def _forward(self, reader, writer):
+        loop = asyncio.get_running_loop()
+        try:
+            while blob := await reader.read(65_536):
+                loop.call_later(self._delay_s, writer.write, blob)
+        except OSError:
+            pass
+        await asyncio.sleep(self._delay_s)
+        writer.close()
+
+
+@behave.given(
+    "a router that reaches {count:d} controllers over links with round trips "
+    "of {round_trip:d} ms"
+)
+def slow_links(context, count, round_trip):
+    world = context.world = router_fakes.World()
+    context.add_cleanup(world.close)
+    others = [router_fakes.FakeLeader(f"c{i}") for i in range(2, count + 1)]
+    for leader in (world.leader, *others):
+        port = world.loop.run(leader.open())
+        link = _SlowLink(port, round_trip / 2000)
+        # The router knows the address of the link only.
+        leader.port = world.loop.run(link.open())
+        context.add_cleanup(link.close)
+    for other in others:
+        other.hint = world.leader
+    world.leaders = [*others, world.leader]
+    world.routers.append(
+        router_fakes.RouterProcess(world.leaders, control_silence_s=0.7)
+    )
+
+
+@behave.then("the router is ready within {seconds:d} seconds")
+def is_ready_within(context, seconds):
+    world = context.world
+    world.wait_for(lambda: world.ready() == 200, "a ready router", seconds)
+
+
+@behave.then("it stays with its leader for {seconds:d} seconds")
+def stays(context, seconds):
+    time.sleep(seconds)
+    events = [line["event"] for line in context.world.router.log()]
+    assert "leader_left" not in events, events
+    assert context.world.ready() == 200
--- a/features/steps/router_saturation_steps.py
+++ b/features/steps/router_saturation_steps.py
@@ -1,18 +1,24 @@
-"""Steps for routers with more work than processor time."""
+"""Steps for routers with more work than they can do."""
 
 import asyncio
+import functools
+import http.client
 import itertools
+import threading
 import time
 import types
 
 import behave
 
+from features.steps import router_answers_steps
 from features.steps import router_decisions_steps
+from features.steps import router_fakes
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import router
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import saturation
+from waxwingrack.operations import shedding
 
 TURNS = 20
 
@@ -22,7 +28,7 @@
     loads = itertools.accumulate(
         map(float, samples.split()),
         saturation.add_sample,
-        initial=saturation.LoopLoad(),
+        initial=saturation.RouterLoad(),
     )
     context.states = [load.saturated for load in loads][1:]
 
@@ -68,7 +74,7 @@
         tables=types.SimpleNamespace(drained=()),
         link=types.SimpleNamespace(alive=True),
         settings=types.SimpleNamespace(data_centre="a"),
-        loop_load=saturation.LoopLoad(saturated=True),
+        load=saturation.RouterLoad(saturated=True),
     )
 
 
@@ -79,7 +85,7 @@
 
 @behave.then("it is ready once it has caught up")
 def ready_again(context):
-    context.router.loop_load = saturation.LoopLoad()
+    context.router.load = saturation.RouterLoad()
     assert router.Router.not_ready_reason(context.router) == ""
 
 
@@ -87,7 +93,7 @@
     "a router that is {state} and has {count:d} waiting requests of a workspace"
 )
 def waiting_requests(context, state, count):
-    load = saturation.LoopLoad(saturated=state == "saturated")
+    load = saturation.RouterLoad(saturated=state == "saturated")
     dispatcher = dispatch.Dispatcher(lambda: 0, lambda urgent: None)
     for sequence in range(count):
         dispatcher.queues = router_queues.enqueue(
@@ -104,3 +110,154 @@
 @behave.then("its report has {count:d} wants")
 def report_has(context, count):
     assert len(context.report.wants) == count, len(context.report.wants)
+
+
+@behave.given(
+    "a router on a link of {mbps:g} Mbit/s that relays {size:d} bytes in "
+    "{seconds:g} s"
+)
+def relays(context, mbps, size, seconds):
+    context.use = saturation.compute_link_use(size, seconds, mbps)
+
+
+@behave.then("its link use is {use:g}")
+def link_use(context, use):
+    assert abs(context.use - use) < 1e-9, context.use
+
+
+@behave.given("{count:d} connections that each get an answer every 0.25 s")
+def connections(context, count):
+    context.connections = count
+
+
+def _find_saturated(checks):
+    return functools.reduce(
+        lambda state, _: shedding.note_check(state, True),
+        range(checks),
+        shedding.Shedding(),
+    )
+
+
+@behave.when(
+    "a router has a use of {use:g} for {seconds:g} s and was found saturated "
+    "by {checks:d} readiness checks"
+)
+def has_use(context, use, seconds, checks):
+    state, context.closed = _find_saturated(checks), 0
+    for _ in range(int(seconds / 0.25)):
+        left = context.connections - context.closed
+        state = shedding.add_credit(state, use, left, 0.25)
+        for _ in range(left):
+            state, is_closed = shedding.take_connection(state)
+            context.closed += is_closed
+
+
+@behave.then("it has closed from {least:d} to {most:d} connections")
+def has_closed(context, least, most):
+    assert least <= context.closed <= most, context.closed
+
+
+@behave.given(
+    "a router that was found saturated by {checks:d} readiness checks"
+)
+def found_saturated(context, checks):
+    context.shedding = _find_saturated(checks)
+
+
+@behave.when("a readiness check finds that it has caught up")
+def found_ready(context):
+    context.shedding = shedding.note_check(context.shedding, False)
+
+
+@behave.then("it closes no connection at a use of {use:g}")
+def closes_none(context, use):
+    state = shedding.add_credit(context.shedding, use, 100, 1.0)
+    assert not shedding.take_connection(state)[1]
+
+
+class _KeptCaller:
+    """Caller that sends one request after the other on one connection."""
+
+    def __init__(self, world):
+        self._world = world
+        self.replies = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self):
+        conn = http.client.HTTPConnection("127.0.0.1", self._world.router.port)
+        while not self._stopped.is_set():
+            reply = self._world.send(
+                "POST", "/sketch/a?do=ok", body=b"x" * 20_000, conn=conn
+            )
+            self.replies.append(reply)
+            if reply.error or reply.headers.get("connection") == "close":
+                break
+        conn.close()
+
+    @property
+    def closed(self):
+        """Whether the router has closed the connection after an answer."""
+        return self.replies and "connection" in self.replies[-1].headers
+
+    def stop(self):
+        self._stopped.set()
+        self._thread.join()
+
+
+@behave.given(
+    "a router on a link of {mbps:g} Mbit/s with {count:d} callers that keep "
+    "their connections"
+)
+def kept_connections(context, mbps, count):
+    world = router_answers_steps.start_world(context, 1, link_mbps=mbps)
+    context.callers = [_KeptCaller(world) for _ in range(count)]
+    for caller in context.callers:
+        context.add_cleanup(caller.stop)
+
+
+@behave.when("the router has become saturated")
+def has_become_saturated(context):
+    world = context.world
+    world.wait_for(
+        lambda: any(
+            line["event"] == "saturated" for line in world.router.log()
+        ),
+        "a saturated router",
+    )
+
+
+def _check_readiness(context):
+    return router_fakes.send(
+        context.world.router.operators_port, "GET", "/readyz", token=None
+    )
+
+
+@behave.then("no caller's connection is closed before two readiness checks")
+def none_closed(context):
+    _check_readiness(context)
+    time.sleep(0.5)
+    assert not any(caller.closed for caller in context.callers)
+
+
+@behave.then(
+    "after two readiness checks callers' connections are closed, each after a "
+    "whole answer"
+)
+def some_closed(context):
+    context.reply = _check_readiness(context)
+    context.world.wait_for(
+        lambda: any(caller.closed for caller in context.callers),
+        "a closed connection",
+    )
+    for caller in context.callers:
+        caller.stop()
+        assert all(reply.whole for reply in caller.replies), caller.replies
+        assert {reply.status for reply in caller.replies} == {200}
+
+
+@behave.then('a refused readiness check names "{reason}"')
+def check_names(context, reason):
+    assert context.reply.status == 503, context.reply
+    assert reason.encode() in context.reply.body, context.reply
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -434,6 +434,8 @@
         before its rollout is done, if the rollout has no limit of its own; 1
         sets no limit. Controllers only.
       exposure_reserve: Number of requests that it may get beyond that share.
+      link_mbps: Capacity of a router's network link in each direction, in
+        megabits per second; 0 if it is not known.
     """
 
     role: Role
@@ -467,6 +469,7 @@
     reuse_idle_s: float = 0.0
     max_exposure: float = 1.0
     exposure_reserve: int = 0
+    link_mbps: float = 0.0
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -67,6 +67,9 @@
     def record_failure(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
 
+    def count_relayed(self, size: int) -> None:
+        """Counts received bytes of requests and answers."""
+
 
 class CallersSite(server.Site):
     """Site of the callers' port.
@@ -142,6 +145,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Starts the time limit of a request that is received in part."""
+        self.site.host.count_relayed(len(data))
         super().dataReceived(data)
         incomplete = self._request_begun or (
             self._buffer and not self._handlingRequest
--- a/waxwingrack/daemons/callers_api.py
+++ b/waxwingrack/daemons/callers_api.py
@@ -28,6 +28,9 @@
     def not_ready_reason(self) -> str:
         """Returns why the router is not ready; empty if it is ready."""
 
+    def note_readiness_check(self) -> None:
+        """Records a readiness check of a load balancer."""
+
     def forward_announcement(self, announcement: data.Announcement) -> bool:
         """Forwards an announcement; returns False if there is no leader."""
 
@@ -126,6 +129,7 @@
 def answer_ready(host: Host, request: Any) -> bytes:
     """Answers whether a router is ready; if not, the answer has the reason."""
     reason = host.not_ready_reason()
+    host.note_readiness_check()
     return _write_json(request, 503 if reason else 200, {"reason": reason})
 
 
--- a/waxwingrack/daemons/control_link.py
+++ b/waxwingrack/daemons/control_link.py
@@ -28,13 +28,17 @@
 # controllers within CONTROL_TIMEOUT_MS.
 BACKOFF_FIRST_MS = 25
 BACKOFF_LIMIT_MS = 500
-# Maximum time to connect. After two controllers that do not answer, there must
-# be time left for the third within CONTROL_TIMEOUT_MS. The handshake takes two
-# round trips after that of TCP, so a slow link needs more time: the timeout is
-# doubled, up to the limit, when all controllers have timed out, and is derived
-# from the duration of the last successful connect.
-CONNECT_TIMEOUT_S = 0.6
-CONNECT_TIMEOUT_LIMIT_S = 2.4
+# Time after which the next controller is tried as well. After two controllers
+# that do not answer, there must be time left for the third within
+# CONTROL_TIMEOUT_MS.
+CONNECT_STAGGER_S = 0.6
+# Maximum time to connect. A handshake takes several round trips, each of which
+# may take most of a second on a full network link.
+CONNECT_TIMEOUT_S = 2.4
+# Weight of the latest round trip in the running mean, and the multiple of the
+# mean that the leader may be silent at least.
+ROUND_TRIP_STEP = 0.25
+SILENT_ROUND_TRIPS = 4
 # Time after which the link disconnects from a controller that neither acts as
 # leader nor names the leader.
 CONFIRM_TIMEOUT_MS = 1_000
@@ -171,6 +175,8 @@
         self._last_call_number = 0
         self._leader_hint = ""
         self._silence_ms = round(settings.control_silence_s * 1000)
+        # Mean time between a report and its answer; None before the first.
+        self._round_trip_ms: float | None = None
         self._listed_peers = settings.controllers
         self._peers = settings.controllers
         self._peer_index = rng.randrange(max(1, len(self._peers)))
@@ -385,8 +391,12 @@
             self._add_peers((leader,))
 
     def _record_echo(self, echo_ms: int) -> None:
-        if echo_ms <= self._clock():
-            self.echoed_ms = max(self.echoed_ms or 0, echo_ms)
+        now_ms = self._clock()
+        if (self.echoed_ms or 0) < echo_ms <= now_ms:
+            self.echoed_ms = echo_ms
+            self._round_trip_ms = update_round_trip(
+                self._round_trip_ms, now_ms - echo_ms
+            )
         if not self.following:
             self._machine.confirmed()
         if self._control_lost and self.alive:
@@ -406,32 +416,10 @@
     # -- loops --------------------------------------------------------------
 
     async def _connect_forever(self) -> None:
-        timeout_s, timeout_count = CONNECT_TIMEOUT_S, 0
         while True:
-            peer, is_hinted = self._next_peer()
-            start_ms = self._clock()
-            try:
-                conn = await asyncio.wait_for(
-                    transport.connect(
-                        peer.control, self._identity, self._counts
-                    ),
-                    timeout_s,
-                )
-                timeout_count = 0
-                if conn is not None:
-                    duration_s = (self._clock() - start_ms) / 1000
-                    timeout_s = min(
-                        max(CONNECT_TIMEOUT_S, 2 * duration_s),
-                        CONNECT_TIMEOUT_LIMIT_S,
-                    )
-                    await conn.run(self)
-            except TimeoutError:
-                timeout_count += 1
-                if timeout_count % len(self._peers) == 0:
-                    timeout_s = min(2 * timeout_s, CONNECT_TIMEOUT_LIMIT_S)
-                logs.event("controller_unreachable", controller=peer.id)
-            except transport.HandshakeError as exc:
-                logs.failure("control_address_refused", exc)
+            conn, is_hinted = await self._connect()
+            if conn is not None:
+                await conn.run(self)
             # A leader hint is followed at once. If the hinted controller only
             # gives another hint, a back-off comes first, as controllers may
             # name each other in turn.
@@ -442,6 +430,50 @@
             )
             self._backoff_ms = min(BACKOFF_LIMIT_MS, self._backoff_ms * 2)
 
+    async def _connect(self) -> tuple[transport.Connection | None, bool]:
+        """Connects to a controller, and to the next ones if it is slow.
+
+        An attempt continues while others begin: where the network is slow, all
+        of them would time out again and again.
+
+        Returns:
+          The connection that was made first, or None if no attempt made one;
+          and whether it is to the controller that was named as leader.
+        """
+        attempts: dict[asyncio.Task, bool] = {}
+        try:
+            while True:
+                if len(attempts) < len(self._peers):
+                    peer, is_hinted = self._next_peer()
+                    attempt = asyncio.ensure_future(self._try_peer(peer))
+                    attempts[attempt] = is_hinted
+                done, _ = await asyncio.wait(
+                    attempts,
+                    timeout=CONNECT_STAGGER_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for attempt in done:
+                    is_hinted, conn = attempts.pop(attempt), attempt.result()
+                    if conn is not None:
+                        return conn, is_hinted
+                if not attempts:
+                    return None, False
+        finally:
+            for attempt in attempts:
+                _abandon(attempt)
+
+    async def _try_peer(self, peer: data.Peer) -> transport.Connection | None:
+        try:
+            return await asyncio.wait_for(
+                transport.connect(peer.control, self._identity, self._counts),
+                CONNECT_TIMEOUT_S,
+            )
+        except TimeoutError:
+            logs.event("controller_unreachable", controller=peer.id)
+        except transport.HandshakeError as exc:
+            logs.failure("control_address_refused", exc)
+        return None
+
     def _next_peer(self) -> tuple[data.Peer, bool]:
         hint, self._leader_hint = self._leader_hint, ""
         for peer in self._peers:
@@ -485,7 +517,58 @@
     def _is_silent(self, now_ms: int) -> bool:
         if not self.following:
             return now_ms - self._opened_ms >= CONFIRM_TIMEOUT_MS
-        return now_ms - (self.echoed_ms or 0) >= self._silence_ms
+        return now_ms - (self.echoed_ms or 0) >= compute_max_silence_ms(
+            self._silence_ms, self._round_trip_ms or 0.0
+        )
+
+
+def update_round_trip(mean_ms: float | None, latest_ms: float) -> float:
+    """Updates the mean time between a report and its answer.
+
+    Args:
+      mean_ms: Mean so far; None before the first answer.
+      latest_ms: Latest time.
+
+    Returns:
+      The new mean.
+    """
+    if mean_ms is None:
+        return latest_ms
+    return mean_ms + ROUND_TRIP_STEP * (latest_ms - mean_ms)
+
+
+def compute_max_silence_ms(silence_ms: int, round_trip_ms: float) -> float:
+    """Computes how long the leader may be silent.
+
+    A full network link or a busy process delays all answers. To reconnect would
+    take even longer there, as a handshake takes several round trips.
+
+    Args:
+      silence_ms: Silence that is allowed on a fast link.
+      round_trip_ms: Mean time between a report and its answer.
+
+    Returns:
+      The time in milliseconds, at most that after which the router refuses
+      requests, or `silence_ms` if that is longer.
+    """
+    return max(
+        silence_ms,
+        min(messages.CONTROL_TIMEOUT_MS, SILENT_ROUND_TRIPS * round_trip_ms),
+    )
+
+
+def _abandon(attempt: asyncio.Task) -> None:
+    """Ends an attempt to connect, also if it has just succeeded."""
+    attempt.add_done_callback(_close_connection)
+    attempt.cancel()
+
+
+def _close_connection(attempt: asyncio.Task) -> None:
+    if attempt.cancelled() or attempt.exception() is not None:
+        return
+    conn = attempt.result()
+    if conn is not None:
+        conn.close()
 
 
 _create_link_machine = _build_link_machine()
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -598,7 +598,7 @@
         headers.setRawHeaders(
             self._host.dialect.request_id, [self._req.request_id.encode()]
         )
-        if self._host.closing:
+        if self._host.must_close_after(self._req):
             headers.setRawHeaders(b"Connection", [b"close"])
             self._req.channel.persistent = False
 
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -143,6 +143,20 @@
     idle_since_s: float = 0.0
     _head_bytes: int = 0
 
+    def __init__(
+        self,
+        quiescent_callback: Callable[[Any], None],
+        count_received: Callable[[int], None],
+    ):
+        """Prepares a connection.
+
+        Args:
+          quiescent_callback: Called when the connection can be used again.
+          count_received: Called with the number of bytes received.
+        """
+        super().__init__(quiescent_callback)
+        self._count_received = count_received
+
     def request(self, request: Any) -> defer.Deferred:
         """Sends a request."""
         self._head_bytes = 0
@@ -154,6 +168,7 @@
         The parser limits each line of a head, but not their number, and a
         server in trouble may send without end.
         """
+        self._count_received(len(data))
         super().dataReceived(data)
         parser = self._parser
         if parser is None or parser.state not in _HEAD_STATES:
@@ -199,8 +214,17 @@
 
 
 class _ConnectionFactory(client._HTTP11ClientFactory):
+    def __init__(
+        self,
+        count_received: Callable[[int], None],
+        quiescent_callback: Callable[[Any], None],
+        metadata: str,
+    ):
+        super().__init__(quiescent_callback, metadata)
+        self._count_received = count_received
+
     def buildProtocol(self, addr: Any) -> BackendConnection:
-        return BackendConnection(self._quiescentCallback)
+        return BackendConnection(self._quiescentCallback, self._count_received)
 
 
 class _Pool(client.HTTPConnectionPool):
@@ -212,7 +236,10 @@
     maxPersistentPerHost = MAX_IDLE_PER_SERVER
     cachedConnectionTimeout = POOL_IDLE_TIMEOUT_S
     retryAutomatically = False
-    _factory = _ConnectionFactory
+
+    def __init__(self, reactor: Any, count_received: Callable[[int], None]):
+        super().__init__(reactor)
+        self._factory = functools.partial(_ConnectionFactory, count_received)
 
     def acquire_connection(
         self, key: Hashable, endpoint: Any, idle_limit_s: float
@@ -265,10 +292,15 @@
 class Forwarder:
     """Sends requests to backend servers."""
 
-    def __init__(self, reactor: Any, dialect: dialects.Dialect = dialects.OWN):
+    def __init__(
+        self,
+        reactor: Any,
+        dialect: dialects.Dialect = dialects.OWN,
+        count_received: Callable[[int], None] = lambda size: None,
+    ):
         self._reactor = reactor
         self._dialect = dialect
-        self._pool = _Pool(reactor)
+        self._pool = _Pool(reactor, count_received)
         self._cached_endpoint = functools.lru_cache(MAX_CACHED_ENDPOINTS)(
             self._build_endpoint
         )
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -55,6 +55,9 @@
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
 
+    def must_close_after(self, req: admission.CallersRequest) -> bool:
+        """Decides whether to close a connection after the answer on it."""
+
     def write_refusal(
         self,
         req: admission.CallersRequest,
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -38,6 +38,7 @@
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
 from waxwingrack.operations import saturation
+from waxwingrack.operations import shedding
 
 # Interval at which a stopping router checks whether its requests have ended.
 STOP_CHECK_S = 0.05
@@ -47,6 +48,13 @@
 ANNOUNCERS_OWNER = "*announcers"
 # Time given to closed connections to send their last bytes.
 STOP_LINGER_S = 0.2
+# Refusals after which the connection is closed: other routers may serve.
+_CLOSING_KINDS = frozenset(
+    (
+        errors.ErrorKind.SHUTTING_DOWN,
+        errors.ErrorKind.CONTROL_UNAVAILABLE,
+    )
+)
 
 
 class Router:
@@ -71,7 +79,7 @@
       buffers: Buffer bytes of request bodies and of answers to be recorded.
       closing: Whether new requests are refused.
       draining: Whether the router shuts down.
-      load: Load of the event loop.
+      load: Load of the processor and of the network link.
     """
 
     def __init__(
@@ -112,8 +120,12 @@
         )
         self.closing = False
         self.draining = False
-        self.loop_load = saturation.LoopLoad()
-        self._loop_load_task: asyncio.Task | None = None
+        self.load = saturation.RouterLoad()
+        self._load_task: asyncio.Task | None = None
+        self._relayed_bytes = 0
+        self._shedding = shedding.Shedding()
+        # Connections that got an answer since the last sample of the load.
+        self._answered_channels: set[Any] = set()
         self.link = control_link.ControlLink(
             settings,
             _create_identity(settings),
@@ -144,7 +156,9 @@
             raise ValueError("a router needs the address of its callers' port")
         self.reactor = reactor
         logger.globalLogPublisher.addObserver(self._observe_log_event)
-        self.forwarder = forwarding.Forwarder(reactor, self.dialect)
+        self.forwarder = forwarding.Forwarder(
+            reactor, self.dialect, self.count_relayed
+        )
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
         )
@@ -161,7 +175,8 @@
                 )
             )
         self.link.start()
-        self._loop_load_task = asyncio.ensure_future(self._watch_loop_load())
+        self._load_task = asyncio.ensure_future(self._watch_load())
+        self._load_task.add_done_callback(self._note_load_task_end)
         logs.event("router_started", callers=self.callers_port)
 
     @property
@@ -189,7 +204,7 @@
         for channel in tuple(self._site.channels):
             channel.close_when_idle()
         await asyncio.sleep(STOP_LINGER_S)
-        self._loop_load_task.cancel()
+        self._load_task.cancel()
         await self.link.flush()
         await self.link.stop()
         for port in self._ports:
@@ -210,22 +225,72 @@
         if error is not None:
             self.record_failure("twisted_failure", error.value)
 
-    async def _watch_loop_load(self) -> None:
+    async def _watch_load(self) -> None:
         meter = event_loop.BusyMeter()
+        sampled_s = time.monotonic()
         while True:
             await asyncio.sleep(saturation.SAMPLE_S)
-            busy = meter.read()
-            previous, self.loop_load = (
-                self.loop_load,
-                saturation.add_sample(self.loop_load, busy),
+            now_s = time.monotonic()
+            elapsed_s, sampled_s = now_s - sampled_s, now_s
+            relayed_bytes, self._relayed_bytes = self._relayed_bytes, 0
+            use = saturation.ResourceUse(
+                meter.read(),
+                saturation.compute_link_use(
+                    relayed_bytes, elapsed_s, self.settings.link_mbps
+                ),
             )
-            if self.loop_load.saturated == previous.saturated:
-                continue
-            fields = {"busy": round(busy, 2), "open": len(self._exchanges)}
-            if self.loop_load.saturated:
-                logs.event("saturated", **fields)
-            else:
-                logs.event("caught_up", **fields)
+            self._apply_load_sample(use, elapsed_s)
+
+    def _note_load_task_end(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.record_failure("load_watch_failed", task.exception())
+
+    def _apply_load_sample(
+        self, use: saturation.ResourceUse, elapsed_s: float
+    ) -> None:
+        was_saturated = self.load.saturated
+        self.load = saturation.add_sample(self.load, use.highest)
+        active = len(self._answered_channels)
+        self._answered_channels.clear()
+        self._shedding = shedding.add_credit(
+            self._shedding, use.highest, active, elapsed_s
+        )
+        if self.load.saturated != was_saturated:
+            logs.event(
+                "saturated" if self.load.saturated else "caught_up",
+                busy=round(use.loop, 2),
+                link=round(use.link, 2),
+                open=len(self._exchanges),
+                connections=len(self._site.channels),
+                shed=self.metrics.connections_shed,
+            )
+
+    def count_relayed(self, size: int) -> None:
+        """Counts received bytes of requests and answers.
+
+        Args:
+          size: Number of bytes.
+        """
+        self._relayed_bytes += size
+
+    def note_readiness_check(self) -> None:
+        """Records a readiness check of a load balancer."""
+        self._shedding = shedding.note_check(
+            self._shedding, self.load.saturated
+        )
+
+    def must_close_after(self, req: admission.CallersRequest) -> bool:
+        """Decides whether to close a connection after the answer on it.
+
+        Args:
+          req: Request whose answer begins.
+        """
+        if self.closing:
+            return True
+        self._answered_channels.add(req.channel)
+        self._shedding, is_shed = shedding.take_connection(self._shedding)
+        self.metrics.connections_shed += is_shed
+        return is_shed
 
     def _has_open_work(self) -> bool:
         unconfirmed = self.link.unconfirmed_count if self.link.alive else 0
@@ -244,7 +309,7 @@
             and not self.settings.ready_when_drained
         ):
             return "data_centre_drained"
-        if self.loop_load.saturated:
+        if self.load.saturated:
             return "saturated"
         return ""
 
@@ -257,7 +322,7 @@
             first,
             environment_number,
             self.draining,
-            self.loop_load.max_reported_requests,
+            self.load.max_reported_requests,
         )
         if not first:
             return report
@@ -430,7 +495,7 @@
             headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
         if kind is errors.ErrorKind.UNAUTHENTICATED:
             headers.setRawHeaders(b"WWW-Authenticate", [b"Bearer"])
-        if kind is errors.ErrorKind.SHUTTING_DOWN or self.closing:
+        if kind in _CLOSING_KINDS or self.must_close_after(req):
             req.channel.persistent = False
         if not req.channel.persistent:
             headers.setRawHeaders(b"Connection", [b"close"])
--- a/waxwingrack/daemons/router_metrics.py
+++ b/waxwingrack/daemons/router_metrics.py
@@ -22,11 +22,13 @@
       counts: Traffic of the control link.
       failures: Unexpected exceptions.
       refusals: Number of refused requests by error kind.
+      connections_shed: Connections closed because the router was saturated.
     """
 
     def __init__(self) -> None:
         self.counts = transport.TrafficCounts()
         self.failures = 0
+        self.connections_shed = 0
         self.refusals: collections.Counter = collections.Counter()
         self._ends: collections.Counter = collections.Counter()
         self._retries: collections.Counter = collections.Counter()
@@ -60,6 +62,7 @@
         for fault, count in self._retries.items():
             self._set_counter("retries_total", count, fault=fault)
         self._set_counter("failures_total", self.failures)
+        self._set_counter("connections_shed_total", self.connections_shed)
         for name in transport.TrafficCounts.__slots__:
             self._set_counter(
                 f"control_{name}_total", getattr(self.counts, name)
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -54,6 +54,7 @@
     "$.max_exposure": (0.001, 1.0),
     "$.exposure_reserve": (0, 1_000_000),
 }
+LINK_LIMITS = {"$.link_mbps": (0.0, 1_000_000.0)}
 # Bodies of the largest size that the buffer must hold: a single workspace may
 # use half of the buffer, each of two workspaces a third.
 MIN_BUFFERED_BODIES = 4
@@ -196,6 +197,7 @@
     )
     yield from documents.check_ranges(document, RETRY_LIMITS, "retries")
     yield from documents.check_ranges(document, EXPOSURE_LIMITS, "of requests")
+    yield from documents.check_ranges(document, LINK_LIMITS, "Mbit/s")
 
 
 @RULES.register("buffered_bodies")
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import re
+from typing import Annotated
 from typing import Any
 
 import pydantic
@@ -52,6 +53,10 @@
 
 class _Limits(pydantic.BaseModel):
     memoryMb: float  # noqa: N815
+    # Capacity of the machine's network link in each direction.
+    linkMbps: Annotated[  # noqa: N815
+        float, pydantic.Field(ge=0, allow_inf_nan=False)
+    ] = 0.0
 
 
 class _Bounds(pydantic.BaseModel):
@@ -169,6 +174,7 @@
         reuse_idle_s=REUSE_IDLE_S,
         retry_share=file.bounds.retryBudgetRatio * RETRY_RATIO_SHARE,
         retry_reserve=file.bounds.retryBudgetSlack * RETRY_RESERVE_SHARE,
+        link_mbps=file.limits.linkMbps,
         **common_fields,
     )
 
