Do not take a copy of an earlier refusal for the answer to an order

Cause: an answer without a request id was accepted on any connection.

Change: once a server has echoed ids on a connection, an answer without one is no answer to the request there; a refusal without an id counts only as the first answer of a connection.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -88,3 +88,30 @@
     Given a router with 2 fake backend servers
     When 12 router's callers send 20 requests each at the same time
     Then every router's caller got its own answer
+
+  Scenario Outline: a copy of an earlier answer is not the answer to an order: <copy>
+    A faulty server writes an earlier refusal once more on a kept connection. The
+    caller would be told that an order has not run which the server is running, or a
+    second server would run it, too.
+
+    Given a router of the platform with 2 fake backend servers and orders that run once
+    When a caller's order is answered and the server writes "<copy>" once more before the answer to the next order
+    Then the next order is answered 502
+    And it ran once at one server
+
+    Examples:
+      | copy          |
+      | 503           |
+      | 503 with id   |
+      | 421           |
+      | 421 with id   |
+      | 429           |
+      | 200           |
+      | 200 with id   |
+
+  Scenario: a refusal without an id on a new connection still means not run
+    Guards against orders that are lost although their server has refused them.
+
+    Given a router of the platform with 2 fake backend servers and orders that run once
+    When a caller's order is refused on a new connection without an id
+    Then the next order is answered 200
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -3,11 +3,13 @@
 import asyncio
 import atexit
 import concurrent.futures
+import dataclasses
 import http.client
 import itertools
 import json
 import socket
 import time
+import urllib.parse
 
 import behave
 
@@ -360,3 +362,56 @@
     reports = context.world.leader.reports
     seen = [item.cost for report in reports for item in report.progress]
     assert low <= len(seen) <= high and seen == sorted(seen), seen
+
+
+@behave.given(
+    "a router of the platform with {servers:d} fake backend servers and orders "
+    "that run once"
+)
+def platform_router(context, servers):
+    world = router_fakes.World()
+    context.add_cleanup(world.close)
+    environment = router_fakes.environment()
+    order = data.Route("order", "/order", ("POST",), single_attempt=True)
+    sketch, *others = environment.services
+    sketch = dataclasses.replace(sketch, routes=(*sketch.routes, order))
+    world.leader.environment = dataclasses.replace(
+        environment, services=(sketch, *others)
+    )
+    world.leader.prefers_first = True
+    world.start(servers, dialect="platform", reuse_idle_s=3.0)
+    context.world = world
+
+
+def _order(context, query):
+    context.reply = context.world.send("POST", f"/order?{query}", body=b"order")
+    return context.reply
+
+
+@behave.when(
+    'a caller\'s order is answered and the server writes "{copy}" once more '
+    "before the answer to the next order"
+)
+def late_copy_of_answer(context, copy):
+    query = urllib.parse.urlencode({"do": "then", "copy": copy})
+    assert _order(context, query).status == 200, context.reply
+    _order(context, "do=echo")
+    assert context.world.backends[0].connections == 1
+
+
+@behave.then("the next order is answered {status:d}")
+def next_order(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@behave.then("it ran once at one server")
+def ran_once(context):
+    request_id = context.reply.headers["request-id"]
+    runs = [backend.runs[request_id] for backend in context.world.backends]
+    assert runs == [1, 0], runs
+
+
+@behave.when("a caller's order is refused on a new connection without an id")
+def refused_on_new(context):
+    context.world.backends[0].faults.append("refused")
+    _order(context, "do=echo")
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -99,6 +99,8 @@
         self.refusal: errors.ErrorKind | None = None
         self.key_state: dict[str, data.KeyState] = {}
         self.key_ignored: collections.Counter = collections.Counter()
+        # Whether the first server that is not avoided gets each grant.
+        self.prefers_first = False
         self.servers: list[FakeBackend] = []
         self.environment: data.Environment | None = environment()
         self.number = 1
@@ -225,7 +227,8 @@
         self._grant += 1
         free = [s for s in self.servers if s.id not in want.avoid]
         candidates = free or self.servers
-        server = candidates[self._grant % len(candidates)]
+        turn = 0 if self.prefers_first else self._grant % len(candidates)
+        server = candidates[turn]
         return data.Grant(
             self._grant,
             self.term,
@@ -319,6 +322,10 @@
         After.KEEP,
     ),
     "drop": (b"", After.CLOSE),
+    "refused": (
+        _response(b"full", "503 X", "Not-Executed: 1\r\n"),
+        After.KEEP,
+    ),
     "then_close": (_response(b"whole"), After.CLOSE),
     "garbage": (b"this is not HTTP\r\n\r\n", After.CLOSE),
     "stall": (b"", After.STALL),
@@ -372,6 +379,8 @@
         self.used: list[int] = []
         self.sent_bytes = 0
         self.faults: list[str] = []
+        # Bytes to write before the answer to the next request on a connection.
+        self._late_copies: dict[Any, bytes] = {}
 
     async def open(self) -> None:
         """Opens a free port."""
@@ -407,8 +416,9 @@
             )
         }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        request_id = headers["x-request-id"]
+        request_id = headers.get("x-request-id") or headers["request-id"]
         self.runs[request_id] += 1
+        writer.write(self._late_copies.pop(writer, b""))
         self.used.append(writer.get_extra_info("peername")[1])
         self.seen.append((method, target, headers, body))
         query = dict(
@@ -593,6 +603,21 @@
         writer.write(answer + answer)
         return True
 
+    async def _do_then(self, writer, query, request_id, body, method):
+        """Writes a copy of an earlier answer before the next one."""
+        ids = f"Request-Id: {request_id}\r\n"
+        writer.write(_response(request_id.encode(), extra=ids))
+        status, _, with_id = query["copy"].partition(" ")
+        extra = "" if status == "200" else "Not-Executed: 1\r\n"
+        extra += ids if with_id else ""
+        self._late_copies[writer] = _response(b"old", f"{status} X", extra)
+        return True
+
+    async def _do_echo(self, writer, query, request_id, body, method):
+        ids = f"Request-Id: {request_id}\r\n"
+        writer.write(_response(request_id.encode(), extra=ids))
+        return True
+
     async def _do_late_copy(self, writer, query, request_id, body, method):
         extra = f"X-Request-Id: {request_id}\r\n"
         answer = _response(f"{request_id}:late".encode(), extra=extra)
@@ -663,7 +688,11 @@
     """A router in a process of its own."""
 
     def __init__(
-        self, controllers: list[FakeLeader], fault: str = "", **settings: Any
+        self,
+        controllers: list[FakeLeader],
+        fault: str = "",
+        dialect: str = "own",
+        **settings: Any,
     ):
         self.folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self.folder.name)
@@ -689,6 +718,7 @@
                 sys.executable,
                 str(pathlib.Path(__file__).with_name("router_process.py")),
                 json.dumps(document),
+                dialect,
                 *filter(None, [fault]),
             ],
             stdout=subprocess.PIPE,
--- a/features/steps/router_process.py
+++ b/features/steps/router_process.py
@@ -1,8 +1,9 @@
 """Runs one router as a process for the tests.
 
 Reads the settings as JSON from its first argument and prints the ports. The
-second argument names a function whose first call fails, as
-`module:name:argument`; the argument limits it to calls with that value.
+second argument names the dialect of the headers. The third one names a function
+whose first call fails, as `module:name:argument`; the argument limits it to
+calls with that value.
 """
 
 import asyncio
@@ -45,13 +46,16 @@
 
     from waxwingrack.core import data
     from waxwingrack.core import logs
+    from waxwingrack.daemons import dialects
     from waxwingrack.daemons import router
+    from waxwingrack.platform import headers
 
+    dialect = {"own": dialects.OWN, "platform": headers.PlatformDialect()}
     settings = pydantic.TypeAdapter(data.Settings).validate_json(sys.argv[1])
     logs.configure(settings.node_id, settings.log_level)
-    if len(sys.argv) > 2:
-        fail_once(sys.argv[2])
-    host = router.Router(settings)
+    if len(sys.argv) > 3:
+        fail_once(sys.argv[3])
+    host = router.Router(settings, dialect=dialect[sys.argv[2]])
 
     async def run() -> None:
         stopping = asyncio.Event()
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -137,10 +137,14 @@
     Attributes:
       lost_reason: Why the connection ended, None while it is open.
       idle_since_s: Time on the reactor's clock at which it was pooled.
+      answered: Whether an earlier answer was received on it.
+      echoes_ids: Whether an earlier answer on it contained a request id.
     """
 
     lost_reason: failure.Failure | None = None
     idle_since_s: float = 0.0
+    answered: bool = False
+    echoes_ids: bool = False
     _head_bytes: int = 0
 
     def __init__(
@@ -388,15 +392,26 @@
         finally:
             if timer.active():
                 timer.cancel()
+        states_not_run = self._dialect.states_not_run(
+            response.code, response.headers
+        )
         echoed_ids = response.headers.getRawHeaders(self._dialect.request_id)
-        if echoed_ids and echoed_ids[0] != outgoing.request_id.encode():
-            logs.event("crossed_answer", request_id=outgoing.request_id)
-            # The server answers another request; the connection must not be
-            # reused.
+        if _answers_another_request(
+            conn, echoed_ids, outgoing.request_id, states_not_run
+        ):
+            logs.event(
+                "crossed_answer",
+                request_id=outgoing.request_id,
+                status=response.code,
+                has_id=bool(echoed_ids),
+            )
+            # The connection must not be reused.
             conn.transport.abortConnection()
             raise NoAnswerError(router_queues.Fault.CONNECTION_LOST)
+        conn.answered = True
+        conn.echoes_ids = conn.echoes_ids or bool(echoed_ids)
         notice = self._dialect.read_notice(response.code, response.headers)
-        if self._dialect.states_not_run(response.code, response.headers):
+        if states_not_run:
             # The body of this short answer is not read: that would keep the
             # connection busy.
             conn.transport.abortConnection()
@@ -414,6 +429,31 @@
         return build_endpoint(self._reactor, address, CONNECT_TIMEOUT_S)
 
 
+def _answers_another_request(
+    conn: BackendConnection,
+    echoed_ids: list[bytes] | None,
+    request_id: str,
+    states_not_run: bool,
+) -> bool:
+    """Tells whether an answer is, or may be, a copy of an earlier one.
+
+    A server in trouble may write an answer once more on a connection that is in
+    use again. Where the copy has no id, it is recognised by the ids of earlier
+    answers on the connection. A copy of a refusal would let a request that runs
+    be sent to another server, so on a used connection it needs an id in any
+    case.
+
+    Args:
+      conn: Connection of the answer.
+      echoed_ids: Request ids in the answer, if any.
+      request_id: Id of the request that waits for an answer.
+      states_not_run: Whether the answer states that its request has not run.
+    """
+    if echoed_ids:
+        return set(echoed_ids) != {request_id.encode()}
+    return conn.echoes_ids or (states_not_run and conn.answered)
+
+
 def build_endpoint(
     reactor: Any, address: data.Address, timeout_s: float
 ) -> Any:
