Answer the requests of connections that a stopping router has just accepted

Cause: a stopping router waited for its last answers, then closed its port and reset every open connection in the same turn of its loop.

Change: the router accepts what waits, closes the port and gives the last connections half a second to bring their requests, which are refused as not run.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -36,3 +36,13 @@
       | /healthz | 200    | {}                                       |
       | /readyz  | 200    | {"reason": ""}                           |
       | /metrics | 200    | waxwingrack_router_environment_number 1  |
+
+  Scenario: requests that arrive at any moment of a stop are answered
+    Guards against connections that were just accepted, or wait to be accepted, when
+    the router closes its port, and are reset without an answer.
+
+    Given a router with 1 fake backend servers
+    When 24 callers send requests on new connections until the router has ended
+    Then each request whose connection was accepted got a whole answer
+    And some of them were served and some refused as shutting_down
+    And the router exits with 0
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -1,8 +1,10 @@
 """Steps for the control connection, the environment and the stop."""
 
 import asyncio
+import http.client
 import json
 import signal
+import threading
 import time
 
 import behave
@@ -411,3 +413,70 @@
     events = [line["event"] for line in context.world.router.log()]
     assert "leader_left" not in events, events
     assert context.world.ready() == 200
+
+
+# Pause of a caller that was refused as the router shuts down.
+REFUSED_PAUSE_S = 0.25
+
+
+class _StopCaller:
+    """Sends each request on a new connection until none is accepted."""
+
+    def __init__(self, port):
+        self._port = port
+        self.statuses = []
+        # What happened to requests that got no whole answer.
+        self.lost = []
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self):
+        while True:
+            conn = http.client.HTTPConnection("127.0.0.1", self._port, 8)
+            try:
+                conn.connect()
+            except OSError:
+                return
+            try:
+                conn.request(
+                    "GET",
+                    "/sketch/a",
+                    headers={"Authorization": f"Bearer {router_fakes.TOKEN}"},
+                )
+                answer = conn.getresponse()
+                answer.read()
+                self.statuses.append(answer.status)
+                if answer.status == 503:
+                    time.sleep(REFUSED_PAUSE_S)
+            except (OSError, http.client.HTTPException) as exc:
+                self.lost.append(repr(exc))
+            finally:
+                conn.close()
+
+    def join(self):
+        self._thread.join()
+
+
+@behave.when(
+    "{count:d} callers send requests on new connections until the router has "
+    "ended"
+)
+def send_during_stop(context, count):
+    world = context.world
+    context.callers = [_StopCaller(world.router.port) for _ in range(count)]
+    time.sleep(0.3)
+    world.router.signal(signal.SIGTERM)
+    for caller in context.callers:
+        caller.join()
+
+
+@behave.then("each request whose connection was accepted got a whole answer")
+def none_lost(context):
+    lost = [text for caller in context.callers for text in caller.lost]
+    assert not lost, (len(lost), lost[:3])
+
+
+@behave.then("some of them were served and some refused as shutting_down")
+def served_and_refused(context):
+    statuses = {s for caller in context.callers for s in caller.statuses}
+    assert {200, 503} <= statuses, statuses
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -30,6 +30,8 @@
 # Connections accepted above the limit so that their requests get a refusal.
 REFUSAL_CONNECTIONS = 256
 MAX_HEADERS = 200
+# Connections that wait to be accepted at a port.
+BACKLOG = 1_024
 # Prefix of the paths that the router serves itself.
 OWN_PATH_PREFIX = b"/-/"
 
@@ -114,6 +116,7 @@
         self._refused = False
         self._last_unsent_bytes = 0
         self._header_bytes = 0
+        self._has_had_request = False
 
     def connectionMade(self) -> None:
         """Registers the connection, or resets it far above the limit."""
@@ -192,7 +195,7 @@
         if self._refused:
             return
         self._header_bytes = 0
-        self._headers_complete = True
+        self._headers_complete = self._has_had_request = True
         # The body has its own time limit.
         self._cancel_deadline()
         if self.over_limit:
@@ -297,9 +300,12 @@
         return len(conn.dataBuffer) - conn.offset + conn._tempDataLen
 
     def close_when_idle(self) -> None:
-        """Closes the connection unless a request is open on it."""
+        """Closes the connection unless a request is open or due on it.
+
+        The first request of a connection is due: its caller has just connected.
+        """
         self.persistent = False
-        if not self.requests:
+        if not self.requests and self._has_had_request:
             self.loseConnection()
 
     def _add_placeholder_request(self) -> "CallersRequest":
@@ -313,6 +319,17 @@
         self._deadline = None
 
 
+def accept_waiting(port: Any) -> None:
+    """Accepts the connections that wait at a listening port.
+
+    Args:
+      port: Port of twisted's reactor.
+    """
+    # A port accepts at most that many connections in one call.
+    port.numberAccepts = BACKLOG
+    port.doRead()
+
+
 class CallersRequest(server.Request):
     """Request of a caller; its body is kept in memory.
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -46,8 +46,9 @@
 # these.
 UNKNOWN_OWNER = "*unknown"
 ANNOUNCERS_OWNER = "*announcers"
-# Time given to closed connections to send their last bytes.
-STOP_LINGER_S = 0.2
+# Time given to the last connections to bring their requests and to take the
+# answers.
+STOP_LINGER_S = 0.5
 # Refusals after which the connection is closed: other routers may serve.
 _CLOSING_KINDS = frozenset(
     (
@@ -171,7 +172,10 @@
         ):
             self._ports.append(
                 reactor.listenTCP(
-                    address.port, site, backlog=1024, interface=address.host
+                    address.port,
+                    site,
+                    backlog=admission.BACKLOG,
+                    interface=address.host,
                 )
             )
         self.link.start()
@@ -201,9 +205,7 @@
             await asyncio.sleep(STOP_CHECK_S)
         for exchange in tuple(self._exchanges):
             exchange.terminate()
-        for channel in tuple(self._site.channels):
-            channel.close_when_idle()
-        await asyncio.sleep(STOP_LINGER_S)
+        await self._close_callers_port()
         self._load_task.cancel()
         await self.link.flush()
         await self.link.stop()
@@ -215,6 +217,21 @@
         logger.globalLogPublisher.removeObserver(self._observe_log_event)
         logs.event("router_stopped", cut=len(self._exchanges))
 
+    async def _close_callers_port(self) -> None:
+        """Closes the callers' port and answers what has reached it.
+
+        Connections that wait to be accepted would be reset with the port, so
+        they are accepted first; their requests are refused as they arrive.
+        """
+        callers_port = self._ports.pop(0)
+        admission.accept_waiting(callers_port)
+        await _as_future(defer.maybeDeferred(callers_port.stopListening))
+        deadline_s = time.monotonic() + STOP_LINGER_S
+        while self._site.channels and time.monotonic() < deadline_s:
+            for channel in tuple(self._site.channels):
+                channel.close_when_idle()
+            await asyncio.sleep(STOP_CHECK_S)
+
     def list_controllers(self, controllers: tuple[data.Peer, ...]) -> None:
         """Applies the list of controllers of changed settings."""
         self.link.list_controllers(controllers)
