End streams in which a stuck server sends bytes but no event

Cause: any byte counted as activity of a stream, so a server that sent a comment line, an empty line or a byte now and then kept its caller and its slot for good where the request had no deadline. The new scenarios did not end without the change.

Change: in an event stream only a complete event with data ends a pause. A stream with an event every 1.5 s of 2 s allowed still arrives whole. Also tested: nothing of another server follows a stream that broke off; with its two guards taken out those five scenarios fail.

--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -415,3 +415,47 @@
 def refused_on_new(context):
     context.world.backends[0].faults.append("refused")
     _order(context, "do=echo")
+
+
+@behave.given("a router whose servers may pause for {seconds:d} seconds")
+def may_pause(context, seconds):
+    timeouts = {"answer_timeout_s": 9.0, "idle_timeout_s": float(seconds)}
+    start_world(context, 2, {"timeouts": timeouts})
+
+
+@behave.then("the router's caller waited less than {seconds:d} seconds")
+def waited_less(context, seconds):
+    assert context.reply.seconds < seconds, context.reply.seconds
+
+
+@behave.then("the router's caller gets all {count:d} events")
+def gets_all_events(context, count):
+    assert context.reply.whole, context.reply
+    assert context.reply.body.count(b"data: ") == count, context.reply.body
+
+
+@behave.given("the next answer of each server is {first}, {second} or {third}")
+def next_answers(context, first, second, third):
+    # Either server may get the request first.
+    for backend in context.world.backends:
+        backend.faults += [first, second, third]
+
+
+@behave.when("the router's caller reads all bytes of the answer to {target}")
+def reads_all_bytes(context, target):
+    context.received = b""
+    with open_request(context, target) as conn:
+        try:
+            while part := conn.recv(65_536):
+                context.received += part
+        except ConnectionResetError:
+            pass
+
+
+@behave.then("it has got the first event and nothing else")
+def first_event_only(context):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head
+    # Without the last chunk, which would end the stream.
+    assert body == b"9\r\ndata: 0\n\n\r\n", body
+    assert context.world.runs() == 1, context.world.runs()
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -306,6 +306,12 @@
 _CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
 
 
+_CHUNKS_OF_EVENTS = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
 class After(enum.Enum):
     """What a backend server does with the connection after fixed bytes."""
 
@@ -322,6 +328,12 @@
         After.KEEP,
     ),
     "drop": (b"", After.CLOSE),
+    "error": (_response(b"foreign error", "500 X"), After.KEEP),
+    "redirect": (
+        _response(b"foreign", "307 X", "Location: /other\r\n"),
+        After.KEEP,
+    ),
+    "no_answer": (b"foreign bytes\r\n\r\n", After.CLOSE),
     "refused": (
         _response(b"full", "503 X", "Not-Executed: 1\r\n"),
         After.KEEP,
@@ -514,10 +526,7 @@
         return True
 
     async def _do_stream(self, writer, query, request_id, body, method):
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        writer.write(_CHUNKS_OF_EVENTS)
         for number in range(int(query.get("events", 5))):
             self._chunk(writer, f"data: {number} {time.monotonic()}\n\n")
             await writer.drain()
@@ -528,6 +537,22 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _do_trickle(self, writer, query, request_id, body, method):
+        """Sends one event and then the same few bytes again and again."""
+        writer.write(_CHUNKS_OF_EVENTS)
+        self._chunk(writer, "data: 0\n\n")
+        while True:
+            await asyncio.sleep(0.3)
+            self._chunk(writer, query["text"])
+            await writer.drain()
+
+    async def _do_break_stream(self, writer, query, request_id, body, method):
+        writer.write(_CHUNKS_OF_EVENTS)
+        self._chunk(writer, "data: 0\n\n")
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        self._reset(writer)
+
     @staticmethod
     def _chunk(writer: Any, text: str) -> None:
         writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -22,6 +22,7 @@
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
 from waxwingrack.operations import costs
+from waxwingrack.operations import event_streams
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 
@@ -200,7 +201,9 @@
           head: Head of the answer.
           writer: Writes the answer to the caller.
           meter: Cost meter of the request.
-          idle_timeout_s: Maximum pause of the server or of the caller.
+          idle_timeout_s: Maximum pause of the server or of the caller. In an
+            event stream, only a complete event with data ends a pause of the
+            server.
           reservation: Buffer bytes of the copy that is stored for resends; None
             if no copy is stored.
           on_first_byte: Called before the first part of the body is relayed.
@@ -222,6 +225,7 @@
         self._is_event_stream = _is_event_stream(head)
         # Last bytes of the body, as many as the longest end of an event.
         self._last_bytes = b""
+        self._position = event_streams.StreamPosition()
         self._last_active_s = reactor.seconds()
         self._timer: Any = None
 
@@ -253,7 +257,8 @@
             self.ended.errback(failure.Failure())
 
     def _relay_chunk(self, chunk: bytes) -> None:
-        self._last_active_s = self._reactor.seconds()
+        if self._is_progress(chunk):
+            self._last_active_s = self._reactor.seconds()
         if self._on_first_byte is not None:
             on_first_byte, self._on_first_byte = self._on_first_byte, None
             on_first_byte()
@@ -263,6 +268,14 @@
             self._store_chunk(chunk)
         self._writer.write(chunk)
 
+    def _is_progress(self, chunk: bytes) -> bool:
+        if not self._is_event_stream:
+            return True
+        self._position, progressed = event_streams.advance(
+            self._position, chunk
+        )
+        return progressed
+
     def _stop(self) -> None:
         self._done = True
         if self._timer and self._timer.active():
