Refuse at once what would wait too long at a saturated router

Cause: at full size the leader grants within 8 ms, but the hot tenant's 600 requests a second met routers that can serve 285.

Change: a saturated router estimates the wait from its waiting requests and its rate of grants, workspaces taking turns, and refuses with router_saturated what would take more than three tenths of the latency target. It closes the connection, so that the retry reaches another router.

--- a/features/router_saturation.feature
+++ b/features/router_saturation.feature
@@ -103,3 +103,35 @@
     Then no caller's connection is closed before two readiness checks
     And after two readiness checks callers' connections are closed, each after a whole answer
     And a refused readiness check names "saturated"
+
+  Scenario Outline: a saturated router refuses what would wait too long: <case>
+    Guards against requests that wait for seconds at one router while others are
+    idle, and against a workspace that pays for the queue of another one.
+
+    Given a <state> router with the waiting requests "<waiting>" and 100 grants a second
+    When a request of "<workspace>" with a latency target of <target> ms arrives
+    Then the saturated router's answer is: <result>
+
+    Examples:
+      | case                         | state         | waiting        | workspace | target | result                     |
+      | a long queue of its own      | saturated     | a 100          | a         | 600    | refused with 1000 ms to wait |
+      | not saturated                | not saturated | a 100          | a         | 600    | admitted                   |
+      | a short queue of its own     | saturated     | a 15           | a         | 600    | admitted                   |
+      | an urgent request            | saturated     | a 15           | a         | 300    | refused with 150 ms to wait |
+      | no target                    | saturated     | a 29           | a         | 0      | admitted                   |
+      | the long queue of another    | saturated     | a 500          | b         | 600    | admitted                   |
+      | its turn beside a long queue | saturated     | a 500, b 20    | b         | 600    | refused with 400 ms to wait |
+
+  Scenario Outline: callers of one workspace all reach one router: <case>
+    Plays 500 requests a second for 5 s at a router that can serve 250 a second, while
+    others are idle, and counts the callers whose answer came within 600 ms.
+
+    Given callers that ask another router after <delay> ms if they are refused
+    When <load> requests a second arrive for 5 s at a router that serves 250 a second and <policy>
+    Then the share of callers that were served in time is from <least> to <most>
+
+    Examples:
+      | case                      | delay | load | policy             | least | most |
+      | refused at once           | 60    | 500  | refuses long waits | 0.95  | 1.0  |
+      | without refusals          | 60    | 500  | lets all wait      | 0.0   | 0.4  |
+      | no more than it can serve | 60    | 240  | refuses long waits | 1.0   | 1.0  |
--- a/features/steps/router_saturation_steps.py
+++ b/features/steps/router_saturation_steps.py
@@ -1,6 +1,7 @@
 """Steps for routers with more work than they can do."""
 
 import asyncio
+import dataclasses
 import functools
 import http.client
 import itertools
@@ -9,6 +10,7 @@
 import types
 
 import behave
+import immutables
 
 from features.steps import router_answers_steps
 from features.steps import router_decisions_steps
@@ -16,11 +18,13 @@
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import router
+from waxwingrack.operations import local_waits
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import saturation
 from waxwingrack.operations import shedding
 
 TURNS = 20
+TARGET_MS = 600
 
 
 @behave.given('the busy shares "{samples}" of a router\'s event loop')
@@ -261,3 +265,89 @@
 def check_names(context, reason):
     assert context.reply.status == 503, context.reply
     assert reason.encode() in context.reply.body, context.reply
+
+
+def _fill_queues(waiting):
+    sequences = itertools.count()
+    queues = router_queues.Queues()
+    for part in waiting.split(", "):
+        workspace, count = part.split()
+        for _ in range(int(count)):
+            want = router_decisions_steps.make_want(next(sequences))
+            queues = router_queues.enqueue(
+                queues,
+                dataclasses.replace(want, workspace=workspace),
+                1000,
+                10_000,
+            ).unwrap()
+    return queues
+
+
+@behave.given(
+    'a {state} router with the waiting requests "{waiting}" and {rate:d} '
+    "grants a second"
+)
+def router_with_waiting(context, state, waiting, rate):
+    context.router = types.SimpleNamespace(
+        load=saturation.RouterLoad(saturated=state == "saturated"),
+        dispatcher=types.SimpleNamespace(queues=_fill_queues(waiting)),
+        _grant_rate=local_waits.GrantRate(float(rate)),
+    )
+
+
+@behave.when(
+    'a request of "{workspace}" with a latency target of {target:d} ms arrives'
+)
+def request_arrives(context, workspace, target):
+    wait_ms = router.Router.find_local_wait(context.router, workspace, target)
+    context.result = (
+        "admitted"
+        if wait_ms is None
+        else f"refused with {wait_ms:.0f} ms to wait"
+    )
+
+
+@behave.then("the saturated router's answer is: {result}")
+def is_result(context, result):
+    assert context.result == result, context.result
+
+
+@behave.given(
+    "callers that ask another router after {delay:d} ms if they are refused"
+)
+def callers_ask_another(context, delay):
+    context.delay_ms = delay
+
+
+@behave.when(
+    "{load:d} requests a second arrive for 5 s at a router that serves "
+    "{served:d} a second and {policy}"
+)
+def play_load(context, load, served, policy):
+    rate = local_waits.GrantRate(float(served))
+    waiting, in_time, arrived, due = 0.0, 0, 0, 0.0
+    for _ in range(5_000):
+        waiting = max(0.0, waiting - served / 1000)
+        due += load / 1000
+        while due >= 1:
+            due, arrived = due - 1, arrived + 1
+            queues = router_queues.Queues(
+                counts=immutables.Map({"w": int(waiting)})
+            )
+            wait_ms = local_waits.estimate_wait_ms(queues, "w", rate)
+            if policy == "refuses long waits" and local_waits.is_wait_too_long(
+                wait_ms, TARGET_MS
+            ):
+                in_time += context.delay_ms <= TARGET_MS
+            else:
+                in_time += wait_ms <= TARGET_MS
+                waiting += 1
+    context.share = in_time / arrived
+
+
+@behave.then(
+    "the share of callers that were served in time is from {least:g} to "
+    "{most:g}"
+)
+def share_in_time(context, least, most):
+    assert least <= context.share <= most, context.share
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -43,6 +43,7 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
     SERVER_REJECTED = "server_rejected"
     SERVERS_PAUSED = "servers_paused"
+    ROUTER_SATURATED = "router_saturated"
     BACKEND_CONNECT_FAILED = "backend_connect_failed"
     BACKEND_CONNECTION_LOST = "backend_connection_lost"
     BACKEND_TIMEOUT = "backend_timeout"
@@ -176,6 +177,12 @@
         1.0,
         "Every backend server of the service has asked for a pause.",
     ),
+    ErrorKind.ROUTER_SATURATED: Answer(
+        503,
+        _NOT_RUN,
+        0.05,
+        "This router has more work than it can do; another one may be free.",
+    ),
     ErrorKind.BACKEND_CONNECT_FAILED: Answer(
         502, _NOT_RUN, 1.0, "No connection to a backend server was possible."
     ),
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -114,6 +114,8 @@
         self._schedule_report = schedule_report
         self._sequences = itertools.count(1)
         self._pending_grants: dict[int, _PendingGrant] = {}
+        # Grants that waiting requests got since the count was last taken.
+        self._grant_count = 0
         self._withdrawn_sequences: list[int] = []
         self._finished_requests: list[data.FinishedRequest] = []
         self._started_answers: list[data.StartedAnswer] = []
@@ -222,10 +224,16 @@
             )
             return
         pending.timer.cancel()
+        self._grant_count += 1
         lease = Lease(grant, entry.request, entry.first_sequence, echo_ms)
         self.leases[grant.term, grant.id] = lease
         pending.deferred.callback(lease)
 
+    def take_grant_count(self) -> int:
+        """Returns the grants that waiting requests got since the last call."""
+        count, self._grant_count = self._grant_count, 0
+        return count
+
     def report_answer_start(self, lease: Lease, first_byte_ms: float) -> None:
         """Reports that the answer to a granted request has begun.
 
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -137,6 +137,9 @@
                 target.route.idempotent or target.route.single_attempt,
             )
         )
+        target_ms = round((target.route.latency_target_s or 0) * 1000)
+        if key is None:
+            self._require_short_wait(workspace, target_ms)
         body = req.content.getvalue()
         digest = routing.digest_request(
             workspace.id, method, req.uri.decode("latin-1"), body
@@ -178,13 +181,24 @@
                 prompt_tokens=hints.prompt_tokens,
                 output_tokens=hints.output_tokens,
                 left_ms=left_ms or 0,
-                target_ms=round((target.route.latency_target_s or 0) * 1000),
+                target_ms=target_ms,
             ),
             key=key,
             deadline_ms=now_ms
             + (wait_ms if left_ms is None else min(wait_ms, left_ms)),
         )
 
+    def _require_short_wait(
+        self, workspace: data.Workspace, target_ms: int
+    ) -> None:
+        """Refuses a request that would wait too long at this router."""
+        wait_ms = self._host.find_local_wait(workspace.id, target_ms)
+        if wait_ms is not None:
+            raise dispatch.RefusedError(
+                errors.ErrorKind.ROUTER_SATURATED,
+                reason=f"{wait_ms:.0f} ms to wait, target {target_ms} ms",
+            )
+
     def _find_workspace(self, matched: result.Result) -> data.Workspace:
         """Returns the caller's workspace; a public route needs no token."""
         tables = self._host.tables
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -55,6 +55,9 @@
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
 
+    def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
+        """Returns the wait for a grant if it is too long for a request."""
+
     def must_close_after(self, req: admission.CallersRequest) -> bool:
         """Decides whether to close a connection after the answer on it."""
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -35,6 +35,7 @@
 from waxwingrack.daemons import router_metrics
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.operations import local_waits
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
 from waxwingrack.operations import saturation
@@ -54,6 +55,7 @@
     (
         errors.ErrorKind.SHUTTING_DOWN,
         errors.ErrorKind.CONTROL_UNAVAILABLE,
+        errors.ErrorKind.ROUTER_SATURATED,
     )
 )
 
@@ -125,6 +127,7 @@
         self._load_task: asyncio.Task | None = None
         self._relayed_bytes = 0
         self._shedding = shedding.Shedding()
+        self._grant_rate = local_waits.GrantRate()
         # Connections that got an answer since the last sample of the load.
         self._answered_channels: set[Any] = set()
         self.link = control_link.ControlLink(
@@ -267,6 +270,9 @@
     ) -> None:
         was_saturated = self.load.saturated
         self.load = saturation.add_sample(self.load, use.highest)
+        self._grant_rate = local_waits.add_sample(
+            self._grant_rate, self.dispatcher.take_grant_count(), elapsed_s
+        )
         active = len(self._answered_channels)
         self._answered_channels.clear()
         self._shedding = shedding.add_credit(
@@ -296,6 +302,24 @@
             self._shedding, self.load.saturated
         )
 
+    def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
+        """Returns the wait for a grant if it is too long for a request.
+
+        Args:
+          workspace: Workspace of the request.
+          target_ms: Latency target of the request; 0 if it has none.
+
+        Returns:
+          The estimated wait in milliseconds; None if the request should wait.
+        """
+        if not self.load.saturated:
+            return None
+        wait_ms = local_waits.estimate_wait_ms(
+            self.dispatcher.queues, workspace, self._grant_rate
+        )
+        is_too_long = local_waits.is_wait_too_long(wait_ms, target_ms)
+        return wait_ms if is_too_long else None
+
     def must_close_after(self, req: admission.CallersRequest) -> bool:
         """Decides whether to close a connection after the answer on it.
 
