Tell the other controllers at once that a server leaves

Cause: a new leader takes over the servers that the former leader has sent, which it does once a second. A server that deregistered in between was used again after the leader was lost, and its announcement counted as new, so for up to five seconds more.

Change: the leader sends the servers to the other controllers when it learns of a departure, before it acknowledges it; a new leader counts the age of what it takes over.

--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+import types
 
 import behave
 
@@ -13,6 +14,7 @@
 from features.support import scheduler_tables as driver
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import leader
 from waxwingrack.operations import scheduler
 from waxwingrack.operations import server_notices
 
@@ -60,7 +62,7 @@
     known = scheduler.export_known_servers(context.tables)
     tables = scheduler.create_tables(2, context.at_ms, (), ())
     context.tables = scheduler.import_known_servers(
-        tables, driver.ENVIRONMENT, known, context.at_ms
+        tables, driver.ENVIRONMENT, known, 0, context.at_ms
     )
     driver.send_report(context, first=True)
     # The server still announces itself as if it stayed.
@@ -475,3 +477,84 @@
         WAIT_S,
         "r1 serves",
     )
+
+
+@behave.given('a leader that knows the server "b1"')
+def leader_with_server(context):
+    scheduler_with_server(context, "i1")
+    context.told = []
+    services = types.SimpleNamespace(
+        clock=lambda: context.at_ms,
+        send_to_controllers=context.told.append,
+        metrics=types.SimpleNamespace(add=lambda *_: None),
+        driver=types.SimpleNamespace(state=data.ReplicatedState()),
+    )
+    context.leader = leader.Leader.__new__(leader.Leader)
+    context.leader.services = services
+    context.leader.tables = context.tables
+    context.leader._shared_departures = set()
+
+
+@behave.when('the server "b1" deregisters itself')
+def deregisters(context):
+    context.leader.handle_departure("b1")
+    context.leader.handle_departure("b1")
+
+
+@behave.when('the server "b1" announces its departure')
+def announces_departure(context):
+    leaving = dataclasses.replace(
+        driver.create_announcement("b1", "i1"), departing=True
+    )
+    context.leader.handle_announcement(leaving)
+    context.leader.handle_announcement(leaving)
+
+
+@behave.when('a router reports a departure of "b1"')
+def reports_departure(context):
+    report_leaving(context, "i1")
+    context.leader.tables = context.tables
+    context.leader.share_departure("b1")
+    context.leader.share_departure("b1")
+
+
+@behave.then('the other controllers have been told once that "b1" leaves')
+def told_once(context):
+    departing = [
+        announcement.departing
+        for message in context.told
+        for announcement in message.announcements
+    ]
+    assert departing == [True], departing
+
+
+@behave.then('a new leader that takes over its servers grants "b1" nothing')
+def takes_over(context):
+    _take_over(context, context.told[-1], 0)
+    request_is(context, "queued")
+
+
+def _take_over(context, known, age_ms):
+    context.tables = scheduler.import_known_servers(
+        scheduler.create_tables(2, context.at_ms, (), ()),
+        driver.ENVIRONMENT,
+        known,
+        age_ms,
+        context.at_ms,
+    )
+    driver.send_report(context, first=True)
+
+
+@behave.when(
+    "a new leader takes over its servers, which it was told {age:d} s ago"
+)
+def takes_over_old(context, age):
+    known = scheduler.export_known_servers(context.tables)
+    _take_over(context, known, 1_000 * age)
+
+
+@behave.then("{wait:d} s later a request is {result}")
+def later_request(context, wait, result):
+    context.at_ms += 1_000 * wait
+    driver.run_tick(context)
+    request_is(context, result)
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -53,7 +53,11 @@
     messages.InstallSnapshot,
 )
 # What the leader tells the other controllers of its memory.
-LEADER_MEMORY_MESSAGES = (messages.CrashEvidence, messages.VersionEvidence)
+LEADER_MEMORY_MESSAGES = (
+    messages.ServersKnown,
+    messages.CrashEvidence,
+    messages.VersionEvidence,
+)
 # Age above which the samples of a former leader are not used: the load and the
 # versions may have changed.
 MAX_SAMPLES_AGE_MS = 60_000
@@ -167,11 +171,6 @@
         self._timer_task: asyncio.Task | None = None
         self._peers: tuple[data.Peer, ...] = ()
         self._pushed_number = 0
-        # The latest backend servers from the leader and their time of arrival.
-        self._known_servers: tuple[messages.ServersKnown | None, int] = (
-            None,
-            0,
-        )
         # What the leader sent last of each kind, with the time of its arrival.
         self._known: dict[type, tuple[Any, int]] = {}
 
@@ -418,12 +417,6 @@
         age_ms = self.clock() - received_ms
         return (message, age_ms) if age_ms <= max_age_ms else None
 
-    def _recently_known_servers(self) -> messages.ServersKnown | None:
-        known_servers, received_ms = self._known_servers
-        if self.clock() - received_ms > servers.MAX_ANNOUNCEMENT_AGE_MS:
-            return None
-        return known_servers
-
     def _added_peers(self) -> tuple[data.Peer, ...]:
         """Returns the controllers that the settings of routers may lack."""
         if self._group is not None:
@@ -481,9 +474,6 @@
             )
             self.links.send(node_id, answer)
             return
-        if isinstance(message, messages.ServersKnown):
-            self._known_servers = (message, self.clock())
-            return
         if isinstance(message, LEADER_MEMORY_MESSAGES):
             self._known[type(message)] = (message, self.clock())
             return
@@ -509,7 +499,9 @@
                 metrics=self.metrics,
                 list_added_peers=self._added_peers,
                 send_to_controllers=self._send_to_controllers,
-                known_servers=self._recently_known_servers(),
+                known_servers=self._known_with_age(
+                    messages.ServersKnown, servers.MAX_ANNOUNCEMENT_AGE_MS
+                ),
                 known_evidence=self._known_with_age(messages.CrashEvidence),
                 known_samples=self._known_with_age(
                     messages.VersionEvidence, MAX_SAMPLES_AGE_MS
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -39,6 +39,8 @@
 ROLLOUT_LOG_INTERVAL_MS = 1_000
 # Interval at which the known backend servers are sent to the other controllers.
 SHARE_SERVERS_INTERVAL_MS = 1_000
+# Departures of servers that are remembered as sent to the other controllers.
+MAX_SHARED_DEPARTURES = 4_096
 # Shortest interval at which the evidence about crashes is sent to them.
 SHARE_EVIDENCE_INTERVAL_MS = 200
 
@@ -64,8 +66,8 @@
       list_added_peers: Returns the controllers that the settings of routers
         may lack.
       send_to_controllers: Sends a message to all other controllers.
-      known_servers: Backend servers that the former leader sent recently, or
-        None.
+      known_servers: Backend servers that the former leader sent recently, and
+        the time since then in milliseconds, or None.
       known_evidence: Evidence about crashes that the former leader sent, and
         the time since then in milliseconds, or None.
       known_samples: Samples of versions that the former leader sent, and the
@@ -79,7 +81,7 @@
     metrics: metrics_module.Metrics
     list_added_peers: Callable[[], tuple[data.Peer, ...]] = tuple
     send_to_controllers: Callable[[Any], None] = lambda message: None
-    known_servers: messages.ServersKnown | None = None
+    known_servers: tuple[messages.ServersKnown, int] | None = None
     known_evidence: tuple[messages.CrashEvidence, int] | None = None
     known_samples: tuple[messages.VersionEvidence, int] | None = None
 
@@ -104,16 +106,22 @@
             known_routers.connected_ids(self.state.known_routers.values()),
         )
         if services.known_servers is not None:
+            known_servers, age_ms = services.known_servers
             self.tables = scheduler.import_known_servers(
                 self.tables,
                 self.state.environment,
-                services.known_servers,
+                known_servers,
+                age_ms,
                 self.since_ms,
             )
             logs.event(
                 "servers_taken_over",
-                count=len(services.known_servers.announcements),
+                count=len(known_servers.announcements),
+                age_ms=age_ms,
             )
+        # Departures that the other controllers were told, by server id and
+        # incarnation.
+        self._shared_departures: set[tuple[str, str]] = set()
         if services.known_evidence is not None:
             evidence, age_ms = services.known_evidence
             self.tables = crash_evidence.import_evidence(
@@ -260,12 +268,37 @@
         self.services.metrics.add(
             "announcements_total", "Announcements of backend servers."
         )
+        if announcement.departing:
+            self.share_departure(announcement.server_id)
 
     def handle_departure(self, server_id: str) -> None:
         """Removes a backend server that has deregistered itself."""
         self.tables = scheduler.on_departure(
             self.tables, server_id, self.services.clock()
         )
+        self.share_departure(server_id)
+
+    def share_departure(self, server_id: str) -> None:
+        """Tells the other controllers at once that a server leaves.
+
+        Otherwise a new leader would use it again, as it takes over the servers
+        that the former leader has sent last.
+
+        Args:
+          server_id: Id of the server.
+        """
+        row = self.tables.servers.get(server_id)
+        if row is None or not row.announcement.departing:
+            return
+        departure = (server_id, row.announcement.incarnation)
+        if departure in self._shared_departures:
+            return
+        if len(self._shared_departures) >= MAX_SHARED_DEPARTURES:
+            self._shared_departures.clear()
+        self._shared_departures.add(departure)
+        self.services.send_to_controllers(
+            scheduler.export_known_servers(self.tables)
+        )
 
     def _handle_lost_router(
         self, session: router_sessions.Session, reason: str
@@ -807,6 +840,9 @@
     leader.tables = scheduler.on_report(
         leader.tables, session.ref, report, now_ms
     )
+    for notice in report.notices:
+        if notice.leaving:
+            leader.share_departure(notice.server_id)
     leader.push_environment((session,))
     if _is_heartbeat(report):
         leader.answer_heartbeat(session)
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -291,14 +291,19 @@
     tables: Tables,
     environment: data.Environment | None,
     known: messages.ServersKnown,
+    age_ms: int,
     now_ms: int,
 ) -> Tables:
     """Adds the servers that the former leader knew to the tables.
 
+    A server may have left since, so its announcement expires as early as if
+    this leader had received it.
+
     Args:
       tables: Tables of a new leader.
       environment: Environment in force, None if there is none yet.
       known: Servers that the former leader reported.
+      age_ms: Time since it reported them.
       now_ms: Present time.
 
     Returns:
@@ -309,6 +314,7 @@
         _set_environment(txn, environment)
     for announcement in known.announcements:
         servers.apply_announcement(txn, announcement)
+        servers.set_announced(txn, announcement, now_ms - age_ms)
     for kept in known.prompts:
         row = txn.servers.get(kept.server_id)
         if row is not None:
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -103,6 +103,28 @@
         pauses.record(txn, router, notice)
 
 
+def set_announced(
+    txn: Transaction, announcement: data.Announcement, announced_ms: int
+) -> None:
+    """Sets the time of an announcement that was received by another leader.
+
+    Args:
+      txn: Tables.
+      announcement: The announcement; one that is not in force is ignored.
+      announced_ms: Time of its arrival.
+    """
+    row = txn.servers.get(announcement.server_id)
+    if row is None or row.announcement.incarnation != announcement.incarnation:
+        return
+    tables_module.store_server(txn, data.evolve(row, announced_ms=announced_ms))
+    tables_module.set_timer(
+        txn,
+        announced_ms + MAX_ANNOUNCEMENT_AGE_MS,
+        "age",
+        announcement.server_id,
+    )
+
+
 def mark_departing(
     txn: Transaction, server_id: str, observation: str = "deregistered"
 ) -> None:
