--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -278,15 +278,19 @@
         self._shedding = shedding.add_credit(
             self._shedding, use.highest, active, elapsed_s
         )
-        if self.load.saturated != was_saturated:
-            logs.event(
-                "saturated" if self.load.saturated else "caught_up",
-                busy=round(use.loop, 2),
-                link=round(use.link, 2),
-                open=len(self._exchanges),
-                connections=len(self._site.channels),
-                shed=self.metrics.connections_shed,
-            )
+        if self.load.saturated == was_saturated:
+            return
+        fields = {
+            "busy": round(use.loop, 2),
+            "link": round(use.link, 2),
+            "open": len(self._exchanges),
+            "connections": len(self._site.channels),
+            "shed": self.metrics.connections_shed,
+        }
+        if self.load.saturated:
+            logs.event("saturated", **fields)
+        else:
+            logs.event("caught_up", **fields)
 
     def count_relayed(self, size: int) -> None:
         """Counts received bytes of requests and answers.
