Keep a router that was saturated out of the rotation for a while

It was full again a second after each return and stayed in the rotation for two to three more, so two routers took turns with 4-second cycles, 8,053 requests were refused there and 3,469 of them twice, while sixteen routers of the zone had little to do.

Change: a router stays out for 2 s after it has caught up, twice as long after each relapse within 10 s, up to 16 s, and serves the connections it has. A refusal for saturation closes its connection only once new ones go elsewhere.

--- a/features/router_saturation.feature
+++ b/features/router_saturation.feature
@@ -135,3 +135,16 @@
       | refused at once           | 60    | 500  | refuses long waits | 0.95  | 1.0  |
       | without refusals          | 60    | 500  | lets all wait      | 0.0   | 0.4  |
       | no more than it can serve | 60    | 240  | refuses long waits | 1.0   | 1.0  |
+
+  Scenario: a router that is saturated again and again stays out longer
+    Guards against a router that a single caller fills a moment after each return.
+
+    Given a router that was saturated and caught up at the seconds
+      | saturated | caught up | returns |
+      | 10        | 12        | 14      |
+      | 15        | 17        | 21      |
+      | 30        | 31        | 39      |
+      | 40        | 42        | 58      |
+      | 60        | 61        | 77      |
+      | 90        | 91        | 93      |
+    Then it is held until its last return and not after it
--- a/features/steps/router_saturation_steps.py
+++ b/features/steps/router_saturation_steps.py
@@ -19,6 +19,7 @@
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import router
 from waxwingrack.operations import local_waits
+from waxwingrack.operations import readmissions
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import saturation
 from waxwingrack.operations import shedding
@@ -73,12 +74,16 @@
 
 @behave.given("a running router that is saturated")
 def saturated_router(context):
-    context.router = types.SimpleNamespace(
+    context.now_ms = 100_000
+    context.router = router.Router.__new__(router.Router)
+    context.router.__dict__.update(
         draining=False,
         tables=types.SimpleNamespace(drained=()),
         link=types.SimpleNamespace(alive=True),
         settings=types.SimpleNamespace(data_centre="a"),
         load=saturation.RouterLoad(saturated=True),
+        clock=lambda: context.now_ms,
+        _readmission=readmissions.Readmission(),
     )
 
 
@@ -351,3 +356,27 @@
 )
 def share_in_time(context, least, most):
     assert least <= context.share <= most, context.share
+
+
+@behave.given("a router that was saturated and caught up at the seconds")
+def saturated_at(context):
+    context.readmission = readmissions.Readmission()
+    context.returns = []
+    for row in context.table:
+        state = readmissions.note_saturated(
+            context.readmission, int(1_000 * float(row["saturated"]))
+        )
+        caught_up_ms = int(1_000 * float(row["caught up"]))
+        context.readmission = readmissions.note_caught_up(state, caught_up_ms)
+        expected_ms = int(1_000 * float(row["returns"]))
+        assert context.readmission.returns_ms == expected_ms, (
+            row,
+            context.readmission,
+        )
+
+
+@behave.then("it is held until its last return and not after it")
+def held_until(context):
+    returns_ms = context.readmission.returns_ms
+    assert context.readmission.is_held(returns_ms - 1)
+    assert not context.readmission.is_held(returns_ms)
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -36,6 +36,7 @@
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import local_waits
+from waxwingrack.operations import readmissions
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
 from waxwingrack.operations import saturation
@@ -55,7 +56,6 @@
     (
         errors.ErrorKind.SHUTTING_DOWN,
         errors.ErrorKind.CONTROL_UNAVAILABLE,
-        errors.ErrorKind.ROUTER_SATURATED,
     )
 )
 
@@ -126,6 +126,7 @@
         self.load = saturation.RouterLoad()
         self._load_task: asyncio.Task | None = None
         self._relayed_bytes = 0
+        self._readmission = readmissions.Readmission()
         self._shedding = shedding.Shedding()
         self._grant_rate = local_waits.GrantRate()
         # Connections that got an answer since the last sample of the load.
@@ -287,10 +288,17 @@
             "connections": len(self._site.channels),
             "shed": self.metrics.connections_shed,
         }
+        now_ms = self.clock()
         if self.load.saturated:
+            self._readmission = readmissions.note_saturated(
+                self._readmission, now_ms
+            )
             logs.event("saturated", **fields)
         else:
-            logs.event("caught_up", **fields)
+            self._readmission = readmissions.note_caught_up(
+                self._readmission, now_ms
+            )
+            logs.event("caught_up", hold_ms=self._readmission.hold_ms, **fields)
 
     def count_relayed(self, size: int) -> None:
         """Counts received bytes of requests and answers.
@@ -303,7 +311,7 @@
     def note_readiness_check(self) -> None:
         """Records a readiness check of a load balancer."""
         self._shedding = shedding.note_check(
-            self._shedding, self.load.saturated
+            self._shedding, self._is_out_of_rotation()
         )
 
     def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
@@ -354,10 +362,13 @@
             and not self.settings.ready_when_drained
         ):
             return "data_centre_drained"
-        if self.load.saturated:
+        if self._is_out_of_rotation():
             return "saturated"
         return ""
 
+    def _is_out_of_rotation(self) -> bool:
+        return self.load.saturated or self._readmission.is_held(self.clock())
+
     # -- control ------------------------------------------------------------
 
     def build_report(self, first: bool) -> messages.RouterReport:
@@ -540,7 +551,7 @@
             headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
         if kind is errors.ErrorKind.UNAUTHENTICATED:
             headers.setRawHeaders(b"WWW-Authenticate", [b"Bearer"])
-        if kind in _CLOSING_KINDS or self.must_close_after(req):
+        if self._must_close_after_refusal(kind, req):
             req.channel.persistent = False
         if not req.channel.persistent:
             headers.setRawHeaders(b"Connection", [b"close"])
@@ -548,6 +559,14 @@
         req.write(body)
         req.finish()
 
+    def _must_close_after_refusal(
+        self, kind: errors.ErrorKind, req: admission.CallersRequest
+    ) -> bool:
+        if kind is errors.ErrorKind.ROUTER_SATURATED:
+            # Before new connections go elsewhere, the caller would come back.
+            return self._shedding.is_rerouted or self.closing
+        return kind in _CLOSING_KINDS or self.must_close_after(req)
+
     def record_failure(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
         self.metrics.failures += 1
