Refuse for saturation only once new connections go elsewhere

Cause: the platform sends all new connections of a caller to the same router as long as that is in its rotation, those of retries, too.

Change: the hold and its module are taken back, nothing is turned away, and router_saturated is used only after two readiness checks have found the router saturated. Before a request is sent, the socket of its caller is asked whether it has left, as a busy event loop learns of that later (GONE).

--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -89,3 +89,13 @@
     Given a router that reaches 5 controllers over links with round trips of 500 ms
     Then the router is ready within 4 seconds
     And it stays with its leader for 3 seconds
+
+  Scenario: a router that was held up sends nothing for a caller that has left
+    Guards against a request that runs although its caller left before: a busy
+    router reads the grant first and the end of the caller's connection later.
+
+    Given a router with 1 fake backend servers
+    And the router has 6 idle connections to its backend server
+    And the router's leader stops granting
+    When 6 callers leave and are granted while the router is frozen for 0.3 seconds
+    Then the router has dispatched none of these requests
--- a/features/router_saturation.feature
+++ b/features/router_saturation.feature
@@ -116,6 +116,7 @@
       | case                         | state         | waiting        | workspace | target | result                     |
       | a long queue of its own      | saturated     | a 100          | a         | 600    | refused with 1000 ms to wait |
       | not saturated                | not saturated | a 100          | a         | 600    | admitted                   |
+      | new ones still come here     | in rotation   | a 100          | a         | 600    | admitted                   |
       | a short queue of its own     | saturated     | a 15           | a         | 600    | admitted                   |
       | an urgent request            | saturated     | a 15           | a         | 300    | refused with 150 ms to wait |
       | no target                    | saturated     | a 29           | a         | 0      | admitted                   |
@@ -135,16 +136,3 @@
       | refused at once           | 60    | 500  | refuses long waits | 0.95  | 1.0  |
       | without refusals          | 60    | 500  | lets all wait      | 0.0   | 0.4  |
       | no more than it can serve | 60    | 240  | refuses long waits | 1.0   | 1.0  |
-
-  Scenario: a router that is saturated again and again stays out longer
-    Guards against a router that a single caller fills a moment after each return.
-
-    Given a router that was saturated and caught up at the seconds
-      | saturated | caught up | returns |
-      | 10        | 12        | 14      |
-      | 15        | 17        | 21      |
-      | 30        | 31        | 39      |
-      | 40        | 42        | 58      |
-      | 60        | 61        | 77      |
-      | 90        | 91        | 93      |
-    Then it is held until its last return and not after it
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -480,3 +480,39 @@
 def served_and_refused(context):
     statuses = {s for caller in context.callers for s in caller.statuses}
     assert {200, 503} <= statuses, statuses
+
+
+@behave.given("the router has {count:d} idle connections to its backend server")
+def idle_connections(context, count):
+    joins = [
+        context.world.send_later("GET", "/sketch/a?do=slow&pause=0.3")
+        for _ in range(count)
+    ]
+    assert {join().status for join in joins} == {200}
+    context.before = count
+
+
+@behave.when(
+    "{count:d} callers leave and are granted while the router is frozen for "
+    "{seconds:g} seconds"
+)
+def leave_while_frozen(context, count, seconds):
+    world = context.world
+    conns = [answers.open_request(context, "/sketch/a") for _ in range(count)]
+    world.wait_for(lambda: len(world.leader.wants) == count, "the wants")
+    world.router.signal(signal.SIGSTOP)
+    time.sleep(0.1)
+    # The grants arrive before the callers leave.
+    world.loop.call(world.leader.grant_all)
+    for conn in conns:
+        conn.close()
+    time.sleep(seconds)
+    world.router.signal(signal.SIGCONT)
+    time.sleep(0.5)
+
+
+@behave.then("the router has dispatched none of these requests")
+def none_dispatched(context):
+    lines = [line["event"] for line in context.world.router.log()]
+    assert lines.count("ended") >= context.before, lines
+    assert lines.count("dispatched") == context.before, lines
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -10,6 +10,7 @@
 
 import io
 import re
+import socket
 from typing import Any
 from typing import Protocol
 import urllib.parse
@@ -319,6 +320,27 @@
         self._deadline = None
 
 
+def has_caller_left(req: "CallersRequest") -> bool:
+    """Tells whether a caller has closed its connection.
+
+    The socket is asked directly: the event loop of a busy router learns of it
+    later.
+
+    Args:
+      req: Open request on the connection.
+    """
+    transport = req.channel.transport if req.channel else None
+    handle = getattr(transport, "getHandle", lambda: None)()
+    if handle is None:
+        return False
+    try:
+        return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def accept_waiting(port: Any) -> None:
     """Accepts the connections that wait at a listening port.
 
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -382,6 +382,8 @@
         def may_send() -> bool:
             now_ms = host.clock()
             self._require_open_server(lease)
+            if not keyed and admission.has_caller_left(req):
+                self._caller_left = True
             if self._caller_left or not router_queues.is_grant_valid(
                 lease.valid_from_ms, now_ms
             ):
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -36,7 +36,6 @@
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import local_waits
-from waxwingrack.operations import readmissions
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
 from waxwingrack.operations import saturation
@@ -56,6 +55,7 @@
     (
         errors.ErrorKind.SHUTTING_DOWN,
         errors.ErrorKind.CONTROL_UNAVAILABLE,
+        errors.ErrorKind.ROUTER_SATURATED,
     )
 )
 
@@ -126,7 +126,6 @@
         self.load = saturation.RouterLoad()
         self._load_task: asyncio.Task | None = None
         self._relayed_bytes = 0
-        self._readmission = readmissions.Readmission()
         self._shedding = shedding.Shedding()
         self._grant_rate = local_waits.GrantRate()
         # Connections that got an answer since the last sample of the load.
@@ -288,17 +287,10 @@
             "connections": len(self._site.channels),
             "shed": self.metrics.connections_shed,
         }
-        now_ms = self.clock()
         if self.load.saturated:
-            self._readmission = readmissions.note_saturated(
-                self._readmission, now_ms
-            )
             logs.event("saturated", **fields)
         else:
-            self._readmission = readmissions.note_caught_up(
-                self._readmission, now_ms
-            )
-            logs.event("caught_up", hold_ms=self._readmission.hold_ms, **fields)
+            logs.event("caught_up", **fields)
 
     def count_relayed(self, size: int) -> None:
         """Counts received bytes of requests and answers.
@@ -311,7 +303,7 @@
     def note_readiness_check(self) -> None:
         """Records a readiness check of a load balancer."""
         self._shedding = shedding.note_check(
-            self._shedding, self._is_out_of_rotation()
+            self._shedding, self.load.saturated
         )
 
     def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
@@ -324,7 +316,8 @@
         Returns:
           The estimated wait in milliseconds; None if the request should wait.
         """
-        if not self.load.saturated:
+        # Before new connections go elsewhere, a retry would come back here.
+        if not (self.load.saturated and self._shedding.is_rerouted):
             return None
         wait_ms = local_waits.estimate_wait_ms(
             self.dispatcher.queues, workspace, self._grant_rate
@@ -362,13 +355,10 @@
             and not self.settings.ready_when_drained
         ):
             return "data_centre_drained"
-        if self._is_out_of_rotation():
+        if self.load.saturated:
             return "saturated"
         return ""
 
-    def _is_out_of_rotation(self) -> bool:
-        return self.load.saturated or self._readmission.is_held(self.clock())
-
     # -- control ------------------------------------------------------------
 
     def build_report(self, first: bool) -> messages.RouterReport:
@@ -551,7 +541,7 @@
             headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
         if kind is errors.ErrorKind.UNAUTHENTICATED:
             headers.setRawHeaders(b"WWW-Authenticate", [b"Bearer"])
-        if self._must_close_after_refusal(kind, req):
+        if kind in _CLOSING_KINDS or self.must_close_after(req):
             req.channel.persistent = False
         if not req.channel.persistent:
             headers.setRawHeaders(b"Connection", [b"close"])
@@ -559,14 +549,6 @@
         req.write(body)
         req.finish()
 
-    def _must_close_after_refusal(
-        self, kind: errors.ErrorKind, req: admission.CallersRequest
-    ) -> bool:
-        if kind is errors.ErrorKind.ROUTER_SATURATED:
-            # Before new connections go elsewhere, the caller would come back.
-            return self._shedding.is_rerouted or self.closing
-        return kind in _CLOSING_KINDS or self.must_close_after(req)
-
     def record_failure(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
         self.metrics.failures += 1
--- a/waxwingrack/operations/local_waits.py
+++ b/waxwingrack/operations/local_waits.py
@@ -7,6 +7,9 @@
 still get its answer in time. Where all routers are saturated, it keeps the
 waits of those that are admitted short.
 
+Callers come back to the same router as long as the load balancer sends their
+new connections there, so nothing is refused before that has changed.
+
 The wait follows from the requests that wait at this router and the rate at
 which they get grants. Workspaces take turns, so a workspace with few waiting
 requests is not refused because of one with many.
