--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -43,11 +43,11 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
     SERVER_REJECTED = "server_rejected"
     SERVERS_PAUSED = "servers_paused"
-    ROUTER_SATURATED = "router_saturated"
     BACKEND_CONNECT_FAILED = "backend_connect_failed"
     BACKEND_CONNECTION_LOST = "backend_connection_lost"
     BACKEND_TIMEOUT = "backend_timeout"
     INTERNAL = "internal"
+    ROUTER_SATURATED = "router_saturated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
