Play the earlier overloads with answers of one length again

Cause: let the answers of all overload scenarios vary in length with draws of the same generator, so the earlier ones no longer played the same load.

Change: only the scenarios with places vary them, with a generator of their own.

--- a/features/steps/engine_placement_steps.py
+++ b/features/steps/engine_placement_steps.py
@@ -23,8 +23,8 @@
 TOKEN_BYTES = 163_840
 # Grant of a prompt that is still being read.
 READING = (0, 3)
-# Rate of reading until one is measured, and the unread prompts up to which an
-# engine that reads at this rate gets a further request.
+# Initial read rate of a service, in tokens per millisecond, and the limit of
+# unread tokens of its engines at that rate.
 READ_RATE = forecast.DEFAULT_TOKENS_PER_MS
 MAX_UNREAD_TOKENS = engine_load.MAX_UNREAD_MS * READ_RATE
 
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -77,11 +77,14 @@
     context.delays_ms = {}
     context.silent = ""
     context.output_ms = OUTPUT_MS
+    # Share by which the times of answers vary, and their random generator.
+    context.spread, context.durations = 0.0, random.Random(SEED)
 
 
 @behave.given("engines with {slots:d} places and answers of {output_ms:d} ms")
 def set_places(context, slots, output_ms):
     context.slots, context.output_ms = slots, output_ms
+    context.spread = 0.5
     driver.send_report(
         context,
         announcements=tuple(
@@ -163,7 +166,7 @@
         while events and events[0][0] <= now_ms:
             _, _, kind, item = heapq.heappop(events)
             if kind == "arrived":
-                for event in _read_prompt(context, rng, end_ms, *item):
+                for event in _read_prompt(context, end_ms, *item):
                     heapq.heappush(
                         events, (event[0], next(numbers), *event[1:])
                     )
@@ -198,7 +201,7 @@
     context.simulated_ms = context.at_ms - start_ms
 
 
-def _read_prompt(context, rng, end_ms, arrives_ms, granted_ms, grant):
+def _read_prompt(context, end_ms, arrives_ms, granted_ms, grant):
     """Lets an engine read a prompt; returns what is reported of it later."""
     tokens = context.sent[grant.want][2].tokens
     begin_ms = context.engines[grant.server_id].read(
@@ -208,7 +211,9 @@
         return ()
     context.begun[grant.want] = begin_ms
     first_ms = begin_ms - granted_ms
-    output_ms = context.output_ms * rng.uniform(0.5, 1.5)
+    output_ms = context.output_ms * context.durations.uniform(
+        1 - context.spread, 1 + context.spread
+    )
     context.taken_ms += max(0, min(end_ms, begin_ms + output_ms) - granted_ms)
     started = data.StartedAnswer(grant.term, grant.id, first_ms)
     finished = data.FinishedRequest(
