--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """A request on an unsafe route, without a slash at its end, runs twice."""
 
-import concurrent.futures
 import collections
+import concurrent.futures
 import pathlib
 import sys
 import time
@@ -19,27 +19,50 @@
 MANIFEST = {
     "routes": [
         {
-            "name": "r-jobs", "host": "h.example", "pathPrefix": "/jobs/",
-            "kind": "unsafe", "timeoutMs": 2500, "targetLatencyMs": 300,
-            "priority": 1, "service": "booking", "maxAttempts": 1,
-            "public": False, "stickySessions": False, "streamResume": False,
+            "name": "r-jobs",
+            "host": "h.example",
+            "pathPrefix": "/jobs/",
+            "kind": "unsafe",
+            "timeoutMs": 2500,
+            "targetLatencyMs": 300,
+            "priority": 1,
+            "service": "booking",
+            "maxAttempts": 1,
+            "public": False,
+            "stickySessions": False,
+            "streamResume": False,
         },
         {
-            "name": "r-list", "host": "h.example", "pathPrefix": "/jobs/list/",
-            "kind": "safe", "timeoutMs": 2500, "targetLatencyMs": 300,
-            "priority": 1, "service": "booking", "maxAttempts": 2,
-            "public": False, "stickySessions": False, "streamResume": False,
+            "name": "r-list",
+            "host": "h.example",
+            "pathPrefix": "/jobs/list/",
+            "kind": "safe",
+            "timeoutMs": 2500,
+            "targetLatencyMs": 300,
+            "priority": 1,
+            "service": "booking",
+            "maxAttempts": 2,
+            "public": False,
+            "stickySessions": False,
+            "streamResume": False,
         },
     ],
     "services": [
         {
-            "name": "booking", "healthPath": "/health", "maxConnections": 110,
-            "protocol": "h1", "tls": False, "coldStartS": 0.0, "coldPerS": 0.0,
+            "name": "booking",
+            "healthPath": "/health",
+            "maxConnections": 110,
+            "protocol": "h1",
+            "tls": False,
+            "coldStartS": 0.0,
+            "coldPerS": 0.0,
         },
     ],
     "limits": {
-        "maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
-        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
     },
     "tenants": [{"name": "ta", "apiKeys": ["key-a"], "priority": 1}],
 }
@@ -72,8 +95,9 @@
         fleet.replace_manifest(MANIFEST)
         fleet.wait_ready()
         harness.wait_until(
-            lambda: harness.ask(fleet, fleet.routers[0], "/jobs/x")["status"]
-            == 200,
+            lambda: (
+                harness.ask(fleet, fleet.routers[0], "/jobs/x")["status"] == 200
+            ),
             20.0,
             "a first request is served",
         )
@@ -83,9 +107,11 @@
         sent = []
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             for number in range(REQUESTS):
-                sent.append(pool.submit(
-                    harness.ask, fleet, fleet.routers[number % 2], PATH
-                ))
+                sent.append(
+                    pool.submit(
+                        harness.ask, fleet, fleet.routers[number % 2], PATH
+                    )
+                )
                 time.sleep(4.0 / REQUESTS)
         answers = [item.result() for item in sent]
         runs = collections.Counter(
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -6,6 +6,7 @@
 Only the standard library is used.
 """
 
+import contextlib
 import http.client
 import itertools
 import json
@@ -80,6 +81,7 @@
         return time.monotonic() - self._start_s
 
     def __call__(self, text):
+        """Writes a line with the time since the record began."""
         with self._lock:
             self._file.write(f"{self.now():8.3f} {text}\n")
             self._file.flush()
@@ -127,11 +129,22 @@
             "entry": "vip",
             "heartbeatMs": round(HEARTBEAT_S * 1000),
             "contracts": [
-                "base", "drain", "config", "cost", "retry", "recover",
-                "engine", "stream", "tenants", "places", "rollout",
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+                "places",
+                "rollout",
             ],
             "faultTolerance": {
-                "machines": self.fleet.tolerated, "zones": 1, "regions": 0,
+                "machines": self.fleet.tolerated,
+                "zones": 1,
+                "regions": 0,
             },
             "bounds": BOUNDS,
             "configMode": "highest",
@@ -190,8 +203,9 @@
         self.version = 0
         zones = itertools.cycle(ZONES)
         self.controllers = [
-            self._process("core", next(zones), {"control": CONTROL_PORT},
-                          "control")
+            self._process(
+                "core", next(zones), {"control": CONTROL_PORT}, "control"
+            )
             for _ in range(controllers)
         ]
         self.seeds = [
@@ -200,8 +214,10 @@
         zones = itertools.cycle(ZONES)
         self.routers = [
             self._process(
-                "front", next(zones),
-                {"front": FRONT_PORT, "readinessAddr": READY_PORT}, "front",
+                "front",
+                next(zones),
+                {"front": FRONT_PORT, "readinessAddr": READY_PORT},
+                "front",
             )
             for _ in range(routers)
         ]
@@ -285,9 +301,16 @@
         """Waits until each router says that it is ready."""
         for router in self.routers:
             wait_until(
-                lambda router=router: call_control(
-                    f"{router.ip}:{READY_PORT}", "GET", "/api/ready", b"", 1.0
-                )[0] == 200,
+                lambda router=router: (
+                    call_control(
+                        f"{router.ip}:{READY_PORT}",
+                        "GET",
+                        "/api/ready",
+                        b"",
+                        1.0,
+                    )[0]
+                    == 200
+                ),
                 limit_s,
                 f"{router.name} is ready",
             )
@@ -298,7 +321,11 @@
             if item.process is None or item.process.poll() is not None:
                 continue
             _, answer = call_control(
-                f"{item.ip}:{CONTROL_PORT}", "GET", "/metrics", b"", 1.0,
+                f"{item.ip}:{CONTROL_PORT}",
+                "GET",
+                "/metrics",
+                b"",
+                1.0,
                 follow=False,
             )
             if b"\nwaxwingrack_leading 1" in (answer or b""):
@@ -425,10 +452,8 @@
 def reset(sock):
     """Closes a socket so that its peer gets a reset."""
     linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-    try:
+    with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    except OSError:
-        pass
     sock.close()
 
 
@@ -446,8 +471,9 @@
       runs: Tuples of time, request id, method, path and tenant.
     """
 
-    def __init__(self, fleet, service, zone="za", work_s=0.01, slots=16,
-                 version="v1"):
+    def __init__(
+        self, fleet, service, zone="za", work_s=0.01, slots=16, version="v1"
+    ):
         self.fleet, self.service, self.zone = fleet, service, zone
         self.ip = fleet.new_ip()
         self.id = f"i-{random.getrandbits(32):08x}"
@@ -505,20 +531,33 @@
         request_id = headers.get("request-id", "")
         expected = headers.get("expect-instance", self.id)
         if expected != self.id:
-            sock.sendall(build_message(
-                "HTTP/1.1 421 Misdirected",
-                {"Request-Id": request_id, "Not-Executed": "1",
-                 "Content-Length": "0"},
-            ))
+            sock.sendall(
+                build_message(
+                    "HTTP/1.1 421 Misdirected",
+                    {
+                        "Request-Id": request_id,
+                        "Not-Executed": "1",
+                        "Content-Length": "0",
+                    },
+                )
+            )
             return True
         request = {
-            "id": request_id, "method": method, "path": path,
-            "headers": headers, "body": body,
+            "id": request_id,
+            "method": method,
+            "path": path,
+            "headers": headers,
+            "body": body,
         }
         with self.lock:
             self.runs.append(
-                (self.fleet.record.now(), request_id, method, path,
-                 headers.get("tenant"))
+                (
+                    self.fleet.record.now(),
+                    request_id,
+                    method,
+                    path,
+                    headers.get("tenant"),
+                )
             )
         self.fleet.record(
             f"worker {self.id} ({self.service}) runs {request_id} "
@@ -546,17 +585,19 @@
 
     def build_beat(self):
         """Returns the body of the next heartbeat."""
-        return json.dumps({
-            "service": self.service,
-            "address": f"{self.ip}:{WORKER_PORT}",
-            "zone": self.zone,
-            "version": self.version,
-            "slots": self.slots,
-            "state": self.state,
-            "coldRemainingMs": 0,
-            "sequence": next(self.sequence),
-            "born": self.born,
-        }).encode()
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": f"{self.ip}:{WORKER_PORT}",
+                "zone": self.zone,
+                "version": self.version,
+                "slots": self.slots,
+                "state": self.state,
+                "coldRemainingMs": 0,
+                "sequence": next(self.sequence),
+                "born": self.born,
+            }
+        ).encode()
 
     def send_beat(self, blob=None):
         """Sends a heartbeat until it is acknowledged.
@@ -611,8 +652,19 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def ask(fleet, router, path, *, host="h.example", method="POST", key="key-a",
-        body=b"hello", deadline_ms=3000, extra=None, request_id=None):
+def ask(
+    fleet,
+    router,
+    path,
+    *,
+    host="h.example",
+    method="POST",
+    key="key-a",
+    body=b"hello",
+    deadline_ms=3000,
+    extra=None,
+    request_id=None,
+):
     """Sends one attempt of a consumer on a new connection.
 
     Returns:
@@ -630,10 +682,15 @@
         headers["Authorization"] = f"Bearer {key}"
     headers.update(extra or {})
     outcome = {
-        "id": request_id, "status": None, "headers": {}, "body": b"",
+        "id": request_id,
+        "status": None,
+        "headers": {},
+        "body": b"",
         "complete": False,
     }
-    fleet.record(f"consumer sends {request_id} {method} {path} to {router.name}")
+    fleet.record(
+        f"consumer sends {request_id} {method} {path} to {router.name}"
+    )
     try:
         with socket.create_connection(
             (router.ip, FRONT_PORT), timeout=1.0
@@ -680,8 +737,13 @@
         record(f"could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr)
         code = NOT_RUN
-    record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN",
-            NOT_RUN: "the case could not run"}[code])
+    record(
+        {
+            HELD: "the rule held",
+            BROKEN: "THE RULE WAS BROKEN",
+            NOT_RUN: "the case could not run",
+        }[code]
+    )
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
