Compare paths on the platform with prefixes as they are written

Cause: the adapter cut the slash off each prefix, and the router compared decoded, non-empty segments, as documents of our own interface ask. The pages of the platform compare text: /jobs/list begins with /jobs/ and not with /jobs/list/. So the order had kind, attempts and service of the safe route.

Change: the dialect of a router names the comparison (data.PathMatching); the platform's is TEXT, and prefixes are kept as written. Prefixes that earlier releases stored without their slash are read with it, so that documents in force follow at once. Our own documents keep their meaning. As a server may decode a path, a request is repeated only if the routes of both readings allow it, so no request that was not repeated becomes repeatable.

Two tests change: platform_adapter.feature named the cut prefixes /a, /b and /c, and the orders of router_answers.feature had a route without the slash that each prefix of the platform ends with; both check as much as before.

--- a/features/environment.py
+++ b/features/environment.py
@@ -77,17 +77,31 @@
         yield cluster
 
 
-@behave.fixture
-def platform_fleet(context):
-    """Five controllers and a router, started as the platform starts them."""
-    context.fleet = platform_fleet_support.PlatformFleet()
+@contextlib.contextmanager
+def _started_platform(context, **bounds):
+    """Starts five controllers and a router as the platform starts them."""
+    context.fleet = platform_fleet_support.PlatformFleet(**bounds)
     try:
         context.fleet.start()
-        yield context.fleet
+        yield
     finally:
         context.fleet.stop()
 
 
+@behave.fixture
+def platform_fleet(context):
+    """Five controllers and a router, started as the platform starts them."""
+    with _started_platform(context):
+        yield context.fleet
+
+
+@behave.fixture
+def retrying_platform_fleet(context):
+    """A fleet on the platform whose retry budget does not bind."""
+    with _started_platform(context, retryBudgetSlack=1_000):
+        yield context.fleet
+
+
 @behave.fixture
 def slow_fleet(context):
     """Three routers and two booking desks behind links with a delay."""
@@ -204,6 +218,7 @@
     "fixture.cut_fleet": cut_fleet,
     "fixture.order_fleet": order_fleet,
     "fixture.platform_fleet": platform_fleet,
+    "fixture.retrying_platform_fleet": retrying_platform_fleet,
 }
 
 
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -88,9 +88,9 @@
     Given the operators' document of the platform
     Then the environment has these routes
       | path | service | host      | idempotent | public | timeout_s | targets      | max_tries |
-      | /a   | s       | h.example | True       | True   | 2.5       | s:1.0        | 2         |
-      | /b   | s       | h.example | False      | False  | 12.0      | s:9.0 b:1.0  | 1         |
-      | /c   | s       | h.example | True       | False  | 10.0      | s:1.0        | 2         |
+      | /a/  | s       | h.example | True       | True   | 2.5       | s:1.0        | 2         |
+      | /b/  | s       | h.example | False      | False  | 12.0      | s:9.0 b:1.0  | 1         |
+      | /c/  | s       | h.example | True       | False  | 10.0      | s:1.0        | 2         |
     And the document is read back byte for byte
 
   Scenario Outline: an announcement is <verdict>, <case>
--- a/features/router_decisions.feature
+++ b/features/router_decisions.feature
@@ -138,6 +138,31 @@
       | POST   | /sketch/%2e%2e/model | no_route           |
       | GET    | /                    | no_route           |
 
+  Scenario Outline: as text, <path> has the route <route> and its requests <repeat>
+  A path is compared with the prefixes as it is written. A request that a backend
+  server could take for one of an unsafe route must not be repeated.
+    When a router that compares text gets <path>
+    Then the router's match is <route>
+    And its requests <repeat>
+
+    Examples:
+      | path                | route    | repeat          |
+      | /jobs/x             | submit   | run at most once |
+      | /jobs/list          | submit   | run at most once |
+      | /jobs/list/         | list     | may be repeated |
+      | /jobs/list/x//y     | list     | may be repeated |
+      | /jobs/%6cist/x      | submit   | run at most once |
+      | /jobs/list/%63ancel/x | list   | run at most once |
+      | /jobs/list/cancel   | list     | run at most once |
+      | /jobs/list/cancel/  | cancel   | run at most once |
+      | /jobs/list//cancel/ | list     | run at most once |
+      | /old/x              | old      | may be repeated |
+      | /%c3%a9/x           | no_route | match nothing   |
+      | /jobs               | no_route | match nothing   |
+      | //jobs/x            | no_route | match nothing   |
+      | /jobs/../list/x     | no_route | match nothing   |
+      | /jobs/list/%2e%2e/x | no_route | match nothing   |
+
   Scenario Outline: cost is measured while the answer passes
     When the router measures <meter> of "<content>" in chunks "<chunks>" after <elapsed> ms
     Then the router's cost is <cost>
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -372,7 +372,7 @@
     world = router_fakes.World()
     context.add_cleanup(world.close)
     environment = router_fakes.environment()
-    order = data.Route("order", "/order", ("POST",), single_attempt=True)
+    order = data.Route("order", "/order/", ("POST",), single_attempt=True)
     sketch, *others = environment.services
     sketch = dataclasses.replace(sketch, routes=(*sketch.routes, order))
     world.leader.environment = dataclasses.replace(
@@ -384,7 +384,9 @@
 
 
 def _order(context, query):
-    context.reply = context.world.send("POST", f"/order?{query}", body=b"order")
+    context.reply = context.world.send(
+        "POST", f"/order/1?{query}", body=b"order"
+    )
     return context.reply
 
 
--- a/features/steps/router_decisions_steps.py
+++ b/features/steps/router_decisions_steps.py
@@ -197,6 +197,45 @@
     context.outcome = routing.match_route(tables, method, path)
 
 
+@behave.when("a router that compares text gets {path}")
+def match_text(context, path):
+    routes = tuple(
+        data.Route(name, prefix, idempotent=idempotent, single_attempt=True)
+        for name, prefix, idempotent in (
+            ("submit", "/jobs/", False),
+            ("list", "/jobs/list/", True),
+            ("cancel", "/jobs/list/cancel/", False),
+            # As environments of earlier releases were stored.
+            ("old", "/old", True),
+        )
+    )
+    environment = router_fakes.environment()
+    (service, *others) = environment.services
+    tables = routing.build_tables(
+        1,
+        dataclasses.replace(
+            environment,
+            services=(dataclasses.replace(service, routes=routes), *others),
+        ),
+        path_matching=data.PathMatching.TEXT,
+    )
+    context.outcome = routing.match_route(tables, "POST", path)
+
+
+@behave.then("its requests {repeat}")
+def match_repeats(context, repeat):
+    match context.outcome:
+        case result.Failure():
+            seen = "match nothing"
+        case result.Success(found):
+            seen = (
+                "may be repeated"
+                if found.route.idempotent
+                else "run at most once"
+            )
+    assert seen == repeat, context.outcome
+
+
 @behave.then("the router's match is {outcome}")
 def match_is(context, outcome):
     match context.outcome:
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -7,6 +7,8 @@
 import pathlib
 import random
 import shutil
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -26,6 +28,8 @@
 KEY = "key-of-w"
 START_S = 20.0
 EVENTS = 5
+# Time for which a backend server holds a request before it answers, by mode.
+HOLDS_S = {"slow": 1.5, "held": 30.0}
 EVENT_GAP_S = 0.05
 
 
@@ -55,7 +59,7 @@
             "dataDir": str(self.folder / "data"),
             "limits": {"memoryMb": 300},
             "faultTolerance": {"machines": 2},
-            "bounds": {"graceS": 8},
+            "bounds": {"graceS": 8, **self._owner.bounds},
         }
         path = self.folder / "settings.yaml"
         path.write_text(yaml.safe_dump(document))
@@ -82,7 +86,8 @@
 class PlatformFleet:
     """Five controllers, a router and a backend server."""
 
-    def __init__(self):
+    def __init__(self, **bounds):
+        self.bounds = bounds
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
         self.folder = pathlib.Path(self._temporary.name)
         # Features that run at the same time must not share addresses.
@@ -97,9 +102,12 @@
             {"front": FRONT_PORT, "readinessAddr": READY_PORT},
         )
         self.server = BackendServer(self._ip())
+        self.servers = [self.server]
+        self.more_routers = []
         self.sequence = itertools.count(1)
         self.born = int(time.time() * 1000)
         self.last_document = None
+        self.last_request_id = None
         self.silent = threading.Event()
         self._stop = threading.Event()
 
@@ -117,13 +125,42 @@
 
     def start(self):
         """Starts all processes and waits for a full group."""
-        self.server.start()
+        for server in self.servers:
+            server.start()
         for machine in (*self.controllers, self.router):
             machine.start()
         fleet.wait_until(
             lambda: len(self.members()) == 5, START_S, "five members"
         )
 
+    def add_server(self, service):
+        """Adds a backend server of a service to a running fleet."""
+        server = BackendServer(
+            self._ip(), f"i-{len(self.servers) + 1}", service
+        )
+        server.start()
+        self.servers.append(server)
+        return server
+
+    def add_router(self):
+        """Starts another router and waits until it is ready."""
+        router = self._machine(
+            "front", {"front": FRONT_PORT, "readinessAddr": READY_PORT}
+        )
+        self.more_routers.append(router)
+        router.start()
+        fleet.wait_until(
+            lambda: (
+                fleet.request(
+                    READY_PORT, "GET", "/api/ready", host=router.ip
+                ).status
+                == 200
+            ),
+            START_S,
+            f"{router.name} is ready",
+        )
+        return router
+
     def replace(self, machine):
         """Starts a controller at a new address in place of a killed one."""
         self.controllers.remove(machine)
@@ -133,10 +170,11 @@
     def stop(self):
         """Ends all processes."""
         self._stop.set()
-        for machine in (*self.controllers, self.router):
+        for machine in (*self.controllers, self.router, *self.more_routers):
             if machine.process is not None and machine.process.poll() is None:
                 machine.kill()
-        self.server.stop()
+        for server in self.servers:
+            server.stop()
         self._temporary.cleanup()
 
     # -- calls --------------------------------------------------------------
@@ -189,46 +227,49 @@
                 return machine
         return None
 
-    def announce(self, at, state="ready"):
-        """Announces the backend server at a controller."""
+    def announce(self, at, state="ready", server=None):
+        """Announces a backend server, the first by default, at a controller."""
+        server = server or self.server
         body = {
-            "service": "s",
-            "address": f"{self.server.ip}:{SERVER_PORT}",
+            "service": server.service,
+            "address": f"{server.ip}:{SERVER_PORT}",
             "zone": "z2",
             "version": "v1",
-            "slots": 8,
+            "slots": server.slots,
             "state": state,
             "coldRemainingMs": 0,
             "sequence": next(self.sequence),
             "born": self.born,
         }
-        path = f"/api/instances/{self.server.id}/heartbeat"
+        path = f"/api/instances/{server.id}/heartbeat"
         return self.call(at, "POST", path, body)
 
     def keep_announcing(self):
-        """Announces the backend server until the fleet stops."""
+        """Announces the backend servers until the fleet stops."""
 
         def run():
             machines = itertools.cycle(range(5))
             while not self._stop.wait(0.2):
                 machine = self.controllers[next(machines)]
                 if not self.silent.is_set():
-                    self.announce(machine.ip)
+                    for server in list(self.servers):
+                        self.announce(machine.ip, server=server)
 
         threading.Thread(target=run, daemon=True).start()
 
-    def ask(self, path="/a/x", key=KEY, timeout_s=5.0):
-        """Sends a caller's request."""
+    def ask(self, path="/a/x", key=KEY, timeout_s=5.0, method="POST"):
+        """Sends a caller's request; `last_request_id` keeps its id."""
+        self.last_request_id = f"{random.getrandbits(64):016x}"
         headers = {
             "Host": "h.example",
-            "Request-Id": f"{random.getrandbits(64):016x}",
+            "Request-Id": self.last_request_id,
             "Deadline-Ms": "3000",
         }
         if key:
             headers["Authorization"] = f"Bearer {key}"
         return fleet.request(
             FRONT_PORT,
-            "POST",
+            method,
             path,
             b"hello",
             headers,
@@ -240,10 +281,12 @@
 class BackendServer:
     """Server of the platform's protocol that records what it gets."""
 
-    def __init__(self, ip):
+    def __init__(self, ip, server_id="i-1", service="s"):
         self.ip = ip
-        self.id = "i-1"
+        self.id = server_id
+        self.service = service
         self.mode = "serve"
+        self.slots = 8
         self.requests = []
         self.left = threading.Event()
         self._http = None
@@ -258,6 +301,8 @@
             def do_POST(self):  # noqa: N802  name of the library
                 owner.serve(self)
 
+            do_GET = do_PUT = do_POST  # noqa: N815  names of the library
+
             def log_message(self, *_):
                 """Keeps the standard error stream free."""
 
@@ -279,6 +324,16 @@
         if self.mode == "refuse":
             self._head(call, 503, {"Not-Executed": "1", "Content-Length": "0"})
             return
+        if self.mode in HOLDS_S:
+            time.sleep(HOLDS_S[self.mode])
+        if self.mode == "lose":
+            # Without lingering, a close resets the connection.
+            call.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            call.close_connection = True
+            call.connection.close()
+            return
         if call.path.startswith("/b/"):
             self._stream(call)
             return
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -102,13 +102,28 @@
     weight: float
 
 
+class PathMatching(enum.StrEnum):
+    """How the path of a request is compared with the paths of routes.
+
+    Attributes:
+      SEGMENTS: Segment by segment, percent-decoded; empty segments do not
+        count.
+      TEXT: Character by character as written. A route's path ends with a slash
+        and matches the paths that begin with it.
+    """
+
+    SEGMENTS = "segments"
+    TEXT = "text"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """A set of requests of a service that share the same rules.
 
     Attributes:
       id: Name, unique within the service.
-      path: Path prefix, matched by whole segments; the longest match wins.
+      path: Path prefix, compared as the router's `PathMatching` says; the
+        longest match wins.
       methods: HTTP methods; empty means every method.
       idempotent: Whether a request may be repeated. A request on a route that
         is not idempotent needs an `Idempotency-Key`, unless `single_attempt`.
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -1,4 +1,4 @@
-"""Header names between callers, routers and backend servers.
+"""Conventions of requests between callers, routers and backend servers.
 
 A router uses one dialect towards callers and backend servers. `OWN` is the
 dialect of this project; a platform adapter supplies another one.
@@ -91,13 +91,15 @@
 
 
 class Dialect(Protocol):
-    """Names and meaning of the headers towards callers and servers.
+    """Headers towards callers and servers, and the meaning of paths.
 
     Attributes:
+      path_matching: How the path of a request is compared with those of routes.
       request_id: Name of the header that contains the id of a request.
       fractional_retry_after: Whether `Retry-After` may hold a fraction.
     """
 
+    path_matching: data.PathMatching
     request_id: bytes
     fractional_retry_after: bool
 
@@ -139,8 +141,9 @@
 
 
 class OwnDialect:
-    """The headers of this project's own interface."""
+    """The headers and paths of this project's own interface."""
 
+    path_matching = data.PathMatching.SEGMENTS
     request_id = b"X-Request-Id"
     fractional_retry_after = False
     # Request headers that the router does not pass on or sets itself.
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -401,7 +401,11 @@
                 )
             return
         self.tables = routing.build_tables(
-            push.number, push.environment, push.drained, push.refused_digests
+            push.number,
+            push.environment,
+            push.drained,
+            push.refused_digests,
+            self.dialect.path_matching,
         )
         self.caller_limits = routing.resolve_caller_limits(
             self.settings, self.tables.environment
--- a/waxwingrack/operations/routing.py
+++ b/waxwingrack/operations/routing.py
@@ -1,8 +1,13 @@
 """Routing tables that a router derives from an environment."""
 
+from collections.abc import Callable
+from collections.abc import Hashable
+from collections.abc import Iterator
 import dataclasses
 import hashlib
+import itertools
 import json
+import operator
 import random
 import re
 from typing import Any
@@ -13,6 +18,12 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.core import registry
+
+# Yields the prefixes of a path that routes can have, the longest first.
+PREFIXES: registry.Registry[
+    data.PathMatching, Callable[[str], Iterator[Hashable]]
+] = registry.Registry("path matching")
 
 # First bytes of a prompt whose digest identifies its prefix.
 PROMPT_PREFIX_BYTES = 256
@@ -39,8 +50,9 @@
       refused_digests: Request digests refused by the crash guard.
       callers: Workspace by SHA-256 digest (hex) of a token.
       announcers: SHA-256 digests (hex) of the tokens of announcements.
-      routes: Matches by (host, tuple of path segments).
+      routes: Matches by (path matching, host, prefix).
       services: Services by id.
+      path_matching: How requests find their routes.
     """
 
     number: int
@@ -51,6 +63,7 @@
     announcers: frozenset[str]
     routes: immutables.Map
     services: immutables.Map = immutables.Map()
+    path_matching: data.PathMatching = data.PathMatching.SEGMENTS
 
 
 # Workspace of the requests on public routes.
@@ -68,6 +81,7 @@
     environment: data.Environment,
     drained: tuple[str, ...] = (),
     refused_digests: tuple[str, ...] = (),
+    path_matching: data.PathMatching = data.PathMatching.SEGMENTS,
 ) -> RoutingTables:
     """Derives the tables of an environment.
 
@@ -76,18 +90,19 @@
       environment: The document.
       drained: Ids of drained data centres.
       refused_digests: Request digests refused by the crash guard.
+      path_matching: How requests find their routes.
 
     Returns:
       The tables.
     """
-    routes: dict[tuple[str, tuple[str, ...]], tuple[RouteMatch, ...]] = {}
-    for service in environment.services:
+    routes: dict[Hashable, tuple[RouteMatch, ...]] = {}
+    # The segments are needed in any case; see `match_route`.
+    for service, matching in itertools.product(
+        environment.services, {path_matching, data.PathMatching.SEGMENTS}
+    ):
         for route in service.routes:
-            host_and_path = (route.host, split_path(route.path))
-            routes[host_and_path] = (
-                *routes.get(host_and_path, ()),
-                RouteMatch(service, route),
-            )
+            key = (matching, route.host, _find_prefix(matching, route.path))
+            routes[key] = (*routes.get(key, ()), RouteMatch(service, route))
     return RoutingTables(
         number=number,
         environment=environment,
@@ -107,6 +122,7 @@
         services=immutables.Map(
             {service.id: service for service in environment.services}
         ),
+        path_matching=path_matching,
     )
 
 
@@ -157,11 +173,38 @@
     )
 
 
+@PREFIXES.register(data.PathMatching.SEGMENTS)
+def _iterate_segment_prefixes(path: str) -> Iterator[Hashable]:
+    segments = split_path(path)
+    return (segments[:length] for length in range(len(segments), -1, -1))
+
+
+@PREFIXES.register(data.PathMatching.TEXT)
+def _iterate_text_prefixes(path: str) -> Iterator[Hashable]:
+    ends = [slash.end() for slash in re.finditer("/", path)]
+    return (path[:end] for end in reversed(ends))
+
+
+def _find_prefix(matching: data.PathMatching, path: str) -> Hashable:
+    """Returns the prefix that the path of a route stands for."""
+    return next(PREFIXES[matching](_end_with_slash(path)))
+
+
+def _end_with_slash(path: str) -> str:
+    # Environments that earlier releases stored hold the prefixes of `TEXT`
+    # without the slash at their end.
+    return path if path.endswith("/") else f"{path}/"
+
+
 def match_route(
     tables: RoutingTables, method: str, path: str, host: str = ""
 ) -> result.Result[RouteMatch, errors.ErrorKind]:
     """Finds the route of a request.
 
+    A backend server may decode a path that is matched as text and do the work
+    of another route. Such a request is repeated only if that route allows it,
+    too; otherwise the returned route is limited to one run.
+
     Args:
       tables: Tables of the environment.
       method: HTTP method.
@@ -169,23 +212,49 @@
       host: Value of the header `Host` in lower case.
 
     Returns:
-      Success with the longest match by whole segments; among routes of equal
-      length, a route of this host has priority over one of any host. Failure
-      with METHOD_NOT_ALLOWED if no route of the longest matching path takes the
+      Success with the longest match; among routes of equal length, a route of
+      this host has priority over one of any host. Failure with
+      METHOD_NOT_ALLOWED if no route of the longest matching path takes the
       method, and with NO_ROUTE if no path matches. A path with `.` or `..`
       segments matches nothing, as a backend server could resolve it to another
       route.
     """
-    segments = split_path(path)
-    if any(part in (".", "..") for part in segments):
+    if any(part in (".", "..") for part in split_path(path)):
         return result.Failure(errors.ErrorKind.NO_ROUTE)
-    for length in range(len(segments), -1, -1):
+    matching = tables.path_matching
+    found = _find_matches(tables, matching, method, path, host)
+    if matching is data.PathMatching.SEGMENTS:
+        return found.map(operator.itemgetter(0))
+    decoded = _find_matches(
+        tables, data.PathMatching.SEGMENTS, method, path, host
+    ).value_or(())
+    repeatable = decoded and all(match.route.idempotent for match in decoded)
+    return found.map(
+        lambda matches: (
+            matches[0] if repeatable else _limit_to_one_run(matches[0])
+        )
+    )
+
+
+def _find_matches(
+    tables: RoutingTables,
+    matching: data.PathMatching,
+    method: str,
+    path: str,
+    host: str,
+) -> result.Result[tuple[RouteMatch, ...], errors.ErrorKind]:
+    """Returns all routes of the longest matching path that take a method."""
+    for prefix in PREFIXES[matching](path):
         matches = tables.routes.get(
-            (host, segments[:length])
-        ) or tables.routes.get(("", segments[:length]), ())
-        for match in matches:
-            if not match.route.methods or method in match.route.methods:
-                return result.Success(match)
+            (matching, host, prefix)
+        ) or tables.routes.get((matching, "", prefix), ())
+        allowed = tuple(
+            match
+            for match in matches
+            if not match.route.methods or method in match.route.methods
+        )
+        if allowed:
+            return result.Success(allowed)
         if matches:
             # A route with a shorter path is no substitute: it could be
             # idempotent where this one is not.
@@ -193,6 +262,15 @@
     return result.Failure(errors.ErrorKind.NO_ROUTE)
 
 
+def _limit_to_one_run(match: RouteMatch) -> RouteMatch:
+    if not match.route.idempotent:
+        return match
+    route = dataclasses.replace(
+        match.route, idempotent=False, single_attempt=True
+    )
+    return dataclasses.replace(match, route=route)
+
+
 def choose_target(
     tables: RoutingTables, match: RouteMatch, rng: random.Random
 ) -> RouteMatch:
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterator
 import hashlib
 import itertools
+import string
 from typing import Annotated
 from typing import Any
 from typing import Literal
+import urllib.parse
 
 import pydantic
 from returns import result
@@ -45,7 +47,8 @@
     def _check_prefix(cls, prefix: str) -> str:
         if not (prefix.startswith("/") and prefix.endswith("/")):
             raise ValueError("pathPrefix must begin and end with a slash")
-        return prefix
+        # A request line holds neither spaces nor characters outside ASCII.
+        return urllib.parse.quote(prefix, safe=string.punctuation)
 
     @pydantic.model_validator(mode="after")
     def _check_targets(self) -> "_Route":
@@ -213,7 +216,7 @@
 def _build_route(route: _Route) -> data.Route:
     return data.Route(
         id=route.name,
-        path=route.pathPrefix.rstrip("/") or "/",
+        path=route.pathPrefix,
         host=route.host.lower(),
         targets=route.targets(),
         public=route.public,
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -1,4 +1,4 @@
-"""HTTP headers of requests and answers on the platform."""
+"""HTTP headers and paths of requests and answers on the platform."""
 
 from twisted.web import http_headers
 
@@ -56,8 +56,9 @@
 
 
 class PlatformDialect:
-    """The platform's header names; see `dialects.Dialect`."""
+    """The platform's headers and paths; see `dialects.Dialect`."""
 
+    path_matching = data.PathMatching.TEXT
     request_id = REQUEST_ID
     fractional_retry_after = True
 
