Leave paths below /-/ to the routes on the platform

What callers see: GET /-/readyz and PUT /-/backend-servers/ID on the callers' port of a platform router are answered by the router itself, also where a prefix such as / or /-/ begins them; a 200 that no server has sent.

Cause: the router looks for its own paths before it looks for routes. Our own documents reserve /-/ for it, the platform's do not. Found while looking for further ways by which a request does not get the route that its text asks for.

Change: the dialect says whether the router serves own paths. On the platform it does not: readiness has a port of its own, and servers announce themselves at the controllers.

The fakes ask a platform router for its readiness at its operators' port.

--- a/features/platform_routes.feature
+++ b/features/platform_routes.feature
@@ -3,7 +3,8 @@
 
   Real processes on loopback addresses. The document has the routes /jobs/
   (unsafe) of the service jobs, and /jobs/list/ (safe) and /jobs/list/cancel/
-  (unsafe) of the service lists, which has two backend servers.
+  (unsafe) of the service lists, and /-/ (safe) of the service jobs. Both services
+  have two backend servers.
 
   Scenario Outline: the request for <path> is run by <service>
   Guards against requests that reach the service of another route because their
@@ -32,6 +33,19 @@
       | /%6aobs/x             | 404    | nobody  |
       | /jobs%2Flist/x        | 404    | nobody  |
 
+  Scenario Outline: <method> <path> is run by the service of its route
+  Guards against answers of the router itself to requests that have a route: on the
+  platform no path is the router's own.
+    Given the routes of the services jobs and lists
+    When a caller sends <method> to the platform for <path>
+    Then the request is answered 200 and jobs ran it with the path unchanged
+
+    Examples:
+      | method | path                 |
+      | GET    | /-/readyz            |
+      | PUT    | /-/backend-servers/x |
+      | POST   | /-/x                 |
+
   Scenario Outline: when its answer is lost, the request for <path> ran <runs>
   Guards against an unsafe request that is sent to a second server because its
   path was taken for that of a safe route.
--- a/features/steps/platform_routes_steps.py
+++ b/features/steps/platform_routes_steps.py
@@ -13,6 +13,7 @@
     ("/jobs/", "unsafe", "jobs"),
     ("/jobs/list/", "safe", "lists"),
     ("/jobs/list/cancel/", "unsafe", "lists"),
+    ("/-/", "safe", "jobs"),
 )
 RUNS = {"once": 1, "twice": 2}
 
@@ -74,6 +75,7 @@
 
 
 @behave.when("a caller asks the platform for {path}")
+@behave.when("a caller sends {method} to the platform for {path}")
 def ask(context, path, method="POST"):
     context.path = path
     context.answer = context.fleet.ask(path=path, method=method)
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -719,6 +719,7 @@
         dialect: str = "own",
         **settings: Any,
     ):
+        self.dialect = dialect
         self.folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self.folder.name)
         (folder / "key").write_text(KEY)
@@ -824,6 +825,10 @@
     def ready(self, router: RouterProcess | None = None) -> int | None:
         """Returns the status of the readiness check."""
         router = router or self.router
+        if router.dialect == "platform":
+            return send(
+                router.operators_port, "GET", "/readyz", token=None
+            ).status
         return send(router.port, "GET", "/-/readyz", token=None).status
 
     def send(self, method: str, target: str, **more: Any) -> Reply:
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -441,7 +441,7 @@
         try:
             # klein looks up only the router's own paths. All others are matched
             # byte for byte with the routes of the environment.
-            if self.path.startswith(OWN_PATH_PREFIX):
+            if self._is_own_path():
                 self.prepath = []
                 self.postpath = [
                     urllib.parse.unquote_to_bytes(part)
@@ -493,5 +493,11 @@
         try:
             urllib.parse.unquote_to_bytes(self.path).decode()
         except UnicodeDecodeError:
-            return not self.path.startswith(OWN_PATH_PREFIX)
+            return not self._is_own_path()
         return True
+
+    def _is_own_path(self) -> bool:
+        """Returns whether the router answers the request itself."""
+        return self.site.host.dialect.serves_own_paths and self.path.startswith(
+            OWN_PATH_PREFIX
+        )
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -95,11 +95,14 @@
 
     Attributes:
       path_matching: How the path of a request is compared with those of routes.
+      serves_own_paths: Whether the router answers paths below `/-/` on the
+        callers' port itself; otherwise they belong to routes like all others.
       request_id: Name of the header that contains the id of a request.
       fractional_retry_after: Whether `Retry-After` may hold a fraction.
     """
 
     path_matching: data.PathMatching
+    serves_own_paths: bool
     request_id: bytes
     fractional_retry_after: bool
 
@@ -144,6 +147,7 @@
     """The headers and paths of this project's own interface."""
 
     path_matching = data.PathMatching.SEGMENTS
+    serves_own_paths = True
     request_id = b"X-Request-Id"
     fractional_retry_after = False
     # Request headers that the router does not pass on or sets itself.
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -59,6 +59,9 @@
     """The platform's headers and paths; see `dialects.Dialect`."""
 
     path_matching = data.PathMatching.TEXT
+    # Readiness has a port of its own, and servers announce themselves at the
+    # controllers.
+    serves_own_paths = False
     request_id = REQUEST_ID
     fractional_retry_after = True
 
