Answer every request that a stop ends, and refuse what it could not answer

What callers saw, with real processes: at the end of a planned stop 2 of 12 callers of a safe route had no answer, the connection of a keyed request was reset, and 2 of 97 orders were sent so late that they ended as 502, may have run.

Cause: the router broke off a request that still ran, took that for a lost connection and sent the request to a second server while its own process ended; nothing ended the wait of a keyed request; and a request that waited for a grant was sent however little time was left. What the router broke off was besides reported as a crash suspect.

Change: a stopping router sends a request only if the answers of its route (mean and deviation of the latest ones) fit in the time that is left; others are refused as not run, at once, and repeats at the end as may have run (operations/stopping.py). The end of a stop also ends keyed requests, and what it ends is reported as cancelled.

Tests: of platform_stop.feature two of seven scenarios failed before, of router_stop.feature the keyed row; all pass now. Scenarios on the decision are in router_decisions.feature.

--- a/features/router_decisions.feature
+++ b/features/router_decisions.feature
@@ -198,3 +198,23 @@
       | {"service": "nowhere", "data_centre": "z"}       | service data_centre       |
       | {"colour": "red", "load": -1, "service": "x"}    | service load colour       |
       | {"cache_events": [{"sequence": 1, "prefix": 2}]} | cache_events.0.prefix cache_events.0.stored |
+
+  Scenario Outline: with <left> ms left of a stop, a request of a route with answers of <known> ms is <verdict>
+  Guards against requests that are sent to a server shortly before their router ends.
+  Nor may a router refuse everything as soon as it is told to stop.
+    When a stopping router has <left> ms, a request <deadline> ms and its route had answers of <known> ms
+    Then the request is <verdict>
+
+    Examples:
+      | left  | deadline | known             | verdict |
+      | 7000  | 10000    | none              | sent    |
+      | 1     | 10000    | none              | sent    |
+      | 0     | 10000    | none              | refused |
+      | -50   | 10000    | none              | refused |
+      | 2000  | 10000    | 500               | sent    |
+      | 900   | 10000    | 500               | refused |
+      | 900   | 800      | 5000              | sent    |
+      | 700   | none     | 500 500 500 500 500 500 500 500 500 500 500 500 | sent |
+      | 3000  | 10000    | 500 500 500 500 500 500 500 500 6000 | refused |
+      | 5000  | 10000    | 1000 2000 3000 1000 2000 3000 1000 2000 3000 | sent |
+      | 2500  | 10000    | 1000 2000 3000 1000 2000 3000 1000 2000 3000 | refused |
--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -27,6 +27,21 @@
     And the router's stream is cut
     And the router exits with 0
 
+  Scenario Outline: the end of a stop answers a request that still runs, <request>
+  Guards against requests that end without an answer, and against requests that are
+  taken for ones that crash servers because the router itself broke them off.
+    Given a router that may take 1 second to stop and whose servers may take 9
+    When the router is told to stop while <request> runs at its server
+    Then the router's caller gets <answer> with execution may_have_run
+    And the router's backend servers ran 1 request
+    And the router exits with 0
+    And the router reported it as cancelled and named no crash suspect
+
+    Examples:
+      | request                       | answer                      |
+      | POST /sketch/deposit?do=stall | 502 backend_connection_lost |
+      | GET /sketch/a?do=stall        | 503 shutting_down           |
+
   Scenario Outline: the operators' port answers
     Given a shared router with 1 fake backend servers
     Then the router's operators get <status> for <path> with text <text>
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -283,6 +283,42 @@
     answers.start_world(context, shutdown_timeout_s=float(seconds))
 
 
+@behave.given(
+    "a router that may take {stop:d} second to stop and whose servers may take "
+    "{answer:d}"
+)
+def may_take_with_slow_servers(context, stop, answer):
+    timeouts = {
+        "answer_timeout_s": float(answer),
+        "idle_timeout_s": float(answer),
+    }
+    answers.start_world(
+        context, 2, {"timeouts": timeouts}, shutdown_timeout_s=float(stop)
+    )
+
+
+@behave.when(
+    "the router is told to stop while {method} {target} runs at its server"
+)
+def stop_while_running(context, method, target):
+    world = context.world
+    headers = (
+        {"Idempotency-Key": answers.new_key()} if "deposit" in target else {}
+    )
+    join = world.send_later(method, target, headers=headers, body=b"body")
+    world.wait_for(lambda: world.runs() == 1, "a running request")
+    told_to_stop(context)
+    context.reply = join()
+
+
+@behave.then("the router reported it as {outcome} and named no crash suspect")
+def reported_outcome(context, outcome):
+    reports = context.world.leader.reports
+    outcomes = [item.outcome for r in reports for item in r.finished]
+    assert outcomes == [data.Outcome(outcome)], outcomes
+    assert not any(r.crash_suspects for r in reports)
+
+
 @behave.when(
     "the router is told to stop with a stream of {seconds:d} seconds and a "
     "waiting request"
--- a/features/steps/router_decisions_steps.py
+++ b/features/steps/router_decisions_steps.py
@@ -17,6 +17,7 @@
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
+from waxwingrack.operations import stopping
 
 
 def as_flag(text):
@@ -310,3 +311,23 @@
         case result.Success():
             seen = []
     assert sorted(seen) == sorted(faults.split()), seen
+
+
+@behave.when(
+    "a stopping router has {left:d} ms, a request {deadline} ms and its route "
+    "had answers of {known} ms"
+)
+def decide_in_stop(context, left, deadline, known):
+    times = None
+    if known != "none":
+        for time_ms in known.split():
+            times = stopping.add_answer_time(times, float(time_ms))
+    request_left_ms = None if deadline == "none" else float(deadline)
+    context.sent = stopping.can_answer_in_time(
+        float(left), request_left_ms, times
+    )
+
+
+@behave.then("the request is {verdict:w}")
+def request_is(context, verdict):
+    assert context.sent == (verdict == "sent"), context.sent
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -60,12 +60,16 @@
         self._request_sent = False
         self._key_claimed = False
         self._cancel_step: Any = None
+        # Ends the wait for the head of an answer, also for a keyed request.
+        self._abort_step: Any = None
+        self._terminated = False
         self._lease: dispatch.Lease | None = None
         self._caller_writer: answers.CallerWriter | None = None
         self._unconfirmed_calls: list[defer.Deferred] = []
         self._key: tuple[str, str] | None = None
         self._workspace = ""
         self._service = ""
+        self._route = ""
         self._deadline_ms: int | None = None
         self._first_byte_ms = 0
         self._relay: answers.BodyRelay | None = None
@@ -94,16 +98,32 @@
 
     def terminate(self) -> None:
         """Ends the request at once because the router stops."""
+        self._terminated = True
         if self.waiting_sequence is not None:
-            self._host.dispatcher.cancel_wait(
-                self.waiting_sequence,
-                dispatch.RefusedError(errors.ErrorKind.SHUTTING_DOWN),
-            )
+            self._refuse_wait()
         elif self._relay:
             self._relay.abort(router_queues.Fault.CONNECTION_LOST)
+        elif self._abort_step:
+            self._abort_step()
         elif self._cancel_step:
             self._cancel_step()
 
+    def refuse_if_late(self) -> None:
+        """Ends the wait if the stop leaves no time to answer the request."""
+        if self.waiting_sequence is not None and not self._can_be_answered():
+            self._refuse_wait()
+
+    def _refuse_wait(self) -> None:
+        self._host.dispatcher.cancel_wait(
+            self.waiting_sequence,
+            dispatch.RefusedError(errors.ErrorKind.SHUTTING_DOWN),
+        )
+
+    def _can_be_answered(self) -> bool:
+        return self._host.can_answer_in_time(
+            self._service, self._route, self._remaining_ms()
+        )
+
     # -- admission ----------------------------------------------------------
 
     def _admit(self) -> keyed_requests.AdmittedRequest:
@@ -129,6 +149,7 @@
             host.tables, _unwrap_or_refuse(matched), host.rng
         )
         self._service = target.service.id
+        self._route = target.route.id
         if not req.request_id_valid:
             raise dispatch.RefusedError(kinds.BAD_REQUEST, "request_id")
         key = _unwrap_or_refuse(
@@ -287,6 +308,8 @@
             raise dispatch.CallerGoneError
         if not host.link.alive:
             raise dispatch.RefusedError(errors.ErrorKind.CONTROL_UNAVAILABLE)
+        if not self._can_be_answered():
+            raise dispatch.RefusedError(errors.ErrorKind.SHUTTING_DOWN)
         sequence, grant_deferred = host.dispatcher.queue_request(
             queued,
             admitted.deadline_ms,
@@ -408,7 +431,7 @@
         head_deferred = defer.Deferred.fromCoroutine(
             host.forwarder.send(lease.grant, outgoing, may_send)
         )
-        self._cancel_step = head_deferred.cancel
+        self._cancel_step = self._abort_step = head_deferred.cancel
         try:
             return await head_deferred
         except forwarding.NotSentError as exc:
@@ -416,7 +439,7 @@
                 self._request_sent = sent_before
             raise
         finally:
-            self._cancel_step = None
+            self._cancel_step = self._abort_step = None
 
     def _require_open_server(self, lease: dispatch.Lease) -> None:
         """Raises NotSentError if the server wants no request of this router."""
@@ -463,13 +486,20 @@
         if self._caller_left and admitted.key is None:
             self._end_lease(lease, data.Outcome.CANCELLED)
             raise dispatch.CallerGoneError
-        if fault is router_queues.Fault.CONNECTION_LOST:
+        outcome = self._find_outcome(fault)
+        if outcome is data.Outcome.CONNECTION_LOST:
             self._host.dispatcher.report_crash_suspect(lease)
-        self._end_lease(lease, _OUTCOME_BY_FAULT[fault])
+        self._end_lease(lease, outcome)
         if admitted.key is not None:
             await self._wait_until_recorded(self._record_outcome(None))
         return fault
 
+    def _find_outcome(self, fault: router_queues.Fault) -> data.Outcome:
+        """Returns how an attempt ended; one that a stop ended has no fault."""
+        if self._terminated:
+            return data.Outcome.CANCELLED
+        return _OUTCOME_BY_FAULT[fault]
+
     # -- answer -------------------------------------------------------------
 
     async def _relay_answer(
@@ -567,18 +597,22 @@
         first_byte_ms: int,
     ) -> router_queues.Fault:
         writer = self._caller_writer
+        caller_gave_up = (
+            self._caller_left or relay.caller_too_slow
+        ) and admitted.key is None
         if body_end.fault is None:
             outcome = (
                 data.Outcome.SERVER_ERROR
                 if head.status >= 500
                 else data.Outcome.COMPLETED
             )
-        elif (
-            self._caller_left or relay.caller_too_slow
-        ) and admitted.key is None:
+            self._host.note_answer_time(
+                self._service, self._route, self._host.clock() - lease.sent_ms
+            )
+        elif caller_gave_up:
             outcome = data.Outcome.CANCELLED
         else:
-            outcome = _OUTCOME_BY_FAULT[body_end.fault]
+            outcome = self._find_outcome(body_end.fault)
         if outcome is data.Outcome.CONNECTION_LOST:
             self._host.dispatcher.report_crash_suspect(lease)
         self._end_lease(lease, outcome, first_byte_ms, status=head.status)
@@ -593,10 +627,7 @@
         if body_end.fault is None:
             writer.finish()
             raise keyed_requests.ExchangeEndedError
-        if outcome is data.Outcome.CANCELLED:
-            writer.abort()
-            raise keyed_requests.ExchangeEndedError
-        if writer.started:
+        if caller_gave_up or writer.started:
             writer.abort()
             raise keyed_requests.ExchangeEndedError
         return body_end.fault
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -58,6 +58,16 @@
     def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
         """Returns the wait for a grant if it is too long for a request."""
 
+    def can_answer_in_time(
+        self, service: str, route: str, left_ms: int | None
+    ) -> bool:
+        """Tells whether a stop leaves the time to answer a request."""
+
+    def note_answer_time(
+        self, service: str, route: str, time_ms: float
+    ) -> None:
+        """Records how long the answer to a request took."""
+
     def must_close_after(self, req: admission.CallersRequest) -> bool:
         """Decides whether to close a connection after the answer on it."""
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -40,6 +40,7 @@
 from waxwingrack.operations import routing
 from waxwingrack.operations import saturation
 from waxwingrack.operations import shedding
+from waxwingrack.operations import stopping
 
 # Interval at which a stopping router checks whether its requests have ended.
 STOP_CHECK_S = 0.05
@@ -83,6 +84,7 @@
       buffers: Buffer bytes of request bodies and of answers to be recorded.
       closing: Whether new requests are refused.
       draining: Whether the router shuts down.
+      answer_times: Times of the answers by service and route.
       load: Load of the processor and of the network link.
     """
 
@@ -124,6 +126,10 @@
         )
         self.closing = False
         self.draining = False
+        # Time on the clock at which a stop cuts off running requests; None
+        # without a stop.
+        self._cut_ms: int | None = None
+        self.answer_times: dict[tuple[str, str], stopping.AnswerTimes] = {}
         self.load = saturation.RouterLoad()
         self._load_task: asyncio.Task | None = None
         self._relayed_bytes = 0
@@ -200,13 +206,18 @@
     async def stop(self) -> None:
         """Stops once all requests have ended, or after the shutdown timeout."""
         self.draining = True
+        closing_s = time.monotonic() + self.settings.shutdown_delay_s
+        deadline_s = closing_s + self.settings.shutdown_timeout_s
+        self._cut_ms = self.clock() + round(
+            1000 * (deadline_s - time.monotonic())
+        )
         self._schedule_report()
         logs.event("router_stopping", open=len(self._exchanges))
-        await asyncio.sleep(self.settings.shutdown_delay_s)
+        while time.monotonic() < closing_s:
+            await self._pause_in_stop(closing_s)
         self.closing = True
-        deadline_s = time.monotonic() + self.settings.shutdown_timeout_s
         while self._has_open_work() and time.monotonic() < deadline_s:
-            await asyncio.sleep(STOP_CHECK_S)
+            await self._pause_in_stop(deadline_s)
         for exchange in tuple(self._exchanges):
             exchange.terminate()
         await self._close_callers_port(deadline_s)
@@ -221,6 +232,14 @@
         logger.globalLogPublisher.removeObserver(self._observe_log_event)
         logs.event("router_stopped", cut=len(self._exchanges))
 
+    async def _pause_in_stop(self, end_s: float) -> None:
+        """Refuses what waits too long, then pauses until the next check."""
+        for exchange in tuple(self._exchanges):
+            exchange.refuse_if_late()
+        await asyncio.sleep(
+            max(0.0, min(STOP_CHECK_S, end_s - time.monotonic()))
+        )
+
     async def _close_callers_port(self, stop_deadline_s: float) -> None:
         """Closes the callers' port and answers what has reached it.
 
@@ -333,6 +352,33 @@
         is_too_long = local_waits.is_wait_too_long(wait_ms, target_ms)
         return wait_ms if is_too_long else None
 
+    def can_answer_in_time(
+        self, service: str, route: str, left_ms: int | None
+    ) -> bool:
+        """Tells whether a stop leaves the time to answer a request.
+
+        Args:
+          service: Id of its service.
+          route: Id of its route.
+          left_ms: Time until its deadline; None if it has none.
+        """
+        if self._cut_ms is None:
+            return True
+        return stopping.can_answer_in_time(
+            self._cut_ms - self.clock(),
+            left_ms,
+            self.answer_times.get((service, route)),
+        )
+
+    def note_answer_time(
+        self, service: str, route: str, time_ms: float
+    ) -> None:
+        """Records how long the answer to a request took."""
+        key = (service, route)
+        self.answer_times[key] = stopping.add_answer_time(
+            self.answer_times.get(key), time_ms
+        )
+
     def must_close_after(self, req: admission.CallersRequest) -> bool:
         """Decides whether to close a connection after the answer on it.
 
@@ -410,6 +456,18 @@
         self.caller_limits = routing.resolve_caller_limits(
             self.settings, self.tables.environment
         )
+        # The times of dropped routes would add up over many environments.
+        routes = {
+            (target.service, route.id)
+            for service in push.environment.services
+            for route in service.routes
+            for target in route.targets or (data.Target(service.id, 1.0),)
+        }
+        self.answer_times = {
+            key: times
+            for key, times in self.answer_times.items()
+            if key in routes
+        }
         logs.event("environment_in_force", number=push.number)
         self._schedule_report()
 
