Show that bytes without end and heads that stop early do no harm

A faulty server that sends without end on 60 connections at a time leaves the router below 128 MiB, and other requests are answered. A head that stops after any of its bytes, in eight forms, is answered as 502, may have run.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -20,6 +20,26 @@
       | stream_without_event | connection_lost |
       | stall_body  | timed_out       |
 
+  Scenario Outline: a head of the form <head> that ends early by a <end> is no answer
+  A server that stops in the middle of a head has not answered. Its caller must not
+  get a success with an empty or short body.
+    Given a shared router with 2 fake backend servers
+    When the server ends each answer after one of the bytes of the head <head> by a <end>
+    Then each of these requests is answered 502 as may_have_run
+
+    Examples:
+      | head        | end   |
+      | length      | close |
+      | length_last | close |
+      | chunks      | close |
+      | unframed    | close |
+      | stream      | close |
+      | old         | close |
+      | line_feeds  | close |
+      | interim     | close |
+      | length      | reset |
+      | unframed    | reset |
+
   Scenario Outline: whole answers of every form arrive whole
     Given a shared router with 2 fake backend servers
     When the router's caller requests <method> /sketch/a?do=<act>
@@ -57,6 +77,13 @@
       | trailers            | endless_trailer    | sees a broken transfer  |
       | surplus bytes       | endless_surplus    | gets 200 with 7 bytes   |
 
+  Scenario: bytes without end on many connections leave room for other requests
+  The requests of other callers ended with a router that had run out of memory.
+    Given a router with 2 fake backend servers and an answer timeout of 10 seconds
+    When 60 router's callers at a time ask for answers without end for 8 seconds
+    Then every other request meanwhile got its own answer
+    And the router took less than 128 MiB of memory
+
   Scenario: a body without end is passed on only as fast as its caller reads
   A router that reads ahead of its caller runs out of memory.
     Given a router with 1 fake backend servers
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -7,6 +7,7 @@
 import http.client
 import itertools
 import json
+import pathlib
 import socket
 import time
 import urllib.parse
@@ -167,6 +168,87 @@
     assert context.reply.status == status, context.reply
 
 
+@behave.when(
+    "the server ends each answer after one of the bytes of the head {head} by "
+    "a {end}"
+)
+def cut_heads(context, head, end):
+    # The last byte completes the head.
+    sizes = range(len(router_fakes.HEADS[head]))
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        context.replies = list(
+            pool.map(
+                lambda size: context.world.send(
+                    "GET",
+                    f"/sketch/a?do=part_of_head&head={head}&bytes={size}"
+                    f"&end={end}",
+                ),
+                sizes,
+            )
+        )
+
+
+@behave.then("each of these requests is answered {status:d} as {execution}")
+def each_refused(context, status, execution):
+    assert len(context.replies) > 20
+    for reply in context.replies:
+        assert reply.whole and reply.status == status, reply
+        assert reply.refusal["execution"] == execution, reply
+
+
+ENDLESS = (
+    "endless_line",
+    "endless_lines",
+    "endless_head",
+    "endless_interim",
+    "endless_chunk_line",
+    "endless_trailer",
+    "endless_surplus",
+)
+
+
+@behave.when(
+    "{callers:d} router's callers at a time ask for answers without end for "
+    "{seconds:d} seconds"
+)
+def ask_endlessly(context, callers, seconds):
+    world = context.world
+    end_s = time.monotonic() + seconds
+
+    def ask(number):
+        acts = itertools.islice(itertools.cycle(ENDLESS), number, None)
+        while time.monotonic() < end_s:
+            world.send("GET", f"/sketch/a?do={next(acts)}")
+            time.sleep(1.0)
+
+    context.replies = []
+    with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+        asked = [pool.submit(ask, number) for number in range(callers)]
+        while time.monotonic() < end_s:
+            context.replies.append(world.send("GET", "/sketch/a?do=ok"))
+            time.sleep(0.05)
+        for item in asked:
+            item.result()
+
+
+@behave.then("every other request meanwhile got its own answer")
+def others_answered(context):
+    assert len(context.replies) > 10, len(context.replies)
+    all_own_answers(context)
+
+
+@behave.then("the router took less than {size:d} MiB of memory")
+def memory_bounded(context, size):
+    pid = context.world.router.process.pid
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (peak_kib,) = (
+        int(line.split()[1])
+        for line in status.splitlines()
+        if line.startswith("VmHWM:")
+    )
+    assert peak_kib < size * 1024, f"{peak_kib / 1024:.0f} MiB"
+
+
 @behave.when("the router's caller reads 1 MiB of a body without end and leaves")
 def read_and_leave(context):
     world = context.world
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -371,6 +371,23 @@
 }
 
 
+# Heads of answers, by the word in the query; a body of five bytes belongs to
+# each.
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Own: 1\r\n\r\n",
+    "length_last": b"HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 5\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "unframed": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    "stream": _UNFRAMED_STREAM,
+    "old": b"HTTP/1.0 200 OK\r\nX-Own: 1\r\n\r\n",
+    "line_feeds": b"HTTP/1.1 200 OK\nContent-Length: 5\nX-Own: 1\n\n",
+    "interim": (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+    ),
+}
+
+
 class FakeBackend:
     """Backend server that behaves as the query of a request says.
 
@@ -617,6 +634,14 @@
         writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
         await self._send_endlessly(writer, b"x" * 65_536)
 
+    async def _do_part_of_head(self, writer, query, request_id, body, method):
+        writer.write(HEADS[query["head"]][: int(query["bytes"])])
+        await writer.drain()
+        if query["end"] == "reset":
+            # The router must have read the bytes before the reset.
+            await asyncio.sleep(0.02)
+            self._reset(writer)
+
     async def _do_until_reset(self, writer, query, request_id, body, method):
         writer.write(b"HTTP/1.1 200 OK\r\n\r\npart until reset")
         await writer.drain()
