Show that a controller takes an announcement without end

Looked for in the report of bytes without end: the router bounds what servers send to it, but the platform's control API has no limit on bodies, so a faulty server can fill the disk of a controller.

--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -61,3 +61,10 @@
     When all controllers are killed and start again
     Then the document that was acknowledged last is read back
     And a caller of the workspace gets the whole answer of the backend server
+
+  @known_red
+  Scenario: an announcement without end is cut off
+  Guards against a controller whose disk or memory a faulty server fills; machines
+  with a controller have 128 MB of disk.
+    When a backend server sends an announcement without end to the leader
+    Then the leader closes the connection before it has taken 128 MB
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import resource
+import socket
 import time
 
 import behave
@@ -11,6 +12,8 @@
 from features.support import platform_fleet
 
 WAIT_S = 20.0
+# More than a controller may take of one announcement.
+ENDLESS_MIB = 160
 
 
 def _document(revision, timeout_ms=3000):
@@ -325,3 +328,29 @@
         WAIT_S,
         f"{count} members that answer",
     )
+
+
+@behave.when("a backend server sends an announcement without end to the leader")
+def announce_without_end(context):
+    cluster = context.fleet
+    leader = fleet.wait_until(cluster.leader, WAIT_S, "a leader")
+    part = b" " * 2**20
+    context.sent_mib = 0
+    with socket.create_connection(
+        (leader.ip, platform_fleet.CONTROL_PORT), timeout=WAIT_S
+    ) as conn:
+        conn.sendall(
+            b"POST /api/instances/i-9/heartbeat HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        try:
+            while context.sent_mib < ENDLESS_MIB:
+                conn.sendall(b"%x\r\n%b\r\n" % (len(part), part))
+                context.sent_mib += 1
+        except OSError:
+            pass
+
+
+@behave.then("the leader closes the connection before it has taken {mb:d} MB")
+def closed_early(context, mb):
+    assert context.sent_mib * 2**20 < mb * 10**6, context.sent_mib
