--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -12,10 +12,9 @@
 
 from features.support import platform_fleet
 
-START_S = 20.0
 GRACE_S = 8.0
 SERVERS = 2
-SLOTS_GAP_S = 0.15
+PAUSE_S = 0.15
 PATHS = {"unsafe": "/jobs/x", "safe": "/list/x"}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -95,11 +94,8 @@
         conn = None
         while not self._stopped.is_set():
             call = Call(uuid.uuid4().hex[:16], kept=conn is not None)
-            conn = conn or http.client.HTTPConnection(
-                self._ip, platform_fleet.FRONT_PORT, timeout=20
-            )
             try:
-                conn.connect() if conn.sock is None else None
+                conn = conn or self._connect()
             except OSError:
                 return
             self.calls.append(call)
@@ -115,7 +111,14 @@
             if closed or not self._keeps:
                 conn.close()
                 conn = None
-            time.sleep(SLOTS_GAP_S)
+            time.sleep(PAUSE_S)
+
+    def _connect(self):
+        conn = http.client.HTTPConnection(
+            self._ip, platform_fleet.FRONT_PORT, timeout=20
+        )
+        conn.connect()
+        return conn
 
     def _headers(self, call):
         return {
@@ -137,7 +140,7 @@
     ]
     for caller in callers:
         caller.start()
-        time.sleep(SLOTS_GAP_S / 6)
+        time.sleep(PAUSE_S / 6)
     time.sleep(0.5)
     router.process.send_signal(signal.SIGTERM)
     started_s = time.monotonic()
