Bound the bodies of calls to the operators' ports

What was seen: a controller took 160 MiB of one announcement, where the test stopped; machines with a controller have 128 MB of disk. The new rows show the same of a follower and of a router's readiness port.

Cause: Twisted's Site stores a body in a temporary file without a limit; only our own operators' API limited it, and discarded without end.

Change: daemons/body_limits.py serves all of these ports.

--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -62,9 +62,27 @@
     Then the document that was acknowledged last is read back
     And a caller of the workspace gets the whole answer of the backend server
 
-  @known_red
-  Scenario: an announcement without end is cut off
-  Guards against a controller whose disk or memory a faulty server fills; machines
+  Scenario Outline: a body without end to <path> of <process> is cut off
+  Guards against processes whose disk or memory a faulty server fills; machines
   with a controller have 128 MB of disk.
-    When a backend server sends an announcement without end to the leader
-    Then the leader closes the connection before it has taken 128 MB
+    When a backend server sends a body without end to <path> of <process>
+    Then the process closes the connection before it has taken 128 MB
+    And it has stored at most 1 MiB of it
+
+    Examples:
+      | process    | path                         |
+      | the leader | /api/instances/i-9/heartbeat |
+      | a follower | /api/instances/i-9/heartbeat |
+      | the router | /api/ready                   |
+
+  Scenario Outline: <mib> MiB to <path> are answered <status>
+  Guards against calls that fill the disk or memory of a controller.
+    When an operator sends <mib> MiB to <path> of the leader
+    Then the operator gets <status>
+
+    Examples:
+      | mib | path                         | status |
+      | 2   | /api/instances/i-9/heartbeat | 413    |
+      | 2   | /api/rollouts/start          | 413    |
+      | 2   | /api/config/replace          | 400    |
+      | 17  | /api/config/replace          | 413    |
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -1,7 +1,9 @@
 """Steps for real processes that are started as the platform starts them."""
 
+import contextlib
 import http.client
 import json
+import pathlib
 import resource
 import socket
 import time
@@ -330,27 +332,68 @@
     )
 
 
-@behave.when("a backend server sends an announcement without end to the leader")
-def announce_without_end(context):
-    cluster = context.fleet
+def _find_process(cluster, name):
+    """Returns the machine of a process and the port of its operators."""
+    if name == "the router":
+        return cluster.router, platform_fleet.READY_PORT
     leader = fleet.wait_until(cluster.leader, WAIT_S, "a leader")
+    if name == "the leader":
+        return leader, platform_fleet.CONTROL_PORT
+    followers = (m for m in cluster.controllers if m is not leader)
+    return next(followers), platform_fleet.CONTROL_PORT
+
+
+@behave.when("a backend server sends a body without end to {path} of {process}")
+def send_without_end(context, path, process):
+    machine, port = _find_process(context.fleet, process)
     part = b" " * 2**20
-    context.sent_mib = 0
-    with socket.create_connection(
-        (leader.ip, platform_fleet.CONTROL_PORT), timeout=WAIT_S
-    ) as conn:
+    context.sent_mib = context.stored_bytes = 0
+    with socket.create_connection((machine.ip, port), timeout=WAIT_S) as conn:
         conn.sendall(
-            b"POST /api/instances/i-9/heartbeat HTTP/1.1\r\nHost: x\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"POST %b HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" % path.encode()
         )
         try:
             while context.sent_mib < ENDLESS_MIB:
                 conn.sendall(b"%x\r\n%b\r\n" % (len(part), part))
                 context.sent_mib += 1
+                context.stored_bytes = max(
+                    context.stored_bytes,
+                    _measure_unnamed_files(machine.process.pid),
+                )
         except OSError:
             pass
 
 
-@behave.then("the leader closes the connection before it has taken {mb:d} MB")
+def _measure_unnamed_files(pid):
+    """Returns the bytes of open files that have been removed."""
+    total = 0
+    for path in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+        # The process may close a file meanwhile.
+        with contextlib.suppress(FileNotFoundError):
+            if str(path.readlink()).endswith(" (deleted)"):
+                total += path.stat().st_size
+    return total
+
+
+@behave.then("the process closes the connection before it has taken {mb:d} MB")
 def closed_early(context, mb):
     assert context.sent_mib * 2**20 < mb * 10**6, context.sent_mib
+
+
+@behave.then("it has stored at most {mib:d} MiB of it")
+def stored_at_most(context, mib):
+    assert context.stored_bytes <= mib * 2**20, context.stored_bytes
+
+
+@behave.when("an operator sends {mib:d} MiB to {path} of the leader")
+def send_large(context, mib, path):
+    leader, port = _find_process(context.fleet, "the leader")
+    context.answer = fleet.request(
+        port, "POST", path, b" " * (mib * 2**20), host=leader.ip
+    )
+
+
+@behave.then("the operator gets {status:d}")
+def operator_gets(context, status):
+    assert context.answer.status == status, context.answer
--- a/waxwingrack/daemons/operators_api.py
+++ b/waxwingrack/daemons/operators_api.py
@@ -20,6 +20,7 @@
 from waxwingrack.core import commands
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import body_limits
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import fleet_status
 from waxwingrack.daemons import metrics as metrics_module
@@ -29,7 +30,6 @@
 from waxwingrack.operations import rollouts
 
 # Largest request body. A change must fit into one frame of the log.
-MAX_BODY_BYTES = 1024 * 1024
 MAX_TEXT_CHARACTERS = 128
 
 HTTP_MISDIRECTED_REQUEST = 421
@@ -114,20 +114,6 @@
     errors: tuple[tuple[str, str], ...]
 
 
-class _Request(server.Request):
-    """Request that discards the rest of a body beyond `MAX_BODY_BYTES`."""
-
-    too_large = False
-
-    def handleContentChunk(self, data):  # noqa: N802  name of the library
-        """Stores a part of the body."""
-        if self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self.too_large = True
-            self.setHeader(b"Connection", b"close")
-        else:
-            super().handleContentChunk(data)
-
-
 def build_site(controller: Any, token: bytes) -> server.Site:
     """Builds the HTTP server for operators.
 
@@ -139,10 +125,9 @@
     Returns:
       Site for the port of operators.
     """
-    api = OperatorsApi(controller, token)
-    site = server.Site(api.app.resource(), requestFactory=_Request)
-    site.displayTracebacks = False
-    return site
+    return body_limits.build_site(
+        OperatorsApi(controller, token).app.resource()
+    )
 
 
 def _leader_call(body: type | None = None) -> Callable:
@@ -447,7 +432,7 @@
     """
     if getattr(request, "too_large", False):
         return _make_invalid_body(
-            "$", f"must be at most {MAX_BODY_BYTES} bytes"
+            "$", f"must be at most {body_limits.MAX_BODY_BYTES} bytes"
         )
     try:
         document = json.loads(request.content.read())
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -16,13 +16,13 @@
 from twisted.internet import defer
 from twisted.web import http
 from twisted.web import http_headers
-from twisted.web import server
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.daemons import admission
+from waxwingrack.daemons import body_limits
 from waxwingrack.daemons import buffer_reservations
 from waxwingrack.daemons import callers_api
 from waxwingrack.daemons import clocks
@@ -174,9 +174,7 @@
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
         )
-        operators = server.Site(self._build_operators_resource(self))
-        operators.displayTracebacks = False
-        operators.log = lambda request: None
+        operators = body_limits.build_site(self._build_operators_resource(self))
         for address, site in (
             (self.settings.callers, self._site),
             (self.settings.operators, operators),
--- a/waxwingrack/platform/control_api.py
+++ b/waxwingrack/platform/control_api.py
@@ -21,6 +21,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import body_limits
 from waxwingrack.daemons import changes
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import metrics as metrics_module
@@ -41,6 +42,11 @@
 }
 
 
+_REPLACE_PATH = "/api/config/replace"
+# Limit of a configuration document: several times one of ten thousand routes.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+
+
 class _RolloutRequest(pydantic.BaseModel):
     service: str
     # Candidate version of the rollout.
@@ -51,6 +57,29 @@
     ]
 
 
+class _ControlRequest(body_limits.LimitedRequest):
+    """Request to the control API; refused if its body is too large."""
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802  Twisted's
+        """Prepares to receive the body."""
+        # The request has its path only once its body is complete.
+        path = self.channel._path.partition(b"?")[0]
+        if path == _REPLACE_PATH.encode():
+            self.max_body_bytes = MAX_DOCUMENT_BYTES
+        super().gotLength(length)
+
+    def process(self) -> None:
+        """Passes the request on, or answers 413."""
+        if not self.too_large:
+            super().process()
+            return
+        reason = f"a body may have at most {self.max_body_bytes} bytes"
+        self.write(
+            _answer_json(self, http.REQUEST_ENTITY_TOO_LARGE, {"error": reason})
+        )
+        self.finish()
+
+
 def build_site(controller: Any, regions: dict[str, str]) -> server.Site:
     """Builds the HTTP server of a controller.
 
@@ -58,10 +87,9 @@
       controller: The `controller.Controller`.
       regions: Region of each data centre.
     """
-    site = server.Site(_ControlApi(controller, regions).app.resource())
-    site.displayTracebacks = False
-    site.log = lambda request: None
-    return site
+    return body_limits.build_site(
+        _ControlApi(controller, regions).app.resource(), _ControlRequest
+    )
 
 
 def _require_leader(handler: Callable) -> Callable:
@@ -143,7 +171,7 @@
 
     # -- configuration ------------------------------------------------------
 
-    @app.route("/api/config/replace", methods=["POST"])
+    @app.route(_REPLACE_PATH, methods=["POST"])
     @_require_leader
     async def replace_configuration(self, request: Any) -> bytes:
         """Replaces the whole configuration document."""
