--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -9,6 +9,7 @@
 """
 
 from concurrent import futures
+import dataclasses
 import itertools
 import json
 import pathlib
@@ -50,15 +51,32 @@
     return passed
 
 
-def run_feature(path: pathlib.Path) -> list[str]:
-    """Runs one feature with behave.
+@dataclasses.dataclass(frozen=True)
+class FeatureResult:
+    """Result of a run of a feature.
+
+    Attributes:
+      name: File name of the feature.
+      statuses: Status of each scenario that was selected. A run that ends
+        without a report counts as one failure.
+      output: What behave printed, with the messages of failed steps.
+    """
+
+    name: str
+    statuses: list[str]
+    output: str
+
+    @property
+    def passed(self) -> bool:
+        """Whether all scenarios passed."""
+        return all(status == "passed" for status in self.statuses)
+
+
+def run_feature(path: pathlib.Path) -> FeatureResult:
+    """Runs one feature with behave and prints its counts.
 
     Args:
       path: Path of the feature.
-
-    Returns:
-      The status of each scenario that was selected. A run that ends without a
-      report counts as one failure.
     """
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
@@ -90,9 +108,7 @@
             statuses = ["failed"]
     passed = statuses.count("passed")
     print(f"{path.name}: {passed} of {len(statuses)} passed", flush=True)
-    if passed < len(statuses):
-        print(output, flush=True)
-    return statuses
+    return FeatureResult(path.name, statuses, output)
 
 
 def read_report(report: pathlib.Path, exit_code: int) -> list[str]:
@@ -151,14 +167,11 @@
     return message if isinstance(message, str) else "\n".join(message)
 
 
-def run_features(paths: list[pathlib.Path]) -> list[str]:
+def run_features(paths: list[pathlib.Path]) -> list[FeatureResult]:
     """Runs features, most of them side by side.
 
     Args:
       paths: Paths of the features.
-
-    Returns:
-      The statuses of all scenarios.
     """
     alone = [path for path in paths if ALONE in path.read_text()]
     together = [path for path in paths if path not in alone]
@@ -166,8 +179,7 @@
     together.sort(key=lambda path: "fault_matrix" not in path.name)
     with futures.ThreadPoolExecutor(PARALLEL) as pool:
         results = list(pool.map(run_feature, together))
-    results += [run_feature(path) for path in alone]
-    return [status for statuses in results for status in statuses]
+    return results + [run_feature(path) for path in alone]
 
 
 def main() -> int:
@@ -178,13 +190,18 @@
     """
     named = [pathlib.Path(name) for name in sys.argv[1:]]
     results = [] if named else [run_command(*check) for check in CHECKS]
-    statuses = run_features(
+    known_red = ROOT / "KNOWN-RED.txt"
+    if known_red.exists():
+        print("Known red, not run:\n" + known_red.read_text(), flush=True)
+    features = run_features(
         named or sorted((ROOT / "features").glob("*.feature"))
     )
+    # Logs of checks may be cut at their beginning, so failures come last.
+    for feature in features:
+        if not feature.passed:
+            print(f"failed: {feature.name}\n{feature.output}", flush=True)
+    statuses = [status for feature in features for status in feature.statuses]
     results += [status == "passed" for status in statuses]
-    known_red = ROOT / "KNOWN-RED.txt"
-    if known_red.exists():
-        print("Known red, not run:\n" + known_red.read_text())
     if not statuses:
         print("no scenario ran")
         results.append(False)
