--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -19,7 +19,7 @@
       | plaintext          | True               |
       | ready_when_drained | True               |
       | retry_reserve      | 2.7                |
-      | shutdown_timeout_s | 4.7                |
+      | shutdown_timeout_s | 4.5                |
     And its first controller is 127.0.2.1-7400 at 127.0.2.1:7400 and 127.0.2.1:8785
 
   Scenario Outline: a faulty settings file is refused, <place>
