Keep late reports out of the next scenario of a shared router

A caller has its answer before the leader hears of the end of the grant, and the scenario before does not wait for that, so its report came after the fake leader had forgotten the earlier ones.

The fake leader now counts only grants made since then; a row still needs exactly its own outcome.

--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -114,6 +114,7 @@
         self.counts = transport.TrafficCounts()
         self.events: list[tuple[str, Any]] = []
         self._grant = 0
+        self._forgotten_grant = 0
         self._pushed: dict[int, int] = {}
         self._last_sent_ms = 0
 
@@ -251,8 +252,22 @@
         return self._grant
 
     def finished(self) -> list[data.FinishedRequest]:
-        """Returns all ended grants."""
-        return [item for report in self.reports for item in report.finished]
+        """Returns all ended grants, without those that were forgotten."""
+        return [
+            item
+            for report in self.reports
+            for item in report.finished
+            if item.grant > self._forgotten_grant
+        ]
+
+    def forget(self) -> None:
+        """Forgets what it has seen so far, and the grants still to be ended.
+
+        A caller has its answer before the leader hears of the end of the grant.
+        """
+        for seen in (self.reports, self.key_state, self.events):
+            seen.clear()
+        self._forgotten_grant = self._grant
 
     def _key(self, conn: Any, message: Any) -> None:
         kind = type(message).__name__
@@ -886,12 +901,7 @@
 
     def forget(self) -> None:
         """Forgets what the fakes have seen so far."""
-        for seen in (
-            self.leader.reports,
-            self.leader.key_state,
-            self.leader.events,
-        ):
-            seen.clear()
+        self.leader.forget()
         for backend in self.backends:
             for seen in (backend.runs, backend.seen, backend.cancelled):
                 seen.clear()
