--- a/features/steps/controller_cuts_steps.py
+++ b/features/steps/controller_cuts_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import resource
+import threading
 import time
 
 import behave
@@ -178,12 +179,27 @@
 @behave.when("the disk of {member} is full")
 def disk_full(context, member):
     context.full = next(iter(members(context, member)))
-    folder = context.fleet.folder / f"{context.full}-data"
-    size = max(x.stat().st_size for x in folder.rglob("*") if x.is_file())
-    # The next record is cut off after its first bytes.
-    limit = (size + 5, resource.RLIM_INFINITY)
+    log = context.fleet.folder / f"{context.full}-data" / "log"
     process = context.fleet.members[context.full].process
-    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
+    threading.Thread(target=keep_full, args=(process, log), daemon=True).start()
+
+
+def keep_full(process, log):
+    """Cuts off the next record of a log after its first bytes.
+
+    The limit follows a log that a snapshot shortens meanwhile.
+    """
+    limit = resource.RLIM_INFINITY
+    while process.poll() is None:
+        size = log.stat().st_size + 5
+        if limit == resource.RLIM_INFINITY or size < limit:
+            limit = size
+            resource.prlimit(
+                process.pid,
+                resource.RLIMIT_FSIZE,
+                (limit, resource.RLIM_INFINITY),
+            )
+        time.sleep(0.01)
 
 
 @behave.then('that controller says "{reason}" at its readyz and metrics')
