Keep the stand-in's announcements after a connect time-out

Seen in the run of the checks on (fleet_tls.feature, files replaced by restarts): a service had no server for 30 s, so one deposit was not answered. Logs: the last announcement fell into the 0.2 s in which a stopping router ignores new connections; none followed.

Cause: the time-out of the call cancels an attempt to connect, which raises ConnectingCancelledError. The stand-in did not expect it, and the task that announces ended. Any lost SYN would have done the same.

Change: it counts as a failed attempt; the next router is tried. The new scenario of stand_in.feature got no announcement before and passes now.

--- a/features/stand_in.feature
+++ b/features/stand_in.feature
@@ -63,3 +63,10 @@
     And the announced cache events are late and have gaps
     When the stand-in process is stopped
     Then the last announcement says that it departs
+
+  Scenario: a router that ignores connections does not end the announcements
+  Guards against servers that are never announced again once an attempt to connect
+  timed out, as on a router that closes its port.
+    Given a router that ignores connections and a fake one that takes announcements
+    And a stand-in process with {"announce_interval_s": 0.2}
+    Then the fake router gets 3 announcements within 8 seconds
--- a/features/steps/stand_in_steps.py
+++ b/features/steps/stand_in_steps.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -66,7 +67,7 @@
     context.runs_file = pathlib.Path(folder.name) / "runs"
     fakes = getattr(context, "routers", [])
     routers = [
-        {"host": "127.0.0.1", "port": fake.server_address[1]} for fake in fakes
+        {"host": "127.0.0.1", "port": fake.getsockname()[1]} for fake in fakes
     ]
     context.stand_in = Process(
         {"runs_file": str(context.runs_file), "routers": routers}
@@ -227,7 +228,35 @@
 @behave.given("two fake routers that take announcements")
 def fake_routers(context):
     context.announced = []
-    context.routers = [_fake_router(context, name) for name in ("r1", "r2")]
+    context.routers = [
+        _fake_router(context, name).socket for name in ("r1", "r2")
+    ]
+
+
+@behave.given(
+    "a router that ignores connections and a fake one that takes announcements"
+)
+def deaf_and_fake_router(context):
+    context.announced = []
+    deaf = socket.create_server(("127.0.0.1", 0), backlog=0)
+    context.add_cleanup(deaf.close)
+    # The system ignores attempts to connect while the queue of a port is full.
+    for _ in range(2):
+        conn = socket.socket()
+        conn.setblocking(False)
+        conn.connect_ex(deaf.getsockname())
+        context.add_cleanup(conn.close)
+    context.routers = [deaf, _fake_router(context, "r2").socket]
+
+
+@behave.then(
+    "the fake router gets {count:d} announcements within {seconds:d} seconds"
+)
+def gets_announcements(context, count, seconds):
+    deadline_s = time.monotonic() + seconds
+    while len(context.announced) < count:
+        assert time.monotonic() < deadline_s, len(context.announced)
+        time.sleep(0.05)
 
 
 def _fake_router(context, name):
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -358,6 +358,7 @@
             ).asFuture(asyncio.get_running_loop())
         except (
             error.ConnectError,
+            error.ConnectingCancelledError,
             error.ConnectionLost,
             client.ResponseFailed,
             defer.CancelledError,
