Wait longer for an order than for the call it follows

fault_matrix_order_2.feature, "read back | none", failed once in the checks of: "not within 20.0 s: a newer order to the engine that checks numbers". Log of the leader: the read-back that the row holds began at 20.19 s and ended at its limit of 20 s, at 40.19 s; the next order is held back for a second after a failed call, and the lease lapsed at 41.85 s for 14 ms; the order came at 41.92 s.

The wait now covers the limit of the call besides its own time.

--- a/features/steps/fault_matrix_order_steps.py
+++ b/features/steps/fault_matrix_order_steps.py
@@ -15,6 +15,8 @@
 IGNORES = "ignores"
 ENGINES = ("checks", IGNORES)
 WAIT_S = 20.0
+# Time limit of calls to the engines, in seconds.
+ANSWER_TIMEOUT_S = 20.0
 # Time for a decision, a commit and a call that must not happen, in seconds.
 SETTLE_S = 0.4
 WATCH_INTERVAL_S = 0.05
@@ -117,7 +119,10 @@
             "id": name,
             "version": version,
             "routes": [{"id": "r", "path": f"/{name}", "idempotent": True}],
-            "orders": {"min_serving_share": 0.0, "answer_timeout_s": WAIT_S},
+            "orders": {
+                "min_serving_share": 0.0,
+                "answer_timeout_s": ANSWER_TIMEOUT_S,
+            },
         }
         for name in ENGINES
     ]
@@ -302,7 +307,8 @@
                     order_rows(cluster).get("checks", {}).get("version")
                     == cluster.versions[1]
                 ),
-                WAIT_S,
+                # A read-back that is held ends by its own time limit first.
+                ANSWER_TIMEOUT_S + WAIT_S,
                 "a newer order to the engine that checks numbers",
             )
             time.sleep(SETTLE_S)
