--- a/features/event_loop.feature
+++ b/features/event_loop.feature
@@ -44,3 +44,24 @@
       | 100     | in this turn      |
       | 4000000 | in the next turn  |
       | 4000000 | in this turn      |
+
+  @known_red
+  Scenario Outline: a flood does not delay what is readable after <reads> reads
+    Guards against work for callers that have left (GONE).
+
+    Given a reactor of the event loop
+    When 100 descriptors that bring new work are readable, for 5 ms each
+    And another descriptor is readable after <reads> of them are read
+    Then it is read within 50 ms
+    And all descriptors that bring new work are read in order
+
+    Examples:
+      | reads |
+      | 1     |
+      | 50    |
+
+  Scenario: a descriptor that is removed during a flood is not read
+    Given a reactor of the event loop
+    When 100 descriptors that bring new work are readable, for 5 ms each
+    And the last of them is removed after 100 ms
+    Then all but the last are read in order
--- a/features/steps/event_loop_steps.py
+++ b/features/steps/event_loop_steps.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import behave
 from twisted.internet import abstract
@@ -60,9 +61,38 @@
             return 0
 
 
+class _Reader:
+    """Reading end of a socket whose bytes take some time to handle."""
+
+    def __init__(self, work_s, brings_new_work):
+        self.brings_new_work = brings_new_work
+        self.read_s = None
+        self.on_read = lambda: None
+        self._work_s = work_s
+        self.near, self.far = socket.socketpair()
+        self.near.setblocking(False)
+
+    def fileno(self):
+        """Returns the descriptor of the socket."""
+        return self.near.fileno()
+
+    def doRead(self):  # noqa: N802
+        """Reads the bytes and works for some time."""
+        self.near.recv(64)
+        self.read_s = time.monotonic()
+        self.on_read()
+        while time.monotonic() < self.read_s + self._work_s:
+            pass
+
+    def close(self):
+        """Closes both ends."""
+        self.near.close()
+        self.far.close()
+
+
 @behave.given("a reactor of the event loop")
 def build(context):
-    context.loop = asyncio.new_event_loop()
+    context.loop = asyncio.SelectorEventLoop(event_loop.TimingSelector())
     context.add_cleanup(context.loop.close)
     context.reactor = event_loop._Reactor(context.loop)
 
@@ -138,6 +168,62 @@
     assert not context.writers, context.writers
 
 
+@behave.when(
+    "{count:d} descriptors that bring new work are readable, for {work_ms:d} "
+    "ms each"
+)
+def make_flood(context, count, work_ms):
+    context.flood = [
+        _make_reader(context, work_s=work_ms / 1000, brings_new_work=True)
+        for _ in range(count)
+    ]
+    for reader in context.flood:
+        reader.far.send(b"x")
+
+
+def _make_reader(context, **arguments):
+    reader = _Reader(**arguments)
+    context.add_cleanup(reader.close)
+    context.reactor.addReader(reader)
+    return reader
+
+
+@behave.when("another descriptor is readable after {reads:d} of them are read")
+def make_readable(context, reads):
+    context.open = _make_reader(context, work_s=0.0, brings_new_work=False)
+    context.last_read_before = context.flood[reads - 1]
+    context.last_read_before.on_read = lambda: context.open.far.send(b"x")
+    context.loop.run_until_complete(asyncio.sleep(1.0))
+
+
+@behave.then("it is read within {limit_ms:d} ms")
+def read_soon(context, limit_ms):
+    delay_s = context.open.read_s - context.last_read_before.read_s
+    assert 0 <= delay_s <= limit_ms / 1000, delay_s
+
+
+@behave.then("all descriptors that bring new work are read in order")
+def all_read(context):
+    times = [reader.read_s for reader in context.flood]
+    assert None not in times, times
+    assert times == sorted(times), times
+
+
+@behave.when("the last of them is removed after {delay_ms:d} ms")
+def remove_last(context, delay_ms):
+    # Removed by one of the reads, as a connection that another one ends.
+    remover = context.flood[delay_ms // 5]
+    remover.on_read = lambda: context.reactor.removeReader(context.flood[-1])
+    context.loop.run_until_complete(asyncio.sleep(1.0))
+
+
+@behave.then("all but the last are read in order")
+def all_but_last_read(context):
+    times = [reader.read_s for reader in context.flood]
+    assert times[-1] is None, times
+    assert times[:-1] == sorted(times[:-1]), times
+
+
 @behave.when("a process of the program starts and is stopped")
 def start_process(context):
     found = subprocess.run(
