--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -99,3 +99,13 @@
     And the router's leader stops granting
     When 6 callers leave and are granted while the router is frozen for 0.3 seconds
     Then the router has dispatched none of these requests
+
+  Scenario: requests that waited unread are not sent on after their deadline
+    Guards against work for callers that have left, at a router with a flood of
+    requests (GONE).
+
+    Given a router of the platform with 1 fake backend servers and room for 800 requests
+    When 800 connected callers that wait for 100 ms send a request at the same moment
+    Then the router has dispatched some of these requests
+    And none later than 150 ms after that moment
+    And all others are answered 503 or 504
--- a/features/steps/port_process.py
+++ b/features/steps/port_process.py
@@ -59,18 +59,18 @@
     from twisted.internet import protocol
     from twisted.internet import reactor
 
+    from waxwingrack.core import data
     from waxwingrack.daemons import listening
 
     class Echo(protocol.Protocol):
-        def dataReceived(self, data):  # noqa: N802  name of the library
-            self.transport.write(data)
+        def dataReceived(self, chunk):  # noqa: N802  name of the library
+            self.transport.write(chunk)
 
     for _ in range(count):
-        port = reactor.listenTCP(
-            0,
+        port = listening.listen(
+            reactor,
+            data.Address("127.0.0.1", 0),
             protocol.Factory.forProtocol(Echo),
-            backlog=listening.BACKLOG,
-            interface="127.0.0.1",
         )
         callers.port = port.getHost().port
         await asyncio.sleep(OPEN_S)
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -390,9 +390,18 @@
 
 
 def open_request(context, target, method="GET", headers=None):
-    conn = socket.create_connection(
+    conn = open_connection(context)
+    send_request(conn, target, method, headers)
+    return conn
+
+
+def open_connection(context):
+    return socket.create_connection(
         ("127.0.0.1", context.world.router.port), timeout=router_fakes.WAIT_S
     )
+
+
+def send_request(conn, target, method="GET", headers=None):
     fields = {
         "Host": "x",
         "Authorization": f"Bearer {router_fakes.TOKEN}",
@@ -405,7 +414,6 @@
         if value is not None
     )
     conn.sendall(f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode())
-    return conn
 
 
 @behave.then("the router's backend server could send less than {size:d} MiB")
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -1,6 +1,9 @@
 """Steps for the control connection, the environment and the stop."""
 
 import asyncio
+import collections
+import dataclasses
+import datetime
 import http.client
 import json
 import pathlib
@@ -581,3 +584,73 @@
     lines = [line["event"] for line in context.world.router.log()]
     assert lines.count("ended") >= context.before, lines
     assert lines.count("dispatched") == context.before, lines
+
+
+@behave.given(
+    "a router of the platform with {servers:d} fake backend servers and room "
+    "for {count:d} requests"
+)
+def platform_router(context, servers, count):
+    world = router_fakes.World()
+    context.add_cleanup(world.close)
+    environment = router_fakes.environment()
+    world.leader.environment = dataclasses.replace(
+        environment,
+        workspaces=tuple(
+            dataclasses.replace(
+                workspace, max_queue=count, max_connections=count
+            )
+            for workspace in environment.workspaces
+        ),
+    )
+    world.start(servers, dialect="platform", max_open_connections=count)
+    context.world = world
+
+
+@behave.when(
+    "{count:d} connected callers that wait for {wait_ms:d} ms send a request "
+    "at the same moment"
+)
+def send_at_once(context, count, wait_ms):
+    world = context.world
+    headers = {"Deadline-Ms": str(wait_ms)}
+    context.conns = [answers.open_connection(context) for _ in range(count)]
+    # The router accepts them all before the first request.
+    time.sleep(1.0)
+    world.router.signal(signal.SIGSTOP)
+    for conn in context.conns:
+        answers.send_request(conn, "/sketch/a", headers=headers)
+    context.sent_s = time.time()
+    world.router.signal(signal.SIGCONT)
+
+
+def _dispatch_delays_ms(context):
+    times = [
+        datetime.datetime.fromisoformat(line["time"]).timestamp()
+        for line in context.world.router.log()
+        if line["event"] == "dispatched"
+    ]
+    return [1000 * (at_s - context.sent_s) for at_s in times]
+
+
+@behave.then("the router has dispatched some of these requests")
+def some_dispatched(context):
+    time.sleep(2.0)
+    assert max(_dispatch_delays_ms(context), default=0) > 0
+
+
+@behave.then("none later than {limit_ms:d} ms after that moment")
+def none_dispatched_late(context, limit_ms):
+    late = [ms for ms in _dispatch_delays_ms(context) if ms > limit_ms]
+    assert not late, (len(late), max(late))
+
+
+@behave.then("all others are answered {first:d} or {second:d}")
+def others_answered(context, first, second):
+    statuses = collections.Counter()
+    for conn in context.conns:
+        conn.settimeout(1.0)
+        statuses[int(conn.recv(64).split()[1])] += 1
+        conn.close()
+    assert set(statuses) <= {200, first, second}, statuses
+    assert statuses[first] + statuses[second] > 0, statuses
--- a/features/steps/router_process.py
+++ b/features/steps/router_process.py
@@ -36,11 +36,8 @@
 
 def main() -> None:
     """Runs a router until SIGTERM."""
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    from twisted.internet import asyncioreactor
-
-    asyncioreactor.install(loop)
+    # Installs the reactor of the program.
+    from waxwingrack.daemons import event_loop  # noqa: F401, I001
     import pydantic
     from twisted.internet import reactor
 
@@ -57,6 +54,8 @@
         fail_once(sys.argv[3])
     host = router.Router(settings, dialect=dialect[sys.argv[2]])
 
+    loop = asyncio.get_event_loop_policy().get_event_loop()
+
     async def run() -> None:
         stopping = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -24,6 +24,7 @@
 from waxwingrack.core import errors
 from waxwingrack.daemons import buffer_reservations
 from waxwingrack.daemons import dialects
+from waxwingrack.daemons import event_loop
 from waxwingrack.operations import routing
 
 # Time for which a connection stays open after a refusal and discards input.
@@ -116,6 +117,8 @@
         self._last_unsent_bytes = 0
         self._header_bytes = 0
         self._has_had_request = False
+        # Time that the next request waited until it was read, in seconds.
+        self._read_delay_s = 0.0
 
     @property
     def brings_new_work(self) -> bool:
@@ -155,7 +158,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Starts the time limit of a request that is received in part."""
-        self.site.host.count_relayed(len(data))
+        host = self.site.host
+        host.count_relayed(len(data))
+        if self.brings_new_work and not self._request_begun:
+            self._read_delay_s = event_loop.find_read_delay_s(host.reactor)
         super().dataReceived(data)
         incomplete = self._request_begun or (
             self._buffer and not self._handlingRequest
@@ -164,7 +170,6 @@
             # A request that stalls is refused rather than cut off by the idle
             # timeout of the connection.
             self.setTimeout(None)
-            host = self.site.host
             self._deadline = self.callLater(
                 host.settings.body_timeout_s
                 if self._headers_complete
@@ -213,6 +218,11 @@
             return
         super().allHeadersReceived()
 
+    def take_read_delay_s(self) -> float:
+        """Returns how long the request waited that has just been read."""
+        delay_s, self._read_delay_s = self._read_delay_s, 0.0
+        return delay_s
+
     def writeHeaders(
         self,
         version: bytes,
@@ -354,6 +364,8 @@
       request_id: Id of the request, from the caller or made by the router.
       request_id_valid: Whether the caller's id may be used.
       token_digest: Digest of the caller's token, None without a bearer token.
+      read_delay_s: Time in seconds for which the request had been readable
+        before it was read.
       body_in_use: Whether the body must be kept when the connection ends; it
         is then released only by `release_body`.
     """
@@ -368,12 +380,14 @@
         self.request_id_valid = True
         self.token_digest: str | None = None
         self.body_in_use = False
+        self.read_delay_s = 0.0
         self._received_bytes = 0
         self._body_reservation: buffer_reservations.Reservation | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Prepares to receive the body."""
         self.content = io.BytesIO()
+        self.read_delay_s = self.channel.take_read_delay_s()
         host = self.channel.site.host
         values = self.requestHeaders.getRawHeaders(b"Authorization")
         self.token_digest = routing.digest_token(
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -184,7 +184,15 @@
                 kinds.REQUEST_CRASHES_SERVERS, "prompt_part"
             )
         now_ms = host.clock()
-        left_ms = routing.min_time_left_ms(target.route, hints.left_ms)
+        left_ms = routing.min_time_left_ms(
+            target.route, hints.left_ms, round(req.read_delay_s * 1000)
+        )
+        if left_ms == 0:
+            raise dispatch.RefusedError(
+                kinds.QUEUE_TIMEOUT,
+                "deadline_passed",
+                record_unread=key is not None,
+            )
         self._deadline_ms = None if left_ms is None else now_ms + left_ms
         wait_ms = round(target.service.queue_timeout_s * 1000)
         return keyed_requests.AdmittedRequest(
@@ -215,7 +223,9 @@
         self, workspace: data.Workspace, target_ms: int
     ) -> None:
         """Refuses a request that would wait too long at this router."""
-        wait_ms = self._host.find_local_wait(workspace.id, target_ms)
+        wait_ms = self._host.find_local_wait(
+            workspace.id, target_ms, self._req.read_delay_s * 1000
+        )
         if wait_ms is not None:
             raise dispatch.RefusedError(
                 errors.ErrorKind.ROUTER_SATURATED,
@@ -409,8 +419,10 @@
             self._require_open_server(lease)
             if not keyed and admission.has_caller_left(req):
                 self._caller_left = True
-            if self._caller_left or not router_queues.is_grant_valid(
-                lease.valid_from_ms, now_ms
+            if (
+                self._caller_left
+                or self._is_deadline_over(now_ms)
+                or not router_queues.is_grant_valid(lease.valid_from_ms, now_ms)
             ):
                 return False
             logs.decision(
@@ -464,6 +476,9 @@
             return None
         return max(1, self._deadline_ms - self._host.clock())
 
+    def _is_deadline_over(self, now_ms: int) -> bool:
+        return self._deadline_ms is not None and now_ms >= self._deadline_ms
+
     def _answer_timeout_s(
         self, admitted: keyed_requests.AdmittedRequest
     ) -> float:
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -55,7 +55,9 @@
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
 
-    def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
+    def find_local_wait(
+        self, workspace: str, target_ms: int, waited_ms: float = 0.0
+    ) -> float | None:
         """Returns the wait for a grant if it is too long for a request."""
 
     def can_answer_in_time(
--- a/waxwingrack/daemons/listening.py
+++ b/waxwingrack/daemons/listening.py
@@ -1,4 +1,4 @@
-"""Closing of a listening port without resetting connections.
+"""Port of the callers: it accepts in small portions and closes without resets.
 
 A port that is closed resets the connections that wait to be accepted, though
 their callers may have sent requests on them already.
@@ -12,11 +12,17 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import tcp
 
+from waxwingrack.core import data
 from waxwingrack.core import logs
 
 # Connections that wait to be accepted at a port.
 BACKLOG = 1_024
+# Connections accepted in one turn of the event loop. The loop does not know how
+# long a connection has waited to be accepted, so none should wait long, and a
+# flood of them must not delay what is open.
+ACCEPTS_PER_TURN = 64
 # Time for handshakes that have begun to complete: a long round trip.
 HANDSHAKE_S = 0.2
 
@@ -35,7 +41,40 @@
 )
 
 
-async def close_port(port: Any) -> None:
+class CallersPort(tcp.Port):
+    """Listening port that accepts a bounded number of connections a turn."""
+
+    def doRead(self) -> None:  # noqa: N802
+        """Accepts some of the connections that wait."""
+        self.numberAccepts = ACCEPTS_PER_TURN
+        super().doRead()
+
+    def accept_all(self) -> None:
+        """Accepts all connections that wait."""
+        self.numberAccepts = BACKLOG
+        super().doRead()
+
+
+def listen(reactor: Any, address: data.Address, site: Any) -> CallersPort:
+    """Opens the port of the callers.
+
+    Args:
+      reactor: Twisted's reactor.
+      address: Where to listen.
+      site: Site that handles the connections.
+
+    Returns:
+      The port.
+
+    Raises:
+      twisted.internet.error.CannotListenError: The address cannot be used.
+    """
+    port = CallersPort(address.port, site, BACKLOG, address.host, reactor)
+    port.startListening()
+    return port
+
+
+async def close_port(port: CallersPort) -> None:
     """Closes a port after it has accepted every connection made to it.
 
     New connections are ignored first: a caller that tries again a second later
@@ -43,13 +82,11 @@
     while the port is being closed are reset.
 
     Args:
-      port: Port of Twisted's reactor.
+      port: The port.
     """
     if _ignore_connections(port):
         await asyncio.sleep(HANDSHAKE_S)
-    # A port accepts at most that many connections in one call.
-    port.numberAccepts = BACKLOG
-    port.doRead()
+    port.accept_all()
     closed = defer.maybeDeferred(port.stopListening)
     await closed.asFuture(asyncio.get_running_loop())
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -175,19 +175,17 @@
             callers_api.callers_resource(self), self
         )
         operators = body_limits.build_site(self._build_operators_resource(self))
-        for address, site in (
-            (self.settings.callers, self._site),
-            (self.settings.operators, operators),
-        ):
-            self._ports.append(
-                reactor.listenTCP(
-                    address.port,
-                    site,
-                    backlog=listening.BACKLOG,
-                    interface=address.host,
-                )
+        self._ports.append(
+            listening.listen(reactor, self.settings.callers, self._site)
+        )
+        self._ports.append(
+            reactor.listenTCP(
+                self.settings.operators.port,
+                operators,
+                backlog=listening.BACKLOG,
+                interface=self.settings.operators.host,
             )
-        self._ports[0].brings_new_work = True
+        )
         self.link.start()
         self._load_task = asyncio.ensure_future(self._watch_load())
         self._load_task.add_done_callback(self._note_load_task_end)
@@ -332,12 +330,15 @@
             self._shedding, self.load.saturated
         )
 
-    def find_local_wait(self, workspace: str, target_ms: int) -> float | None:
+    def find_local_wait(
+        self, workspace: str, target_ms: int, waited_ms: float = 0.0
+    ) -> float | None:
         """Returns the wait for a grant if it is too long for a request.
 
         Args:
           workspace: Workspace of the request.
           target_ms: Latency target of the request; 0 if it has none.
+          waited_ms: Time for which it waited before it was read.
 
         Returns:
           The estimated wait in milliseconds; None if the request should wait.
@@ -345,7 +346,7 @@
         # Before new connections go elsewhere, a retry would come back here.
         if not (self.load.saturated and self._shedding.is_rerouted):
             return None
-        wait_ms = local_waits.estimate_wait_ms(
+        wait_ms = waited_ms + local_waits.estimate_wait_ms(
             self.dispatcher.queues, workspace, self._grant_rate
         )
         is_too_long = local_waits.is_wait_too_long(wait_ms, target_ms)
--- a/waxwingrack/operations/routing.py
+++ b/waxwingrack/operations/routing.py
@@ -304,20 +304,24 @@
     return RouteMatch(tables.services[chosen.service], match.route)
 
 
-def min_time_left_ms(route: data.Route, left_ms: int | None) -> int | None:
+def min_time_left_ms(
+    route: data.Route, left_ms: int | None, waited_ms: int = 0
+) -> int | None:
     """Returns the time within which a request has to be answered.
 
     Args:
       route: Route of the request.
       left_ms: Time for which the caller waits; None if it does not say.
+      waited_ms: Time for which the request had waited before it was read.
 
     Returns:
-      Milliseconds; None if neither the route nor the caller sets a limit.
+      Milliseconds from now, 0 if the time is over; None if neither the route
+      nor the caller sets a limit.
     """
     limits = [left_ms] if left_ms is not None else []
     if route.timeout_s is not None:
         limits.append(round(route.timeout_s * 1000))
-    return max(1, min(limits)) if limits else None
+    return max(0, min(limits) - waited_ms) if limits else None
 
 
 def digest_token(header: str | None) -> str | None:
