--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -109,3 +109,17 @@
     Then the router has dispatched some of these requests
     And none later than 150 ms after that moment
     And all others are answered 503 or 504
+
+  Scenario Outline: a router that lost control does not refuse <what> by its old configuration
+    Guards against refusals of routes and keys that were added meanwhile (CONFIG).
+
+    Given a router with 1 fake backend servers
+    When the router's leader has been silent for 3 seconds
+    Then a request with <what> is refused as control_unavailable with not_run
+    And a request with <what> is refused as <kind> once the leader speaks again
+
+    Examples:
+      | what             | kind               |
+      | an unknown path  | no_route           |
+      | an unknown token | unauthenticated    |
+      | another method   | method_not_allowed |
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -654,3 +654,40 @@
         conn.close()
     assert set(statuses) <= {200, first, second}, statuses
     assert statuses[first] + statuses[second] > 0, statuses
+
+
+_UNKNOWN = {
+    "an unknown path": ("GET", "/unknown", router_fakes.TOKEN),
+    "an unknown token": ("GET", "/sketch/a", "unknown"),
+    "another method": ("GET", "/sketch/deposit/b", router_fakes.TOKEN),
+}
+
+
+@behave.when("the router's leader has been silent for {seconds:g} seconds")
+def silent_for(context, seconds):
+    leader = context.world.leader
+    context.world.loop.call(setattr, leader, "silent", True)
+    time.sleep(seconds)
+
+
+def _send_unknown(context, what):
+    method, path, token = _UNKNOWN[what]
+    return context.world.send(method, path, token=token)
+
+
+@behave.then("a request with {what} is refused as {kind} with {execution}")
+def unknown_refused(context, what, kind, execution):
+    reply = _send_unknown(context, what)
+    assert reply.refusal["kind"] == kind, reply
+    assert reply.refusal["execution"] == execution, reply
+
+
+@behave.then(
+    "a request with {what} is refused as {kind} once the leader speaks again"
+)
+def unknown_refused_again(context, what, kind):
+    world = context.world
+    world.loop.call(setattr, world.leader, "silent", False)
+    world.wait_for(lambda: world.ready() == 200, "the router is ready")
+    reply = _send_unknown(context, what)
+    assert reply.refusal["kind"] == kind, reply
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -146,7 +146,7 @@
         self._workspace = workspace.id
         host.open_requests[workspace.id] += 1
         target = routing.choose_target(
-            host.tables, _unwrap_or_refuse(matched), host.rng
+            host.tables, self._unwrap_found(matched), host.rng
         )
         self._service = target.service.id
         self._route = target.route.id
@@ -238,10 +238,25 @@
         match matched:
             case result.Success(target) if target.route.public:
                 return routing.PUBLIC
-        return _unwrap_or_refuse(
+        return self._unwrap_found(
             routing.find_caller(tables, self._req.token_digest)
         )
 
+    def _unwrap_found(self, found: result.Result) -> Any:
+        """Returns what was found in the tables, or refuses the request.
+
+        Without a leader, the tables may be older than the configuration in
+        force, which may contain what they lack.
+        """
+        match found:
+            case result.Failure(_) if not self._host.link.alive:
+                raise dispatch.RefusedError(
+                    errors.ErrorKind.CONTROL_UNAVAILABLE,
+                    "unknown_to_last_configuration",
+                    record_unread=self._read_key_header() is not None,
+                )
+        return _unwrap_or_refuse(found)
+
     def _first_header(self, name: str) -> str | None:
         values = self._req.requestHeaders.getRawHeaders(name.encode())
         return values[0].decode("latin-1") if values else None
