--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -156,3 +156,60 @@
     And r1 refuses its callers at once, and tells them when to come back
     And the callers of each other router are served by booking-1
     And r1 serves its callers again after the pause
+
+  Scenario Outline: the limit that a server names is read: <text>
+    Guards against an exception for any value, and against a limit that is none.
+
+    Then a limit of "<text>" is <limit> requests a second
+
+    Examples:
+      | text  | limit      |
+      | 12.5  | 12.5       |
+      | 0     | 0.0        |
+      | -1    | unreadable |
+      | inf   | unreadable |
+      | nan   | unreadable |
+      | soon  | unreadable |
+      |       | unreadable |
+
+  Scenario Outline: all routers together keep the limit that a server names: <case>
+    Guards against a server in need that gets more requests than it takes (LIMIT):
+    from routers that it has not told, under a new leader, or after a lower limit.
+
+    Given a scheduler with the servers "<servers>" of 8 slots and the routers "r1 r2"
+    When "b1" names a limit of <limit> to "r1" for 8 s while both queue 100 requests a second and <event>
+    Then "b1" is granted at most half more than <limit> a second and 5 in each 4 s
+    And "b1" is granted at least seven tenths of <least> a second
+    And <others>
+
+    Examples:
+      | case                    | servers | limit | event                        | least | others                        |
+      | the only server         | b1      | 20    | nothing else happens         | 20    | nobody is granted anything else |
+      | beside another server   | b1 b2   | 20    | nothing else happens         | 20    | "b2" is granted the rest      |
+      | a fraction              | b1 b2   | 1.5   | nothing else happens         | 1.5   | "b2" is granted the rest      |
+      | nothing is taken        | b1 b2   | 0     | nothing else happens         | 0     | "b2" is granted the rest      |
+      | a new leader            | b1 b2   | 6     | a new leader is told         | 6     | "b2" is granted the rest      |
+      | the limit falls         | b1 b2   | 4     | it was 20 before             | 4     | "b2" is granted the rest      |
+
+  Scenario Outline: a limit ends: <case>
+    Guards against a server that stays idle after it has recovered.
+
+    Given a scheduler with the servers "b1" of 8 slots and the routers "r1 r2"
+    When "b1" names a limit of 5 to "r1" and <event>
+    Then "b1" is granted <granted> requests in the next second
+
+    Examples:
+      | case                          | event                             | granted     |
+      | it is in force                | nothing else happens              | at most 7   |
+      | no answer names it any more   | 4 s pass in which none names it   | 100 or more |
+      | the server starts again       | b1 starts again                   | 100 or more |
+
+  Scenario: a server in need gets no more from a fleet than the limit that it names
+    Guards against requests beyond the limit of all routers together, also while the
+    leader changes (LIMIT).
+
+    Given a fleet with 2 booking servers and callers at each router
+    When booking-1 names a limit of 10 in its answers and the leader of the fleet is killed 4 s later
+    Then booking-1 ran at most 65 requests in each 4 s from 2 s later on
+    And booking-1 ran at least 40 in 10 s
+    And booking-1 runs more than 40 in 2 s once its answers name no limit
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -558,3 +558,222 @@
     context.at_ms += 1_000 * wait
     driver.run_tick(context)
     request_is(context, result)
+
+
+# ---------------------------------------------------------------------------
+# Limits
+# ---------------------------------------------------------------------------
+
+STEP_MS = 10
+
+
+@behave.then('a limit of "{text}" is {limit} requests a second')
+@behave.then('a limit of "" is {limit} requests a second')
+def limit_read(context, limit, text=""):
+    found = server_notices.parse_rate_limit(text)
+    assert str(found) == limit.replace("unreadable", "None"), found
+
+
+def _tell_limit(context, limit):
+    driver.send_report(
+        context,
+        router=context.routers["r1"],
+        notices=(
+            data.ServerNotice(
+                "b1", context.incarnations["b1"], rate_limit=limit
+            ),
+        ),
+    )
+
+
+def _play(context, duration_ms, limit=None, events=()):
+    """Plays both routers with 100 requests a second each, of 10 ms each.
+
+    Args:
+      context: Context with the scheduler; `granted_at` gets the times of the
+        grants by server.
+      duration_ms: Duration.
+      limit: Limit that the server names each half second, if any.
+      events: Pairs of a time from the start and a function.
+    """
+    start_ms = context.at_ms
+    sequences = itertools.count(1_000 + context.sequence)
+    context.granted_at = collections.defaultdict(list)
+    grants = []
+    events = dict(events)
+    while context.at_ms < start_ms + duration_ms:
+        passed_ms = context.at_ms - start_ms
+        if passed_ms in events:
+            events[passed_ms]()
+        if passed_ms % 1_000 == 0:
+            _announce_all(context)
+        if limit is not None and passed_ms % 500 == 0:
+            _tell_limit(context, limit)
+        for name, router in context.routers.items():
+            driver.send_report(
+                context,
+                router=router,
+                wants=(driver.create_request(next(sequences)),),
+                finished=tuple(
+                    data.FinishedRequest(
+                        row.grant.term,
+                        row.grant.id,
+                        data.Outcome.COMPLETED,
+                        5.0,
+                        10.0,
+                        1.0,
+                    )
+                    for row in grants
+                    if row.router == name
+                ),
+            )
+        grants = driver.run_tick(context).grants
+        for row in grants:
+            context.granted_at[row.grant.server_id].append(context.at_ms)
+        context.at_ms += STEP_MS
+    context.sequence += 10_000
+
+
+def _tell_new_leader(context, limit):
+    context.tables = scheduler.create_tables(2, context.at_ms, (), ())
+    driver.run_tick(context)
+    _connect_routers(context)
+    _tell_limit(context, limit)
+
+
+@behave.when(
+    '"b1" names a limit of {limit:g} to "r1" for 8 s while both queue 100 '
+    "requests a second and {event}"
+)
+def play_limit(context, limit, event):
+    context.limit = limit
+    _tell_limit(context, 20.0 if event == "it was 20 before" else limit)
+    driver.run_tick(context)
+    events = ()
+    if event == "a new leader is told":
+        events = ((4_000, lambda: _tell_new_leader(context, limit)),)
+    _play(context, 8_000, limit, events)
+
+
+@behave.then(
+    '"b1" is granted at most half more than {limit:g} a second and 5 in each '
+    "4 s"
+)
+def keeps_limit(context, limit):
+    times = context.granted_at["b1"]
+    most = max(
+        (
+            sum(start_ms <= at_ms < start_ms + 4_000 for at_ms in times)
+            for start_ms in times
+        ),
+        default=0,
+    )
+    assert most <= 4 * 1.5 * limit + 5, (most, limit)
+
+
+@behave.then('"b1" is granted at least seven tenths of {least:g} a second')
+def uses_limit(context, least):
+    assert len(context.granted_at["b1"]) >= 8 * 0.7 * least, context.granted_at
+
+
+@behave.then('"b2" is granted the rest')
+def rest_granted(context):
+    assert len(context.granted_at["b2"]) > 8 * 100, context.granted_at
+
+
+@behave.then("nobody is granted anything else")
+def nothing_else_granted(context):
+    assert set(context.granted_at) == {"b1"}, context.granted_at
+
+
+@behave.when('"b1" names a limit of 5 to "r1" and {event}')
+def limit_then(context, event):
+    _tell_limit(context, 5.0)
+    driver.run_tick(context)
+    if event.startswith("4 s pass"):
+        context.at_ms += 4_000
+    elif event == "b1 starts again":
+        context.at_ms += 1_000
+        context.incarnations["b1"] = "i2"
+    _announce_all(context)
+    driver.run_tick(context)
+    _play(context, 1_000)
+
+
+@behave.then('"b1" is granted {granted} requests in the next second')
+def granted_in_second(context, granted):
+    count = len(context.granted_at["b1"])
+    if granted.startswith("at most"):
+        assert count <= int(granted.split()[-1]), count
+    else:
+        assert count >= int(granted.split()[0]), count
+
+
+@behave.when(
+    "booking-1 names a limit of {limit} in its answers and the leader of the "
+    "fleet is killed {seconds:d} s later"
+)
+def limited_beside_kill(context, limit, seconds):
+    cluster = context.fleet
+    context.served_at = []
+    ended = threading.Event()
+
+    def watch():
+        while not ended.wait(0.05):
+            served = _count_served(context, "booking-1")
+            context.served_at.append((time.monotonic(), served))
+
+    _set_mode(context, "booking-1", rate_limit=limit)
+    context.named_s = time.monotonic()
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    time.sleep(seconds)
+    cluster.members[cluster.leader()].kill()
+    fleet.wait_until(cluster.leader, WAIT_S, "another leader")
+    time.sleep(max(0.0, context.named_s + 12 - time.monotonic()))
+    ended.set()
+    watcher.join()
+
+
+@behave.then(
+    "booking-1 ran at most {most:d} requests in each 4 s from {later:d} s "
+    "later on"
+)
+def ran_at_most(context, most, later):
+    rows = [
+        (at_s, served)
+        for at_s, served in context.served_at
+        if at_s >= context.named_s + later
+    ]
+    found = max(
+        served - before
+        for before_s, before in rows
+        for at_s, served in rows
+        if before_s <= at_s <= before_s + 4
+    )
+    assert found <= most, found
+
+
+@behave.then("booking-1 ran at least {least:d} in {seconds:d} s")
+def ran_at_least(context, least, seconds):
+    until_s = context.named_s + 2 + seconds
+    rows = [
+        served
+        for at_s, served in context.served_at
+        if context.named_s + 2 <= at_s <= until_s
+    ]
+    assert rows[-1] - rows[0] >= least, (rows[0], rows[-1])
+
+
+@behave.then(
+    "booking-1 runs more than {count:d} in {seconds:d} s once its answers name "
+    "no limit"
+)
+def runs_freely(context, count, seconds):
+    _set_mode(context, "booking-1", rate_limit="")
+    # The limit lasts for some time after the last answer that named it.
+    time.sleep(5)
+    before = _count_served(context, "booking-1")
+    time.sleep(seconds)
+    served = _count_served(context, "booking-1")
+    assert served - before > count, (before, served)
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -559,12 +559,18 @@
       leaving: Whether it leaves and wants no further requests.
       pause_ms: Time from the report on for which it wants no requests of this
         router, in milliseconds; 0 for none.
+      rate_limit: Requests per second that it takes from all routers together;
+        None if it did not say.
+      rate_limit_age_ms: Time before the report at which it said so, in
+        milliseconds.
     """
 
     server_id: str
     incarnation: str
     leaving: bool = False
     pause_ms: int = 0
+    rate_limit: float | None = None
+    rate_limit_age_ms: int = 0
 
 
 @quick_init
@@ -1382,6 +1388,7 @@
       cold_credit: Number of requests that it may get at once while it is cold.
       cold_credit_ms: Time at which `cold_credit` was computed.
       cold_limit_reached: Whether it gets no request until its credit has grown.
+      rate_limit: Limit that it named in its answers; None if there is none.
     """
 
     announcement: Announcement
@@ -1409,6 +1416,26 @@
     cold_credit: float = 0.0
     cold_credit_ms: int = 0
     cold_limit_reached: bool = False
+    rate_limit: "RateLimit | None" = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Rate at which a backend server takes requests, as it said itself.
+
+    Attributes:
+      requests_per_s: Requests per second from all routers together.
+      until_ms: Time at which the limit ends unless it is named again.
+      credit: Number of requests that the server may get at once.
+      credit_ms: Time at which `credit` was computed.
+      reached: Whether it gets no request until its credit has grown.
+    """
+
+    requests_per_s: float
+    until_ms: int
+    credit: float
+    credit_ms: int
+    reached: bool = False
 
 
 @quick_init
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -84,10 +84,13 @@
       leaving: Whether it leaves and wants no further requests.
       retry_after: Value of `Retry-After` with which it turned the request away;
         None if it did not.
+      rate_limit: Requests per second that it takes from all routers together,
+        as text; None if it did not say.
     """
 
     leaving: bool = False
     retry_after: str | None = None
+    rate_limit: str | None = None
 
 
 class Dialect(Protocol):
@@ -216,6 +219,7 @@
         return AnswerNotice(
             leaving=first_value(headers, b"X-Server-Leaving") == "1",
             retry_after=read_retry_after(status, headers),
+            rate_limit=first_value(headers, b"X-Server-Rate-Limit"),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -340,6 +340,8 @@
             self._note_leaving(grant)
         if notice.retry_after is not None:
             self._note_pause(grant, notice.retry_after)
+        if notice.rate_limit is not None:
+            self._note_rate_limit(grant, notice.rate_limit)
 
     def _note_leaving(self, grant: data.Grant) -> None:
         server = (grant.server_id, grant.incarnation)
@@ -392,6 +394,27 @@
         )
         self._schedule_report(True)
 
+    def _note_rate_limit(self, grant: data.Grant, text: str) -> None:
+        server = (grant.server_id, grant.incarnation)
+        rate = server_notices.parse_rate_limit(text)
+        if rate is None:
+            logs.event(
+                "rate_limit_unreadable",
+                server=grant.server_id,
+                value=text[:MAX_LOGGED_CHARS],
+            )
+            return
+        known = self._server_notices
+        self._server_notices = server_notices.note_rate_limit(
+            known, server, rate, self._clock()
+        )
+        if self._server_notices is known:
+            return
+        self._unreported_notices.append(
+            data.ServerNotice(*server, rate_limit=rate)
+        )
+        self._schedule_report(True)
+
     def find_bar(self, grant: data.Grant) -> server_notices.Bar | None:
         """Tells why the request of a grant may not be sent to its server."""
         return server_notices.find_bar(
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -63,6 +63,8 @@
       cut: Whether the connection is closed in the middle of an answer.
       departing: Whether the server announces its departure.
       leaving: Whether each answer says that the server leaves.
+      rate_limit: Limit that each answer names, in requests per second; empty
+        for none.
       busy_path: Path prefix on which requests are turned away with 503; empty
         for none.
       retry_after: `Retry-After` of these answers; empty for none.
@@ -81,6 +83,7 @@
     cut: bool = False
     departing: bool = False
     leaving: bool = False
+    rate_limit: str = ""
     busy_path: str = ""
     retry_after: str = ""
     hold_orders: bool = False
@@ -576,6 +579,8 @@
         mode = self.mode
         if mode.leaving:
             req.setHeader("X-Server-Leaving", "1")
+        if mode.rate_limit:
+            req.setHeader("X-Server-Rate-Limit", mode.rate_limit)
         path = req.path.decode()
         if mode.busy_path and path.startswith(mode.busy_path):
             self.turned_away += 1
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -26,6 +26,7 @@
 from waxwingrack.operations import leader_queues
 from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
+from waxwingrack.operations import rate_limits
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
 
@@ -854,6 +855,7 @@
     row = cold_servers.spend_credit(
         txn, row, declared_service and declared_service.cold
     )
+    row = rate_limits.spend_credit(txn, row)
     tables_module.store_server(txn, row)
 
 
--- a/waxwingrack/operations/server_notices.py
+++ b/waxwingrack/operations/server_notices.py
@@ -13,6 +13,10 @@
 elsewhere and the server to other routers. Afterwards the leader raises the
 number of requests of that router step by step.
 
+A server in need names the rate of requests that it takes from all routers
+together. The leader keeps this limit (`rate_limits`); a router reports it as
+long as answers name it.
+
 A router keeps what it was told in memory, and reports it again to a new leader.
 """
 
@@ -40,6 +44,18 @@
 # the router at the server from one to all slots.
 RAMP_MS = 2_000
 
+# Interval at which a limit that answers go on to name is reported again.
+RATE_LIMIT_REPORT_MS = 500
+# Lowest limit that is applied: only the answer to a request tells that a limit
+# has ended.
+MIN_RATE_LIMIT = 0.25
+# A limit lasts for this time after an answer named it, and at least for the
+# time of this many requests at its rate.
+RATE_LIMIT_LIFETIME_MS = 4_000
+RATE_LIMIT_LIFETIME_REQUESTS = 4
+# Limits that a router keeps; the one that was reported first is dropped first.
+MAX_RATE_LIMITS = 1_024
+
 # A server id and its incarnation.
 ServerKey = tuple[str, str]
 
@@ -51,6 +67,19 @@
     PAUSED = "server_paused_router"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldRate:
+    """A limit that a server named.
+
+    Attributes:
+      requests_per_s: Requests per second from all routers together.
+      told_ms: Time of the last answer whose limit was reported.
+    """
+
+    requests_per_s: float
+    told_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notices:
     """What a router was told by servers.
@@ -59,10 +88,12 @@
       leaving: Time of the first answer that told it, by server and incarnation,
         oldest first.
       pauses: End of the pause that it asked for, by server and incarnation.
+      rates: `ToldRate` by server and incarnation.
     """
 
     leaving: immutables.Map = immutables.Map()
     pauses: immutables.Map = immutables.Map()
+    rates: immutables.Map = immutables.Map()
 
 
 def note_leaving(notices: Notices, server: ServerKey, now_ms: int) -> Notices:
@@ -144,6 +175,67 @@
     )
 
 
+def parse_rate_limit(text: str) -> float | None:
+    """Parses a limit that a server named.
+
+    Args:
+      text: Value of the header: requests per second.
+
+    Returns:
+      The limit; None if it cannot be read or is negative or without bound.
+    """
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
+def find_rate_limit_lifetime_ms(requests_per_s: float) -> int:
+    """Returns how long a limit lasts after an answer named it.
+
+    Args:
+      requests_per_s: The limit.
+
+    Returns:
+      Milliseconds.
+    """
+    rate = max(requests_per_s, MIN_RATE_LIMIT)
+    return max(
+        RATE_LIMIT_LIFETIME_MS,
+        round(1000 * RATE_LIMIT_LIFETIME_REQUESTS / rate),
+    )
+
+
+def note_rate_limit(
+    notices: Notices, server: ServerKey, requests_per_s: float, now_ms: int
+) -> Notices:
+    """Records a limit that a server named in an answer.
+
+    Args:
+      notices: Notices so far.
+      server: Server id and incarnation.
+      requests_per_s: The limit.
+      now_ms: Present time.
+
+    Returns:
+      The new notices; the same object if the same limit was reported lately.
+    """
+    known = notices.rates.get(server)
+    if (
+        known is not None
+        and known.requests_per_s == requests_per_s
+        and now_ms - known.told_ms < RATE_LIMIT_REPORT_MS
+    ):
+        return notices
+    rates = notices.rates
+    if known is None and len(rates) >= MAX_RATE_LIMITS:
+        rates = rates.delete(min(rates, key=lambda key: rates[key].told_ms))
+    return dataclasses.replace(
+        notices, rates=rates.set(server, ToldRate(requests_per_s, now_ms))
+    )
+
+
 def find_bar(notices: Notices, server: ServerKey, now_ms: int) -> Bar | None:
     """Tells why a request may not be sent to a server.
 
@@ -198,4 +290,14 @@
         for server, until_ms in sorted(notices.pauses.items())
         if until_ms > now_ms
     )
-    return (*leaving, *pauses)
+    rates = (
+        data.ServerNotice(
+            *server,
+            rate_limit=told.requests_per_s,
+            rate_limit_age_ms=now_ms - told.told_ms,
+        )
+        for server, told in sorted(notices.rates.items())
+        if now_ms - told.told_ms
+        < find_rate_limit_lifetime_ms(told.requests_per_s)
+    )
+    return (*leaving, *pauses, *rates)
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -24,6 +24,7 @@
 from waxwingrack.operations import orphans
 from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
+from waxwingrack.operations import rate_limits
 from waxwingrack.operations import slot_limits
 from waxwingrack.operations import tables as tables_module
 
@@ -101,6 +102,8 @@
         mark_departing(txn, notice.server_id, f"told {router} in an answer")
     if notice.pause_ms > 0:
         pauses.record(txn, router, notice)
+    if notice.rate_limit is not None:
+        rate_limits.record(txn, notice)
 
 
 def set_announced(
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -343,6 +343,7 @@
         or row.blocked
         or row.reserved_for_isolation
         or row.cold_limit_reached
+        or (row.rate_limit is not None and row.rate_limit.reached)
         or row.isolated_grant is not None
         or placement.count_used_slots(row) >= row.slot_limit.limit
     )
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -24,6 +24,8 @@
 KV_FETCH = b"Kv-Fetch"
 # "1" in each answer of a backend server that leaves.
 SERVER_LEAVING = b"Server-Leaving"
+# Requests per second that a backend server takes from all routers together.
+SERVER_LIMIT = b"Server-Limit"
 # Expected number of output tokens.
 LENGTH_HINT = b"Length-Hint"
 
@@ -128,6 +130,7 @@
         return dialects.AnswerNotice(
             leaving=dialects.first_value(headers, SERVER_LEAVING) == "1",
             retry_after=dialects.read_retry_after(status, headers),
+            rate_limit=dialects.first_value(headers, SERVER_LIMIT),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
