--- a/features/router_decisions.feature
+++ b/features/router_decisions.feature
@@ -218,3 +218,18 @@
       | 3000  | 10000    | 500 500 500 500 500 500 500 500 6000 | refused |
       | 5000  | 10000    | 1000 2000 3000 1000 2000 3000 1000 2000 3000 | sent |
       | 2500  | 10000    | 1000 2000 3000 1000 2000 3000 1000 2000 3000 | refused |
+
+  Scenario Outline: a request with <left> ms that waited <waited> ms on a route of <limit> ms has <time> ms
+    Guards against servers that are given time which their callers no longer have (GONE).
+
+    Then a request with <left> ms that waited <waited> ms on a route of <limit> ms has <time> ms
+
+    Examples:
+      | left | waited | limit | time |
+      | 900  | 0      | 2000  | 900  |
+      | 900  | 300    | 2000  | 600  |
+      | 5000 | 300    | 2000  | 1700 |
+      | none | 300    | 2000  | 1700 |
+      | 900  | 900    | 2000  | 0    |
+      | 900  | 9000   | none  | 0    |
+      | none | 9000   | none  | None |
--- a/features/router_saturation.feature
+++ b/features/router_saturation.feature
@@ -123,6 +123,20 @@
       | the long queue of another    | saturated     | a 500          | b         | 600    | admitted                   |
       | its turn beside a long queue | saturated     | a 500, b 20    | b         | 600    | refused with 400 ms to wait |
 
+  Scenario Outline: a saturated router counts the time before a request was read: <case>
+    Guards against requests that wait unread and then wait as long as others (GONE).
+
+    Given a saturated router with the waiting requests "<waiting>" and 100 grants a second
+    When a request of "a" with a latency target of 600 ms arrives that waited <waited> ms
+    Then the saturated router's answer is: <result>
+
+    Examples:
+      | case            | waiting | waited | result                       |
+      | it did not wait | a 15    | 0      | admitted                     |
+      | it waited       | a 15    | 50     | refused with 200 ms to wait  |
+      | no queue        | a 0     | 100    | admitted                     |
+      | waited too long | a 0     | 300    | refused with 300 ms to wait  |
+
   Scenario Outline: callers of one workspace all reach one router: <case>
     Plays 500 requests a second for 5 s at a router that can serve 250 a second, while
     others are idle, and counts the callers whose answer came within 600 ms.
--- a/features/steps/router_decisions_steps.py
+++ b/features/steps/router_decisions_steps.py
@@ -331,3 +331,17 @@
 @behave.then("the request is {verdict:w}")
 def request_is(context, verdict):
     assert context.sent == (verdict == "sent"), context.sent
+
+
+@behave.then(
+    "a request with {left} ms that waited {waited:d} ms on a route of {limit} "
+    "ms has {time} ms"
+)
+def has_time_left(context, left, waited, limit, time):
+    del context
+    route = data.Route(
+        "r", "/", timeout_s=None if limit == "none" else int(limit) / 1000
+    )
+    left_ms = None if left == "none" else int(left)
+    found = routing.min_time_left_ms(route, left_ms, waited)
+    assert str(found) == time, found
--- a/features/steps/router_saturation_steps.py
+++ b/features/steps/router_saturation_steps.py
@@ -301,7 +301,21 @@
     'a request of "{workspace}" with a latency target of {target:d} ms arrives'
 )
 def request_arrives(context, workspace, target):
-    wait_ms = router.Router.find_local_wait(context.router, workspace, target)
+    _admit(context, workspace, target, 0.0)
+
+
+@behave.when(
+    'a request of "{workspace}" with a latency target of {target:d} ms arrives '
+    "that waited {waited:d} ms"
+)
+def waited_request_arrives(context, workspace, target, waited):
+    _admit(context, workspace, target, float(waited))
+
+
+def _admit(context, workspace, target, waited_ms):
+    wait_ms = router.Router.find_local_wait(
+        context.router, workspace, target, waited_ms
+    )
     context.result = (
         "admitted"
         if wait_ms is None
