--- a/features/router_control.feature
+++ b/features/router_control.feature
@@ -110,6 +110,13 @@
     And none later than 150 ms after that moment
     And all others are answered 503 or 504
 
+  Scenario: a connection whose request waits unread is not closed as idle
+    Guards against requests that a busy router loses unread.
+
+    Given a router of the platform with 1 fake backend servers and room for 1600 requests, idle for 3 s
+    When 1600 callers send a request at the same moment 2.3 s after they connected
+    Then all of them get an answer
+
   Scenario Outline: a router that lost control does not refuse <what> by its old configuration
     Guards against refusals of routes and keys that were added meanwhile (CONFIG).
 
--- a/features/steps/router_control_steps.py
+++ b/features/steps/router_control_steps.py
@@ -591,6 +591,18 @@
     "for {count:d} requests"
 )
 def platform_router(context, servers, count):
+    _start_platform_router(context, servers, count, 75.0)
+
+
+@behave.given(
+    "a router of the platform with {servers:d} fake backend servers and room "
+    "for {count:d} requests, idle for {idle:d} s"
+)
+def platform_router_idle(context, servers, count, idle):
+    _start_platform_router(context, servers, count, float(idle))
+
+
+def _start_platform_router(context, servers, count, idle_s):
     world = router_fakes.World()
     context.add_cleanup(world.close)
     environment = router_fakes.environment()
@@ -603,7 +615,12 @@
             for workspace in environment.workspaces
         ),
     )
-    world.start(servers, dialect="platform", max_open_connections=count)
+    world.start(
+        servers,
+        dialect="platform",
+        max_open_connections=count,
+        idle_connection_s=idle_s,
+    )
     context.world = world
 
 
@@ -691,3 +708,26 @@
     world.wait_for(lambda: world.ready() == 200, "the router is ready")
     reply = _send_unknown(context, what)
     assert reply.refusal["kind"] == kind, reply
+
+
+@behave.when(
+    "{count:d} callers send a request at the same moment {seconds:g} s after "
+    "they connected"
+)
+def send_after_idling(context, count, seconds):
+    context.conns = [answers.open_connection(context) for _ in range(count)]
+    time.sleep(seconds)
+    for conn in context.conns:
+        answers.send_request(conn, "/sketch/a")
+
+
+@behave.then("all of them get an answer")
+def all_answered(context):
+    closed = 0
+    for conn in context.conns:
+        try:
+            closed += not conn.recv(64)
+        except ConnectionResetError:
+            closed += 1
+        conn.close()
+    assert not closed, closed
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -218,6 +218,13 @@
             return
         super().allHeadersReceived()
 
+    def timeoutConnection(self) -> None:
+        """Closes the idle connection unless a request on it waits unread."""
+        if event_loop.awaits_reading(self.site.host.reactor, self.transport):
+            self.setTimeout(self.timeOut)
+            return
+        super().timeoutConnection()
+
     def take_read_delay_s(self) -> float:
         """Returns how long the request waited that has just been read."""
         delay_s, self._read_delay_s = self._read_delay_s, 0.0
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -192,6 +192,10 @@
         self._readable_since_s = None
         return True
 
+    def awaits_reading(self, reader: Any) -> bool:
+        """Returns whether a descriptor is readable and not read yet."""
+        return reader in self._new_work
+
     def read_delay_s(self) -> float:
         """Returns how long ago the descriptor that is read became readable.
 
@@ -380,6 +384,16 @@
         reactor.flush(transport)
 
 
+def awaits_reading(reactor: Any, transport: Any) -> bool:
+    """Tells whether bytes of a connection wait to be read.
+
+    Args:
+      reactor: Reactor that reads them.
+      transport: Transport of the connection.
+    """
+    return isinstance(reactor, _Reactor) and reactor.awaits_reading(transport)
+
+
 def find_read_delay_s(reactor: Any) -> float:
     """Returns how long the bytes that are being read have waited, in seconds.
 
