--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -57,6 +57,14 @@
     When its disk takes bytes again
     Then the group has 5 members that answer
 
+  Scenario: controllers whose disks were full one after another take changes
+    Guards against changes that are refused, or stay unanswered, for good.
+
+    When the disk of each controller in turn takes no more bytes for 2 s while documents are sent
+    Then the group has 5 members that answer
+    And another document is acknowledged within 5 s
+    And the document that was acknowledged last is read back
+
   Scenario: every controller is killed at once
     When all controllers are killed and start again
     Then the document that was acknowledged last is read back
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -323,6 +323,35 @@
     )
 
 
+@behave.when(
+    "the disk of each controller in turn takes no more bytes for {seconds:d} s "
+    "while documents are sent"
+)
+def disks_full_in_turn(context, seconds):
+    cluster = context.fleet
+    for number, machine in enumerate(cluster.controllers):
+        pid = machine.process.pid
+        limits = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, limits[1]))
+        try:
+            cluster.last_document = _document(30 + number)
+            cluster.until_accepted(
+                "POST", "/api/config/replace", cluster.last_document
+            )
+            time.sleep(seconds)
+        finally:
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+
+
+@behave.then("another document is acknowledged within {seconds:d} s")
+def another_acknowledged(context, seconds):
+    cluster = context.fleet
+    start_s = time.monotonic()
+    cluster.last_document = _document(40)
+    cluster.until_accepted("POST", "/api/config/replace", cluster.last_document)
+    assert time.monotonic() - start_s <= seconds
+
+
 @behave.then("the group has {count:d} members that answer")
 def answering_members(context, count):
     fleet.wait_until(
