--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -190,6 +190,8 @@
       | nothing is taken        | b1 b2   | 0     | nothing else happens         | 0     | "b2" is granted the rest      |
       | a new leader            | b1 b2   | 6     | a new leader is told         | 6     | "b2" is granted the rest      |
       | the limit falls         | b1 b2   | 4     | it was 20 before             | 4     | "b2" is granted the rest      |
+      | the limit rises         | b1 b2   | 20    | it was 0 before              | 18    | "b2" is granted the rest      |
+      | it is named for long    | b1 b2   | 20    | few timers are set           | 20    | "b2" is granted the rest      |
 
   Scenario Outline: a limit ends: <case>
     Guards against a server that stays idle after it has recovered.
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -647,12 +647,21 @@
 )
 def play_limit(context, limit, event):
     context.limit = limit
-    _tell_limit(context, 20.0 if event == "it was 20 before" else limit)
+    before = {"it was 20 before": 20.0, "it was 0 before": 0.0}
+    _tell_limit(context, before.get(event, limit))
     driver.run_tick(context)
     events = ()
     if event == "a new leader is told":
         events = ((4_000, lambda: _tell_new_leader(context, limit)),)
     _play(context, 8_000, limit, events)
+    if event == "few timers are set":
+        kinds = [
+            kind
+            for entries in context.tables.timers.values()
+            for kind, _ in entries
+        ]
+        assert kinds.count("rate_limit_end") <= 1, kinds
+        assert kinds.count("rate_limit") <= 2, kinds
 
 
 @behave.then(
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -1425,14 +1425,14 @@
 
     Attributes:
       requests_per_s: Requests per second from all routers together.
-      until_ms: Time at which the limit ends unless it is named again.
+      told_ms: Time of the last answer that named it.
       credit: Number of requests that the server may get at once.
       credit_ms: Time at which `credit` was computed.
       reached: Whether it gets no request until its credit has grown.
     """
 
     requests_per_s: float
-    until_ms: int
+    told_ms: int
     credit: float
     credit_ms: int
     reached: bool = False
--- a/waxwingrack/operations/rate_limits.py
+++ b/waxwingrack/operations/rate_limits.py
@@ -10,6 +10,7 @@
 does, and at once with the incarnation of the server.
 """
 
+import dataclasses
 import math
 
 from waxwingrack.core import data
@@ -30,14 +31,23 @@
       notice: Notice of the present incarnation of a server, with a limit.
     """
     row = txn.servers[notice.server_id]
+    told_ms = txn.now_ms - max(0, notice.rate_limit_age_ms)
     rate = max(notice.rate_limit, server_notices.MIN_RATE_LIMIT)
-    lifetime_ms = server_notices.find_rate_limit_lifetime_ms(rate)
-    until_ms = txn.now_ms + lifetime_ms - max(0, notice.rate_limit_age_ms)
+    limit = data.RateLimit(rate, told_ms, MAX_BURST, txn.now_ms)
     known = row.rate_limit
-    if until_ms <= txn.now_ms or (known and until_ms <= known.until_ms):
+    if _find_end_ms(limit) <= txn.now_ms or (
+        known is not None and told_ms < known.told_ms
+    ):
         return
-    if known is None:
-        limit = data.RateLimit(rate, until_ms, MAX_BURST, txn.now_ms)
+    if known is not None:
+        limit = dataclasses.replace(
+            limit,
+            credit=_compute_credit(known, txn.now_ms),
+            reached=known.reached,
+        )
+        if known.reached and rate > known.requests_per_s:
+            _set_credit_timer(txn, notice.server_id, limit, limit.credit)
+    else:
         txn.log_event(
             "server_limited",
             "named in an answer",
@@ -45,13 +55,22 @@
             incarnation=notice.incarnation,
             requests_per_s=rate,
         )
-    else:
-        credit = _compute_credit(known, txn.now_ms)
-        limit = data.RateLimit(
-            rate, until_ms, credit, txn.now_ms, known.reached
-        )
+        _set_end_timer(txn, notice.server_id, limit)
     tables_module.store_server(txn, data.evolve(row, rate_limit=limit))
-    tables_module.set_timer(txn, until_ms, "rate_limit_end", notice.server_id)
+
+
+def _find_end_ms(limit: data.RateLimit) -> int:
+    return limit.told_ms + server_notices.find_rate_limit_lifetime_ms(
+        limit.requests_per_s
+    )
+
+
+def _set_end_timer(
+    txn: Transaction, server_id: str, limit: data.RateLimit
+) -> None:
+    tables_module.set_timer(
+        txn, _find_end_ms(limit), "rate_limit_end", server_id
+    )
 
 
 def spend_credit(txn: Transaction, row: data.ServerRow) -> data.ServerRow:
@@ -73,8 +92,8 @@
         _set_credit_timer(txn, row.announcement.server_id, limit, credit)
     return data.evolve(
         row,
-        rate_limit=data.RateLimit(
-            limit.requests_per_s, limit.until_ms, credit, txn.now_ms, reached
+        rate_limit=dataclasses.replace(
+            limit, credit=credit, credit_ms=txn.now_ms, reached=reached
         ),
     )
 
@@ -108,8 +127,8 @@
         txn,
         data.evolve(
             row,
-            rate_limit=data.RateLimit(
-                limit.requests_per_s, limit.until_ms, credit, txn.now_ms
+            rate_limit=dataclasses.replace(
+                limit, credit=credit, credit_ms=txn.now_ms, reached=False
             ),
         ),
     )
@@ -120,10 +139,8 @@
     row = txn.servers.get(server_id)
     if row is None or row.rate_limit is None:
         return
-    if row.rate_limit.until_ms > txn.now_ms:
-        tables_module.set_timer(
-            txn, row.rate_limit.until_ms, "rate_limit_end", server_id
-        )
+    if _find_end_ms(row.rate_limit) > txn.now_ms:
+        _set_end_timer(txn, server_id, row.rate_limit)
         return
     txn.log_event(
         "server_unlimited",
