Log what a leader knows of departures and when it acknowledges them (DRAIN)

When a request reaches a server that has left, the logs did not tell whether the departure was acknowledged, by which leader, and whether the next leader knew it or took a late announcement for that of a new server.

New lines: departure_acknowledged, departure_of_unknown_server, server_added and servers_not_taken_over; servers_taken_over counts departing servers, and server_departing names the incarnation. No decision changes.

--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -117,8 +117,14 @@
             logs.event(
                 "servers_taken_over",
                 count=len(known_servers.announcements),
+                departing=sum(
+                    announcement.departing
+                    for announcement in known_servers.announcements
+                ),
                 age_ms=age_ms,
             )
+        else:
+            logs.event("servers_not_taken_over", reason="none sent recently")
         # Departures that the other controllers were told, by server id and
         # incarnation.
         self._shared_departures: set[tuple[str, str]] = set()
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -139,9 +139,19 @@
       observation: How the departure became known, for the log.
     """
     row = txn.servers.get(server_id)
-    if row is None or row.announcement.departing:
+    if row is None:
+        txn.log_event(
+            "departure_of_unknown_server", observation, server=server_id
+        )
+        return
+    if row.announcement.departing:
         return
-    txn.log_event("server_departing", observation, server=server_id)
+    txn.log_event(
+        "server_departing",
+        observation,
+        server=server_id,
+        incarnation=row.announcement.incarnation,
+    )
     announcement = dataclasses.replace(row.announcement, departing=True)
     tables_module.store_server(txn, data.evolve(row, announcement=announcement))
 
@@ -201,6 +211,14 @@
 def _create_row(
     txn: Transaction, announcement: data.Announcement
 ) -> data.ServerRow:
+    txn.log_event(
+        "server_added",
+        "not known to this leader before",
+        server=announcement.server_id,
+        incarnation=announcement.incarnation,
+        sequence=announcement.sequence,
+        departing=announcement.departing,
+    )
     tables_module.set_timer(
         txn, txn.now_ms + MAX_ANNOUNCEMENT_AGE_MS, "age", announcement.server_id
     )
@@ -280,7 +298,10 @@
         announcement = dataclasses.replace(announcement, departing=True)
     elif announcement.departing:
         txn.log_event(
-            "server_departing", "announced", server=announcement.server_id
+            "server_departing",
+            "announced",
+            server=announcement.server_id,
+            incarnation=announcement.incarnation,
         )
     if moved:
         old_row = tables_module.replace_prefixes(
--- a/waxwingrack/platform/control_api.py
+++ b/waxwingrack/platform/control_api.py
@@ -159,6 +159,8 @@
                 )
             case result.Success(announcement):
                 self.controller.leader.handle_announcement(announcement)
+                if announcement.departing:
+                    self._log_departure(announcement.server_id, "announced")
         address = self.controller.settings.operators
         return _answer_json(request, http.OK, {"heartbeatUrl": str(address)})
 
@@ -167,8 +169,18 @@
     def deregister(self, request: Any, server_id: str) -> bytes:
         """Marks a backend server as departing."""
         self.controller.leader.handle_departure(server_id)
+        self._log_departure(server_id, "deregistered")
         return _answer_json(request, http.OK, {})
 
+    def _log_departure(self, server_id: str, reason: str) -> None:
+        """Logs that a departure is acknowledged."""
+        logs.decision(
+            "departure_acknowledged",
+            reason,
+            server=server_id,
+            term=self.controller.driver.replica.term,
+        )
+
     # -- configuration ------------------------------------------------------
 
     @app.route(_REPLACE_PATH, methods=["POST"])
