Show that an acknowledged departure is forgotten with its controllers (DRAIN)

A server that has left gets requests again after all controllers were killed, or after the leader alone was killed 6 s after the acknowledgement: an announcement that the server had sent before makes it usable.

The ids of the servers of the fleet are counted, so that none is used twice.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -103,6 +103,7 @@
         )
         self.server = BackendServer(self._ip())
         self.servers = [self.server]
+        self._server_numbers = itertools.count(2)
         self.more_routers = []
         self.sequence = itertools.count(1)
         self.born = int(time.time() * 1000)
@@ -136,7 +137,7 @@
     def add_server(self, service):
         """Adds a backend server of a service to a running fleet."""
         server = BackendServer(
-            self._ip(), f"i-{len(self.servers) + 1}", service
+            self._ip(), f"i-{next(self._server_numbers)}", service
         )
         server.start()
         self.servers.append(server)
@@ -230,7 +231,14 @@
     def announce(self, at, state="ready", server=None):
         """Announces a backend server, the first by default, at a controller."""
         server = server or self.server
-        body = {
+        path = f"/api/instances/{server.id}/heartbeat"
+        return self.call(
+            at, "POST", path, self.build_announcement(server, state)
+        )
+
+    def build_announcement(self, server, state):
+        """Returns the body of an announcement of a backend server."""
+        return {
             "service": server.service,
             "address": f"{server.ip}:{SERVER_PORT}",
             "zone": "z2",
@@ -241,8 +249,6 @@
             "sequence": next(self.sequence),
             "born": self.born,
         }
-        path = f"/api/instances/{server.id}/heartbeat"
-        return self.call(at, "POST", path, body)
 
     def keep_announcing(self):
         """Announces the backend servers until the fleet stops."""
