Report a departure again that a router has acknowledged (DRAIN)

A server may announce its departure at a router, which answers 204 and passes it on with its next report. If the report was lost with the leader, or an older announcement came before it was sent, the departure was lost, and the server got requests until it announced it again. It is the same fault as at the leader: an acknowledgement that stands on the memory of one process, for one message.

The router notes the departure as it notes one told in an answer: it sends the server nothing more and reports the departure to each new leader. The row 'a server leaves' of server_notices.feature failed before.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -32,6 +32,19 @@
       | another server      | 1   | may     | b2     | i1          | 1     |
       | after it has ended  | 400 | may not | b1     | i1          | 0     |
 
+  Scenario Outline: a departure that a router has acknowledged is reported again: <case>
+    Guards against a departure that is lost with the leader it was reported to.
+
+    Given a router that a server "b1" of the incarnation "i1" announces itself to as <state>
+    When its report is lost and it reports to a new leader
+    Then the new leader learns of <count> departures of "b1"
+    And the router <may> send to "b1" of the incarnation "i1"
+
+    Examples:
+      | case             | state     | count | may     |
+      | a server leaves  | departing | 1     | may not |
+      | a server stays   | staying   | 0     | may     |
+
   Scenario Outline: a new leader takes over servers with the age of what it knows: <case>
     Guards against a server that ended without a word and is used again.
 
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+import types
 
 import behave
 
@@ -13,6 +14,7 @@
 from features.support import scheduler_tables as driver
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import dispatch
 from waxwingrack.operations import scheduler
 from waxwingrack.operations import server_notices
 
@@ -477,6 +479,49 @@
     )
 
 
+@behave.given(
+    'a router that a server "{server}" of the incarnation "{incarnation}" '
+    "announces itself to as {state}"
+)
+def announced_to_router(context, server, incarnation, state):
+    context.dispatcher = dispatch.Dispatcher(
+        lambda: 1_000, lambda at_once: None
+    )
+    context.dispatcher.queue_announcement(
+        driver.create_announcement(
+            server, incarnation, departing=state == "departing"
+        )
+    )
+
+
+@behave.when("its report is lost and it reports to a new leader")
+def report_lost(context):
+    lost = context.dispatcher.take_report(False, 1, False)
+    assert len(lost.announcements) == 1, lost
+    # A first report lists requests; what else there is follows it.
+    context.dispatcher.take_report(True, 1, False)
+    context.report = context.dispatcher.take_report(False, 1, False)
+
+
+@behave.then('the new leader learns of {count:d} departures of "{server}"')
+def learns_departures(context, count, server):
+    found = [
+        notice
+        for notice in context.report.notices
+        if notice.leaving and notice.server_id == server
+    ]
+    assert len(found) == count, context.report.notices
+
+
+@behave.then(
+    'the router {may} send to "{server}" of the incarnation "{incarnation}"'
+)
+def router_may_send(context, may, server, incarnation):
+    grant = types.SimpleNamespace(server_id=server, incarnation=incarnation)
+    bar = context.dispatcher.find_bar(grant)
+    assert (bar is None) == (may == "may"), bar
+
+
 @behave.given('a leader that knows the server "b1"')
 def leader_with_server(context):
     scheduler_with_server(context, "i1")
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import time
+from typing import Any
 
 import immutables
 from returns import result
@@ -313,6 +314,11 @@
                 + announcement.cache_events,
             )
         self._announcements[announcement.server_id] = announcement
+        if announcement.departing:
+            # A report may be lost with its leader; notices are repeated.
+            self._note_leaving(
+                (announcement.server_id, announcement.incarnation), "announced"
+            )
         self._schedule_report(False)
 
     def report_crash_suspect(self, lease: Lease) -> None:
@@ -337,14 +343,19 @@
           notice: What it told.
         """
         if notice.leaving:
-            self._note_leaving(grant)
+            self._note_leaving(
+                (grant.server_id, grant.incarnation),
+                "told in an answer",
+                grant=grant.id,
+            )
         if notice.retry_after is not None:
             self._note_pause(grant, notice.retry_after)
         if notice.rate_limit is not None:
             self._note_rate_limit(grant, notice.rate_limit)
 
-    def _note_leaving(self, grant: data.Grant) -> None:
-        server = (grant.server_id, grant.incarnation)
+    def _note_leaving(
+        self, server: server_notices.ServerKey, observation: str, **fields: Any
+    ) -> None:
         known = self._server_notices
         self._server_notices = server_notices.note_leaving(
             known, server, self._clock()
@@ -353,10 +364,10 @@
             return
         logs.decision(
             "server_leaving",
-            "told in an answer",
-            server=grant.server_id,
-            incarnation=grant.incarnation,
-            grant=grant.id,
+            observation,
+            server=server[0],
+            incarnation=server[1],
+            **fields,
         )
         self._unreported_notices.append(
             data.ServerNotice(*server, leaving=True)
