Let servers of the soak depart and be announced late (DRAIN)

Neither the soak nor the fault matrix sent an announcement that is older than the departure of its server, so they could not see that a departure was forgotten.

--- a/soak/injection.py
+++ b/soak/injection.py
@@ -49,6 +49,7 @@
     "server fails",
     "server cuts answers",
     "server says that it leaves",
+    "server departs and is announced late",
     "server asks for pauses",
 )
 ALL = (
@@ -133,17 +134,26 @@
     return json.loads(answer.body) if answer.status == 200 else None
 
 
-@faults.FAULTS.register("server says that it leaves")
-def _server_says_that_it_leaves(cluster, router, server):
-    _switch(cluster, server, leaving=True)
+def _watch_departure(cluster, server, act_after_drain=lambda: None):
+    """Watches what a server gets after its departure has become known.
+
+    Args:
+      cluster: The fleet.
+      server: Server that leaves now.
+      act_after_drain: Called `checks.DRAIN_S` later.
+
+    Returns:
+      Function that ends the server and records what it got.
+    """
     told_s, process = time.monotonic(), cluster.members[server].process
     counts = {}
 
-    def read_after_drain():
+    def handle_drain_end():
         with contextlib.suppress(OSError):
             counts["drained"] = _read_counts(cluster, server)
+            act_after_drain()
 
-    timer = threading.Timer(checks.DRAIN_S, read_after_drain)
+    timer = threading.Timer(checks.DRAIN_S, handle_drain_end)
     timer.daemon = True
     timer.start()
 
@@ -166,6 +176,46 @@
     return repair
 
 
+@faults.FAULTS.register("server says that it leaves")
+def _server_says_that_it_leaves(cluster, router, server):
+    _switch(cluster, server, leaving=True)
+    return _watch_departure(cluster, server)
+
+
+def _announce(cluster, server, announcement):
+    """Announces a server at the first router that acknowledges it.
+
+    Returns:
+      Whether a router acknowledged it.
+    """
+    for router in cluster.routers:
+        with contextlib.suppress(OSError):
+            answer = cluster.call(
+                router,
+                "PUT",
+                f"/-/backend-servers/{server}",
+                announcement,
+                token=fleet.ANNOUNCE_TOKEN,
+                timeout_s=1.0,
+            )
+            if answer.status == 204:
+                return True
+    return False
+
+
+@faults.FAULTS.register("server departs and is announced late")
+def _server_departs(cluster, router, server):
+    port = cluster.members[server].ports["requests"]
+    answer = fleet.request(port, "GET", "/-/announcement", timeout_s=2.0)
+    late = json.loads(answer.body)
+    _switch(cluster, server, silent=True)
+    if not _announce(cluster, server, late | {"departing": True}):
+        return lambda: _switch(cluster, server, silent=False)
+    return _watch_departure(
+        cluster, server, lambda: _announce(cluster, server, late)
+    )
+
+
 @faults.FAULTS.register("server asks for pauses")
 def _server_asks_for_pauses(cluster, router, server):
     before = _read_counts(cluster, server)
--- a/waxwingrack/daemons/stand_in.py
+++ b/waxwingrack/daemons/stand_in.py
@@ -62,6 +62,7 @@
       stall: Whether requests are accepted and never answered.
       cut: Whether the connection is closed in the middle of an answer.
       departing: Whether the server announces its departure.
+      silent: Whether the server announces nothing.
       leaving: Whether each answer says that the server leaves.
       rate_limit: Limit that each answer names, in requests per second; empty
         for none.
@@ -82,6 +83,7 @@
     stall: bool = False
     cut: bool = False
     departing: bool = False
+    silent: bool = False
     leaving: bool = False
     rate_limit: str = ""
     busy_path: str = ""
@@ -326,7 +328,8 @@
 
     async def _announce_periodically(self) -> None:
         while True:
-            await self.announce()
+            if not self.mode.silent:
+                await self.announce()
             await asyncio.sleep(self.config.announce_interval_s)
 
     async def announce(self) -> bool:
@@ -431,6 +434,10 @@
             },
         )
 
+    @_app.route("/-/announcement", methods=["GET"])
+    def _get_announcement(self, req: iweb.IRequest) -> bytes:
+        return _json_response(req, 200, self._make_announcement())
+
     @_app.route("/-/mode", methods=["GET"])
     def _get_mode(self, req: iweb.IRequest) -> bytes:
         return _json_response(req, 200, dataclasses.asdict(self.mode))
