--- a/soak/injection.py
+++ b/soak/injection.py
@@ -207,6 +207,9 @@
 def _server_departs(cluster, router, server):
     port = cluster.members[server].ports["requests"]
     answer = fleet.request(port, "GET", "/-/announcement", timeout_s=2.0)
+    if answer.status != 200:
+        # The request that crashes servers may have struck it.
+        raise OSError(f"{server} is down")
     late = json.loads(answer.body)
     _switch(cluster, server, silent=True)
     if not _announce(cluster, server, late | {"departing": True}):
