--- a/scripts/fault_matrix_page.py
+++ b/scripts/fault_matrix_page.py
@@ -128,7 +128,7 @@
             "departures",
             "platform_departures",
         ),
-        "b413c56: 2 scenarios fail when a departure is not final; 24b0c63:"
+        "b413c56: 2 scenarios fail when a departure is not final; 4583fef:"
         " 6 of 8 of `platform_departures` fail without the record",
     ),
     (
