Show that a leader without a majority for 6 s forgot departures (DRAIN)

No process is lost in these two rows: the followers stand still, and whoever leads then has been told of no servers for more than 5 s.

--- a/features/platform_departures.feature
+++ b/features/platform_departures.feature
@@ -23,6 +23,8 @@
       | announces its departure | 6    | the leader is killed and starts again      |
       | deregisters             | 0    | the leader is killed and starts again      |
       | announces its departure | 0    | the leader is killed and starts again      |
+      | deregisters             | 0    | the followers stand still for 6 s          |
+      | announces its departure | 0    | the followers stand still for 6 s          |
 
   Scenario Outline: a server that <leaves> at a leader without a majority gets no 200
     Guards against an acknowledgement that only the leader's memory holds.
--- a/features/steps/platform_departures_steps.py
+++ b/features/steps/platform_departures_steps.py
@@ -70,6 +70,21 @@
     machine.start()
 
 
+@behave.when("the followers stand still for {still:d} s {seconds:d} s later")
+def followers_stopped(context, still, seconds):
+    time.sleep(seconds)
+    cluster = context.fleet
+    leader = fleet.wait_until(
+        cluster.leader, platform_fleet_steps.WAIT_S, "a leader"
+    )
+    followers = [m for m in cluster.controllers if m is not leader]
+    for machine in followers:
+        machine.process.send_signal(signal.SIGSTOP)
+    time.sleep(still)
+    for machine in followers:
+        machine.process.send_signal(signal.SIGCONT)
+
+
 @behave.when("an announcement that the other server sent before arrives late")
 def arrives_late(context):
     platform_fleet_steps.served(context)
