--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -20,6 +20,19 @@
       | stream_without_event | connection_lost |
       | stall_body  | timed_out       |
 
+  Scenario Outline: an answer that is reset during the upload to <path> is not whole
+  A server that answers early without a length and then resets the connection has
+  sent a part of its answer, even if the request was still being written.
+    Given a shared router with 2 fake backend servers
+    When the router's caller uploads 3000000 bytes to <path>?do=reset_upload
+    Then the router's caller gets no answer that looks whole
+
+    Examples:
+      | path            |
+      | /sketch/a       |
+      | /sketch/deposit |
+      | /model/a        |
+
   Scenario Outline: a head of the form <head> that ends early by a <end> is no answer
   A server that stops in the middle of a head has not answered. Its caller must not
   get a success with an empty or short body.
--- a/features/router_failures.feature
+++ b/features/router_failures.feature
@@ -22,6 +22,29 @@
       | POST   | /sketch/deposit | reset    | 502    | backend_connection_lost | 1    | connection_lost |
       | POST   | /sketch/deposit | stall    | 504    | backend_timeout         | 1    | timed_out       |
 
+  Scenario Outline: an answer with the status <code> is no answer on <method> <path>
+  A server in trouble may write a status that HTTP does not have. Its answer must
+  not reach the caller, who would take it for the result of the request.
+    When the router's caller requests <method> <path>?do=status&code=<code>
+    Then the router's caller gets 502 backend_connection_lost with execution may_have_run
+    And the router's backend servers ran <runs> request
+    And the router reports the outcome connection_lost
+
+    Examples:
+      | method | path            | code    | runs |
+      | GET    | /sketch/a       | 000     | 3    |
+      | GET    | /sketch/a       | 099     | 3    |
+      | GET    | /sketch/a       | 20      | 3    |
+      | GET    | /sketch/a       | 2000    | 3    |
+      | GET    | /sketch/a       | -20     | 3    |
+      | GET    | /sketch/a       | %2B200  | 3    |
+      | GET    | /sketch/a       | 600     | 3    |
+      | GET    | /model/a        | 000     | 3    |
+      | GET    | /model/a        | %2B200  | 3    |
+      | POST   | /sketch/deposit | 000     | 1    |
+      | POST   | /sketch/deposit | 2000    | 1    |
+      | POST   | /sketch/deposit | %2B200  | 1    |
+
   Scenario Outline: a failed try goes to the other server where it may
     Given the router's next try fails with <fault>
     When the router's caller requests <method> <path>
--- a/features/router_keys.feature
+++ b/features/router_keys.feature
@@ -37,6 +37,8 @@
       | large&bytes=65537 | whole | answer_not_kept |
       | cut_length       | cut   | outcome_unknown |
       | drop             | 502   | outcome_unknown |
+      | status&code=000  | 502   | outcome_unknown |
+      | status&code=%2B200 | 502 | outcome_unknown |
 
   Scenario: two requests with one key at the same time run once
     Given a router with 1 fake backend servers
--- a/features/steps/router_answers_steps.py
+++ b/features/steps/router_answers_steps.py
@@ -84,6 +84,17 @@
     send(context, method, target, json.loads(headers or "{}"))
 
 
+@behave.when("the router's caller uploads {size:d} bytes to {target}")
+def caller_uploads(context, size, target):
+    send(context, "POST", target, body=b"u" * size)
+
+
+@behave.then("the router's caller gets no answer that looks whole")
+def no_whole_answer(context):
+    reply = context.reply
+    assert not (reply.whole and reply.status < 300), reply
+
+
 @behave.then("the router's caller sees a broken transfer")
 def broken_transfer(context):
     assert context.reply.error and not context.reply.whole, context.reply
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -459,6 +459,9 @@
                 part.partition(": ") for part in rest if part
             )
         }
+        if "do=reset_upload" in target:
+            await self._reset_upload(headers, writer)
+            return False
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("x-request-id") or headers["request-id"]
         self.runs[request_id] += 1
@@ -663,6 +666,14 @@
         await asyncio.sleep(0.1)
         self._reset(writer)
 
+    async def _reset_upload(self, headers, writer):
+        """Resets an early answer without reading the body of its request."""
+        self.runs[headers.get("x-request-id") or headers["request-id"]] += 1
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\npart before reset")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        self._reset(writer)
+
     async def _do_twice(self, writer, query, request_id, body, method):
         answer = _response(f"{request_id}:first".encode())
         writer.write(answer + answer)
--- a/waxwingrack/daemons/engine_calls.py
+++ b/waxwingrack/daemons/engine_calls.py
@@ -91,6 +91,13 @@
         if self._aborted:
             self.transport.abortConnection()
 
+    def request(self, request: Any) -> Any:
+        """Sends a request."""
+        answer = super().request(request)
+        if self._parser is not None:
+            forwarding.refuse_invalid_status(self._parser)
+        return answer
+
     def dataReceived(self, blob: bytes) -> None:
         """Receives bytes of the answer, head and framing included."""
         self._received_bytes += len(blob)
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -14,6 +14,7 @@
 import dataclasses
 import functools
 import ipaddress
+import re
 import socket
 from typing import Any
 
@@ -48,6 +49,9 @@
 
 
 _HEAD_STATES = (_newclient.STATUS, _newclient.HEADER)
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}(?: |\Z)")
+# Longest part of an invalid status line that is logged, in bytes.
+MAX_LOGGED_STATUS_BYTES = 64
 
 
 class NotSentError(Exception):
@@ -131,6 +135,29 @@
     notice: dialects.AnswerNotice = dialects.AnswerNotice()
 
 
+def refuse_invalid_status(parser: Any) -> None:
+    """Makes a parser of an answer refuse status lines that HTTP does not have.
+
+    twisted converts the status like `int`, so it takes 000, 2000, -20 or +200
+    for numbers, and a caller would get them as the status of an answer.
+
+    Args:
+      parser: The parser, before it has received any bytes.
+    """
+    receive = parser.statusReceived
+
+    def check_status(line: bytes) -> None:
+        if not _STATUS_LINE.match(line):
+            logs.event(
+                "answer_status_invalid",
+                line=repr(line[:MAX_LOGGED_STATUS_BYTES]),
+            )
+            raise _newclient.ParseError("invalid status line", line)
+        receive(line)
+
+    parser.statusReceived = check_status
+
+
 class BackendConnection(_newclient.HTTP11ClientProtocol):
     """Connection to a backend server.
 
@@ -164,7 +191,10 @@
     def request(self, request: Any) -> defer.Deferred:
         """Sends a request."""
         self._head_bytes = 0
-        return super().request(request)
+        answer = super().request(request)
+        if self._parser is not None:
+            refuse_invalid_status(self._parser)
+        return answer
 
     def dataReceived(self, data: bytes) -> None:
         """Handles bytes; ends the connection if a head exceeds its limit.
