--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -440,6 +440,10 @@
       retry_share: Retries that each request of a service adds to the router's
         retry budget for the service.
       retry_reserve: Maximum of that retry budget.
+      hedge_share: Share of the requests of a service that a router may send a
+        second copy of; at most `retry_share`, 0 sends none.
+      hedge_needs_slowness: Whether only services get second copies whose
+        servers report how slow they are.
       control_silence_s: Time without a message of the leader after which a
         router looks for another leader.
       reuse_idle_s: Maximum idle time of a connection to a backend server that
@@ -480,6 +484,8 @@
     ready_when_drained: bool = False
     retry_share: float = 0.1
     retry_reserve: float = 10.0
+    hedge_share: float = 0.0
+    hedge_needs_slowness: bool = False
     control_silence_s: float = 2.0
     reuse_idle_s: float = 0.0
     max_exposure: float = 1.0
@@ -608,6 +614,8 @@
         queued; 0 if there is no deadline.
       target_ms: Time until the first byte of the answer that the caller
         expects; 0 if there is no such target.
+      duplicate: Whether it is a second copy of a request that is running at a
+        server in `avoid`.
     """
 
     sequence: int
@@ -623,6 +631,7 @@
     output_tokens: int = 0
     left_ms: int = 0
     target_ms: int = 0
+    duplicate: bool = False
 
 
 @quick_init
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -48,6 +48,7 @@
     BACKEND_TIMEOUT = "backend_timeout"
     INTERNAL = "internal"
     ROUTER_SATURATED = "router_saturated"
+    NO_SURPLUS = "no_surplus"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +184,10 @@
         0.05,
         "This router has more work than it can do; another one may be free.",
     ),
+    # Sent by the leader for a second copy only; its request goes on.
+    ErrorKind.NO_SURPLUS: Answer(
+        503, _NOT_RUN, 1.0, "No server has room for a second copy."
+    ),
     ErrorKind.BACKEND_CONNECT_FAILED: Answer(
         502, _NOT_RUN, 1.0, "No connection to a backend server was possible."
     ),
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -155,7 +155,12 @@
     transport.abortConnection()
 
 
-def _is_event_stream(head: forwarding.AnswerHead) -> bool:
+def is_event_stream(head: forwarding.AnswerHead) -> bool:
+    """Tells whether an answer is a stream of events.
+
+    Args:
+      head: Head of the answer.
+    """
     return any(
         value.lower().startswith(_EVENT_STREAM)
         for name, value in head.headers
@@ -222,7 +227,7 @@
         self._paused = False
         self._done = False
         self._fault: router_queues.Fault | None = None
-        self._is_event_stream = _is_event_stream(head)
+        self._is_event_stream = is_event_stream(head)
         # Last bytes of the body, as many as the longest end of an event.
         self._last_bytes = b""
         self._position = event_streams.StreamPosition()
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -76,6 +76,24 @@
     fetch_from: data.Address | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load of a backend server, as it states it in an answer.
+
+    Attributes:
+      running: Number of running requests.
+      waiting: Number of waiting requests.
+      slots: Number of slots.
+      slowness: Time that work takes at present, where 100 is normal; None if
+        the server does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerNotice:
     """What a backend server tells about itself in the head of an answer.
@@ -86,11 +104,13 @@
         None if it did not.
       rate_limit: Requests per second that it takes from all routers together,
         as text; None if it did not say.
+      load: Load that it stated; None if it stated none or a malformed one.
     """
 
     leaving: bool = False
     retry_after: str | None = None
     rate_limit: str | None = None
+    load: ServerLoad | None = None
 
 
 class Dialect(Protocol):
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -124,6 +124,8 @@
         self._crash_suspects: list[messages.CrashSuspect] = []
         self._server_notices = server_notices.Notices()
         self._unreported_notices: list[data.ServerNotice] = []
+        # Services of which a server has stated its slowness in an answer.
+        self._slowness_services: set[str] = set()
         # Reported suspects with their times, for a leader that does not know
         # them.
         self._reported_suspects: list[tuple[int, messages.CrashSuspect]] = []
@@ -352,6 +354,17 @@
             self._note_pause(grant, notice.retry_after)
         if notice.rate_limit is not None:
             self._note_rate_limit(grant, notice.rate_limit)
+        lease = self.leases.get((grant.term, grant.id))
+        if lease and notice.load and notice.load.slowness is not None:
+            self._slowness_services.add(lease.queued.service)
+
+    def reports_slowness(self, service_id: str) -> bool:
+        """Tells whether servers of a service state how slow they are.
+
+        Args:
+          service_id: Id of the service.
+        """
+        return service_id in self._slowness_services
 
     def _note_leaving(
         self, server: server_notices.ServerKey, observation: str, **fields: Any
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -11,6 +11,7 @@
 
 from returns import result
 from twisted.internet import defer
+from twisted.python import failure
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
@@ -21,9 +22,11 @@
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import hedged_attempts
 from waxwingrack.daemons import keyed_requests
 from waxwingrack.operations import costs
 from waxwingrack.operations import crashes
+from waxwingrack.operations import hedging
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -42,7 +45,7 @@
 ANSWER_GRACE_S = 0.1
 
 
-class Exchange(keyed_requests.KeyedRequest):
+class Exchange(keyed_requests.KeyedRequest, hedged_attempts.HedgedRequest):
     """One request of a caller.
 
     Attributes:
@@ -57,7 +60,10 @@
         self._host = host
         self._req = req
         self._caller_left = False
-        self._request_sent = False
+        # Grants of the attempts that may have run, by (term, grant id).
+        self._sent_grants: set[tuple[int, int]] = set()
+        # Servers that the request was sent to without a whole answer.
+        self._failed_servers: list[str] = []
         self._key_claimed = False
         self._cancel_step: Any = None
         # Ends the wait for the head of an answer, also for a keyed request.
@@ -77,6 +83,11 @@
         req.body_in_use = True
         req.notifyFinish().addErrback(lambda _: self._handle_caller_loss())
 
+    @property
+    def _request_sent(self) -> bool:
+        """Whether an attempt may have run."""
+        return bool(self._sent_grants)
+
     async def run(self) -> None:
         """Handles the request until it has ended; raises nothing."""
         try:
@@ -276,15 +287,21 @@
             admitted.service.id,
             host.retry_policy,
         )
+        host.hedges = hedging.earn_copy(
+            host.hedges, admitted.service.id, host.hedge_policy
+        )
         if admitted.key is not None:
             await self._look_up_key(admitted)
-        queued, queue_position, attempts = admitted.queued, None, 0
+        queued, queue_position = admitted.queued, None
         while True:
             lease = await self._wait_for_grant(admitted, queued, queue_position)
             queue_position = lease.queue_position
             fault = await self._attempt(admitted, lease)
-            attempts += fault not in router_queues.UNCOUNTED_FAULTS
-            decision = self._decide_retry(admitted, fault, attempts)
+            if fault not in router_queues.UNCOUNTED_FAULTS:
+                self._failed_servers.append(lease.grant.server_id)
+            decision = self._decide_retry(
+                admitted, fault, len(self._failed_servers)
+            )
             if not decision.retry:
                 raise dispatch.RefusedError(
                     router_queues.ERROR_KINDS[fault], decision.reason
@@ -296,10 +313,9 @@
                 **self._log_fields(),
                 server=lease.grant.server_id,
             )
-            if fault not in router_queues.UNCOUNTED_FAULTS:
-                queued = dataclasses.replace(
-                    queued, avoid=(*queued.avoid, lease.grant.server_id)
-                )
+            queued = dataclasses.replace(
+                queued, avoid=tuple(self._failed_servers)
+            )
 
     def _decide_retry(
         self,
@@ -385,6 +401,9 @@
             self._return_grant(lease)
             await self._release_key()
             return router_queues.Fault.CLAIM_LOST
+        delay_ms = self._find_hedge_delay(admitted, lease)
+        if delay_ms is not None:
+            return await self._attempt_copies(admitted, lease, delay_ms)
         try:
             head = await self._send_request(admitted, lease)
         except forwarding.NotSentError as exc:
@@ -403,7 +422,27 @@
     async def _send_request(
         self, admitted: keyed_requests.AdmittedRequest, lease: dispatch.Lease
     ) -> forwarding.AnswerHead:
+        head_deferred = self._start_send(admitted, lease)
+        self._cancel_step = self._abort_step = head_deferred.cancel
+        try:
+            return await head_deferred
+        finally:
+            self._cancel_step = self._abort_step = None
+
+    def _start_send(
+        self, admitted: keyed_requests.AdmittedRequest, lease: dispatch.Lease
+    ) -> defer.Deferred:
+        """Sends the request under a grant.
+
+        Returns:
+          A Deferred that fires with the `forwarding.AnswerHead` or fails with
+          NotSentError or NoAnswerError.
+
+        Raises:
+          NotSentError: The server wants no request of this router.
+        """
         host, req, keyed = self._host, self._req, admitted.key is not None
+        grant_key = (lease.grant.term, lease.grant.id)
         outgoing = forwarding.OutgoingRequest(
             method=req.method,
             uri=req.uri,
@@ -426,7 +465,6 @@
             else host.settings.reuse_idle_s,
             answer_timeout_s=self._answer_timeout_s(admitted),
         )
-        sent_before = self._request_sent
         self._require_open_server(lease)
 
         def may_send() -> bool:
@@ -449,7 +487,7 @@
                 grant=lease.grant.id,
                 term=lease.grant.term,
             )
-            self._request_sent = True
+            self._sent_grants.add(grant_key)
             lease.sent_ms = lease.reported_ms = now_ms
             lease.meter = _create_meter(admitted, "")
             if keyed:
@@ -457,18 +495,15 @@
                 self._cancel_step = None
             return True
 
-        head_deferred = defer.Deferred.fromCoroutine(
+        def note_rejection(cause: failure.Failure) -> failure.Failure:
+            rejected = router_queues.Fault.REJECTED
+            if getattr(cause.value, "fault", None) is rejected:
+                self._sent_grants.discard(grant_key)
+            return cause
+
+        return defer.Deferred.fromCoroutine(
             host.forwarder.send(lease.grant, outgoing, may_send)
-        )
-        self._cancel_step = self._abort_step = head_deferred.cancel
-        try:
-            return await head_deferred
-        except forwarding.NotSentError as exc:
-            if exc.fault is router_queues.Fault.REJECTED:
-                self._request_sent = sent_before
-            raise
-        finally:
-            self._cancel_step = self._abort_step = None
+        ).addErrback(note_rejection)
 
     def _require_open_server(self, lease: dispatch.Lease) -> None:
         """Raises NotSentError if the server wants no request of this router."""
@@ -647,6 +682,8 @@
             outcome = self._find_outcome(body_end.fault)
         if outcome is data.Outcome.CONNECTION_LOST:
             self._host.dispatcher.report_crash_suspect(lease)
+        if outcome is data.Outcome.COMPLETED and admitted.route.idempotent:
+            self._note_latency(lease, first_byte_ms)
         self._end_lease(lease, outcome, first_byte_ms, status=head.status)
         if admitted.key is not None:
             stored = (
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -24,6 +24,7 @@
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import router_metrics
+from waxwingrack.operations import hedging
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -47,6 +48,8 @@
     metrics: router_metrics.RouterMetrics
     dialect: dialects.Dialect
     retry_policy: router_queues.RetryPolicy
+    hedge_policy: hedging.Policy
+    hedges: hedging.Hedges
     buffers: buffer_reservations.BufferReservations
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -36,6 +36,7 @@
 from waxwingrack.daemons import router_metrics
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.operations import hedging
 from waxwingrack.operations import local_waits
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -72,6 +73,8 @@
       rng: Source of random numbers.
       dialect: Header names towards callers and backend servers.
       retry_policy: Limits on the retries that the router may send.
+      hedge_policy: Limits on the second copies that it may send.
+      hedges: Latencies and budgets of second copies.
       reactor: Twisted's reactor.
       tables: Tables of the environment in force, None before the first.
       caller_limits: Limits of size and time for callers.
@@ -116,6 +119,10 @@
         self.retry_policy = router_queues.RetryPolicy(
             settings.retry_share, settings.retry_reserve
         )
+        self.hedge_policy = hedging.Policy(
+            settings.hedge_share, settings.hedge_needs_slowness
+        )
+        self.hedges = hedging.Hedges()
         self.tables: routing.RoutingTables | None = None
         self.caller_limits = routing.resolve_caller_limits(settings, None)
         self.metrics = router_metrics.RouterMetrics()
--- a/waxwingrack/daemons/router_metrics.py
+++ b/waxwingrack/daemons/router_metrics.py
@@ -32,6 +32,7 @@
         self.refusals: collections.Counter = collections.Counter()
         self._ends: collections.Counter = collections.Counter()
         self._retries: collections.Counter = collections.Counter()
+        self._hedges: collections.Counter = collections.Counter()
         self._registry = collectors.Registry()
         self._collectors: dict[str, Any] = {}
 
@@ -43,6 +44,10 @@
         """Counts a retry."""
         self._retries[fault] += 1
 
+    def count_hedge(self, result: str) -> None:
+        """Counts a second copy of a request by its result."""
+        self._hedges[result] += 1
+
     def render(
         self, gauges: dict[str, float], accept: Iterable[str]
     ) -> tuple[bytes, dict]:
@@ -61,6 +66,8 @@
             self._set_counter("tries_total", count, outcome=outcome)
         for fault, count in self._retries.items():
             self._set_counter("retries_total", count, fault=fault)
+        for result, count in self._hedges.items():
+            self._set_counter("hedges_total", count, result=result)
         self._set_counter("failures_total", self.failures)
         self._set_counter("connections_shed_total", self.connections_shed)
         for name in transport.TrafficCounts.__slots__:
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -49,6 +49,7 @@
 RETRY_LIMITS = {
     "$.retry_share": (0.0, 1.0),
     "$.retry_reserve": (0.0, 1_000.0),
+    "$.hedge_share": (0.0, 1.0),
 }
 EXPOSURE_LIMITS = {
     "$.max_exposure": (0.001, 1.0),
@@ -65,6 +66,11 @@
     for field in dataclasses.fields(data.Settings)
     if field.name in ("max_body_bytes", "max_buffered_bytes")
 )
+_SHARE_FIELDS = tuple(
+    field
+    for field in dataclasses.fields(data.Settings)
+    if field.name in ("retry_share", "hedge_share")
+)
 
 
 def load(path: str) -> result.Result[data.Settings, tuple[SettingError, ...]]:
@@ -220,6 +226,22 @@
         )
 
 
+@RULES.register("hedge_share")
+def _check_hedge_share(document: Any) -> Faults:
+    """Checks that second copies fit into the retry budget, which pays them."""
+    shares = {field.name: field.default for field in _SHARE_FIELDS}
+    for name in shares:
+        for _, share in documents.select_values(
+            document, f"$.{name}", (int, float)
+        ):
+            shares[name] = share
+    if shares["hedge_share"] > shares["retry_share"]:
+        yield (
+            "$.hedge_share",
+            f"must be at most retry_share ({shares['retry_share']:g})",
+        )
+
+
 @RULES.register("log_level")
 def _check_log_level(document: Any) -> Faults:
     for path, level in documents.select_values(document, "$.log_level", str):
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -28,6 +28,7 @@
 from waxwingrack.operations import placement
 from waxwingrack.operations import rate_limits
 from waxwingrack.operations import servers
+from waxwingrack.operations import surplus
 from waxwingrack.operations import tables as tables_module
 
 Transaction = tables_module.Transaction
@@ -408,10 +409,13 @@
     """Returns the servers that may not get a request.
 
     Those on which an attempt of the request failed may get it if no other is
-    left, unlike those that want no requests of its router.
+    left, unlike those that want no requests of its router. A second copy goes
+    only to servers with a surplus of slots.
     """
     request = entry.request
     barred = pauses.list_barred(txn, entry.router)
+    if request.duplicate:
+        return (*surplus.list_servers_without_surplus(txn, request), *barred)
     if not request.avoid:
         return barred
     versions = {share.current}
--- a/waxwingrack/operations/leader_queues.py
+++ b/waxwingrack/operations/leader_queues.py
@@ -169,6 +169,30 @@
     return pop_request(txn, position)
 
 
+def get_entry(
+    txn: Transaction, position: data.QueuePosition
+) -> data.QueueEntry:
+    """Returns the entry at a position."""
+    if position.workspace == ISOLATED_WORKSPACE:
+        queue = txn.isolated_queues[position.service]
+    else:
+        queues = txn.queues[(position.service, position.workspace)]
+        queue = queues[position.avoided_servers]
+    return queue.entries[position.index]
+
+
+def restore_entry(txn: Transaction, entry: data.QueueEntry) -> None:
+    """Puts an entry back that was taken out of its queue."""
+    position = _insert_entry(txn, entry)
+    router = txn.routers[entry.router]
+    txn.routers[entry.router] = data.evolve(
+        router,
+        queue_positions=router.queue_positions.set(
+            entry.request.sequence, position
+        ),
+    )
+
+
 def requeue_request(txn: Transaction, position: data.QueuePosition) -> None:
     """Moves a request to the queue where it now belongs.
 
--- a/waxwingrack/operations/router_queues.py
+++ b/waxwingrack/operations/router_queues.py
@@ -382,6 +382,47 @@
     return budgets.set(service, min(policy.reserve, budget + policy.share))
 
 
+def take_extra_attempt(
+    budgets: immutables.Map,
+    service: str,
+    policy: RetryPolicy = RetryPolicy(),
+) -> immutables.Map | None:
+    """Takes one attempt beyond the first one out of the retry budget.
+
+    Args:
+      budgets: Remaining retries by service id.
+      service: Service of the request.
+      policy: Share and reserve.
+
+    Returns:
+      The new budgets, or None if the budget is used up.
+    """
+    budget = budgets.get(service, policy.reserve)
+    # Tolerates a millionth of a retry, as sums of the share are inexact.
+    if budget < 1.0 - 1e-6:
+        return None
+    return budgets.set(service, budget - 1.0)
+
+
+def return_extra_attempt(
+    budgets: immutables.Map,
+    service: str,
+    policy: RetryPolicy = RetryPolicy(),
+) -> immutables.Map:
+    """Returns an attempt to the retry budget that was not made.
+
+    Args:
+      budgets: Remaining retries by service id.
+      service: Service of the request.
+      policy: Share and reserve.
+
+    Returns:
+      The new budgets.
+    """
+    budget = budgets.get(service, policy.reserve)
+    return budgets.set(service, min(policy.reserve, budget + 1.0))
+
+
 def decide_retry(
     budgets: immutables.Map,
     service: str,
@@ -411,13 +452,10 @@
         return budgets, RetryDecision(False, "not_repeatable")
     if attempt.counted_attempts >= attempt.max_attempts:
         return budgets, RetryDecision(False, "too_many_tries")
-    # Tolerates a millionth of a retry, as sums of the share are inexact.
-    budget = budgets.get(service, policy.reserve)
-    if budget < 1.0 - 1e-6:
+    remaining = take_extra_attempt(budgets, service, policy)
+    if remaining is None:
         return budgets, RetryDecision(False, "retry_budget_used")
-    return budgets.set(service, budget - 1.0), RetryDecision(
-        True, attempt.fault
-    )
+    return remaining, RetryDecision(True, attempt.fault)
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -29,6 +29,7 @@
 from waxwingrack.core import messages
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import crashes
+from waxwingrack.operations import duplicate_grants
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import forecast
@@ -710,6 +711,7 @@
     age_ms = now_ms - txn.tables.created_ms
     if not txn.awaited_routers or age_ms >= messages.GRANT_LIFETIME_MS:
         txn.grants_allowed = True
+    duplicates = duplicate_grants.take_duplicates(txn)
     for service in sorted(
         {
             *_list_table_keys(txn, "backlog"),
@@ -717,6 +719,10 @@
         }
     ):
         _schedule_service(txn, policy, service)
+    for service, entries in duplicates.items():
+        share = _get_version_share(txn, policy, service)
+        for entry in entries:
+            duplicate_grants.decide_duplicate(txn, entry, share)
     decisions = Decisions(
         grants=tuple(txn.grant_decisions),
         refusals=tuple(txn.refusals),
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -1,5 +1,8 @@
 """HTTP headers and paths of requests and answers on the platform."""
 
+import math
+import re
+
 from twisted.web import http_headers
 
 from waxwingrack.core import data
@@ -26,6 +29,9 @@
 SERVER_LEAVING = b"Server-Leaving"
 # Requests per second that a backend server takes from all routers together.
 SERVER_LIMIT = b"Server-Limit"
+# Load of a backend server: running, waiting and slots, and on some servers the
+# slowness, separated by commas.
+SERVER_LOAD = b"Server-Load"
 # Expected number of output tokens.
 LENGTH_HINT = b"Length-Hint"
 
@@ -35,6 +41,9 @@
 # Statuses by which a refusal blames the request.
 CALLER_FAULT_STATUSES = frozenset((400, 401, 404, 405, 413, 431))
 
+# A count in a header; longer ones exceed any server.
+_COUNT_PATTERN = re.compile(r"[0-9]{1,6}")
+
 # Caller's headers that are not passed on: only the router may set them, or they
 # hold the caller's API key.
 _DROPPED_HEADERS = dialects.HOP_BY_HOP | frozenset(
@@ -131,6 +140,7 @@
             leaving=dialects.first_value(headers, SERVER_LEAVING) == "1",
             retry_after=dialects.read_retry_after(status, headers),
             rate_limit=dialects.first_value(headers, SERVER_LIMIT),
+            load=_parse_load(dialects.first_value(headers, SERVER_LOAD)),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
@@ -171,6 +181,25 @@
     return tuple([*numbers, *[0] * count][:count])
 
 
+def _parse_load(text: str | None) -> dialects.ServerLoad | None:
+    """Parses the load of a server; returns None for malformed text."""
+    parts = [part.strip() for part in (text or "").split(",")]
+    counts, slowness = parts[:3], parts[3:]
+    if (
+        len(counts) < 3
+        or len(slowness) > 1
+        or not all(_COUNT_PATTERN.fullmatch(count) for count in counts)
+    ):
+        return None
+    try:
+        value = float(slowness[0]) if slowness else None
+    except ValueError:
+        return None
+    if value is not None and not (math.isfinite(value) and value > 0):
+        return None
+    return dialects.ServerLoad(*map(int, counts), slowness=value)
+
+
 def _parse_prompt_parts(text: str | None) -> tuple[data.PromptPart, ...]:
     prompt_parts = []
     for item in (text or "").split(","):
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -1,6 +1,8 @@
 """Reads the settings file that the platform writes for each process."""
 
+from collections.abc import Iterator
 import ipaddress
+import math
 import os
 import pathlib
 import re
@@ -17,6 +19,8 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "WAXWINGRACK_CONFIG"
+# Environment variable with the share of requests that may get a second copy.
+HEDGE_SHARE_VARIABLE = "WAXWINGRACK_HEDGE_SHARE"
 # Silence of the leader after which routers look for another one, in seconds.
 # The leader sends a message four times a second; callers expect their answers
 # in less than this time.
@@ -119,9 +123,11 @@
             pathlib.Path(file).read_text(encoding="utf-8")
         )
         settings_file = _SettingsFile.model_validate(document)
-        return result.Success(
-            (_build_settings(settings_file), settings_file.zones)
-        )
+        settings = _build_settings(settings_file)
+        faults = tuple(_check_hedge_share(settings))
+        if faults:
+            return result.Failure(faults)
+        return result.Success((settings, settings_file.zones))
     except pydantic.ValidationError as exc:
         return result.Failure(
             tuple(
@@ -174,11 +180,33 @@
         reuse_idle_s=REUSE_IDLE_S,
         retry_share=file.bounds.retryBudgetRatio * RETRY_RATIO_SHARE,
         retry_reserve=file.bounds.retryBudgetSlack * RETRY_RESERVE_SHARE,
+        hedge_share=_read_hedge_share(),
+        hedge_needs_slowness=True,
         link_mbps=file.limits.linkMbps,
         **common_fields,
     )
 
 
+def _read_hedge_share() -> float:
+    """Returns the share in the environment; NaN if it is not a number."""
+    try:
+        return float(os.environ.get(HEDGE_SHARE_VARIABLE) or 0.0)
+    except ValueError:
+        return math.nan
+
+
+def _check_hedge_share(
+    settings: data.Settings,
+) -> Iterator[documents.SettingError]:
+    if not 0.0 <= settings.hedge_share <= settings.retry_share:
+        yield documents.SettingError(
+            "environment",
+            HEDGE_SHARE_VARIABLE,
+            f"must be a number from 0 to {settings.retry_share:g}, the share "
+            "of retries",
+        )
+
+
 def parse_address(text: str | None) -> data.Address:
     """Parses an address of the form `IP:PORT`.
 
