--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -208,3 +208,34 @@
       | request_crashes_servers | not_run      | 503    |
       | no_route                | not_run      | 404    |
       | unauthenticated         | not_run      | 401    |
+
+  Scenario Outline: the load that a server states is read, <case>
+    Guards against a load that is read although it is malformed.
+
+    Then the Server-Load "<value>" is read as <load>
+
+    Examples:
+      | case                | value        | load          |
+      | without slowness    | 3,0,6        | 3 0 6 None    |
+      | with slowness       | 3, 1, 6, 250 | 3 1 6 250.0   |
+      | too short           | 3,0          | nothing       |
+      | too long            | 3,0,6,100,1  | nothing       |
+      | negative            | -3,0,6       | nothing       |
+      | not a number        | 3,0,6,nan    | nothing       |
+      | without bound       | 3,0,6,inf    | nothing       |
+      | a slowness of zero  | 3,0,6,0      | nothing       |
+      | too large           | 10000000,0,6 | nothing       |
+
+  Scenario Outline: the share of second copies is "<value>" in the environment
+    Given the platform's settings file of a router
+    Then with the hedge share "<value>" the settings have <result>
+
+    Examples:
+      | value | result                 |
+      |       | 0.0                    |
+      | 0.02  | 0.02                   |
+      | 0.1   | 0.1                    |
+      | 0.11  | WAXWINGRACK_HEDGE_SHARE |
+      | -1    | WAXWINGRACK_HEDGE_SHARE |
+      | nan   | WAXWINGRACK_HEDGE_SHARE |
+      | much  | WAXWINGRACK_HEDGE_SHARE |
--- a/features/settings_process.feature
+++ b/features/settings_process.feature
@@ -61,6 +61,8 @@
       | router     | $.max_body_bytes        | 16777217 | $.max_buffered_bytes  | 4 times max_body  |
       | router     | $.max_open_connections  | 0      | $.max_open_connections  | connections       |
       | router     | $.log_level             | "info" | $.log_level             | must be one of    |
+      | router     | $.hedge_share           | 0.11   | $.hedge_share           | at most retry_share (0.1) |
+      | router     | $.hedge_share           | -0.1   | $.hedge_share           | retries           |
 
   Scenario: an address other than loopback is accepted with TLS files
     Given valid settings of a router
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import re
 import tempfile
+import unittest.mock
 import urllib.parse
 
 import behave
@@ -418,3 +420,24 @@
     received = http_headers.Headers({"Server-Leaving": [value]})
     notice = headers.PlatformDialect().read_notice(status, received)
     assert notice.leaving == (result == "leaving"), notice
+
+
+@behave.then('the Server-Load "{value}" is read as {load}')
+def load_read(_, value, load):
+    received = http_headers.Headers({"Server-Load": [value]})
+    found = headers.PlatformDialect().read_notice(200, received).load
+    shown = found and " ".join(map(str, dataclasses.astuple(found)))
+    assert (shown or "nothing") == load, found
+
+
+@behave.then('with the hedge share "{value}" the settings have {expected}')
+@behave.then('with the hedge share "" the settings have {expected}')
+def hedge_share_read(context, expected, value=""):
+    variables = {settings.HEDGE_SHARE_VARIABLE: value}
+    with unittest.mock.patch.dict(os.environ, variables):
+        loaded = _load_settings(context)
+    if expected == settings.HEDGE_SHARE_VARIABLE:
+        assert [f.path for f in loaded.failure()] == [expected], loaded
+    else:
+        found, _ = loaded.unwrap()
+        assert str(found.hedge_share) == expected and found.hedge_needs_slowness
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -97,6 +97,9 @@
         self.hint_peer: data.Peer | None = None
         self.echo_lag_ms = 0
         self.refusal: errors.ErrorKind | None = None
+        # What becomes of the wants of second copies: "grant", "refuse",
+        # "ignore", or "drop" for a connection that breaks.
+        self.duplicates = "grant"
         self.key_state: dict[str, data.KeyState] = {}
         self.key_ignored: collections.Counter = collections.Counter()
         # Whether the first server that is not avoided gets each grant.
@@ -183,6 +186,9 @@
             self.wants.pop(sequence, None)
         for want in report.wants:
             self.wants[want.sequence] = want
+        if self.duplicates == "drop" and any(w.duplicate for w in report.wants):
+            conn.close()
+            return
         if self.environment and report.environment_number < self.number:
             self._push(conn)
         self.answer(conn)
@@ -208,7 +214,13 @@
         """Sends an update with what can be granted."""
         grants, refusals = [], []
         for want in list(self.wants.values()):
-            if self.refusal:
+            if want.duplicate and self.duplicates == "ignore":
+                continue
+            if want.duplicate and self.duplicates == "refuse":
+                kind = errors.ErrorKind.NO_SURPLUS
+                refusals.append(messages.Refusal(want.sequence, kind))
+                del self.wants[want.sequence]
+            elif self.refusal:
                 refusals.append(messages.Refusal(want.sequence, self.refusal))
                 del self.wants[want.sequence]
             elif self.granting and self.servers:
@@ -410,8 +422,12 @@
       runs: Requests received whole, by request id.
       seen: Heads and bodies of the requests received.
       cancelled: Requests whose connection was closed while they ran.
+      together: Futures of requests that wait to be answered at the same moment
+        as one of another server; shared by all servers.
     """
 
+    together: list[asyncio.Future] = []
+
     def __init__(self, server_id: str):
         self.id = server_id
         self.runs: collections.Counter = collections.Counter()
@@ -593,6 +609,35 @@
         await asyncio.sleep(float(query.get("pause", 0.5)))
         return await self._do_ok(writer, query, request_id, body, method)
 
+    async def _do_late_drop(self, writer, query, request_id, body, method):
+        await asyncio.sleep(0.2)
+
+    async def _do_late_refuse(self, writer, query, request_id, body, method):
+        await asyncio.sleep(0.2)
+        # Without the id, it would not be known whose refusal this is.
+        extra = f"Not-Executed: 1\r\nRequest-Id: {request_id}\r\n"
+        writer.write(_response(b"full", "503 X", extra))
+        return True
+
+    async def _do_late_stream(self, writer, query, request_id, body, method):
+        """Sends the head at once and the first event late."""
+        writer.write(_CHUNKS_OF_EVENTS)
+        await writer.drain()
+        await asyncio.sleep(0.4)
+        self._chunk(writer, "data: late\n\n")
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _do_together(self, writer, query, request_id, body, method):
+        """Answers at the same moment as the other server that does so."""
+        waiting = self.together
+        if waiting and not waiting[-1].done():
+            waiting[-1].set_result(None)
+        else:
+            waiting.append(asyncio.get_running_loop().create_future())
+            await waiting[-1]
+        return await self._do_ok(writer, query, request_id, body, method)
+
     async def _do_reset(self, writer, query, request_id, body, method):
         self._reset(writer)
 
--- a/waxwingrack/daemons/hedged_attempts.py
+++ b/waxwingrack/daemons/hedged_attempts.py
@@ -51,8 +51,8 @@
       send: Sends a copy; returns a Deferred of the head of its answer, which
         fires when its body has begun, or fails with NotSentError or
         NoAnswerError.
-      end: Reports the end of a copy, with its exception or None if it was
-        cancelled.
+      end: Reports the end of a copy, with its exception, or None if it was
+        cancelled, and the status of its answer, if one has begun.
       queue_duplicate: Asks for the grant of the second copy; returns a Deferred
         of its lease and a function that ends the wait, or None if there is no
         second copy.
@@ -60,7 +60,7 @@
     """
 
     send: Callable[[dispatch.Lease], defer.Deferred]
-    end: Callable[[dispatch.Lease, Exception | None], None]
+    end: Callable[[dispatch.Lease, Exception | None, int | None], None]
     queue_duplicate: Callable[
         [], tuple[defer.Deferred, Callable[[], None]] | None
     ]
@@ -145,7 +145,7 @@
     def _start_duplicate(self, lease: dispatch.Lease) -> None:
         self._stop_wait = None
         if lease.grant.server_id == self._first.grant.server_id:
-            self._actions.end(lease, None)
+            self._actions.end(lease, None, None)
             self.result = _Result.REFUSED
             return
         self.duplicate = lease
@@ -187,7 +187,7 @@
         cause.trap(forwarding.NotSentError, forwarding.NoAnswerError)
         self._copies.remove(copy)
         self._faults.append(cause.value.fault)
-        self._actions.end(copy.lease, cause.value)
+        self._actions.end(copy.lease, cause.value, None)
         if self._actions.is_caller_gone():
             self.cancel()
         elif not self._copies:
@@ -241,7 +241,8 @@
             self._stop_wait()
         copies, self._copies = self._copies, []
         for copy in copies:
-            self._actions.end(copy.lease, None)
+            status = copy.head and copy.head.status
+            self._actions.end(copy.lease, None, status)
             if copy.head is not None:
                 copy.head.response.discard()
             elif copy.deferred is not None:
@@ -346,23 +347,30 @@
             raise
         return dataclasses.replace(head, response=held)
 
-    def _end_copy(self, lease: dispatch.Lease, exc: Exception | None) -> None:
+    def _end_copy(
+        self, lease: dispatch.Lease, exc: Exception | None, status: int | None
+    ) -> None:
         """Reports the end of a copy; a cancelled one is no fault."""
-        if exc is None or (
-            self._caller_left and isinstance(exc, forwarding.NoAnswerError)
-        ):
-            outcome = (
-                data.Outcome.NOT_DISPATCHED
-                if lease.sent_ms is None
-                else data.Outcome.CANCELLED
-            )
-        else:
-            outcome = self._find_outcome(exc.fault)
         if isinstance(exc, forwarding.NotSentError):
             self._host.dispatcher.note_server(lease.grant, exc.notice)
+        outcome = self._find_copy_outcome(lease, exc, status)
         if outcome is data.Outcome.CONNECTION_LOST:
             self._host.dispatcher.report_crash_suspect(lease)
-        self._end_lease(lease, outcome)
+        self._end_lease(lease, outcome, status=status)
+
+    def _find_copy_outcome(
+        self, lease: dispatch.Lease, exc: Exception | None, status: int | None
+    ) -> data.Outcome:
+        if isinstance(exc, forwarding.NotSentError) or (
+            exc is not None and not self._caller_left
+        ):
+            return self._find_outcome(exc.fault)
+        if lease.sent_ms is None:
+            return data.Outcome.NOT_DISPATCHED
+        if status is not None and status >= hedging.FIRST_SERVER_ERROR:
+            # An answer that was set aside still shows that the server failed.
+            return data.Outcome.SERVER_ERROR
+        return data.Outcome.CANCELLED
 
     def _queue_duplicate(
         self,
--- a/waxwingrack/operations/hedging.py
+++ b/waxwingrack/operations/hedging.py
@@ -42,7 +42,7 @@
 MAX_SAVED_COPIES = 5.0
 # Statuses from this one on, and this one, show no answer that a caller wants
 # while another copy may still bring one.
-_FIRST_SERVER_ERROR = 500
+FIRST_SERVER_ERROR = 500
 _TOO_MANY_REQUESTS = 429
 
 
@@ -338,4 +338,4 @@
     Args:
       status: HTTP status of the answer.
     """
-    return status < _FIRST_SERVER_ERROR and status != _TOO_MANY_REQUESTS
+    return status < FIRST_SERVER_ERROR and status != _TOO_MANY_REQUESTS
