--- a/features/hedged_requests.feature
+++ b/features/hedged_requests.feature
@@ -96,6 +96,31 @@
       | the leader does not reply | ignore |
       | the leader is lost        | drop   |
 
+  Scenario: answers of every kind pass whole while a second copy is possible
+    Guards against an answer that is cut or stuck because its beginning was held.
+
+    Given a hedging router that speaks own with a share of 1.0
+    Then answers pass whole
+      | method | target                           | status | bytes   |
+      | HEAD   | /sketch/a                        | 200    | 0       |
+      | GET    | /sketch/a?do=status&code=204     | 204    | 0       |
+      | GET    | /sketch/a?do=json&text=          | 200    | 0       |
+      | GET    | /sketch/a?do=until_close         | 200    | 17      |
+      | GET    | /sketch/a?do=stream_until_close  | 200    | 18      |
+      | GET    | /sketch/a?do=large&bytes=9000000 | 200    | 9000000 |
+    And an answer that breaks after its first part is seen as broken
+
+  Scenario Outline: where it is required, only servers that state their slowness get second copies, <load>
+    Given a hedging router that needs a slowness
+    When a server states the load <load>
+    And the first server does slow, the second one ok and a caller asks
+    Then the router's backend servers ran <runs> request
+
+    Examples:
+      | load      | runs |
+      | 1,0,6     | 1    |
+      | 1,0,6,100 | 2    |
+
   Scenario: a request that must not be repeated is never duplicated
     Given a hedging router that speaks own with a share of 1.0
     When a caller sends a deposit that the first server handles slowly
--- a/features/steps/hedged_requests_steps.py
+++ b/features/steps/hedged_requests_steps.py
@@ -192,7 +192,7 @@
 @behave.given(
     "a hedging router that speaks {dialect} with a share of {share:g}"
 )
-def hedging_router(context, dialect, share):
+def hedging_router(context, dialect, share, **settings):
     world = router_answers_steps.start_world(
         context,
         2,
@@ -200,6 +200,7 @@
         dialect=dialect,
         retry_share=1.0,
         hedge_share=share,
+        **settings,
         shutdown_delay_s=0.1,
         shutdown_timeout_s=0.5,
     )
@@ -223,6 +224,18 @@
     context.granted.clear()
 
 
+@behave.given("a hedging router that needs a slowness")
+def strict_router(context):
+    hedging_router(context, "platform", 1.0, hedge_needs_slowness=True)
+
+
+@behave.when("a server states the load {load}")
+def state_load(context, load):
+    world = context.world
+    assert world.send("GET", f"/sketch/a?do=load&load={load}").status == 200
+    world.forget()
+
+
 @behave.given("its leader answers second copies with {act}")
 def leader_acts(context, act):
     context.world.leader.duplicates = act
@@ -258,6 +271,20 @@
             assert text == "data: late\n\n", reply
 
 
+@behave.then("answers pass whole")
+def pass_whole(context):
+    for row in context.table:
+        reply = context.world.send(row["method"], row["target"])
+        found = (reply.whole, str(reply.status), str(len(reply.body)))
+        assert found == (True, row["status"], row["bytes"]), (row, reply)
+
+
+@behave.then("an answer that breaks after its first part is seen as broken")
+def seen_as_broken(context):
+    reply = context.world.send("GET", "/sketch/a?do=cut_length")
+    assert reply.error and not reply.whole, reply
+
+
 def _list_ends(context):
     return {
         context.granted[item.grant][0]: item.outcome
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -482,7 +482,7 @@
         self.used.append(writer.get_extra_info("peername")[1])
         self.seen.append((method, target, headers, body))
         query = dict(
-            urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query)
+            urllib.parse.parse_qsl(urllib.parse.urlsplit(target).query, True)
         )
         act = query.get("do", "ok")
         if self.faults:
@@ -609,6 +609,11 @@
         await asyncio.sleep(float(query.get("pause", 0.5)))
         return await self._do_ok(writer, query, request_id, body, method)
 
+    async def _do_load(self, writer, query, request_id, body, method):
+        extra = f"Server-Load: {query['load']}\r\n"
+        writer.write(_response(b"load", extra=extra))
+        return True
+
     async def _do_late_drop(self, writer, query, request_id, body, method):
         await asyncio.sleep(0.2)
 
--- a/waxwingrack/daemons/hedged_attempts.py
+++ b/waxwingrack/daemons/hedged_attempts.py
@@ -268,7 +268,8 @@
     ) -> float | None:
         """Returns the delay of a second copy, None if there is none."""
         host = self._host
-        if host.hedge_policy.share <= 0:
+        # At a saturated router answers are late because of itself.
+        if host.hedge_policy.share <= 0 or host.load.saturated:
             return None
         route = admitted.route
         return hedging.find_delay(
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -28,6 +28,7 @@
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
+from waxwingrack.operations import saturation
 
 # Maximum wait for the confirmation of a key message while a caller waits.
 CONFIRM_WAIT_S = messages.CONTROL_TIMEOUT_MS / 1000
@@ -50,6 +51,7 @@
     retry_policy: router_queues.RetryPolicy
     hedge_policy: hedging.Policy
     hedges: hedging.Hedges
+    load: saturation.RouterLoad
     buffers: buffer_reservations.BufferReservations
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
