Share a service by max-min shares and schedule the returns of refused callers

forecast.py uses max-min shares of the demands, the time since the request arrived at its router (QueuedRequest.passed_ms, protocol version 7) and a learned reserve in place of 0.85 of the target. Retry-After is a place in a schedule of the workspace, returning callers are recognised, and large requests keep a minimum share.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -608,6 +608,8 @@
         queued; 0 if there is no deadline.
       target_ms: Time until the first byte of the answer that the caller
         expects; 0 if there is no such target.
+      passed_ms: Time since the caller's request arrived at the router, when the
+        request was reported; 0 without a latency target.
     """
 
     sequence: int
@@ -623,6 +625,7 @@
     output_tokens: int = 0
     left_ms: int = 0
     target_ms: int = 0
+    passed_ms: int = 0
 
 
 @quick_init
@@ -1441,6 +1444,22 @@
     reached: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstByteForecast:
+    """Forecast of the first byte of an answer, made when a request arrived.
+
+    Attributes:
+      since_ms: Time at which the caller's request arrived at its router, on the
+        leader's clock.
+      expected_ms: Expected time from then to the first byte.
+      target_ms: Latency target.
+    """
+
+    since_ms: int
+    expected_ms: float
+    target_ms: int
+
+
 @quick_init
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueEntry:
@@ -1451,12 +1470,18 @@
       request: The request.
       arrival_number: Number in order of arrival from all routers.
       arrived_ms: Time of arrival at the leader.
+      forecast: Forecast from which the error of forecasts is learned; None if
+        it is not.
+      kept_ms: Time after its arrival for which a request is kept although it
+        may be late; 0 for others.
     """
 
     router: str
     request: QueuedRequest
     arrival_number: int
     arrived_ms: int
+    forecast: FirstByteForecast | None = None
+    kept_ms: int = 0
 
 
 @quick_init
@@ -1589,6 +1614,8 @@
         not known.
       was_cold: Whether the server announced then that it was cold; None if
         servers of the service do not announce it.
+      forecast: Forecast made when its request arrived; None if nothing is
+        learned from it.
       weight: Weight of the workspace at the time of the grant.
       charged: Cost charged so far.
       cost: Cost reported so far.
@@ -1629,6 +1656,7 @@
     parts: tuple[str, ...] = ()
     expected_ms: float = 0.0
     was_cold: bool | None = None
+    forecast: FirstByteForecast | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 
 
@@ -206,6 +207,9 @@
 # Fraction of the mean by which `Retry-After` varies, so that callers that were
 # refused at the same time do not retry at the same time.
 RETRY_AFTER_JITTER = 0.5
+# Kinds whose known times are places in a schedule of the leader. They are
+# spread already, and room is kept for callers that come back at that time.
+SCHEDULED_KINDS = frozenset({ErrorKind.OVERLOADED})
 
 
 def compute_retry_after(
@@ -230,6 +234,8 @@
     mean_s = known_ms / 1000 if known_ms else ANSWERS[kind].retry_after_s
     if mean_s is None:
         return None
+    if known_ms and kind in SCHEDULED_KINDS:
+        return f"{mean_s:.2f}" if fractional else str(max(1, math.ceil(mean_s)))
     factor = rng.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
     if fractional:
         return f"{mean_s * factor:.2f}"
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -9,7 +9,7 @@
 
 # Processes refuse connections of another protocol version. The compact frames
 # of `wire` came with version 2.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Maximum interval between two reports of a router, in milliseconds.
 HEARTBEAT_MS = 250
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -373,6 +373,8 @@
       token_digest: Digest of the caller's token, None without a bearer token.
       read_delay_s: Time in seconds for which the request had been readable
         before it was read.
+      arrived_ms: Time at which the head of the request became readable, on the
+        router's clock.
       body_in_use: Whether the body must be kept when the connection ends; it
         is then released only by `release_body`.
     """
@@ -388,6 +390,7 @@
         self.token_digest: str | None = None
         self.body_in_use = False
         self.read_delay_s = 0.0
+        self.arrived_ms = 0
         self._received_bytes = 0
         self._body_reservation: buffer_reservations.Reservation | None = None
 
@@ -396,6 +399,7 @@
         self.content = io.BytesIO()
         self.read_delay_s = self.channel.take_read_delay_s()
         host = self.channel.site.host
+        self.arrived_ms = host.clock() - round(self.read_delay_s * 1000)
         values = self.requestHeaders.getRawHeaders(b"Authorization")
         self.token_digest = routing.digest_token(
             values[0].decode("latin-1") if values else None
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -90,10 +90,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _PendingGrant:
-    """The wait of a queued request for its grant."""
+    """The wait of a queued request for its grant.
+
+    Attributes:
+      deferred: Fires with the `Lease`.
+      timer: Ends the wait.
+      queued_ms: Time at which the request was queued.
+    """
 
     deferred: defer.Deferred
     timer: asyncio.TimerHandle
+    queued_ms: int
 
 
 class Dispatcher:
@@ -169,7 +176,9 @@
             sequence,
             RefusedError(errors.ErrorKind.QUEUE_TIMEOUT),
         )
-        self._pending_grants[sequence] = _PendingGrant(deferred, timer)
+        self._pending_grants[sequence] = _PendingGrant(
+            deferred, timer, self._clock()
+        )
         self._schedule_report(True)
         return sequence, deferred
 
@@ -478,6 +487,9 @@
         self.queues, queued_requests = router_queues.take_unreported(
             self.queues, max_queued
         )
+        queued_requests = tuple(
+            self._add_passed_time(queued, now_ms) for queued in queued_requests
+        )
         if first:
             return messages.RouterReport(
                 sent_ms=now_ms,
@@ -515,6 +527,20 @@
         self._crash_suspects.clear()
         return report
 
+    def _add_passed_time(
+        self, queued: data.QueuedRequest, now_ms: int
+    ) -> data.QueuedRequest:
+        """Adds the time in the queue to the time passed since the arrival."""
+        pending = self._pending_grants.get(queued.sequence)
+        if not queued.target_ms or pending is None:
+            return queued
+        waited_ms = max(0, now_ms - pending.queued_ms)
+        if not waited_ms:
+            return queued
+        return dataclasses.replace(
+            queued, passed_ms=queued.passed_ms + waited_ms
+        )
+
     def _take_progress(self, now_ms: int) -> tuple[data.CostProgress, ...]:
         reports = []
         for lease in self.leases.values():
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -337,6 +337,9 @@
             raise dispatch.RefusedError(errors.ErrorKind.CONTROL_UNAVAILABLE)
         if not self._can_be_answered():
             raise dispatch.RefusedError(errors.ErrorKind.SHUTTING_DOWN)
+        if queued.target_ms:
+            passed_ms = max(0, host.clock() - self._req.arrived_ms)
+            queued = dataclasses.replace(queued, passed_ms=passed_ms)
         sequence, grant_deferred = host.dispatcher.queue_request(
             queued,
             admitted.deadline_ms,
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -10,10 +10,10 @@
 capacity of the servers: prompt tokens that engines read, or milliseconds of
 slots. At engines with few places the answers that are being made may hold a
 request up for longer than the prompts ahead of it, so the later of both times
-counts. Workspaces with queued requests get shares in proportion to their
-weights. At model engines only more urgent requests count, and a workspace whose
-counter is not ahead of the others waits at most for the more urgent requests of
-all workspaces.
+counts. Shares are max-min shares of the demands (`contention.py`). At model
+engines only more urgent requests count. A workspace whose counter is not ahead
+of the others waits at most for the more urgent requests of all workspaces, and
+one within its share at most for those of the others within theirs.
 """
 
 from collections.abc import Iterable
@@ -23,7 +23,8 @@
 import immutables
 
 from waxwingrack.core import data
-from waxwingrack.core import errors
+from waxwingrack.operations import contention
+from waxwingrack.operations import contention_tables
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import fairness
 from waxwingrack.operations import leader_queues
@@ -45,9 +46,6 @@
 MIN_MEASURED_MS = 80.0
 # Time from a grant to the first byte, besides reading the prompt.
 FIRST_BYTE_OVERHEAD_MS = 15.0
-# Fraction of the latency target that a forecast may use. The rest is reserved
-# for unknown load, such as new requests of workspaces without queued ones.
-MAX_TARGET_FRACTION = 0.85
 # Cost of a request, in milliseconds of a slot, until one has ended.
 DEFAULT_SLOT_MS = 50.0
 # A workspace may be ahead of the others by its share of the engines over this
@@ -58,25 +56,12 @@
 MAX_WAIT_TARGETS = 2.0
 # Maximum number of requests of one queue that are sorted by urgency.
 MAX_SORTED_PER_QUEUE = 64
-# Shortest retry delay that a refused caller is given.
-MIN_RETRY_MS = 300
+# Lowest capacity that is taken for granted, in work per millisecond.
+MIN_RATE = 1e-6
 
 Transaction = tables_module.Transaction
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WaitForecast:
-    """Forecast for one queued request.
-
-    Attributes:
-      wait_ms: Time until its grant.
-      run_ms: Time from the grant to the first byte of its answer.
-    """
-
-    wait_ms: float
-    run_ms: float
-
-
 def record_unread_share(
     txn: Transaction,
     request: data.QueuedRequest,
@@ -164,88 +149,128 @@
         for router, sequence in txn.new_arrivals
         if (entry := _find_queue_entry(txn, router, sequence, service))
         is not None
-        and entry.request.target_ms
     ]
-    if not arrivals:
+    if not any(entry.request.target_ms for entry in arrivals):
         return
     capacity = _compute_capacity(txn, service)
     if capacity is None:
         return
-    if txn.environment_index.engine(service) is not None:
-        _refuse_late_engine_arrivals(txn, service, arrivals, capacity)
-        return
-    for entry in arrivals:
-        queued_cost = _sum_queued_cost(txn, service, entry.request.workspace)
-        ahead = _Ahead(queued_cost - _estimate_cost(txn, entry.request))
-        _refuse_if_late(
-            txn, entry, _forecast_wait(txn, entry.request, ahead, capacity)
+    returning = contention_tables.record_arrivals(
+        txn,
+        service,
+        [(entry, _estimate_cost(txn, entry.request)) for entry in arrivals],
+    )
+    entries = list(
+        itertools.chain.from_iterable(
+            queue.entries.values()
+            for queue in leader_queues.list_workspace_queues(txn, service)
         )
+    )
+    if txn.environment_index.engine(service) is not None:
+        entries = _sort_entries(txn, entries)
+    else:
+        entries.sort(key=lambda entry: entry.arrival_number)
+    _refuse_late_entries(
+        txn,
+        service,
+        [(entry, _estimate_cost(txn, entry.request)) for entry in entries],
+        {entry.arrival_number for entry in arrivals if entry.request.target_ms},
+        returning,
+        capacity,
+    )
 
 
-def _refuse_late_engine_arrivals(
+def _refuse_late_entries(
     txn: Transaction,
     service: str,
-    arrivals: list[data.QueueEntry],
+    entries: list[tuple[data.QueueEntry, float]],
+    new_arrivals: set[int],
+    returning: frozenset[int],
     capacity: "_Capacity",
 ) -> None:
-    """Refuses new requests that would wait too long for a model engine.
+    """Refuses new requests that would wait too long.
+
+    One pass over all queued requests adds up the work ahead of each new
+    request: all that of its workspace that is served earlier and, for a
+    workspace within its share, at most that of all workspaces within theirs.
 
-    One pass over all queued requests, the most urgent first, adds up the work
-    ahead of each new request.
+    Args:
+      txn: Tables.
+      service: Service.
+      entries: Queued requests and their work, in order of service.
+      new_arrivals: Arrival numbers of the requests to decide.
+      returning: Arrival numbers of returning requests.
+      capacity: Capacity of the service.
     """
-    new_arrivals = {entry.arrival_number for entry in arrivals}
+    shares = _compute_shares(txn, service, entries, capacity)
+    is_engine = txn.environment_index.engine(service) is not None
+    queued = {entry.request.workspace for entry, _ in entries}
     counters = {
         workspace: tables_module.get_account(txn, service, workspace).counter
-        for workspace in txn.backlog[service]
+        for workspace in queued
     }
     limit = min(counters.values()) + _compute_counter_lead(
         txn, service, capacity
     )
-    total = _Ahead()
+    is_within = {workspace: shares.is_within(workspace) for workspace in queued}
+    total = total_within = _Ahead()
     own = dict.fromkeys(counters, total)
-    for entry in _sort_entries(
-        txn,
-        itertools.chain.from_iterable(
-            queue.entries.values()
-            for queue in leader_queues.list_workspace_queues(txn, service)
-        ),
-    ):
+    pending_room = dict.fromkeys(counters, 0.0)
+    for entry, cost in entries:
+        if entry.arrival_number in returning:
+            pending_room[entry.request.workspace] += cost
+    for entry, cost in entries:
         workspace = entry.request.workspace
+        is_returning = entry.arrival_number in returning
+        if is_returning:
+            pending_room[workspace] -= cost
         if entry.arrival_number in new_arrivals:
             ahead = own[workspace]
-            forecast = _forecast_wait(txn, entry.request, ahead, capacity)
-            if counters[workspace] + ahead.cost <= limit:
-                wait_ms = min(
-                    forecast.wait_ms, _compute_wait_ms(total, capacity, 1.0)
-                )
-                forecast = WaitForecast(wait_ms, forecast.run_ms)
-            if _refuse_if_late(txn, entry, forecast):
+            share = shares.get_rate(workspace) / shares.rate
+            wait_ms = _compute_wait_ms(ahead, capacity, share)
+            if is_engine and counters[workspace] + ahead.cost <= limit:
+                wait_ms = min(wait_ms, _compute_wait_ms(total, capacity, 1.0))
+            if is_engine and is_within[workspace]:
+                within_ms = _compute_wait_ms(total_within, capacity, 1.0)
+                wait_ms = min(wait_ms, within_ms)
+            candidate = contention_tables.Candidate(
+                entry,
+                cost,
+                wait_ms,
+                _estimate_first_byte_ms(txn, entry.request, capacity),
+                txn.pools[service].run_ms,
+                pending_room[workspace],
+            )
+            if contention_tables.decide(txn, candidate, shares, is_returning):
                 continue
-        cost = _estimate_cost(txn, entry.request)
         total = total.add(cost)
+        if is_within[workspace]:
+            total_within = total_within.add(cost)
         own[workspace] = own[workspace].add(cost)
 
 
-def _refuse_if_late(
-    txn: Transaction, entry: data.QueueEntry, forecast: WaitForecast
-) -> bool:
-    """Refuses a request that would be served too late.
+def _compute_shares(
+    txn: Transaction,
+    service: str,
+    entries: list[tuple[data.QueueEntry, float]],
+    capacity: "_Capacity",
+) -> contention.Shares:
+    """Computes the shares of the workspaces in the work done.
 
-    Returns:
-      Whether the request was refused.
+    Where the places of engines limit it, the work done is less than what the
+    engines could read.
     """
-    slack_ms = MAX_TARGET_FRACTION * entry.request.target_ms - forecast.run_ms
-    if forecast.wait_ms <= max(slack_ms, FIRST_BYTE_OVERHEAD_MS):
-        return False
-    leader_queues.refuse_request(
-        txn,
-        entry.router,
-        entry.request.sequence,
-        errors.ErrorKind.OVERLOADED,
-        f"{forecast.wait_ms:.0f} ms to wait of {slack_ms:.0f} ms",
-        max(MIN_RETRY_MS, round(forecast.wait_ms - slack_ms)),
+    queued: dict[str, float] = {}
+    for entry, cost in entries:
+        workspace = entry.request.workspace
+        queued[workspace] = queued.get(workspace, 0.0) + cost
+    rate = capacity.rate
+    if capacity.freed_places and entries:
+        mean_cost = sum(queued.values()) / len(entries)
+        rate = min(rate, capacity.freed_places * mean_cost)
+    return contention_tables.compute_shares(
+        txn, service, queued, max(MIN_RATE, rate)
     )
-    return True
 
 
 def refuse_overdue_requests(txn: Transaction, service: str) -> None:
@@ -262,23 +287,29 @@
         for entry in queue.entries.values()
         if entry.request.target_ms
         and txn.now_ms - entry.arrived_ms
-        >= MAX_WAIT_TARGETS * entry.request.target_ms
+        >= max(MAX_WAIT_TARGETS * entry.request.target_ms, entry.kept_ms)
     ]
     capacity = _compute_capacity(txn, service) if overdue else None
     if capacity is None:
         return
+    entries = [
+        (entry, _estimate_cost(txn, entry.request))
+        for queue in leader_queues.list_workspace_queues(txn, service)
+        for entry in queue.entries.values()
+    ]
+    shares = _compute_shares(txn, service, entries, capacity)
     for entry in overdue:
-        queued_cost = _sum_queued_cost(txn, service, entry.request.workspace)
-        wait_ms = _forecast_wait(
-            txn, entry.request, _Ahead(queued_cost), capacity
-        ).wait_ms
-        leader_queues.refuse_request(
+        workspace = entry.request.workspace
+        rate = shares.get_rate(workspace)
+        queued = _Ahead(_sum_queued_cost(txn, service, workspace))
+        contention_tables.record_late_refusal(txn, entry.request)
+        contention_tables.refuse(
             txn,
-            entry.router,
-            entry.request.sequence,
-            errors.ErrorKind.OVERLOADED,
+            entry,
             f"waited {txn.now_ms - entry.arrived_ms} ms",
-            max(MIN_RETRY_MS, round(wait_ms)),
+            _estimate_cost(txn, entry.request),
+            _compute_wait_ms(queued, capacity, rate / shares.rate),
+            rate,
         )
 
 
@@ -323,10 +354,15 @@
 def _make_urgency_key(
     txn: Transaction, entry: data.QueueEntry
 ) -> tuple[bool, int, int]:
-    due_ms = entry.arrived_ms + (
-        entry.request.target_ms or engine_load.DEFAULT_TARGET_MS
+    target_ms = entry.request.target_ms or engine_load.DEFAULT_TARGET_MS
+    if entry.kept_ms:
+        # It is late in any case, so it must not pass what can come in time.
+        target_ms = round(MAX_WAIT_TARGETS * target_ms)
+    due_ms = entry.arrived_ms + target_ms
+    is_late = (
+        not entry.kept_ms
+        and txn.now_ms + _estimate_run_ms(txn, entry.request) > due_ms
     )
-    is_late = txn.now_ms + _estimate_run_ms(txn, entry.request) > due_ms
     return (is_late, due_ms, entry.arrival_number)
 
 
@@ -444,20 +480,15 @@
     return max(read_ms, waiting_for_place / (capacity.freed_places * share))
 
 
-def _forecast_wait(
-    txn: Transaction,
-    request: data.QueuedRequest,
-    ahead: _Ahead,
-    capacity: _Capacity,
-) -> WaitForecast:
-    weight = txn.environment_index.weight(request.workspace)
-    share = weight / max(weight, _sum_weights(txn, request.service))
-    run_ms = (
+def _estimate_first_byte_ms(
+    txn: Transaction, request: data.QueuedRequest, capacity: _Capacity
+) -> float:
+    """Returns the expected time from the grant to the first byte."""
+    return (
         FIRST_BYTE_OVERHEAD_MS
         + capacity.queue_ms
         + _estimate_run_ms(txn, request)
     )
-    return WaitForecast(_compute_wait_ms(ahead, capacity, share), run_ms)
 
 
 def _estimate_run_ms(txn: Transaction, request: data.QueuedRequest) -> float:
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -773,6 +773,7 @@
         was_cold=assignment.server.cold_until_ms > txn.now_ms
         if txn.environment_index.announces_cold(request.service)
         else None,
+        forecast=assignment.entry.forecast,
     )
     if txn.suspicions:
         crash_evidence.start_trial(txn, txn.grants[key], key)
--- a/waxwingrack/operations/leader_queues.py
+++ b/waxwingrack/operations/leader_queues.py
@@ -101,6 +101,18 @@
     )
 
 
+def replace_entry(txn: Transaction, entry: data.QueueEntry) -> None:
+    """Replaces the entry of a queued request that is not isolated."""
+    position = get_position(txn, entry)
+    key = (position.service, position.workspace)
+    queues = txn.queues[key]
+    queue = queues[position.avoided_servers]
+    queue = data.RequestQueue(
+        queue.entries.set(position.index, entry), queue.head, queue.tail
+    )
+    txn.queues[key] = queues.set(position.avoided_servers, queue)
+
+
 def find_hold(txn: Transaction, request: data.QueuedRequest) -> crashes.Hold:
     """Finds out whether a crash suspect may run beside other requests now."""
     if not txn.suspicions:
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -27,6 +27,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.core import messages
+from waxwingrack.operations import contention_tables
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import crashes
 from waxwingrack.operations import engine_load
@@ -352,6 +353,7 @@
         load = engine_load.mark_answer_started(row.load, key, txn.now_ms)
         txn.servers[grant.server_id] = data.evolve(row, load=load)
         if not reservation.answer_started:
+            contention_tables.record_first_byte(txn, grant, txn.now_ms)
             _add_sample(txn, grant, started.first_byte_ms)
 
 
@@ -525,6 +527,11 @@
     if outcome is data.Outcome.COMPLETED:
         if txn.environment_index.engine(grant.service) is not None:
             forecast.record_run_time(txn, grant.service, finished.duration_ms)
+        if not latency_known:
+            streamed_ms = finished.duration_ms - finished.first_byte_ms
+            contention_tables.record_first_byte(
+                txn, grant, txn.now_ms - max(0.0, streamed_ms)
+            )
         for suspect in (grant.digest, *grant.parts):
             if suspect in txn.suspicions:
                 _clear_suspect(txn, suspect)
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -107,6 +107,7 @@
       crashing_digests: Time of the tick that last reported a digest to be
         refused, by digest; negative if none has.
       pauses: `data.ServerPause` by (router, server id).
+      contention: `contention.ServiceLoad` by service.
       timers: Pairs of timer kind and key, by timer step.
       broken_connections: `data.BrokenConnections` by (server id, incarnation).
       evidence_ms: Time at which the former leader sent the evidence about
@@ -146,6 +147,7 @@
     suspicions: immutables.Map = immutables.Map()
     crashing_digests: immutables.Map = immutables.Map()
     pauses: immutables.Map = immutables.Map()
+    contention: immutables.Map = immutables.Map()
     timers: immutables.Map = immutables.Map()
     broken_connections: immutables.Map = immutables.Map()
     evidence_ms: int = -1
@@ -204,6 +206,7 @@
         self.suspicions = tables.suspicions.mutate()
         self.crashing_digests = tables.crashing_digests.mutate()
         self.pauses = tables.pauses.mutate()
+        self.contention = tables.contention.mutate()
         self.timers = tables.timers.mutate()
         self.free_totals = tables.free_totals.mutate()
         self.term = tables.term
