--- a/waxwingrack/operations/contention.py
+++ b/waxwingrack/operations/contention.py
@@ -364,9 +364,9 @@
             load, next_return_ms=now_ms + delay_ms + place / work.rate
         )
     else:
+        load = data.evolve(load, refused=load.refused + 1)
         spread = load.refused * _GOLDEN_RATIO % 1
         delay_ms = limit_ms * (1 - SPREAD_FRACTION * spread)
-        load = data.evolve(load, refused=load.refused + 1)
     retry_ms = max(MIN_RETRY_MS, round(delay_ms))
     key = (work.workspace, work.digest)
     if work.digest and (
