--- a/waxwingrack/operations/shedding.py
+++ b/waxwingrack/operations/shedding.py
@@ -5,6 +5,11 @@
 their requests, so the router closes some of these connections, each after a
 whole answer. It closes none before the load balancer has seen that it is not
 ready: until then the callers would come back to the same router.
+
+Where new connections keep arriving after that, the load balancer has no other
+router: this one is alone in its data centre, or all of them are saturated.
+Closing connections would then only add handshakes, so the router keeps them and
+serves what it can.
 """
 
 import dataclasses
@@ -18,6 +23,12 @@
 # Time in which the surplus connections are closed. A shorter one would hand the
 # whole load to the next router at once.
 SHED_TIME_S = 1.0
+# Length of the periods in which new connections are counted. It holds the time
+# in which a load balancer applies a readiness check.
+ARRIVAL_PERIOD_S = 1.0
+# Consecutive periods with new connections after which the router is taken to be
+# the only one. The first period may hold connections from before the change.
+ALONE_PERIODS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,16 +39,28 @@
       failed_checks: Consecutive readiness checks that found the router
         saturated, up to `CHECKS_TO_REROUTE`.
       credit: Number of connections to close; a fraction counts later.
+      period_s: Length of the present period so far, in seconds.
+      period_arrivals: New connections in the present period.
+      arrival_periods: Latest consecutive periods with new connections, up to
+        `ALONE_PERIODS`.
     """
 
     failed_checks: int = 0
     credit: float = 0.0
+    period_s: float = 0.0
+    period_arrivals: int = 0
+    arrival_periods: int = 0
 
     @property
     def is_rerouted(self) -> bool:
         """Whether the load balancer sends new connections elsewhere."""
         return self.failed_checks >= CHECKS_TO_REROUTE
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether the load balancer has no other router to send callers to."""
+        return self.arrival_periods >= ALONE_PERIODS
+
 
 def note_check(shedding: Shedding, saturated: bool) -> Shedding:
     """Records a readiness check.
@@ -65,7 +88,7 @@
       connections: Connections that got an answer since the last sample.
       elapsed_s: Time since the last sample.
     """
-    if not shedding.is_rerouted or use <= TARGET_USE:
+    if not shedding.is_rerouted or shedding.is_alone or use <= TARGET_USE:
         return dataclasses.replace(shedding, credit=0.0)
     surplus = connections * (1.0 - TARGET_USE / use)
     return dataclasses.replace(
@@ -77,6 +100,34 @@
     )
 
 
+def note_arrivals(
+    shedding: Shedding, arrivals: int, elapsed_s: float
+) -> Shedding:
+    """Records the new connections of callers since the last sample.
+
+    Args:
+      shedding: State before the sample.
+      arrivals: Connections that callers have opened.
+      elapsed_s: Time since the last sample.
+    """
+    if not shedding.is_rerouted:
+        return shedding
+    period_s = shedding.period_s + max(0.0, elapsed_s)
+    period_arrivals = shedding.period_arrivals + arrivals
+    if period_s < ARRIVAL_PERIOD_S:
+        return dataclasses.replace(
+            shedding, period_s=period_s, period_arrivals=period_arrivals
+        )
+    return dataclasses.replace(
+        shedding,
+        period_s=0.0,
+        period_arrivals=0,
+        arrival_periods=min(ALONE_PERIODS, shedding.arrival_periods + 1)
+        if period_arrivals > 0
+        else 0,
+    )
+
+
 def take_connection(shedding: Shedding) -> tuple[Shedding, bool]:
     """Decides whether to close the connection of an answer that begins.
 
