Pace what a router relays and measure all of its resources

A router whose link was full of bodies and streams lost its leader. The time that a body waits for the link does not count as time of the server.

Processor time, buffered bytes and descriptors count towards saturation, with capacities from the settings. Retry-After of router_saturated is the backlog of the router divided by its rate.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -451,6 +451,10 @@
       exposure_reserve: Number of requests that it may get beyond that share.
       link_mbps: Capacity of a router's network link in each direction, in
         megabits per second; 0 if it is not known.
+      max_descriptors: Maximum number of open descriptors of a router; 0 leaves
+        it to the limit of the process.
+      processor_cores: Cores that a router may use, in cores; 0 if it is not
+        known.
     """
 
     role: Role
@@ -485,6 +489,8 @@
     max_exposure: float = 1.0
     exposure_reserve: int = 0
     link_mbps: float = 0.0
+    max_descriptors: int = 0
+    processor_cores: float = 0.0
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -69,8 +69,8 @@
     def record_failure(self, name: str, exc: BaseException) -> None:
         """Logs and counts an unexpected exception."""
 
-    def count_relayed(self, size: int) -> None:
-        """Counts received bytes of requests and answers."""
+    def count_received(self, transport: Any, size: int) -> None:
+        """Counts and paces received bytes of requests."""
 
 
 class CallersSite(server.Site):
@@ -79,6 +79,7 @@
     Attributes:
       host: The router.
       channels: Open connections of callers.
+      accepted: Number of connections that callers have opened.
     """
 
     def __init__(self, resource: Any, host: Host):
@@ -91,6 +92,7 @@
         self.displayTracebacks = False
         self.host = host
         self.channels: set[CallersChannel] = set()
+        self.accepted = 0
 
     def log(self, request: http.Request) -> None:
         """Writes no access log; decisions are logged instead."""
@@ -140,6 +142,7 @@
             return
         self.over_limit = len(self.site.channels) >= limit
         self.site.channels.add(self)
+        self.site.accepted += 1
 
     def _apply_limits(self) -> None:
         """Applies the limits in force; called before each request."""
@@ -159,7 +162,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Starts the time limit of a request that is received in part."""
         host = self.site.host
-        host.count_relayed(len(data))
+        host.count_received(self.transport, len(data))
         if self.brings_new_work and not self._request_begun:
             self._read_delay_s = event_loop.find_read_delay_s(host.reactor)
         super().dataReceived(data)
@@ -319,6 +322,11 @@
                 self.site.host.settings.close_timeout_s, self.forceAbortClient
             )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller has not taken yet."""
+        return 0 if self.transport is None else self._unsent_bytes()
+
     def _unsent_bytes(self) -> int:
         conn = self.transport
         return len(conn.dataBuffer) - conn.offset + conn._tempDataLen
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -117,6 +117,8 @@
         self._pending_grants: dict[int, _PendingGrant] = {}
         # Grants that waiting requests got since the count was last taken.
         self._grant_count = 0
+        # Whether requests have waited ever since the last sample.
+        self._is_backlogged = False
         self._withdrawn_sequences: list[int] = []
         self._finished_requests: list[data.FinishedRequest] = []
         self._started_answers: list[data.StartedAnswer] = []
@@ -226,6 +228,7 @@
             return
         pending.timer.cancel()
         self._grant_count += 1
+        self._is_backlogged = self._is_backlogged and bool(self.queues.requests)
         lease = Lease(grant, entry.request, entry.first_sequence, echo_ms)
         self.leases[grant.term, grant.id] = lease
         pending.deferred.callback(lease)
@@ -235,6 +238,13 @@
         count, self._grant_count = self._grant_count, 0
         return count
 
+    def take_backlogged(self) -> bool:
+        """Returns whether requests have waited ever since the last call."""
+        has_queue = bool(self.queues.requests)
+        was_backlogged = self._is_backlogged and has_queue
+        self._is_backlogged = has_queue
+        return was_backlogged
+
     def report_answer_start(self, lease: Lease, first_byte_ms: float) -> None:
         """Reports that the answer to a granted request has begun.
 
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -124,6 +124,8 @@
             collections.OrderedDict()
         )
         self._readable_since_s: float | None = None
+        # Descriptors that are not read before a time, with its timer.
+        self._held_readers: dict[Any, asyncio.TimerHandle] = {}
         self._loop = loop
         super().__init__(loop)
         selector = getattr(loop, "_selector", None)
@@ -155,7 +157,10 @@
 
     def addReader(self, reader: Any) -> None:
         """Watches a descriptor for reading; see `IReactorFDSet`."""
-        if reader not in self._readers:
+        if reader in self._held_readers:
+            # It is watched once the hold is over.
+            self._readers[reader] = reader.fileno()
+        elif reader not in self._readers:
             fd = reader.fileno()
             try:
                 self._loop.add_reader(fd, self._handle_readable, reader)
@@ -169,8 +174,36 @@
     def removeReader(self, reader: Any) -> None:
         """Stops reading; see `IReactorFDSet`."""
         self._new_work.pop(reader, None)
+        if reader in self._held_readers:
+            self._readers.pop(reader, None)
+            return
         super().removeReader(reader)
 
+    def hold_reading(self, reader: Any, delay_s: float) -> None:
+        """Does not read a descriptor for some time.
+
+        Others may stop and resume its reading meanwhile; what they last asked
+        for applies after the hold.
+
+        Args:
+          reader: Descriptor that is being read.
+          delay_s: Length of the hold in seconds.
+        """
+        if reader not in self._readers or reader in self._held_readers:
+            return
+        self._new_work.pop(reader, None)
+        self._loop.remove_reader(self._readers[reader])
+        self._held_readers[reader] = self._loop.call_later(
+            delay_s, self._end_hold, reader
+        )
+
+    def _end_hold(self, reader: Any) -> None:
+        del self._held_readers[reader]
+        if self._readers.pop(reader, None) is not None and (
+            reader.fileno() != -1
+        ):
+            self.addReader(reader)
+
     def _handle_readable(self, reader: Any) -> None:
         if not (self._can_defer and _brings_new_work(reader)):
             self._handle_event(reader, True)
@@ -394,6 +427,19 @@
     return isinstance(reactor, _Reactor) and reactor.awaits_reading(transport)
 
 
+def hold_reading(transport: Any, delay_s: float) -> None:
+    """Does not read a connection for some time.
+
+    Args:
+      transport: Transport of the connection; nothing is done for one of a
+        reactor of another kind.
+      delay_s: Length of the hold in seconds.
+    """
+    reactor = getattr(transport, "reactor", None)
+    if isinstance(reactor, _Reactor):
+        reactor.hold_reading(transport, delay_s)
+
+
 def find_read_delay_s(reactor: Any) -> float:
     """Returns how long the bytes that are being read have waited, in seconds.
 
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -223,13 +223,18 @@
         self, workspace: data.Workspace, target_ms: int
     ) -> None:
         """Refuses a request that would wait too long at this router."""
+        waited_ms = self._req.read_delay_s * 1000
+        # Without a target, a request is not late because it waits for the link.
+        link_ms = self._host.pacer.find_wait_ms() if target_ms else 0.0
         wait_ms = self._host.find_local_wait(
-            workspace.id, target_ms, self._req.read_delay_s * 1000
+            workspace.id, target_ms, waited_ms + link_ms
         )
         if wait_ms is not None:
             raise dispatch.RefusedError(
                 errors.ErrorKind.ROUTER_SATURATED,
                 reason=f"{wait_ms:.0f} ms to wait, target {target_ms} ms",
+                # The time until the backlog of this router has drained.
+                retry_after_ms=round(wait_ms - waited_ms),
             )
 
     def _find_workspace(self, matched: result.Result) -> data.Workspace:
@@ -498,7 +503,11 @@
         self, admitted: keyed_requests.AdmittedRequest
     ) -> float:
         left_ms = self._remaining_ms()
-        limit_s = admitted.service.answer_timeout_s
+        # The server cannot answer a body that still waits for the link.
+        limit_s = (
+            admitted.service.answer_timeout_s
+            + self._host.pacer.estimate_write_s(len(admitted.body))
+        )
         return limit_s if left_ms is None else min(limit_s, left_ms / 1000)
 
     def _has_body(self, admitted: keyed_requests.AdmittedRequest) -> bool:
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -150,13 +150,14 @@
     def __init__(
         self,
         quiescent_callback: Callable[[Any], None],
-        count_received: Callable[[int], None],
+        count_received: Callable[[Any, int], None],
     ):
         """Prepares a connection.
 
         Args:
           quiescent_callback: Called when the connection can be used again.
-          count_received: Called with the number of bytes received.
+          count_received: Called with the transport and the number of bytes
+            received.
         """
         super().__init__(quiescent_callback)
         self._count_received = count_received
@@ -172,7 +173,7 @@
         The parser limits each line of a head, but not their number, and a
         server in trouble may send without end.
         """
-        self._count_received(len(data))
+        self._count_received(self.transport, len(data))
         super().dataReceived(data)
         parser = self._parser
         if parser is None or parser.state not in _HEAD_STATES:
@@ -220,7 +221,7 @@
 class _ConnectionFactory(client._HTTP11ClientFactory):
     def __init__(
         self,
-        count_received: Callable[[int], None],
+        count_received: Callable[[Any, int], None],
         quiescent_callback: Callable[[Any], None],
         metadata: str,
     ):
@@ -241,7 +242,9 @@
     cachedConnectionTimeout = POOL_IDLE_TIMEOUT_S
     retryAutomatically = False
 
-    def __init__(self, reactor: Any, count_received: Callable[[int], None]):
+    def __init__(
+        self, reactor: Any, count_received: Callable[[Any, int], None]
+    ):
         super().__init__(reactor)
         self._factory = functools.partial(_ConnectionFactory, count_received)
 
@@ -300,9 +303,21 @@
         self,
         reactor: Any,
         dialect: dialects.Dialect = dialects.OWN,
-        count_received: Callable[[int], None] = lambda size: None,
+        count_received: Callable[[Any, int], None] = lambda _, size: None,
+        make_producer: Callable[[bytes], Any] = lambda _: None,
     ):
+        """Prepares the connections.
+
+        Args:
+          reactor: The reactor.
+          dialect: Header names towards backend servers.
+          count_received: Called with a transport and the number of bytes that
+            it received.
+          make_producer: Returns the producer of a body; None for one that
+            writes it at once.
+        """
         self._reactor = reactor
+        self._make_producer = make_producer
         self._dialect = dialect
         self._pool = _Pool(reactor, count_received)
         self._cached_endpoint = functools.lru_cache(MAX_CACHED_ENDPOINTS)(
@@ -346,7 +361,7 @@
                 outgoing.method,
                 outgoing.uri,
                 outgoing.headers,
-                None if outgoing.body is None else BytesProducer(outgoing.body),
+                self._build_producer(outgoing.body),
                 persistent=outgoing.reuse_idle_s > 0,
             )
             is_idle = conn.state == "QUIESCENT"
@@ -363,6 +378,11 @@
             )
         return await self._await_answer_head(conn, req, outgoing)
 
+    def _build_producer(self, body: bytes | None) -> Any:
+        if body is None:
+            return None
+        return self._make_producer(body) or BytesProducer(body)
+
     async def _await_answer_head(
         self, conn: BackendConnection, req: Any, outgoing: OutgoingRequest
     ) -> AnswerHead:
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -23,6 +23,7 @@
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import link_pacer
 from waxwingrack.daemons import router_metrics
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
@@ -48,6 +49,7 @@
     dialect: dialects.Dialect
     retry_policy: router_queues.RetryPolicy
     buffers: buffer_reservations.BufferReservations
+    pacer: link_pacer.LinkPacer
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
     open_requests: collections.Counter
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -29,11 +29,12 @@
 from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
-from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import exchanges
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import link_pacer
 from waxwingrack.daemons import listening
 from waxwingrack.daemons import router_metrics
+from waxwingrack.daemons import router_resources
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
 from waxwingrack.operations import local_waits
@@ -86,7 +87,8 @@
       closing: Whether new requests are refused.
       draining: Whether the router shuts down.
       answer_times: Times of the answers by service and route.
-      load: Load of the processor and of the network link.
+      load: Load of the busiest resource.
+      pacer: Paces the bytes on the network link.
     """
 
     def __init__(
@@ -133,7 +135,10 @@
         self.answer_times: dict[tuple[str, str], stopping.AnswerTimes] = {}
         self.load = saturation.RouterLoad()
         self._load_task: asyncio.Task | None = None
-        self._relayed_bytes = 0
+        self._resources = router_resources.ResourceMeter(settings)
+        self._use = saturation.ResourceUse()
+        # Connections that callers had opened by the last sample.
+        self._accepted = 0
         self._shedding = shedding.Shedding()
         self._grant_rate = local_waits.GrantRate()
         # Connections that got an answer since the last sample of the load.
@@ -168,8 +173,12 @@
             raise ValueError("a router needs the address of its callers' port")
         self.reactor = reactor
         logger.globalLogPublisher.addObserver(self._observe_log_event)
+        self.pacer = link_pacer.LinkPacer(reactor, self.settings.link_mbps)
         self.forwarder = forwarding.Forwarder(
-            reactor, self.dialect, self.count_relayed
+            reactor,
+            self.dialect,
+            self._count_answer,
+            self.pacer.make_producer,
         )
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
@@ -270,20 +279,13 @@
             self.record_failure("twisted_failure", error.value)
 
     async def _watch_load(self) -> None:
-        meter = event_loop.BusyMeter()
-        sampled_s = time.monotonic()
         while True:
             await asyncio.sleep(saturation.SAMPLE_S)
-            now_s = time.monotonic()
-            elapsed_s, sampled_s = now_s - sampled_s, now_s
-            relayed_bytes, self._relayed_bytes = self._relayed_bytes, 0
-            use = saturation.ResourceUse(
-                meter.read(),
-                saturation.compute_link_use(
-                    relayed_bytes, elapsed_s, self.settings.link_mbps
-                ),
+            self._use, elapsed_s = self._resources.sample(
+                self.buffers.table.total
+                + router_resources.count_unsent_bytes(self._site.channels)
             )
-            self._apply_load_sample(use, elapsed_s)
+            self._apply_load_sample(self._use, elapsed_s)
 
     def _note_load_task_end(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -292,21 +294,36 @@
     def _apply_load_sample(
         self, use: saturation.ResourceUse, elapsed_s: float
     ) -> None:
-        was_saturated = self.load.saturated
+        was_saturated, was_alone = self.load.saturated, self._shedding.is_alone
         self.load = saturation.add_sample(self.load, use.highest)
         self._grant_rate = local_waits.add_sample(
-            self._grant_rate, self.dispatcher.take_grant_count(), elapsed_s
+            self._grant_rate,
+            self.dispatcher.take_grant_count(),
+            elapsed_s,
+            self.dispatcher.take_backlogged(),
         )
         active = len(self._answered_channels)
         self._answered_channels.clear()
+        arrivals = self._site.accepted - self._accepted
+        self._accepted = self._site.accepted
         self._shedding = shedding.add_credit(
-            self._shedding, use.highest, active, elapsed_s
+            shedding.note_arrivals(self._shedding, arrivals, elapsed_s),
+            use.highest,
+            active,
+            elapsed_s,
         )
+        if self._shedding.is_alone and not was_alone:
+            logs.event("no_other_router", connections=len(self._site.channels))
         if self.load.saturated == was_saturated:
             return
         fields = {
             "busy": round(use.loop, 2),
             "link": round(use.link, 2),
+            "processor": round(use.processor, 2),
+            "memory": round(use.memory, 2),
+            "descriptors": round(use.descriptors, 2),
+            "busiest": use.busiest,
+            "relapses": self.load.relapses,
             "open": len(self._exchanges),
             "connections": len(self._site.channels),
             "shed": self.metrics.connections_shed,
@@ -316,13 +333,19 @@
         else:
             logs.event("caught_up", **fields)
 
-    def count_relayed(self, size: int) -> None:
-        """Counts received bytes of requests and answers.
+    def count_received(self, transport: Any, size: int) -> None:
+        """Counts and paces received bytes of requests.
 
         Args:
+          transport: Connection of the caller.
           size: Number of bytes.
         """
-        self._relayed_bytes += size
+        self._resources.count_relayed(size)
+        self.pacer.count_read(transport, size, relayed_at_once=False)
+
+    def _count_answer(self, transport: Any, size: int) -> None:
+        self._resources.count_relayed(size)
+        self.pacer.count_read(transport, size, relayed_at_once=True)
 
     def note_readiness_check(self) -> None:
         """Records a readiness check of a load balancer."""
@@ -349,7 +372,9 @@
         wait_ms = waited_ms + local_waits.estimate_wait_ms(
             self.dispatcher.queues, workspace, self._grant_rate
         )
-        is_too_long = local_waits.is_wait_too_long(wait_ms, target_ms)
+        is_too_long = local_waits.is_wait_too_long(
+            wait_ms, target_ms, self._shedding.is_alone
+        )
         return wait_ms if is_too_long else None
 
     def can_answer_in_time(
@@ -637,6 +662,13 @@
                 "environment_number": tables.number if tables else 0,
                 "ready": 0 if self.not_ready_reason() else 1,
                 "unconfirmed_key_messages": self.link.unconfirmed_count,
+                "loop_use": self._use.loop,
+                "link_use": self._use.link,
+                "processor_use": self._use.processor,
+                "memory_use": self._use.memory,
+                "descriptor_use": self._use.descriptors,
+                "paced_reads": self.pacer.held_reads,
+                "alone": int(self._shedding.is_alone),
             },
             accept,
         )
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -55,6 +55,8 @@
     "$.exposure_reserve": (0, 1_000_000),
 }
 LINK_LIMITS = {"$.link_mbps": (0.0, 1_000_000.0)}
+DESCRIPTOR_LIMITS = {"$.max_descriptors": (0, 1_000_000_000)}
+CORE_LIMITS = {"$.processor_cores": (0.0, 4_096.0)}
 # Bodies of the largest size that the buffer must hold: a single workspace may
 # use half of the buffer, each of two workspaces a third.
 MIN_BUFFERED_BODIES = 4
@@ -198,6 +200,10 @@
     yield from documents.check_ranges(document, RETRY_LIMITS, "retries")
     yield from documents.check_ranges(document, EXPOSURE_LIMITS, "of requests")
     yield from documents.check_ranges(document, LINK_LIMITS, "Mbit/s")
+    yield from documents.check_ranges(
+        document, DESCRIPTOR_LIMITS, "descriptors"
+    )
+    yield from documents.check_ranges(document, CORE_LIMITS, "cores")
 
 
 @RULES.register("buffered_bodies")
--- a/waxwingrack/operations/explanations.py
+++ b/waxwingrack/operations/explanations.py
@@ -46,6 +46,7 @@
         "router_stopping",
         "saturated",
         "caught_up",
+        "no_other_router",
     )
 )
 # Event of a router whose process has started.
--- a/waxwingrack/operations/link_pacing.py
+++ b/waxwingrack/operations/link_pacing.py
@@ -84,6 +84,17 @@
     )
 
 
+def find_backlog_s(pace: Pace, now_s: float) -> float:
+    """Returns the time in seconds that the link needs for what has passed.
+
+    Args:
+      pace: Pace of the direction.
+      now_s: Time on the clock of `add_bytes`.
+    """
+    due_s = pace.updated_s + pace.debt_bytes / pace.bytes_per_s
+    return max(0.0, due_s - now_s)
+
+
 def find_wait_s(pace: Pace, now_s: float) -> float:
     """Returns the time until the next piece may pass.
 
@@ -94,5 +105,4 @@
     Returns:
       Seconds, from 0 to `MAX_WAIT_S`.
     """
-    due_s = pace.updated_s + pace.debt_bytes / pace.bytes_per_s
-    return min(MAX_WAIT_S, max(0.0, due_s - now_s))
+    return min(MAX_WAIT_S, find_backlog_s(pace, now_s))
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -43,6 +43,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # Share of the memory of a process for buffered request bodies.
 BUFFER_MEMORY_SHARE = 0.15
+# Share of the descriptors of a process for connections of callers. The rest is
+# for connections to backend servers, of which each running request has one.
+CALLERS_DESCRIPTOR_SHARE = 0.75
 
 
 class _ListenAddresses(pydantic.BaseModel):
@@ -57,6 +60,12 @@
     linkMbps: Annotated[  # noqa: N815
         float, pydantic.Field(ge=0, allow_inf_nan=False)
     ] = 0.0
+    # Open descriptors of the process; 0 if they are not limited.
+    maxFds: Annotated[  # noqa: N815
+        float, pydantic.Field(ge=0, allow_inf_nan=False)
+    ] = 0
+    # Processor time per second of the process; 0 if it is not limited.
+    cores: Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)] = 0.0
 
 
 class _Bounds(pydantic.BaseModel):
@@ -175,10 +184,22 @@
         retry_share=file.bounds.retryBudgetRatio * RETRY_RATIO_SHARE,
         retry_reserve=file.bounds.retryBudgetSlack * RETRY_RESERVE_SHARE,
         link_mbps=file.limits.linkMbps,
+        max_descriptors=int(file.limits.maxFds),
+        processor_cores=file.limits.cores,
+        max_open_connections=_find_max_connections(file.limits),
         **common_fields,
     )
 
 
+def _find_max_connections(limits: _Limits) -> int:
+    """Returns the most open connections of callers."""
+    default = data.Settings.__dataclass_fields__["max_open_connections"].default
+    if not limits.maxFds:
+        return default
+    share = int(limits.maxFds * CALLERS_DESCRIPTOR_SHARE)
+    return max(1, min(default, share))
+
+
 def parse_address(text: str | None) -> data.Address:
     """Parses an address of the form `IP:PORT`.
 
