--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -842,13 +842,22 @@
         self.backends: list[FakeBackend] = []
 
     def start(self, servers: int = 1, **settings: Any) -> None:
-        """Starts everything and waits until the router is ready."""
+        """Starts everything and waits until the router is ready.
+
+        Args:
+          servers: Number of backend servers.
+          **settings: Settings of the router. `through` returns the port by
+            which the router reaches a name at a port.
+        """
         ready = settings.pop("wait_ready", True)
+        through = settings.pop("through", lambda _, port: port)
         for leader in self.leaders:
             self.loop.run(leader.open())
+            leader.port = through(leader.node_id, leader.port)
         for number in range(servers):
             backend = FakeBackend(f"s{number + 1}")
             self.loop.run(backend.open())
+            backend.port = through(backend.id, backend.port)
             self.backends.append(backend)
         self.leader.servers = list(self.backends)
         self.routers.append(
--- a/features/support/fault_proxy.py
+++ b/features/support/fault_proxy.py
@@ -12,6 +12,13 @@
     {"link": "e-e1", "hold": null}                       -> {}
     {"link": "e-e1", "release": true}                    -> {}
 
+    {"add": "r1-c1", ..., "pipe": "r1"}                  -> {"port": 40001}
+    {"pipe": "r1", "bytes_per_s": 1000000}               -> {}
+
+Links with the same pipe share its rate in each direction, first come, first
+served, as they would share the network link of one machine. Each connection has
+at most a window of bytes in the pipe.
+
 A direction that is cut holds its bytes and delivers them after the cut, as TCP
 does with retransmissions; `up` is from the client to the target.
 
@@ -30,13 +37,40 @@
 from twisted.protocols import basic
 from twisted.protocols import portforward
 
+# Bytes of one connection that may be on their way in a pipe, as with TCP.
+WINDOW_BYTES = 131_072
+# Largest part of the bytes of one connection that is passed on at once.
+SEGMENT_BYTES = 8_192
+
+
+class _PipeDirection:
+    """Bytes of all connections that share a link, in one direction."""
+
+    def __init__(self):
+        self.bytes_per_s = None
+        self._free_s = 0.0
+
+    def push(self, direction, blob):
+        if self.bytes_per_s is None:
+            direction.deliver(blob)
+            return
+        start_s = max(self._free_s, reactor.seconds())
+        for begin in range(0, len(blob or b"") or 1, SEGMENT_BYTES):
+            part = blob and blob[begin : begin + SEGMENT_BYTES]
+            start_s += len(part or b"") / self.bytes_per_s
+            delay_s = max(0.0, start_s - reactor.seconds())
+            reactor.callLater(delay_s, direction.deliver, part)
+        self._free_s = start_s
+
 
 class _Direction:
     """Bytes on their way in one direction of one connection."""
 
-    def __init__(self, link, name):
+    def __init__(self, link, name, source=lambda: None):
         self._link = link
         self._name = name
+        self._source = source
+        self._in_pipe = 0
         self._held = []
         self._target = None
         self.stopped = False
@@ -46,6 +80,23 @@
         self.flush()
 
     def push(self, blob):
+        if self._link.pipe is None:
+            self._pass(blob)
+            return
+        self._in_pipe += len(blob or b"")
+        if self._in_pipe > WINDOW_BYTES:
+            self._source().pauseProducing()
+        self._link.pipe[self._name].push(self, blob)
+
+    def deliver(self, blob):
+        """Takes bytes that have passed the pipe."""
+        was_full = self._in_pipe > WINDOW_BYTES
+        self._in_pipe -= len(blob or b"")
+        if was_full and self._in_pipe <= WINDOW_BYTES:
+            self._source().resumeProducing()
+        self._pass(blob)
+
+    def _pass(self, blob):
         if self._link.delay_ms:
             reactor.callLater(self._link.delay_ms / 1000, self._queue, blob)
         else:
@@ -106,8 +157,8 @@
 
     def connectionMade(self):  # noqa: N802
         link = self.factory.link
-        self.up = _Direction(link, "up")
-        self.down = _Direction(link, "down")
+        self.up = _Direction(link, "up", lambda: self.transport)
+        self.down = _Direction(link, "down", lambda: self.peer.transport)
         link.connections.add(self)
         client = self.clientProtocolFactory()
         client.setServer(self)
@@ -128,7 +179,8 @@
 
 
 class _Link:
-    def __init__(self):
+    def __init__(self, pipe=None):
+        self.pipe = pipe
         self.open = {"up": True, "down": True}
         self.delay_ms = 0
         self.connections = set()
@@ -171,11 +223,18 @@
 
     def __init__(self):
         self._links = {}
+        self._pipes = collections.defaultdict(
+            lambda: {"up": _PipeDirection(), "down": _PipeDirection()}
+        )
 
     def lineReceived(self, line):  # noqa: N802
         command = json.loads(line)
         if "add" in command:
             answer = self._add(command)
+        elif "pipe" in command:
+            for direction in self._pipes[command["pipe"]].values():
+                direction.bytes_per_s = command["bytes_per_s"]
+            answer = {}
         else:
             link = self._links[command["link"]]
             link.change(command)
@@ -187,7 +246,8 @@
             reactor.stop()
 
     def _add(self, command):
-        link = self._links[command["add"]] = _Link()
+        pipe = self._pipes[command["pipe"]] if "pipe" in command else None
+        link = self._links[command["add"]] = _Link(pipe)
         factory = portforward.ProxyFactory(command["host"], command["port"])
         factory.protocol = _Server
         factory.link = link
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -181,10 +181,20 @@
         self._lock = threading.Lock()
         self.links = set()
 
-    def add(self, link, port):
-        """Adds a link to a loopback port and returns its own port."""
+    def add(self, link, port, **options):
+        """Adds a link to a loopback port and returns its own port.
+
+        Args:
+          link: Name of the link.
+          port: Port to forward to.
+          **options: `pipe` names the pipe that the link shares with others.
+        """
         self.links.add(link)
-        return self._ask({"add": link, **address(port)})["port"]
+        return self._ask({"add": link, **address(port), **options})["port"]
+
+    def limit_pipe(self, pipe, bytes_per_s):
+        """Sets the rate of a pipe in each direction."""
+        self._ask({"pipe": pipe, "bytes_per_s": bytes_per_s})
 
     def change(self, link, **changes):
         """Changes a link as `fault_proxy` describes.
--- a/waxwingrack/operations/shedding.py
+++ b/waxwingrack/operations/shedding.py
@@ -29,6 +29,9 @@
 # Consecutive periods with new connections after which the router is taken to be
 # the only one. The first period may hold connections from before the change.
 ALONE_PERIODS = 3
+# Consecutive periods without new connections after which it is not any more. A
+# router that keeps its callers gets few new connections for that reason alone.
+ALONE_END_PERIODS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,8 @@
       period_arrivals: New connections in the present period.
       arrival_periods: Latest consecutive periods with new connections, up to
         `ALONE_PERIODS`.
+      silent_periods: Latest consecutive periods without new connections, up to
+        `ALONE_END_PERIODS`.
     """
 
     failed_checks: int = 0
@@ -50,6 +55,7 @@
     period_s: float = 0.0
     period_arrivals: int = 0
     arrival_periods: int = 0
+    silent_periods: int = 0
 
     @property
     def is_rerouted(self) -> bool:
@@ -118,13 +124,19 @@
         return dataclasses.replace(
             shedding, period_s=period_s, period_arrivals=period_arrivals
         )
+    shedding = dataclasses.replace(shedding, period_s=0.0, period_arrivals=0)
+    if period_arrivals > 0:
+        return dataclasses.replace(
+            shedding,
+            arrival_periods=min(ALONE_PERIODS, shedding.arrival_periods + 1),
+            silent_periods=0,
+        )
+    silent_periods = min(ALONE_END_PERIODS, shedding.silent_periods + 1)
+    stays_alone = shedding.is_alone and silent_periods < ALONE_END_PERIODS
     return dataclasses.replace(
         shedding,
-        period_s=0.0,
-        period_arrivals=0,
-        arrival_periods=min(ALONE_PERIODS, shedding.arrival_periods + 1)
-        if period_arrivals > 0
-        else 0,
+        arrival_periods=ALONE_PERIODS if stays_alone else 0,
+        silent_periods=silent_periods,
     )
 
 
