--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -20,6 +20,9 @@
       | ready_when_drained | True               |
       | retry_reserve      | 2.7                |
       | shutdown_timeout_s | 4.5                |
+      | processor_cores    | 2.0                |
+      | max_descriptors    | 1638               |
+      | max_open_connections | 1228             |
     And its first controller is 127.0.2.1-7400 at 127.0.2.1:7400 and 127.0.2.1:8785
 
   Scenario Outline: a faulty settings file is refused, <place>
@@ -35,6 +38,8 @@
       | seeds         | "x"        | $.seeds         |
       | seeds         | ["x"]      | $               |
       | limits        | {}         | $.limits.memoryMb |
+      | limits        | {"memoryMb": 300, "maxFds": -1} | $.limits.maxFds |
+      | limits        | {"memoryMb": 300, "cores": NaN} | $.limits.cores |
 
   Scenario Outline: a document is <verdict>, <case>
     Given the operators' document of the platform
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -45,7 +45,7 @@
     "seeds": ["127.0.2.1:8785", "127.0.2.2:8785", "127.0.2.3:8785"],
     "bootstrap": True,
     "dataDir": None,
-    "limits": {"memoryMb": 300, "cores": 2},
+    "limits": {"memoryMb": 300, "cores": 2, "maxFds": 1638},
     "faultTolerance": {"machines": 2, "zones": 1},
     "bounds": {
         "graceS": 8,
