--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -23,6 +23,7 @@
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
+from waxwingrack.daemons import link_pacer
 from waxwingrack.daemons import router_metrics
 from waxwingrack.operations import hedging
 from waxwingrack.operations import idempotency
@@ -53,6 +54,7 @@
     hedges: hedging.Hedges
     load: saturation.RouterLoad
     buffers: buffer_reservations.BufferReservations
+    pacer: link_pacer.LinkPacer
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
     open_requests: collections.Counter
