Run the duties of the leader with fencing tokens

Some calls to the platform's provider may be made by one process at a time, and a call without an answer may be executed late. The leader acquires each duty by a command that issues the next fencing token, records the counts of a usage window in the log before it sends them, and acquires a new token before it sends other content after a call without an answer. Routers count requests by window of true time and report cumulative counts in a new optional field of their report, which takes no byte without duties. The protocol version rises to 7, as processes of version 6 refuse the field and skip the new commands.

--- a/features/codec_compact.feature
+++ b/features/codec_compact.feature
@@ -22,6 +22,9 @@
       | it reports a cache event  | 40    |
       | its cache event was first | 18    |
 
+  Scenario: deployments without duties send no byte for usage
+    Then a report without usage is as short as without that field
+
   Scenario: more strings and servers than the tables hold are transferred
     When 2000 backend servers announce themselves twice
     Then every received message equals the sent one
@@ -60,12 +63,12 @@
 
   Scenario Outline: a process with protocol version <version> is refused
     When a process with protocol version <version> connects
-    Then both ends name "protocol version <version>, expected 6"
+    Then both ends name "protocol version <version>, expected 7"
 
     Examples:
       | version |
-      | 5       |
-      | 7       |
+      | 6       |
+      | 8       |
 
   Scenario Outline: a refused compact frame ends its connection, <what>
     When a process sends <what> to another one
--- a/features/settings_pages.feature
+++ b/features/settings_pages.feature
@@ -12,6 +12,7 @@
       | Peer        |
       | Address     |
       | TlsFiles    |
+      | DutySettings |
       | Environment |
       | CallerLimits |
       | Workspace   |
--- a/features/steps/codec_compact_steps.py
+++ b/features/steps/codec_compact_steps.py
@@ -106,6 +106,12 @@
     assert context.pair.sizes[1] <= count, context.pair.sizes
 
 
+@behave.then("a report without usage is as short as without that field")
+def check_no_added_bytes(_):
+    frame = wire.Encoder().encode(_report())
+    assert frame == cbor2.dumps([1, 0, 5, 3]), frame.hex()
+
+
 @behave.when("{count:d} backend servers announce themselves twice")
 def announce_many(context, count):
     context.pair = _Pair()
@@ -170,7 +176,12 @@
     "a negative reference": [1, 1, 5, 3, 2, [[2, 0, 1, -1]]],
     "an unknown type": [99, 1, 5, 3],
     "a missing field": [1, 1, 5],
-    "an unknown field": [1, 1, 5, 3, 1 << 12, 1],
+    # The bit after those of the optional fields.
+    "an unknown field": [
+        *(1, 1, 5, 3),
+        1 << len(dataclasses.fields(messages.RouterReport)) - 2,
+        1,
+    ],
     "fewer values than named fields": [1, 1, 5, 3, 3, True],
     "more values than named fields": [1, 1, 5, 3, 1, True, 1],
     "a field of wrong type": [1, 1, "soon", 3],
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -33,6 +33,8 @@
     r"|apiKeys|kvCapacityTokens|coldPerS|readinessAddr|internalPorts"
     r"|countsAsLoss|faultTolerance|durationS|api/(instances|config|rollouts"
     r"|evacuations|ready|kv-|report|hold)"
+    r"|Duty-Holder|Fence-Token|windowSeq|desiredCount|dutyPerS|leaseMs"
+    r"|usageWindowS|usageLateS"
 )
 REGIONS = {"z1": "r", "z2": "r"}
 
--- a/waxwingrack/commands/process.py
+++ b/waxwingrack/commands/process.py
@@ -103,11 +103,23 @@
         clocks.monotonic_ms,
         random.Random(),
         build_site,
+        _build_provider(cfg),
     )
     process.lock = storage.lock_folder(cfg.data_folder)
     return process
 
 
+def _build_provider(cfg: data.Settings) -> Callable[[str], Any] | None:
+    """Returns what creates clients of the provider; None without duties."""
+    if cfg.duties is None:
+        return None
+    from waxwingrack.platform import provider_api
+
+    return lambda holder: provider_api.ProviderClient(
+        cfg.duties.address, holder
+    )
+
+
 def _with_node_id(cfg: data.Settings, disk: Any) -> data.Settings:
     """Sets the node id of a controller that discovers its group by itself."""
     if not cfg.group_size:
--- a/waxwingrack/commands/status.py
+++ b/waxwingrack/commands/status.py
@@ -12,6 +12,7 @@
     "workspaces",
     "order_settings",
     "orders",
+    "duties",
 )
 
 
@@ -31,7 +32,7 @@
             )
         self.print_state(
             status,
-            # The leader may run an earlier release that reports no orders.
+            # The leader may run an earlier release without orders or duties.
             {
                 name.replace("_", " "): _sort_rows(status.get(name, []))
                 for name in TABLES
--- a/waxwingrack/core/commands.py
+++ b/waxwingrack/core/commands.py
@@ -220,6 +220,53 @@
     servers: tuple[tuple[str, str], ...]
 
 
+@COMMANDS.register("acquire_duty")
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcquireDuty:
+    """Acquires a duty; the state machine gives it the next fencing token.
+
+    Attributes:
+      duty: The duty.
+      node_id: Node id of the controller.
+      name: Name of the controller at the provider.
+      issuer: Period of leadership that acquires the duty.
+    """
+
+    duty: data.Duty
+    node_id: str
+    name: str
+    issuer: str
+
+
+@COMMANDS.register("record_usage")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordUsage:
+    """Records the final counts of a usage window before they are sent.
+
+    Attributes:
+      window: Number of the window.
+      counts: Counts by workspace, sorted by workspace.
+      token: Fencing token of the duty; a command with an older one has no
+        effect.
+    """
+
+    window: int
+    counts: tuple[data.UsageCount, ...]
+    token: int
+
+
+@COMMANDS.register("accept_usage")
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptUsage:
+    """Marks a recorded usage window as accepted by the provider.
+
+    Attributes:
+      window: Number of the window.
+    """
+
+    window: int
+
+
 @COMMANDS.register("set_controller")
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetController:
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -396,6 +396,39 @@
     authority: str
 
 
+class Duty(enum.StrEnum):
+    """Calls to the provider that one process at a time may make."""
+
+    USAGE_REPORT = "usage_report"
+    AUTOSCALE = "autoscale"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Duties of the leading controller towards the provider.
+
+    Attributes:
+      address: Address of the provider.
+      duties: Duties that the leader has.
+      holder: Name of this process at the provider; empty for its node id.
+      lease_ms: Time for which a new leader waits before it takes a duty over
+        from another controller, in milliseconds.
+      calls_per_s: Calls per second that the provider accepts from all processes
+        together.
+      usage_window_s: Length of a usage window, in seconds.
+      usage_late_s: Time after the end of a window at which its report is late,
+        in seconds.
+    """
+
+    address: Address
+    duties: tuple[Duty, ...] = (Duty.USAGE_REPORT, Duty.AUTOSCALE)
+    holder: str = ""
+    lease_ms: int = 3_000
+    calls_per_s: float = 50.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of one process.
@@ -451,6 +484,7 @@
       exposure_reserve: Number of requests that it may get beyond that share.
       link_mbps: Capacity of a router's network link in each direction, in
         megabits per second; 0 if it is not known.
+      duties: Duties towards the provider; None without them.
     """
 
     role: Role
@@ -485,6 +519,7 @@
     max_exposure: float = 1.0
     exposure_reserve: int = 0
     link_mbps: float = 0.0
+    duties: DutySettings | None = None
 
 
 # ---------------------------------------------------------------------------
@@ -953,6 +988,66 @@
     value: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageCount:
+    """Requests of a workspace in one usage window.
+
+    Attributes:
+      workspace: Workspace.
+      count: Requests whose answers began in the window.
+    """
+
+    workspace: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WindowUsage:
+    """Requests that one router has counted in one usage window.
+
+    Attributes:
+      window: Number of the window since 1970-01-01.
+      counts: Counts so far of the workspaces that changed.
+    """
+
+    window: int
+    counts: tuple[UsageCount, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyHolder:
+    """Who holds a duty.
+
+    Attributes:
+      duty: The duty.
+      token: Fencing token; grows with each acquisition.
+      node_id: Node id of the controller, which is bound to its disk.
+      name: Name of the controller at the provider.
+      issuer: Period of leadership that acquired the duty.
+    """
+
+    duty: Duty
+    token: int
+    node_id: str
+    name: str
+    issuer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedWindow:
+    """A usage window whose counts are final.
+
+    Attributes:
+      window: Number of the window.
+      counts: Counts by workspace; empty once the provider has accepted them.
+      accepted: Whether the provider has accepted them.
+    """
+
+    window: int
+    counts: tuple[UsageCount, ...] = ()
+    accepted: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class ReplicatedState:
     """State that every controller derives from the committed log.
@@ -993,6 +1088,10 @@
       known_routers: `KnownRouter` by node id.
       departures: Leader-counted clock, in seconds, at which a backend server
         was noted as leaving, by (server id, incarnation).
+      duties: `DutyHolder` by duty.
+      usage: `RecordedWindow` by number of the window.
+      usage_floor: Highest number of a window that is no longer kept; no window
+        up to it is recorded again.
     """
 
     number: int = 0
@@ -1024,6 +1123,9 @@
     fencing: int = 0
     known_routers: immutables.Map = immutables.Map()
     departures: immutables.Map = immutables.Map()
+    duties: immutables.Map = immutables.Map()
+    usage: immutables.Map = immutables.Map()
+    usage_floor: int = 0
 
 
 # ---------------------------------------------------------------------------
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -9,7 +9,7 @@
 
 # Processes refuse connections of another protocol version. The compact frames
 # of `wire` came with version 2.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Maximum interval between two reports of a router, in milliseconds.
 HEARTBEAT_MS = 250
@@ -121,6 +121,8 @@
         connection.
       started: Granted requests whose answers have begun.
       notices: What servers told about themselves in answers.
+      usage: Counts of usage windows that have changed; in the first report on a
+        connection those of all windows that the router keeps.
     """
 
     sent_ms: int
@@ -137,6 +139,7 @@
     data_centre: str = ""
     started: tuple[data.StartedAnswer, ...] = ()
     notices: tuple[data.ServerNotice, ...] = ()
+    usage: tuple[data.WindowUsage, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -193,6 +193,7 @@
         idle_timeout_s: float,
         reservation: buffer_reservations.Reservation | None,
         on_first_byte: Callable[[], None] = lambda: None,
+        on_begin: Callable[[], None] = lambda: None,
     ):
         """Prepares a transfer.
 
@@ -207,6 +208,8 @@
           reservation: Buffer bytes of the copy that is stored for resends; None
             if no copy is stored.
           on_first_byte: Called before the first part of the body is relayed.
+          on_begin: Called once the answer has begun: at the start of the
+            transfer, or at the first event of an event stream.
         """
         self.ended: defer.Deferred = defer.Deferred()
         self.caller_too_slow = False
@@ -217,6 +220,7 @@
         self._idle_timeout_s = idle_timeout_s
         self._reservation = reservation
         self._on_first_byte: Callable[[], None] | None = on_first_byte
+        self._on_begin: Callable[[], None] | None = on_begin
         self._stored_body = None if reservation is None else bytearray()
         self._truncated = False
         self._paused = False
@@ -235,6 +239,8 @@
         Returns:
           `ended`.
         """
+        if not self._is_event_stream:
+            self._note_begin()
         self._head.response.deliverBody(self)
         # A short answer is already complete and needs no timer.
         if not self._done:
@@ -259,6 +265,7 @@
     def _relay_chunk(self, chunk: bytes) -> None:
         if self._is_progress(chunk):
             self._last_active_s = self._reactor.seconds()
+            self._note_begin()
         if self._on_first_byte is not None:
             on_first_byte, self._on_first_byte = self._on_first_byte, None
             on_first_byte()
@@ -268,6 +275,11 @@
             self._store_chunk(chunk)
         self._writer.write(chunk)
 
+    def _note_begin(self) -> None:
+        if self._on_begin is not None:
+            on_begin, self._on_begin = self._on_begin, None
+            on_begin()
+
     def _is_progress(self, chunk: bytes) -> bool:
         if not self._is_event_stream:
             return True
--- a/waxwingrack/daemons/controller.py
+++ b/waxwingrack/daemons/controller.py
@@ -22,6 +22,7 @@
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.daemons import controller_metrics
+from waxwingrack.daemons import duties
 from waxwingrack.daemons import group
 from waxwingrack.daemons import key_calls  # noqa: F401  fills the registry
 from waxwingrack.daemons import leader as leader_module
@@ -33,6 +34,7 @@
 from waxwingrack.daemons import router_sessions
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import consensus
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import membership
@@ -119,6 +121,7 @@
         clock: Callable[[], int],
         rng: random.Random,
         build_site: Callable[["Controller"], Any] | None = None,
+        create_provider: Callable[[str], duties.Provider] | None = None,
     ):
         """Prepares a controller.
 
@@ -129,6 +132,8 @@
           rng: Random generator.
           build_site: Builds the HTTP server of the operators' port; None for
             the operators' API of this project.
+          create_provider: Creates a client of the provider for the name of a
+            holder; None if the controller has no duties.
         """
         self.settings = settings
         self.driver: replica_driver.ReplicaDriver | None = None
@@ -144,6 +149,13 @@
         self._storage = storage
         self._rng = rng
         self._build_site = build_site or _build_operators_site
+        self._duties = (
+            duties.DutyTools(
+                settings.duties, usage_counter.WallClock(), create_provider
+            )
+            if settings.duties and create_provider
+            else None
+        )
         self._storage_damage = ""
         self._phase_events: _PhaseEvents = _PHASE_MACHINE(self)
         if settings.tls is not None:
@@ -314,6 +326,9 @@
     def _run_periodic(self) -> None:
         if self.driver is None:
             return
+        if self._duties is not None:
+            # A new leader needs samples from before its leadership.
+            self._duties.wall_clock.read_ms(self.clock())
         self._reopen_if_due(self.clock())
         self.links.close_unresponsive()
         self._update_phase()
@@ -506,6 +521,7 @@
                 known_samples=self._known_with_age(
                     messages.VersionEvidence, MAX_SAMPLES_AGE_MS
                 ),
+                duties=self._duties,
             )
         )
 
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -98,6 +98,8 @@
     )
     metrics.clear_gauge("waiting_requests")
     metrics.clear_gauge("member_silence_ms")
+    metrics.clear_gauge("duty_token")
+    metrics.clear_gauge("duty_calls_waiting")
     if not controller.leads():
         return
     silence_ms = consensus_replication.silence_ms(
@@ -110,6 +112,23 @@
             value,
             controller=node_id,
         )
+    for row in (
+        controller.leader.duties.list_status()
+        if (controller.leader.duties)
+        else ()
+    ):
+        metrics.set(
+            "duty_token",
+            "Fencing token of a duty.",
+            row["token"],
+            duty=row["id"],
+        )
+        metrics.set(
+            "duty_calls_waiting",
+            "Usage windows or orders that the provider has not accepted.",
+            row["waiting"],
+            duty=row["id"],
+        )
     overview = scheduler.build_status(
         controller.leader.tables, controller.clock()
     )
--- a/waxwingrack/daemons/engine_calls.py
+++ b/waxwingrack/daemons/engine_calls.py
@@ -1,4 +1,4 @@
-"""Calls to model engines over HTTP, each on a connection of its own.
+"""Calls to model engines and the provider, each on its own connection.
 
 The module uses the connection layer of twisted directly, because it needs a
 check between connecting and the first byte, and the time at which the
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import json
 import socket
@@ -25,6 +26,7 @@
 from twisted.web import http_headers
 
 from waxwingrack.core import data
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
 
 # Limit on an answer with its head. A listed order takes about 40 bytes.
@@ -136,6 +138,8 @@
         address: data.Address,
         timeout_s: float,
         body: Any = None,
+        path: bytes = ORDERS_PATH,
+        extra_headers: Mapping[str, str] | None = None,
     ) -> Answer | FailedCall:
         """Calls an engine once.
 
@@ -144,6 +148,8 @@
           address: Address of the engine.
           timeout_s: Time limit of the whole call, in seconds.
           body: Value to send as JSON, or None.
+          path: Path of the request.
+          extra_headers: Further headers of the request, or None.
 
         Returns:
           The answer or the failure; the connection has closed.
@@ -152,7 +158,10 @@
         self._connections.add(conn)
         try:
             outcome = await self._exchange_messages(
-                conn, method, address, timeout_s, body
+                conn,
+                address,
+                timeout_s,
+                _make_request(method, address, body, path, extra_headers or {}),
             )
         finally:
             conn.abort()
@@ -164,10 +173,9 @@
     async def _exchange_messages(
         self,
         conn: _Connection,
-        method: str,
         address: data.Address,
         timeout_s: float,
-        body: Any,
+        req: Any,
     ) -> Answer | FailedCall:
         # The import installs a default reactor unless the program has
         # installed its own before.
@@ -177,7 +185,6 @@
         endpoint = forwarding.build_endpoint(reactor, address, timeout_s)
         factory = protocol.Factory.forProtocol(lambda: conn)
         factory.noisy = False
-        req = _make_request(method, address, body)
         try:
             async with asyncio.timeout(timeout_s):
                 await endpoint.connect(factory).asFuture(loop)
@@ -188,7 +195,10 @@
                         "this controller may no longer act as leader",
                     )
                 conn.may_have_sent = True
-                response = await conn.request(req).asFuture(loop)
+                response_deferred = conn.request(req)
+                # Otherwise a freeze could fall between the check and the write.
+                event_loop.flush_transport(conn.transport)
+                response = await response_deferred.asFuture(loop)
                 blob = await treq.content(response).asFuture(loop)
         except Exception as exc:
             # After any failure, the engine may have received an order of which
@@ -212,13 +222,21 @@
     return FailedCall(True, "broken", f"call failed: {exc!r}")
 
 
-def _make_request(method: str, address: data.Address, body: Any) -> Any:
+def _make_request(
+    method: str,
+    address: data.Address,
+    body: Any,
+    path: bytes,
+    extra_headers: Mapping[str, str],
+) -> Any:
     host = f"[{address.host}]" if ":" in address.host else address.host
     headers = http_headers.Headers({"Host": [f"{host}:{address.port}"]})
+    for name, value in extra_headers.items():
+        headers.setRawHeaders(name, [value])
     producer = None
     if body is not None:
         headers.setRawHeaders("Content-Type", ["application/json"])
         producer = forwarding.BytesProducer(json.dumps(body).encode())
     return _newclient.Request._construct(
-        method.encode(), ORDERS_PATH, headers, producer, persistent=False
+        method.encode(), path, headers, producer, persistent=False
     )
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -58,6 +58,7 @@
         self._req = req
         self._caller_left = False
         self._request_sent = False
+        self._is_counted = False
         self._key_claimed = False
         self._cancel_step: Any = None
         # Ends the wait for the head of an answer, also for a keyed request.
@@ -573,6 +574,12 @@
         self._first_byte_ms = self._host.clock() - lease.sent_ms
         self._host.dispatcher.report_answer_start(lease, self._first_byte_ms)
 
+    def _count_usage(self, status: int) -> None:
+        """Counts the request once, also if a further attempt is answered."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._host.usage.count(self._workspace, status)
+
     def _start_answer(
         self,
         admitted: keyed_requests.AdmittedRequest,
@@ -604,6 +611,7 @@
             admitted.service.idle_timeout_s,
             reservation=self._answer_reservation,
             on_first_byte=lambda: self._report_answer_start(lease),
+            on_begin=lambda: self._count_usage(head.status),
         )
         if self._caller_left:
             writer.detach()
--- a/waxwingrack/daemons/fleet_status.py
+++ b/waxwingrack/daemons/fleet_status.py
@@ -56,6 +56,7 @@
             state, leader.orders.withheld_reasons
         ),
         "refused_digests": sorted(state.refused_digests),
+        "duties": leader.duties.list_status() if leader.duties else [],
     }
 
 
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -24,6 +24,7 @@
 from waxwingrack.daemons import dispatch
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import router_metrics
+from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -51,6 +52,7 @@
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
     open_requests: collections.Counter
+    usage: usage_counter.UsageCounter
 
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -20,6 +20,7 @@
 from waxwingrack.core import messages
 from waxwingrack.core import registry
 from waxwingrack.daemons import departure_log
+from waxwingrack.daemons import duties as duties_module
 from waxwingrack.daemons import engine_orders
 from waxwingrack.daemons import metrics as metrics_module
 from waxwingrack.daemons import replica_driver
@@ -72,6 +73,7 @@
         the time since then in milliseconds, or None.
       known_samples: Samples of versions that the former leader sent, and the
         time since then in milliseconds, or None.
+      duties: What the controller keeps for its duties; None without duties.
     """
 
     driver: replica_driver.ReplicaDriver
@@ -84,6 +86,7 @@
     known_servers: tuple[messages.ServersKnown, int] | None = None
     known_evidence: tuple[messages.CrashEvidence, int] | None = None
     known_samples: tuple[messages.VersionEvidence, int] | None = None
+    duties: duties_module.DutyTools | None = None
 
 
 class Leader:
@@ -95,6 +98,7 @@
       since_ms: Time at which the leadership began.
       orders: Orders to model engines.
       departures: Departures of backend servers in the replicated log.
+      duties: Duties towards the provider; None without duties.
     """
 
     def __init__(self, services: Services):
@@ -149,6 +153,11 @@
         self._evidence_shared_ms = self.since_ms
         self._next_servers_share_ms = self.since_ms
         self.orders = engine_orders.EngineOrders(services)
+        self.duties = (
+            duties_module.Duties(services, services.duties)
+            if services.duties
+            else None
+        )
         # Router incarnations of the last checkpoint that were not lost since.
         self._former_routers = self.state.routers
         self._version_samples = rollouts.VersionSamples()
@@ -193,6 +202,8 @@
         """Ends the leadership; a tick that is still scheduled does nothing."""
         self._ended = True
         self.orders.abort()
+        if self.duties is not None:
+            self.duties.end()
 
     # -----------------------------------------------------------------------
     # Routers
@@ -519,6 +530,8 @@
             self._next_rollouts_ms = now_ms + ROLLOUT_INTERVAL_MS
             self._move_rollouts(now_ms)
         self.orders.start_due_actions(self.tables, now_ms)
+        if self.duties is not None:
+            self.duties.run_periodic(now_ms)
         if now_ms >= self._next_checkpoint_ms:
             self._next_checkpoint_ms = now_ms + CHECKPOINT_INTERVAL_MS
             if self._pending_checkpoint is None and self._needs_checkpoint():
@@ -865,6 +878,8 @@
         report.announcements, report.notices
     ):
         leader.departures.record(server)
+    if report.usage and leader.duties is not None:
+        leader.duties.handle_usage(session.ref.incarnation, report)
     leader.push_environment((session,))
     if _is_heartbeat(report):
         leader.answer_heartbeat(session)
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -36,6 +36,7 @@
 from waxwingrack.daemons import router_metrics
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import local_waits
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import routing
@@ -87,6 +88,7 @@
       draining: Whether the router shuts down.
       answer_times: Times of the answers by service and route.
       load: Load of the processor and of the network link.
+      usage: Usage of the workspaces.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
         self._cut_ms: int | None = None
         self.answer_times: dict[tuple[str, str], stopping.AnswerTimes] = {}
         self.load = saturation.RouterLoad()
+        self.usage = usage_counter.UsageCounter(settings.duties, clock)
         self._load_task: asyncio.Task | None = None
         self._relayed_bytes = 0
         self._shedding = shedding.Shedding()
@@ -424,6 +427,9 @@
             self.draining,
             self.load.max_reported_requests,
         )
+        usage = self.usage.take_report(first, urgent=self.closing)
+        if usage:
+            report = dataclasses.replace(report, usage=usage)
         if not first:
             return report
         return dataclasses.replace(
--- /dev/null
+++ b/waxwingrack/daemons/usage_counter.py
@@ -0,0 +1,104 @@
+"""Counts the usage of the workspaces at a router."""
+
+from collections.abc import Callable
+import time
+
+from waxwingrack.core import data
+from waxwingrack.operations import true_time
+from waxwingrack.operations import usage
+
+
+class WallClock:
+    """True time of this process."""
+
+    def __init__(self, read_wall_s: Callable[[], float] = time.time):
+        """Starts without samples.
+
+        Args:
+          read_wall_s: Returns the wall clock in seconds since 1970-01-01.
+        """
+        self._read_wall_s = read_wall_s
+        self._samples = true_time.TrueTime()
+
+    def read_ms(self, now_ms: int) -> int | None:
+        """Returns true time in milliseconds since 1970-01-01.
+
+        Args:
+          now_ms: Monotonic clock.
+
+        Returns:
+          The time; None if the wall clock has never shown one.
+        """
+        if true_time.is_sample_due(self._samples, now_ms):
+            self._samples = true_time.add_sample(
+                self._samples, 1000 * self._read_wall_s(), now_ms
+            )
+        return true_time.to_true_ms(self._samples, now_ms)
+
+
+class UsageCounter:
+    """Counts requests whose answers have begun."""
+
+    def __init__(
+        self,
+        settings: data.DutySettings | None,
+        clock: Callable[[], int],
+        wall_clock: WallClock | None = None,
+    ):
+        """Prepares a counter.
+
+        Args:
+          settings: Duties of the deployment; without the report of usage,
+            nothing is counted.
+          clock: Returns monotonic milliseconds.
+          wall_clock: True time of the process.
+        """
+        self._settings = (
+            settings
+            if settings and data.Duty.USAGE_REPORT in settings.duties
+            else None
+        )
+        self._clock = clock
+        self._wall_clock = wall_clock or WallClock()
+        self._counts = usage.RouterCounts()
+
+    def count(self, workspace: str, status: int) -> None:
+        """Counts a request whose answer begins.
+
+        Args:
+          workspace: Workspace of the caller.
+          status: HTTP status of the answer.
+        """
+        if (
+            self._settings is None
+            or workspace == data.PUBLIC_WORKSPACE
+            or status in usage.NOT_RUN_STATUSES
+        ):
+            return
+        true_ms = self._wall_clock.read_ms(self._clock())
+        if true_ms is None:
+            return
+        self._counts = usage.count_request(
+            self._counts,
+            usage.find_window(true_ms, self._settings.usage_window_s),
+            workspace,
+        )
+
+    def take_report(
+        self, first: bool, urgent: bool = False
+    ) -> tuple[data.WindowUsage, ...]:
+        """Takes the counts for the next report to the leader.
+
+        Args:
+          first: Whether it is the first report on a connection.
+          urgent: Whether no later report may follow.
+        """
+        if self._settings is None:
+            return ()
+        now_ms = self._clock()
+        # Without requests, the wall clock is sampled here.
+        self._wall_clock.read_ms(now_ms)
+        self._counts, report = usage.take_report(
+            self._counts, now_ms, first, urgent
+        )
+        return report
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -23,6 +23,7 @@
 # Addresses on which the process listens; port 0 selects a free port.
 _OWN_ADDRESSES = ("$.operators", "$.callers", "$.control")
 _PEER_ADDRESSES = ("$.controllers[*].control", "$.controllers[*].operators")
+_PROVIDER_ADDRESS = "$.duties.address"
 # Addresses that need TLS unless they are loopback addresses. The callers'
 # port is excluded, since the platform's load balancer terminates TLS.
 _PROTECTED_ADDRESSES = ("$.operators", "$.control", *_PEER_ADDRESSES)
@@ -37,6 +38,8 @@
     "$.close_timeout_s": (0.01, 3_600.0),
     "$.control_silence_s": (0.5, 2.0),
     "$.reuse_idle_s": (0.0, 4.0),
+    "$.duties.usage_window_s": (0.1, 3_600.0),
+    "$.duties.usage_late_s": (0.0, 3_600.0),
 }
 BYTE_LIMITS = {
     "$.max_body_bytes": (1, 1_073_741_824),
@@ -55,6 +58,8 @@
     "$.exposure_reserve": (0, 1_000_000),
 }
 LINK_LIMITS = {"$.link_mbps": (0.0, 1_000_000.0)}
+LEASE_LIMITS_MS = {"$.duties.lease_ms": (0, 600_000)}
+CALL_LIMITS = {"$.duties.calls_per_s": (0.1, 100_000.0)}
 # Bodies of the largest size that the buffer must hold: a single workspace may
 # use half of the buffer, each of two workspaces a third.
 MIN_BUFFERED_BODIES = 4
@@ -125,7 +130,7 @@
 
 @RULES.register("ip_numbers")
 def _check_ip_numbers(document: Any) -> Faults:
-    for pattern in (*_OWN_ADDRESSES, *_PEER_ADDRESSES):
+    for pattern in (*_OWN_ADDRESSES, *_PEER_ADDRESSES, _PROVIDER_ADDRESS):
         ip_numbers = dict(documents.find_ip_addresses(document, pattern))
         for path, _ in documents.select_values(
             document, f"{pattern}.host", str
@@ -139,7 +144,10 @@
 @RULES.register("ports")
 def _check_ports(document: Any) -> Faults:
     limits = {f"{pattern}.port": (0, 65_535) for pattern in _OWN_ADDRESSES}
-    limits |= {f"{pattern}.port": (1, 65_535) for pattern in _PEER_ADDRESSES}
+    limits |= {
+        f"{pattern}.port": (1, 65_535)
+        for pattern in (*_PEER_ADDRESSES, _PROVIDER_ADDRESS)
+    }
     return documents.check_ranges(document, limits, "(TCP port)")
 
 
@@ -198,6 +206,8 @@
     yield from documents.check_ranges(document, RETRY_LIMITS, "retries")
     yield from documents.check_ranges(document, EXPOSURE_LIMITS, "of requests")
     yield from documents.check_ranges(document, LINK_LIMITS, "Mbit/s")
+    yield from documents.check_ranges(document, LEASE_LIMITS_MS, "milliseconds")
+    yield from documents.check_ranges(document, CALL_LIMITS, "calls per second")
 
 
 @RULES.register("buffered_bodies")
--- a/waxwingrack/operations/replicated.py
+++ b/waxwingrack/operations/replicated.py
@@ -15,6 +15,7 @@
 from waxwingrack.operations import departures
 from waxwingrack.operations import known_routers
 from waxwingrack.operations import replicated_controllers
+from waxwingrack.operations import replicated_duties
 from waxwingrack.operations import replicated_environment
 from waxwingrack.operations import replicated_image
 from waxwingrack.operations import replicated_keys
@@ -61,6 +62,9 @@
 HANDLERS.register(commands.ReleaseDigest)(replicated_environment.release_digest)
 HANDLERS.register(commands.NoteRouters)(known_routers.apply_note)
 HANDLERS.register(commands.NoteDepartures)(departures.apply_note)
+HANDLERS.register(commands.AcquireDuty)(replicated_duties.acquire_duty)
+HANDLERS.register(commands.RecordUsage)(replicated_duties.record_usage)
+HANDLERS.register(commands.AcceptUsage)(replicated_duties.accept_usage)
 HANDLERS.register(commands.SetController)(replicated_controllers.set_controller)
 HANDLERS.register(commands.ForgetController)(
     replicated_controllers.forget_controller
@@ -86,7 +90,9 @@
       key, or if the record is ANSWERED or MAY_HAVE_RUN, and otherwise a
       `data.KeyState`; a claim is granted if and only if the outcome is a
       record whose state is CLAIMED. For orders it is the `data.EngineOrder`,
-      or None if the command had no effect. It is None for all other commands.
+      or None if the command had no effect. For AcquireDuty it is the
+      `data.DutyHolder`, for RecordUsage the `data.RecordedWindow` in force or
+      None. It is None for all other commands.
 
     Raises:
       KeyError: The type of the command is unknown.
--- a/waxwingrack/operations/replicated_image.py
+++ b/waxwingrack/operations/replicated_image.py
@@ -51,6 +51,9 @@
     fencing: int = 0
     known_routers: tuple[data.KnownRouter, ...] = ()
     departures: tuple[tuple[str, str, float], ...] = ()
+    duties: tuple[data.DutyHolder, ...] = ()
+    usage: tuple[data.RecordedWindow, ...] = ()
+    usage_floor: int = 0
 
 
 CODEC = codec.Codec(IMAGES)
@@ -106,6 +109,9 @@
             (*server, noted_s)
             for server, noted_s in sorted(state.departures.items())
         ),
+        duties=tuple(state.duties[key] for key in sorted(state.duties.keys())),
+        usage=tuple(state.usage[key] for key in sorted(state.usage.keys())),
+        usage_floor=state.usage_floor,
     )
     rows = [
         _encode_record(sequence, state.keys[record_key])
@@ -229,4 +235,7 @@
                 for server_id, incarnation, noted_s in image.departures
             }
         ),
+        duties=immutables.Map({row.duty: row for row in image.duties}),
+        usage=immutables.Map({row.window: row for row in image.usage}),
+        usage_floor=image.usage_floor,
     )
--- a/waxwingrack/platform/settings.py
+++ b/waxwingrack/platform/settings.py
@@ -38,6 +38,10 @@
 # Share of the permitted ratio of retries to requests that routers use.
 RETRY_RATIO_SHARE = 0.5
 MAX_PORT = 65_535
+# Upper limits of settings of duties; larger values have a wrong unit.
+MAX_LEASE_MS = 600_000
+MAX_USAGE_S = 3_600.0
+MAX_CALLS_PER_S = 100_000.0
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 # Body size limit until a configuration document declares one.
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -67,12 +71,35 @@
     # that it may get beyond.
     exposureShare: float = 0.1  # noqa: N815
     exposureSlack: float = 50.0  # noqa: N815
+    # Time for which another holder of a duty waits.
+    leaseMs: Annotated[  # noqa: N815
+        float, pydantic.Field(ge=0, le=MAX_LEASE_MS, allow_inf_nan=False)
+    ] = 3_000.0
+    # Length of a usage window, and the time after its end at which the report
+    # is late, in seconds.
+    usageWindowS: Annotated[  # noqa: N815
+        float, pydantic.Field(ge=0.1, le=MAX_USAGE_S, allow_inf_nan=False)
+    ] = 5.0
+    usageLateS: Annotated[  # noqa: N815
+        float, pydantic.Field(ge=0, le=MAX_USAGE_S, allow_inf_nan=False)
+    ] = 10.0
 
 
 class _Tolerance(pydantic.BaseModel):
     machines: int = 1
 
 
+class _Cloud(pydantic.BaseModel):
+    # Address of the provider.
+    address: str
+    # Calls that only one process at a time may make; unknown ones are ignored.
+    duties: tuple[str, ...] = ()
+    # Such calls per second that the provider accepts from all processes.
+    dutyPerS: Annotated[  # noqa: N815
+        float, pydantic.Field(gt=0, le=MAX_CALLS_PER_S, allow_inf_nan=False)
+    ] = 50.0
+
+
 class _SettingsFile(pydantic.BaseModel):
     nodeName: str  # noqa: N815
     zone: str
@@ -89,6 +116,7 @@
     # Number of controllers that may fail at the same time.
     faultTolerance: _Tolerance = _Tolerance()  # noqa: N815
     bounds: _Bounds = _Bounds()
+    cloud: _Cloud | None = None
 
 
 def file_path() -> str:
@@ -145,6 +173,7 @@
         "controllers": tuple(_build_peer(seed, port) for seed in file.seeds),
         "plaintext": True,
         "max_body_bytes": MAX_BODY_BYTES,
+        "duties": _build_duties(file),
     }
     if file.listen.control is not None:
         operators = parse_address(file.listen.control)
@@ -179,6 +208,20 @@
     )
 
 
+def _build_duties(file: _SettingsFile) -> data.DutySettings | None:
+    if file.cloud is None:
+        return None
+    return data.DutySettings(
+        address=parse_address(file.cloud.address),
+        duties=tuple(duty for duty in data.Duty if duty in file.cloud.duties),
+        holder=file.nodeName,
+        lease_ms=round(file.bounds.leaseMs),
+        calls_per_s=file.cloud.dutyPerS,
+        usage_window_s=file.bounds.usageWindowS,
+        usage_late_s=file.bounds.usageLateS,
+    )
+
+
 def parse_address(text: str | None) -> data.Address:
     """Parses an address of the form `IP:PORT`.
 
