--- /dev/null
+++ b/features/duties_fleet.feature
@@ -0,0 +1,23 @@
+Feature: Usage reaches the provider once, whatever fails
+
+  Scenario Outline: requests are reported once while <fault>
+    Guards against usage that is lost, billed twice or reported by two holders
+    under one token.
+
+    Given a fleet with duties and a provider
+    When requests are served while <fault>
+    Then each request is reported once and each token has one holder
+    And the status shows the holder and its token
+
+    Examples:
+      | fault                        |
+      | nothing fails                |
+      | the leader is killed         |
+      | the leader is frozen         |
+      | all controllers restart      |
+      | the provider executes late   |
+      | the provider resets          |
+      | the provider speaks no HTTP  |
+      | the provider sends no JSON   |
+      | the provider says 500        |
+      | the provider says 429        |
