--- a/features/duties.feature
+++ b/features/duties.feature
@@ -59,6 +59,7 @@
       | closed by the former leader   | lead A, report r1 0 3, provider down, wait 10, lead B, provider answers, wait 10 | B:0=w3@2 |
       | all controllers restarted     | lead A, report r1 0 3, provider down, wait 10, restart, lead A, provider answers, wait 5 | A:0=w3@2 |
       | a window that is refused      | lead A, report r1 0 3, report r1 1 4, provider refuses, wait 15, provider answers, wait 9 | A:1=w4@1 A:0=w3@1 |
+      | more windows than are kept    | lead A, wait 0.3, fill 300 | nothing |
       | a clock that steps ahead      | lead A, wait 4, report r1 0 3, step 600, wait 2, step 0, report r1 0 5, wait 8 | A:0=w5@1 |
       | a negative count              | lead A, report r1 0 3, report r2 0 -9, wait 10 | A:0=w3@1 |
       | a huge count                  | lead A, report r1 0 3, report r2 0 1000000000000000000000, wait 10 | A:0=w3@1 |
@@ -71,14 +72,6 @@
       | rate | calls | seconds |
       | 50   | 101   | 10      |
 
-  Scenario Outline: pauses grow up to a bound, after <failures> failures
-    Then the pause after <failures> failures is from <least> to <most> ms
-
-    Examples:
-      | failures | least | most |
-      | 0        | 125   | 250  |
-      | 1000     | 2000  | 4000 |
-
   Scenario Outline: the status <status> of the provider
     Then an answer of the provider with the status <status> says <outcome>
 
--- a/features/duties_fleet.feature
+++ b/features/duties_fleet.feature
@@ -16,7 +16,6 @@
       | the leader is frozen         |
       | all controllers restart      |
       | the provider executes late   |
-      | the provider resets          |
       | the provider speaks no HTTP  |
       | the provider sends no JSON   |
       | the provider says 500        |
--- a/features/steps/duties_fleet_steps.py
+++ b/features/steps/duties_fleet_steps.py
@@ -4,8 +4,6 @@
 import functools
 import http.server
 import json
-import socket
-import struct
 import threading
 import time
 
@@ -73,13 +71,7 @@
         if mode == "executes late":
             time.sleep(LATE_S)
         status = provider.execute(*call)
-        if mode == "resets":
-            self.connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            self.close_connection = True
-            self.connection.close()
-        elif mode == "speaks no HTTP":
+        if mode == "speaks no HTTP":
             self.wfile.write(b"hello\r\n\r\n")
             self.close_connection = True
         else:
--- a/waxwingrack/daemons/duties.py
+++ b/waxwingrack/daemons/duties.py
@@ -22,6 +22,7 @@
 from waxwingrack.core import registry
 from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import duties
+from waxwingrack.operations import replicated_duties
 from waxwingrack.operations import usage
 
 # Interval of the decisions, in milliseconds. A call takes several of them.
@@ -309,8 +310,16 @@
             usage.sum_counts(self._windows, window),
             state.duties[data.Duty.USAGE_REPORT].token,
         )
+        replaced = replicated_duties.find_replaced(state, window)
 
         def handle(row: data.RecordedWindow) -> None:
+            if replaced is not None and not replaced.accepted:
+                logs.event(
+                    "usage_lost",
+                    logging.WARNING,
+                    window=replaced.window,
+                    reason="too many windows wait for the provider",
+                )
             logs.decision(
                 "usage_window_closed",
                 "its reports are in",
--- a/waxwingrack/operations/replicated_duties.py
+++ b/waxwingrack/operations/replicated_duties.py
@@ -61,15 +61,33 @@
     if not usage.is_recordable(state, command.window):
         return CommandResult(state, state.usage.get(command.window))
     row = data.RecordedWindow(command.window, command.counts)
-    rows = state.usage.set(command.window, row)
-    floor = state.usage_floor
-    if len(rows) > MAX_WINDOWS:
-        floor = min(rows)
-        rows = rows.delete(floor)
+    rows, floor = state.usage, state.usage_floor
+    replaced = find_replaced(state, command.window)
+    if replaced is not None:
+        floor = max(floor, replaced.window)
+        rows = rows.delete(replaced.window)
+    rows = rows.set(command.window, row)
     state = dataclasses.replace(state, usage=rows, usage_floor=floor)
     return CommandResult(state, rows.get(command.window))
 
 
+def find_replaced(
+    state: data.ReplicatedState, window: int
+) -> data.RecordedWindow | None:
+    """Returns the recorded window that is dropped for another one.
+
+    Args:
+      state: The replicated state.
+      window: Number of a window that is not recorded.
+
+    Returns:
+      The oldest window if as many are recorded as are kept, else None.
+    """
+    if window in state.usage or len(state.usage) < MAX_WINDOWS:
+        return None
+    return state.usage[min(state.usage)]
+
+
 def accept_usage(
     state: data.ReplicatedState, command: commands.AcceptUsage
 ) -> CommandResult:
