--- a/features/codec_compact.feature
+++ b/features/codec_compact.feature
@@ -22,6 +22,9 @@
       | it reports a cache event  | 40    |
       | its cache event was first | 18    |
 
+  Scenario: deployments without duties send no byte for usage
+    Then a report without usage is as short as without that field
+
   Scenario: more strings and servers than the tables hold are transferred
     When 2000 backend servers announce themselves twice
     Then every received message equals the sent one
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -121,6 +121,8 @@
         connection.
       started: Granted requests whose answers have begun.
       notices: What servers told about themselves in answers.
+      usage: Counts of usage windows that have changed; in the first report on a
+        connection those of all windows that the router keeps.
     """
 
     sent_ms: int
@@ -137,6 +139,7 @@
     data_centre: str = ""
     started: tuple[data.StartedAnswer, ...] = ()
     notices: tuple[data.ServerNotice, ...] = ()
+    usage: tuple[data.WindowUsage, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -25,6 +25,7 @@
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import link_pacer
 from waxwingrack.daemons import router_metrics
+from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import hedging
 from waxwingrack.operations import idempotency
 from waxwingrack.operations import router_queues
@@ -58,6 +59,7 @@
     closing: bool
     keys_in_use: dict[tuple[str, str], str]
     open_requests: collections.Counter
+    usage: usage_counter.UsageCounter
 
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -37,6 +37,7 @@
 from waxwingrack.daemons import router_resources
 from waxwingrack.daemons import tls
 from waxwingrack.daemons import transport
+from waxwingrack.daemons import usage_counter
 from waxwingrack.operations import hedging
 from waxwingrack.operations import local_waits
 from waxwingrack.operations import router_queues
@@ -92,6 +93,7 @@
       answer_times: Times of the answers by service and route.
       load: Load of the busiest resource.
       pacer: Paces the bytes on the network link.
+      usage: Usage of the workspaces.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         self._cut_ms: int | None = None
         self.answer_times: dict[tuple[str, str], stopping.AnswerTimes] = {}
         self.load = saturation.RouterLoad()
+        self.usage = usage_counter.UsageCounter(settings.duties, clock)
         self._load_task: asyncio.Task | None = None
         self._resources = router_resources.ResourceMeter(settings)
         self._use = saturation.ResourceUse()
@@ -456,6 +459,9 @@
             self.draining,
             self.load.max_reported_requests,
         )
+        usage = self.usage.take_report(first, urgent=self.closing)
+        if usage:
+            report = dataclasses.replace(report, usage=usage)
         if not first:
             return report
         return dataclasses.replace(
