Make two tests of second copies see the fault that they guard against

Change: both servers must see the end of a cancelled copy within 1.5 s, before the answer timeout of 3 s; the late stream begins with a comment.

--- a/features/steps/hedged_requests_steps.py
+++ b/features/steps/hedged_requests_steps.py
@@ -268,7 +268,7 @@
             lines = [line.split()[1] for line in text.split("\n\n") if line]
             assert lines == ["0", "1", "2", "3", "4"], reply
         case "late":
-            assert text == "data: late\n\n", reply
+            assert text == ": open\n\ndata: late\n\n", reply
 
 
 @behave.then("answers pass whole")
@@ -375,6 +375,8 @@
     world.wait_for(
         lambda: all(backend.cancelled for backend in world.backends),
         "closed connections",
+        # Well before the answer timeout, which would close them as well.
+        1.5,
     )
     world.wait_for(
         lambda: len(world.leader.finished()) == 2, "the ends of both grants"
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -625,8 +625,9 @@
         return True
 
     async def _do_late_stream(self, writer, query, request_id, body, method):
-        """Sends the head at once and the first event late."""
+        """Sends the head and a comment at once and the first event late."""
         writer.write(_CHUNKS_OF_EVENTS)
+        self._chunk(writer, ": open\n\n")
         await writer.drain()
         await asyncio.sleep(0.4)
         self._chunk(writer, "data: late\n\n")
