Let idempotent requests that are attempts of their own be hedged

On the platform every route is single_attempt, so no request there would have got a second copy. Whether a request may be repeated is what the route says.

--- a/waxwingrack/daemons/hedged_attempts.py
+++ b/waxwingrack/daemons/hedged_attempts.py
@@ -277,9 +277,7 @@
             host.hedge_policy,
             hedging.Request(
                 target=_build_target(lease),
-                repeatable=route.idempotent
-                and not route.single_attempt
-                and admitted.key is None,
+                repeatable=route.idempotent and admitted.key is None,
                 attempts=len(self._failed_servers),
                 max_attempts=route.max_tries or router_queues.MAX_ATTEMPTS,
                 reports_slowness=host.dispatcher.reports_slowness(
