Learn the speed of each backend server and use it

All engines of a service shared one mean reading rate, so a slow engine counted as empty too early and a fast one too late. Application servers were chosen by data centre and load, however slow they were.

The leader now keeps a speed for each server incarnation (server_speeds, speed_records). Engines: tokens per millisecond, timed from one beginning of an answer to the next. Unread work, limit of unread prompts, rank, patience, fetching and capacity use the rate of the engine. Other servers: time of a request relative to the mean of its route, and the slowness that the header Server-Load states. Free servers are compared by the expected time of completion while servers of the service are known to differ.

Constants in tokens that fit engines of 40 tokens/ms are times now. The reference search of engine_placement uses the renamed constants; their values at 40 tokens/ms are the same.

--- a/features/steps/engine_placement_steps.py
+++ b/features/steps/engine_placement_steps.py
@@ -16,6 +16,7 @@
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import forecast
 from waxwingrack.operations import scheduler
+from waxwingrack.operations import server_speeds
 from waxwingrack.operations import tables as tables_module
 
 ENGINES = ("e1", "e2", "e3")
@@ -76,7 +77,7 @@
 
 def _granted(context, load, key, want):
     own = engine_load.count_cached_tokens(load.cache, want)
-    needed = engine_load.plan_prompt(want, own, 0)
+    needed = engine_load.plan_prompt(want, own, 0, READ_RATE)
     return engine_load.add_grant(
         load,
         key,
@@ -504,7 +505,7 @@
 def _placed(row, want, elsewhere, patience, engine):
     load = row.load
     own = engine_load.count_cached_tokens(load.cache, want)
-    needed = engine_load.plan_prompt(want, own, elsewhere)
+    needed = engine_load.plan_prompt(want, own, elsewhere, READ_RATE)
     unread = needed.unread_tokens
     if unread == want.prompt_tokens:
         shared = want.prompt[:-1] or want.prompt
@@ -514,13 +515,13 @@
         unread -= engine_load.PREFERENCE_FRACTION * size * turn
     rank = (
         load.unread_tokens
-        + engine_load.RUNNING_REQUEST_TOKENS * len(load.reservations)
+        + engine_load.RUNNING_REQUEST_MS * READ_RATE * len(load.reservations)
         + (1 + engine_load.REREAD_WEIGHT * patience) * unread
         + engine_load.compute_fetch_weight(engine, READ_RATE)
         * needed.fetched_tokens
     )
     if row.announcement.data_centre != driver.ROUTER.data_centre:
-        rank += engine_load.REMOTE_PENALTY_TOKENS
+        rank += server_speeds.REMOTE_MS * READ_RATE
     return (rank, row.key, row, needed)
 
 
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -563,6 +563,10 @@
         None if it did not say.
       rate_limit_age_ms: Time before the report at which it said so, in
         milliseconds.
+      slowness: Time that work takes there at present, as a multiple of the
+        normal time; None if it did not say.
+      slowness_age_ms: Time before the report at which it said so, in
+        milliseconds.
     """
 
     server_id: str
@@ -571,6 +575,29 @@
     pause_ms: int = 0
     rate_limit: float | None = None
     rate_limit_age_ms: int = 0
+    slowness: float | None = None
+    slowness_age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load that a backend server states in the head of an answer.
+
+    Attributes:
+      running: Running requests.
+      waiting: Requests that wait at the server.
+      slots: Maximum number of concurrent requests.
+      slowness: Time that work takes there at present, as a multiple of the
+        normal time; None if it did not say.
+      invalid: Text that could not be read, or whose values were out of bounds
+        and were moved to them; empty otherwise.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slowness: float | None = None
+    invalid: str = ""
 
 
 @quick_init
@@ -1357,6 +1384,52 @@
     reading_grants: immutables.Map = immutables.Map()
 
 
+@quick_init
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningMean:
+    """Running mean of weighted samples.
+
+    Attributes:
+      value: The mean.
+      weight: Sum of the weights of its samples, up to a limit that sets how
+        fast old samples lose influence.
+    """
+
+    value: float
+    weight: float
+
+
+@quick_init
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSpeed:
+    """Speed of one incarnation of a backend server.
+
+    Attributes:
+      read_rate: Prompt tokens that a model engine reads per millisecond; None
+        until it is measured.
+      started_ms: Time of the latest answer that began at the engine in the
+        order of the prompts; -1 without one.
+      read_tokens: Tokens that the engine has read since the latest sample of
+        `read_rate`, as far as they can be timed.
+      read_ms: Time in which it read them, in milliseconds.
+      time_factor: Time of a request at the server, as a multiple of the mean of
+        the service on the same route; None until it is measured.
+      timed_ms: Time of the latest sample of `time_factor`.
+      slowness: Time that work takes there, as a multiple of the normal time,
+        as the server said last.
+      slowness_ms: Time at which it said so.
+    """
+
+    read_rate: RunningMean | None = None
+    started_ms: int = -1
+    read_tokens: int = 0
+    read_ms: float = 0.0
+    time_factor: RunningMean | None = None
+    timed_ms: int = 0
+    slowness: float = 1.0
+    slowness_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class ServerRow:
     """A backend server as the leader knows it.
@@ -1392,6 +1465,7 @@
       cold_credit_ms: Time at which `cold_credit` was computed.
       cold_limit_reached: Whether it gets no request until its credit has grown.
       rate_limit: Limit that it named in its answers; None if there is none.
+      speed: Its speed, as learned and as it said itself.
     """
 
     announcement: Announcement
@@ -1420,6 +1494,7 @@
     cold_credit_ms: int = 0
     cold_limit_reached: bool = False
     rate_limit: "RateLimit | None" = None
+    speed: ServerSpeed = ServerSpeed()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1516,6 +1591,10 @@
         read, as a running mean.
       run_ms: Time for which a request takes a place of an engine, as a running
         mean; 0 if it is not known yet.
+      route_ms: `RunningMean` of the time of a request by route, in
+        milliseconds; empty for model engines.
+      uneven_until_ms: Time until which requests are placed by the expected time
+        of their completion, as servers are known to differ in speed.
     """
 
     server_counts: immutables.Map = immutables.Map()
@@ -1530,6 +1609,8 @@
     read_rate: float = 0.0
     unread_share: float = 1.0
     run_ms: float = 0.0
+    route_ms: immutables.Map = immutables.Map()
+    uneven_until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/controller_metrics.py
+++ b/waxwingrack/daemons/controller_metrics.py
@@ -6,6 +6,14 @@
 from waxwingrack.daemons import metrics as metrics_module
 from waxwingrack.operations import consensus_replication
 from waxwingrack.operations import scheduler
+from waxwingrack.operations import speed_records
+
+# Texts of the metrics of the speed of a backend server, by name.
+_SPEED_DOCS = {
+    "read_rate": "Prompt tokens that a model engine reads in a millisecond.",
+    "time_factor": "Learned time of a request, relative to its service.",
+    "slowness": "Time that work takes at present, as the server states it.",
+}
 
 
 def register_metrics(controller: Any) -> None:
@@ -98,6 +106,8 @@
     )
     metrics.clear_gauge("waiting_requests")
     metrics.clear_gauge("member_silence_ms")
+    for name in _SPEED_DOCS:
+        metrics.clear_gauge(f"server_{name}")
     if not controller.leads():
         return
     silence_ms = consensus_replication.silence_ms(
@@ -110,6 +120,13 @@
             value,
             controller=node_id,
         )
+    for server_id, values in speed_records.list_speeds(
+        controller.leader.tables, controller.clock()
+    ):
+        for name, value in values.items():
+            metrics.set(
+                f"server_{name}", _SPEED_DOCS[name], value, server=server_id
+            )
     overview = scheduler.build_status(
         controller.leader.tables, controller.clock()
     )
--- a/waxwingrack/daemons/dialects.py
+++ b/waxwingrack/daemons/dialects.py
@@ -86,11 +86,13 @@
         None if it did not.
       rate_limit: Requests per second that it takes from all routers together,
         as text; None if it did not say.
+      load: Load that it states; None if it did not say.
     """
 
     leaving: bool = False
     retry_after: str | None = None
     rate_limit: str | None = None
+    load: data.ServerLoad | None = None
 
 
 class Dialect(Protocol):
--- a/waxwingrack/daemons/dispatch.py
+++ b/waxwingrack/daemons/dispatch.py
@@ -20,6 +20,7 @@
 from waxwingrack.operations import crashes
 from waxwingrack.operations import router_queues
 from waxwingrack.operations import server_notices
+from waxwingrack.operations import server_speeds
 
 # Minimum interval between two reports of the cost of a running request.
 PROGRESS_MS = 500
@@ -124,6 +125,12 @@
         self._crash_suspects: list[messages.CrashSuspect] = []
         self._server_notices = server_notices.Notices()
         self._unreported_notices: list[data.ServerNotice] = []
+        # What servers state as their load, and their slowness and its time that
+        # is not reported yet. Only the latest one of a server is reported.
+        self._told_loads = immutables.Map()
+        self._unreported_slowness: dict[
+            server_notices.ServerKey, tuple[float, int]
+        ] = {}
         # Reported suspects with their times, for a leader that does not know
         # them.
         self._reported_suspects: list[tuple[int, messages.CrashSuspect]] = []
@@ -352,6 +359,8 @@
             self._note_pause(grant, notice.retry_after)
         if notice.rate_limit is not None:
             self._note_rate_limit(grant, notice.rate_limit)
+        if notice.load is not None:
+            self._note_load(grant, notice.load)
 
     def _note_leaving(
         self, server: server_notices.ServerKey, observation: str, **fields: Any
@@ -426,6 +435,44 @@
         )
         self._schedule_report(True)
 
+    def _note_load(self, grant: data.Grant, load: data.ServerLoad) -> None:
+        server, now_ms = (grant.server_id, grant.incarnation), self._clock()
+        self._told_loads, reports, logs_invalid = server_speeds.note_load(
+            self._told_loads, server, load, now_ms
+        )
+        if logs_invalid:
+            logs.event(
+                "server_load_invalid",
+                server=grant.server_id,
+                value=load.invalid,
+                slowness=load.slowness,
+            )
+        if reports:
+            logs.decision(
+                "server_slowness_reported",
+                "it has changed or would expire",
+                server=grant.server_id,
+                incarnation=grant.incarnation,
+                slowness=load.slowness,
+                running=load.running,
+                waiting=load.waiting,
+                slots=load.slots,
+            )
+            self._unreported_slowness[server] = (load.slowness, now_ms)
+            self._schedule_report(False)
+
+    def _take_slowness(self, now_ms: int) -> tuple[data.ServerNotice, ...]:
+        """Returns the latest slowness of each server that is to be reported."""
+        notices = tuple(
+            data.ServerNotice(
+                *server, slowness=slowness, slowness_age_ms=now_ms - told_ms
+            )
+            for server, (slowness, told_ms) in self._unreported_slowness.items()
+            if now_ms - told_ms < server_speeds.SLOWNESS_LIFETIME_MS
+        )
+        self._unreported_slowness.clear()
+        return notices
+
     def find_bar(self, grant: data.Grant) -> server_notices.Bar | None:
         """Tells why the request of a grant may not be sent to its server."""
         return server_notices.find_bar(
@@ -501,7 +548,7 @@
             announcements=tuple(self._announcements.values()),
             crash_suspects=tuple(self._crash_suspects),
             draining=draining,
-            notices=tuple(self._unreported_notices),
+            notices=(*self._unreported_notices, *self._take_slowness(now_ms)),
         )
         self._unreported_notices.clear()
         self._withdrawn_sequences.clear()
--- a/waxwingrack/operations/engine_choice.py
+++ b/waxwingrack/operations/engine_choice.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import zlib
 
 import immutables
@@ -12,6 +13,7 @@
 from waxwingrack.core import data
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import forecast
+from waxwingrack.operations import server_speeds
 from waxwingrack.operations import servers
 from waxwingrack.operations import tables as tables_module
 
@@ -50,8 +52,14 @@
       has_free_slot: Whether its slots allow a further request.
       unread_tokens: Prompt tokens that it still has to read.
       max_request_tokens: Size of the largest request that it accepts now.
-      load_tokens: Its unread prompts and running requests, in tokens to read.
+      load_tokens: Its unread prompts and running requests, in tokens that an
+        engine of mean speed reads in the same time.
       cached_parts: Prompt parts in its cache.
+      read_rate: Tokens that it reads in a millisecond.
+      extra_time: Time that it takes to read a token beyond that of an engine of
+        mean speed, as a multiple of the latter; negative for a faster one.
+      min_fetch_tokens: Minimum number of tokens that it fetches from another
+        engine; infinite if it reads faster than it fetches.
     """
 
     server: data.ServerRow
@@ -62,8 +70,11 @@
     has_free_slot: bool
     unread_tokens: int
     max_request_tokens: float
-    load_tokens: int
+    load_tokens: float
     cached_parts: immutables.Map
+    read_rate: float
+    extra_time: float
+    min_fetch_tokens: float
 
 
 # An engine ranked for a request: its rank, the number that orders engines of
@@ -79,7 +90,11 @@
 
     Attributes:
       engine_settings: Engine settings of the service.
-      read_rate: Tokens that an engine reads in a millisecond.
+      read_rate: Tokens that an engine reads in a millisecond, as the mean of
+        the service.
+      fetch_weight: Time to fetch a token, relative to the time in which an
+        engine of mean speed reads it; None if no engine can fetch faster than
+        it reads.
     """
 
     def __init__(
@@ -87,9 +102,22 @@
     ):
         self.engine_settings = engine_settings
         self.read_rate = forecast.get_read_rate(txn, service)
+        rows = list(tables_module.iter_usable_servers(txn, service))
+        rates = server_speeds.list_read_rates(rows, self.read_rate)
+        slowest = min(rates, default=self.read_rate)
+        weight = engine_load.compute_fetch_weight(engine_settings, slowest)
+        self.fetch_weight = (
+            None if weight is None else weight * self.read_rate / slowest
+        )
+        # Tokens that stand for a running request, and relative reading time of
+        # a token above which an engine fetches it.
+        self._request_tokens = engine_load.RUNNING_REQUEST_MS * self.read_rate
+        self._min_fetch_time = (
+            math.inf if self.fetch_weight is None else self.fetch_weight
+        )
         self._engines = {
-            server.announcement.server_id: self._build_state(txn, server)
-            for server in tables_module.iter_usable_servers(txn, service)
+            row.announcement.server_id: self._build_state(txn, row, rate)
+            for row, rate in zip(rows, rates, strict=True)
         }
         self._reachable: dict[str, list[EngineState]] = {}
 
@@ -114,33 +142,40 @@
     def refresh(self, txn: Transaction, server_id: str) -> None:
         """Updates the state of an engine that got a grant."""
         self._engines[server_id] = self._build_state(
-            txn, txn.servers[server_id]
+            txn, txn.servers[server_id], self._engines[server_id].read_rate
         )
         self._reachable.clear()
 
     def _build_state(
-        self, txn: Transaction, server: data.ServerRow
+        self, txn: Transaction, server: data.ServerRow, rate: float
     ) -> EngineState:
         announcement, load = server.announcement, server.load
+        server_id, place = announcement.server_id, announcement.data_centre
+        relative_time = self.read_rate / rate
         unread = load.unread_tokens and engine_load.estimate_unread_tokens(
-            load, txn.now_ms, self.read_rate
+            load, txn.now_ms, rate
         )
         return EngineState(
             server,
-            announcement.server_id,
-            announcement.server_id.encode(),
-            announcement.data_centre,
-            announcement.data_centre not in txn.drained
+            server_id,
+            server_id.encode(),
+            place,
+            place not in txn.drained
             and server.announced_ms + servers.MAX_ANNOUNCEMENT_AGE_MS
             > txn.now_ms,
             tables_module.has_free_slot(server),
             unread,
             engine_load.compute_max_request_tokens(
-                load, unread, self.engine_settings, self.read_rate
+                load, unread, self.engine_settings, rate
             ),
-            unread
-            + engine_load.RUNNING_REQUEST_TOKENS * len(load.reservations),
+            unread * relative_time
+            + self._request_tokens * len(load.reservations),
             load.cache.uses,
+            rate,
+            relative_time - 1.0,
+            engine_load.MIN_FETCH_MS * rate
+            if relative_time > self._min_fetch_time
+            else math.inf,
         )
 
 
@@ -175,9 +210,7 @@
     router_data_centre = txn.routers[entry.router].ref.data_centre
     waited_ms = txn.now_ms - entry.arrived_ms
     cached_tokens = _count_cached_tokens(reachable_engines, request)
-    fetch_weight = engine_load.compute_fetch_weight(
-        engines.engine_settings, engines.read_rate
-    )
+    fetch_weight = engines.fetch_weight
     fetchable_tokens = 0
     if fetch_weight is not None:
         fetchable_tokens = _find_max_fetchable_tokens(
@@ -196,12 +229,18 @@
         * engine_load.compute_patience(waited_ms, request),
         fetchable_tokens,
         fetch_weight or 0.0,
+        server_speeds.REMOTE_MS * engines.read_rate,
     )
     best = _select_engine(ranked, request, waited_ms, engines.read_rate)
     if best is None:
         return None
     rank, _, chosen, own_tokens = best
-    prompt_plan = engine_load.plan_prompt(request, own_tokens, fetchable_tokens)
+    prompt_plan = engine_load.plan_prompt(
+        request,
+        own_tokens,
+        0 if math.isinf(chosen.min_fetch_tokens) else fetchable_tokens,
+        chosen.read_rate,
+    )
     return EngineChoice(
         chosen.server,
         prompt_plan,
@@ -221,7 +260,8 @@
         else None,
         f"rank {rank:.0f}, {prompt_plan.unread_tokens} of "
         f"{request.prompt_tokens} tokens to read "
-        f"behind {chosen.unread_tokens}, {prompt_plan.fetched_tokens} to fetch",
+        f"behind {chosen.unread_tokens}, {prompt_plan.fetched_tokens} to fetch"
+        f" at {chosen.read_rate:.0f} tokens/ms",
     )
 
 
@@ -234,7 +274,7 @@
     ranked: list[_RankedEngine],
     request: data.QueuedRequest,
     waited_ms: int,
-    read_rate: float,
+    service_rate: float,
 ) -> _RankedEngine | None:
     """Selects the engine that gets a request; None if the request waits.
 
@@ -247,19 +287,27 @@
     best = min(ranked)
     if size <= best[2].max_request_tokens:
         return best
-    out_of_time = engine_load.compute_patience(waited_ms, request) == 0.0
+    # A slower engine needs the request earlier by the additional reading time.
+    # The patience that is left is compared with it in tokens.
+    patience_tokens = service_rate * engine_load.compute_patience_ms(
+        waited_ms, request
+    )
+    prompt_tokens = request.prompt_tokens
     return min(
         (
             ranked_engine
             for ranked_engine in ranked
             if size <= ranked_engine[2].max_request_tokens
             and (
-                out_of_time
+                not patience_tokens
+                or (prompt_tokens - ranked_engine[3])
+                * ranked_engine[2].extra_time
+                >= patience_tokens
                 or engine_load.may_take_early(
                     ranked_engine[2].unread_tokens,
                     waited_ms,
                     request,
-                    read_rate,
+                    ranked_engine[2].read_rate,
                 )
             )
         ),
@@ -298,12 +346,15 @@
     weight: float,
     fetchable_tokens: int,
     fetch_weight: float,
+    remote_tokens: float,
 ) -> list[_RankedEngine]:
     """Ranks the engines for a request; the lowest rank is best.
 
-    The unit is tokens to read. Reading a part that another engine has cached
-    delays all requests of the engine, so such a token counts more than once.
-    This weight falls with the time for which the request has waited.
+    The unit is tokens that an engine of mean speed reads. Reading a part that
+    another engine has cached delays all requests of the engine, so such a token
+    counts more than once. This weight falls with the time for which the request
+    has waited. It does not depend on the speed of the engine, as the capacity
+    lost is the tokens that the engine could have read instead.
 
     Args:
       engines: The engines, each with the number of prompt tokens in its cache.
@@ -313,6 +364,7 @@
       fetchable_tokens: Maximum number of prompt tokens that an engine can
         fetch.
       fetch_weight: Time to fetch a token, relative to the time to read it.
+      remote_tokens: Tokens that stand for the way to another data centre.
 
     Returns:
       The ranked engines, in the given order.
@@ -329,7 +381,7 @@
     ranked = []
     for engine, own_tokens in engines:
         fetched = fetchable_tokens - own_tokens
-        if fetched < engine_load.MIN_FETCH_TOKENS:
+        if fetched < engine.min_fetch_tokens:
             fetched = 0
         unread: float = prompt_tokens - own_tokens - fetched
         if unread < 0:
@@ -337,9 +389,13 @@
         elif shared and unread == prompt_tokens:
             hash_fraction = zlib.crc32(engine.encoded_id, digest) / 2**32
             unread -= max_preference * hash_fraction
-        rank = engine.load_tokens + weight * unread + fetch_weight * fetched
+        rank = (
+            engine.load_tokens
+            + (weight + engine.extra_time) * unread
+            + fetch_weight * fetched
+        )
         if engine.data_centre != router_data_centre:
-            rank += engine_load.REMOTE_PENALTY_TOKENS
+            rank += remote_tokens
         ranked.append((rank, engine.server.key, engine, own_tokens))
     return ranked
 
--- a/waxwingrack/operations/engine_load.py
+++ b/waxwingrack/operations/engine_load.py
@@ -35,12 +35,8 @@
 # 60 ms. This time keeps the engine busy in between, and a short prompt waits
 # for little more than one long prompt.
 MAX_UNREAD_MS = 60.0
-# Tokens that stand for the time that a running request adds to each step of an
-# engine.
-RUNNING_REQUEST_TOKENS = 40
-# Tokens that stand for the time and the traffic of a request to another data
-# centre.
-REMOTE_PENALTY_TOKENS = 250
+# Time that a running request adds to each step of an engine, in milliseconds.
+RUNNING_REQUEST_MS = 1.0
 
 # Additional weight of a token to read for a request that has just arrived.
 REREAD_WEIGHT = 5.0
@@ -59,9 +55,9 @@
 DISPATCH_MS = 8
 # Latency target of requests that have none.
 DEFAULT_TARGET_MS = 1_000
-# Minimum number of tokens that an engine fetches. Setting up a transfer takes
-# about as long as reading that many.
-MIN_FETCH_TOKENS = 100
+# Time to set up a transfer between engines, in milliseconds. An engine that
+# reads the tokens in less does not fetch them.
+MIN_FETCH_MS = 2.5
 
 GrantKey = tables_module.GrantKey
 
@@ -128,7 +124,10 @@
 
 
 def plan_prompt(
-    request: data.QueuedRequest, cached_tokens: int, fetchable_tokens: int
+    request: data.QueuedRequest,
+    cached_tokens: int,
+    fetchable_tokens: int,
+    rate: float,
 ) -> PromptPlan:
     """Plans how an engine gets the prompt of a request.
 
@@ -136,9 +135,10 @@
       request: The request.
       cached_tokens: Prompt tokens in the cache of the engine.
       fetchable_tokens: Maximum number of prompt tokens that it can fetch.
+      rate: Tokens that the engine reads in a millisecond.
     """
     fetched_tokens = max(0, fetchable_tokens - cached_tokens)
-    if fetched_tokens < MIN_FETCH_TOKENS:
+    if fetched_tokens < MIN_FETCH_MS * rate:
         fetched_tokens = 0
     return PromptPlan(
         max(0, request.prompt_tokens - cached_tokens - fetched_tokens),
@@ -184,6 +184,12 @@
     return max(0, engine.memory_tokens - load.used_tokens)
 
 
+def compute_patience_ms(waited_ms: int, request: data.QueuedRequest) -> float:
+    """Returns the time for which a request still waits for a better engine."""
+    limit_ms = MAX_WAIT_FRACTION * (request.target_ms or DEFAULT_TARGET_MS)
+    return max(0.0, limit_ms - waited_ms)
+
+
 def compute_patience(waited_ms: int, request: data.QueuedRequest) -> float:
     """Returns the fraction of the wait for a better engine that is left."""
     limit_ms = MAX_WAIT_FRACTION * (request.target_ms or DEFAULT_TARGET_MS)
--- a/waxwingrack/operations/explanations.py
+++ b/waxwingrack/operations/explanations.py
@@ -27,6 +27,7 @@
         "server_restarted",
         "server_paused",
         "limit_cut",
+        "server_speed_changed",
         "crash_counted",
         "server_leaving",
         "server_pauses_router",
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -28,21 +28,16 @@
 from waxwingrack.operations import fairness
 from waxwingrack.operations import leader_queues
 from waxwingrack.operations import placement
+from waxwingrack.operations import server_speeds
 from waxwingrack.operations import tables as tables_module
 
-# Tokens that an engine reads in a millisecond, until a rate is measured.
+# Tokens that an engine reads in a millisecond, until a rate is measured. It is
+# the start value of the mean of a service, between known engines (20 to 100).
 DEFAULT_TOKENS_PER_MS = 40.0
 # Longest time of a request that counts for the mean, in milliseconds.
 MAX_RUN_MS = 600_000.0
 # Weight of the latest measurement in the running means.
 MEAN_STEP = 0.1
-# Lowest and highest rate that a measurement can lead to, in tokens per
-# millisecond.
-MIN_TOKENS_PER_MS = 2.0
-MAX_TOKENS_PER_MS = 2_000.0
-# Minimum expected time to read the tokens ahead of an answer for a measurement
-# of the rate; with less, the steps of running requests dominate.
-MIN_MEASURED_MS = 80.0
 # Time from a grant to the first byte, besides reading the prompt.
 FIRST_BYTE_OVERHEAD_MS = 15.0
 # Fraction of the latency target that a forecast may use. The rest is reserved
@@ -96,22 +91,45 @@
 
 def record_read_rate(
     txn: Transaction,
-    service: str,
+    row: data.ServerRow,
     reservation: data.EngineReservation,
+    in_order: bool,
     first_byte_ms: float,
-) -> None:
-    """Updates the mean rate at which the engines of a service read prompts."""
+) -> data.ServerSpeed:
+    """Updates the rates at which an engine and its service read prompts.
+
+    Args:
+      txn: Tables.
+      row: Row of the engine.
+      reservation: Reservation of a request whose answer has begun.
+      in_order: Whether the engine has begun the answers to all earlier prompts.
+      first_byte_ms: Time from the dispatch to the first byte of the answer.
+
+    Returns:
+      The new speed of the engine, not stored yet.
+    """
+    service = row.announcement.service
     pool = txn.pools.get(service)
     if pool is None:
-        return
+        return row.speed
+    if not server_speeds.is_usable_time(first_byte_ms):
+        txn.log_event(
+            "speed_sample_ignored",
+            f"a time of {first_byte_ms} ms to the first byte",
+            server=row.announcement.server_id,
+        )
+        return row.speed
     mean_rate = get_read_rate(txn, service)
-    if reservation.tokens_ahead < MIN_MEASURED_MS * mean_rate:
-        return
-    rate = reservation.tokens_ahead / max(1.0, first_byte_ms)
-    rate = min(MAX_TOKENS_PER_MS, max(MIN_TOKENS_PER_MS, rate))
-    txn.pools[service] = data.evolve(
-        pool, read_rate=mean_rate + MEAN_STEP * (rate - mean_rate)
+    rate = server_speeds.get_read_rate(row.speed, mean_rate)
+    speed = server_speeds.time_reading(
+        row.speed, rate, reservation, in_order, first_byte_ms, txn.now_ms
     )
+    if server_speeds.has_rate_sample(speed, rate):
+        speed, mean_rate = server_speeds.learn_read_rate(
+            speed, mean_rate, MEAN_STEP
+        )
+        txn.pools[service] = data.evolve(pool, read_rate=mean_rate)
+    return speed
 
 
 def record_run_time(txn: Transaction, service: str, run_ms: float) -> None:
@@ -132,10 +150,21 @@
 
 
 def get_read_rate(txn: Transaction, service: str) -> float:
-    """Returns the tokens that an engine of a service reads in a millisecond."""
+    """Returns the mean reading rate of the engines of a service.
+
+    Returns:
+      Tokens per millisecond.
+    """
     return txn.pools[service].read_rate or DEFAULT_TOKENS_PER_MS
 
 
+def get_engine_read_rate(txn: Transaction, row: data.ServerRow) -> float:
+    """Returns the tokens that one engine reads in a millisecond."""
+    return server_speeds.get_read_rate(
+        row.speed, get_read_rate(txn, row.announcement.service)
+    )
+
+
 def expect_first_byte(
     txn: Transaction,
     service: str,
@@ -143,6 +172,10 @@
 ) -> float:
     """Returns the expected time from a grant to the first byte.
 
+    It follows from the mean rate of the service, as it is the measure by which
+    versions are compared: with the rate of the engine, a version that reads
+    more slowly would count as if that were expected.
+
     Args:
       txn: Tables.
       service: Service.
@@ -416,13 +449,14 @@
         return _Capacity(
             float(sum(server.slot_limit.limit for server in servers)), 0.0
         )
-    rate = get_read_rate(txn, service)
+    service_rate = get_read_rate(txn, service)
+    rate = sum(server_speeds.list_read_rates(servers, service_rate))
     places = sum(server.slot_limit.limit for server in servers)
     taken = sum(placement.count_used_slots(server) for server in servers)
     run_ms = txn.pools[service].run_ms
     # While requests wait, every engine is kept at its limit of unread prompts.
     return _Capacity(
-        len(servers) * rate,
+        rate,
         engine_load.MAX_UNREAD_MS,
         max(0, places - taken),
         places / run_ms if run_ms else 0.0,
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -28,6 +28,7 @@
 from waxwingrack.operations import placement
 from waxwingrack.operations import rate_limits
 from waxwingrack.operations import servers
+from waxwingrack.operations import speed_records
 from waxwingrack.operations import tables as tables_module
 
 Transaction = tables_module.Transaction
@@ -466,15 +467,22 @@
             return None
         router_data_centre = txn.routers[entry.router].ref.data_centre
         near_group = (request.service, version, router_data_centre)
+        compares_times = txn.pools[request.service].uneven_until_ms > txn.now_ms
         least_loaded = []
-        if (
+        if compares_times:
+            groups = _list_free_groups(txn, request.service, version)
+            groups.sort(key=lambda group: group != near_group)
+            least_loaded = speed_records.list_free_servers(
+                txn, groups, avoided_servers
+            )
+        elif (
             near_group in txn.free_counts
             and router_data_centre not in txn.drained
         ):
             least_loaded = _find_least_loaded(
                 txn, [near_group], avoided_servers
             )
-        if not least_loaded:
+        if not least_loaded and not compares_times:
             groups = _list_free_groups(txn, request.service, version)
             if not groups:
                 return None
@@ -493,7 +501,17 @@
         if not stale_servers:
             return placement.pick_best(
                 eligible_servers,
-                placement.Request(request.prefix, router_data_centre),
+                placement.Request(
+                    request.prefix,
+                    router_data_centre,
+                    compares_times,
+                    speed_records.get_request_ms(
+                        txn, request.service, request.route
+                    ),
+                    txn.now_ms,
+                )
+                if compares_times
+                else placement.Request(request.prefix, router_data_centre),
             )
         for server in stale_servers:
             servers.mark_stale(txn, server.announcement.server_id)
@@ -835,11 +853,15 @@
         isolated_grant=key if isolated else None,
     )
     if engine is not None:
+        read_rate = forecast.get_engine_read_rate(txn, row)
         needs = assignment.needs or engine_load.plan_prompt(
-            request, engine_load.count_cached_tokens(row.load.cache, request), 0
+            request,
+            engine_load.count_cached_tokens(row.load.cache, request),
+            0,
+            read_rate,
         )
         unread_tokens = engine_load.estimate_unread_tokens(
-            row.load, txn.now_ms, forecast.get_read_rate(txn, request.service)
+            row.load, txn.now_ms, read_rate
         )
         load = engine_load.add_grant(
             row.load,
--- a/waxwingrack/operations/placement.py
+++ b/waxwingrack/operations/placement.py
@@ -21,6 +21,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import registry
+from waxwingrack.operations import server_speeds
 
 # Prefixes that are kept for one server; the oldest is dropped first.
 MAX_PREFIXES = 512
@@ -38,10 +39,17 @@
     Attributes:
       prefix: Digest of the prompt prefix, empty if there is none.
       data_centre: Data centre of the router.
+      compares_times: Whether servers are ranked by the expected time of
+        completion, as some of the service are known to differ in speed.
+      request_ms: Mean time of the service for such a request, in milliseconds.
+      now_ms: Present time.
     """
 
     prefix: str
     data_centre: str
+    compares_times: bool = False
+    request_ms: float = 0.0
+    now_ms: int = 0
 
 
 # A preference returns a rank, where lower is better, and a reason for the log.
@@ -59,6 +67,22 @@
     return 1.0, ""
 
 
+@PREFERENCES.register("completion")
+def _rank_by_completion(
+    row: data.ServerRow, request: Request
+) -> tuple[float, str]:
+    if not request.compares_times:
+        return 0.0, ""
+    expected_ms = server_speeds.expect_completion_ms(
+        row.speed,
+        count_used_slots(row) / row.slot_limit.limit,
+        row.announcement.data_centre != request.data_centre,
+        request.request_ms,
+        request.now_ms,
+    )
+    return expected_ms, f"expected to take {expected_ms:.1f} ms"
+
+
 @PREFERENCES.register("data_centre")
 def _rank_by_data_centre(
     row: data.ServerRow, request: Request
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -38,6 +38,7 @@
 from waxwingrack.operations import pauses
 from waxwingrack.operations import placement
 from waxwingrack.operations import servers
+from waxwingrack.operations import speed_records
 from waxwingrack.operations import tables as tables_module
 
 Tables = tables_module.Tables
@@ -345,13 +346,17 @@
     row = txn.servers.get(grant.server_id) if grant else None
     if row is not None and key in row.load.reservations:
         reservation = row.load.reservations[key]
-        if not reservation.is_held_up:
-            forecast.record_read_rate(
-                txn, grant.service, reservation, started.first_byte_ms
-            )
         load = engine_load.mark_answer_started(row.load, key, txn.now_ms)
-        txn.servers[grant.server_id] = data.evolve(row, load=load)
         if not reservation.answer_started:
+            in_order = (
+                load.unread_tokens
+                == row.load.unread_tokens - reservation.unread_tokens
+            )
+            speed = forecast.record_read_rate(
+                txn, row, reservation, in_order, started.first_byte_ms
+            )
+            row = data.evolve(row, load=load, speed=speed)
+            txn.servers[grant.server_id] = row
             _add_sample(txn, grant, started.first_byte_ms)
 
 
@@ -525,6 +530,8 @@
     if outcome is data.Outcome.COMPLETED:
         if txn.environment_index.engine(grant.service) is not None:
             forecast.record_run_time(txn, grant.service, finished.duration_ms)
+        else:
+            speed_records.record_request_time(txn, grant, finished.duration_ms)
         for suspect in (grant.digest, *grant.parts):
             if suspect in txn.suspicions:
                 _clear_suspect(txn, suspect)
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -26,6 +26,7 @@
 from waxwingrack.operations import placement
 from waxwingrack.operations import rate_limits
 from waxwingrack.operations import slot_limits
+from waxwingrack.operations import speed_records
 from waxwingrack.operations import tables as tables_module
 
 # Age at which an announcement expires and its server becomes stale.
@@ -104,6 +105,8 @@
         pauses.record(txn, router, notice)
     if notice.rate_limit is not None:
         rate_limits.record(txn, notice)
+    if notice.slowness is not None:
+        speed_records.record_slowness(txn, notice)
 
 
 def set_announced(
@@ -328,6 +331,8 @@
         ),
         stale=False,
         former_claims=(),
+        # Another version or service is read or served at another speed.
+        speed=data.ServerSpeed() if moved else old_row.speed,
     )
     return orphans.settle_orphans(txn, row) if row.orphans else row
 
--- a/waxwingrack/platform/headers.py
+++ b/waxwingrack/platform/headers.py
@@ -1,11 +1,14 @@
 """HTTP headers and paths of requests and answers on the platform."""
 
+import math
+
 from twisted.web import http_headers
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.daemons import dialects
 from waxwingrack.operations import costs
+from waxwingrack.operations import server_speeds
 
 REQUEST_ID = b"Request-Id"
 # Time left for the answer, in milliseconds.
@@ -26,9 +29,18 @@
 SERVER_LEAVING = b"Server-Leaving"
 # Requests per second that a backend server takes from all routers together.
 SERVER_LIMIT = b"Server-Limit"
+# Load of a backend server: running and waiting requests, slots and, at some,
+# the slowness of its VM (100 is normal), separated by commas.
+SERVER_LOAD = b"Server-Load"
+# Value of a normal slowness in `SERVER_LOAD`.
+NORMAL_SLOWNESS = 100.0
+# Characters of an unreadable `SERVER_LOAD` that are kept for the log.
+MAX_KEPT_CHARS = 100
 # Expected number of output tokens.
 LENGTH_HINT = b"Length-Hint"
 
+# Highest count of requests or slots that is taken from a header.
+MAX_COUNT = 1_000_000
 MISDIRECTED = 421
 # Statuses that guarantee that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset((408, MISDIRECTED, 429, 503))
@@ -131,6 +143,7 @@
             leaving=dialects.first_value(headers, SERVER_LEAVING) == "1",
             retry_after=dialects.read_retry_after(status, headers),
             rate_limit=dialects.first_value(headers, SERVER_LIMIT),
+            load=_parse_server_load(dialects.first_value(headers, SERVER_LOAD)),
         )
 
     def build_answer_headers(self, grant: data.Grant) -> dict[bytes, bytes]:
@@ -171,6 +184,35 @@
     return tuple([*numbers, *[0] * count][:count])
 
 
+def _parse_server_load(text: str | None) -> data.ServerLoad | None:
+    """Parses the load of a backend server.
+
+    Returns:
+      The load, with values out of bounds moved to them; without values if the
+      text cannot be read; None without a text.
+    """
+    if text is None:
+        return None
+    try:
+        values = [float(part) for part in text.split(",")]
+    except ValueError:
+        values = []
+    if len(values) not in (3, 4) or not all(map(math.isfinite, values)):
+        return data.ServerLoad(invalid=text[:MAX_KEPT_CHARS] or "empty")
+    counts = [int(min(MAX_COUNT, max(0.0, value))) for value in values[:3]]
+    bounded: list[float] = [*counts]
+    slowness = None
+    if len(values) == 4:
+        stated = values[3] / NORMAL_SLOWNESS
+        slowness = server_speeds.bound_slowness(stated)
+        bounded.append(values[3] if slowness == stated else math.nan)
+    return data.ServerLoad(
+        *counts,
+        slowness=slowness,
+        invalid="" if bounded == values else text[:MAX_KEPT_CHARS],
+    )
+
+
 def _parse_prompt_parts(text: str | None) -> tuple[data.PromptPart, ...]:
     prompt_parts = []
     for item in (text or "").split(","):
