--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -26,7 +26,7 @@
 ADAPTER = ROOT / "waxwingrack" / "platform"
 # Names that the platform uses on the wire and in its settings file.
 WIRE_NAMES = re.compile(
-    r"Response-Seal|Token-Usage|Prefix-Hash|Expect-Instance|Not-Executed"
+    r"Response-Seal|Server-Load|Token-Usage|Prefix-Hash|Expect-Instance|Not-Executed"
     r"|Length-Hint|Deadline-Ms|Kv-(From|Fetch|Backup)|Pin-Ms|Weight-Versions"
     r"|Expect-Version|coldRemainingMs|heartbeatUrl|pathPrefix|trafficSplit"
     r"|timeoutMs|targetLatencyMs|maxAttempts|streamResume|stickySessions"
