--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -238,16 +238,16 @@
     Then the Server-Load "<value>" is read as <load>
 
     Examples:
-      | case                | value        | load          |
-      | without slowness    | 3,0,6        | 3 0 6 None    |
-      | with slowness       | 3, 1, 6, 250 | 3 1 6 250.0   |
-      | too short           | 3,0          | nothing       |
-      | too long            | 3,0,6,100,1  | nothing       |
-      | negative            | -3,0,6       | nothing       |
-      | not a number        | 3,0,6,nan    | nothing       |
-      | without bound       | 3,0,6,inf    | nothing       |
-      | a slowness of zero  | 3,0,6,0      | nothing       |
-      | too large           | 10000000,0,6 | nothing       |
+      | case                | value        | load                |
+      | without slowness    | 3,0,6        | 3 0 6 None valid    |
+      | with slowness       | 3, 1, 6, 250 | 3 1 6 2.5 valid     |
+      | too short           | 3,0          | 0 0 0 None invalid  |
+      | too long            | 3,0,6,100,1  | 0 0 0 None invalid  |
+      | negative            | -3,0,6       | 0 0 6 None invalid  |
+      | not a number        | 3,0,6,nan    | 0 0 0 None invalid  |
+      | without bound       | 3,0,6,inf    | 0 0 0 None invalid  |
+      | a slowness of zero  | 3,0,6,0      | 3 0 6 0.1 invalid   |
+      | too large           | 10000000,0,6 | 1000000 0 6 None invalid |
 
   Scenario Outline: the share of second copies is "<value>" in the environment
     Given the platform's settings file of a router
