Send callers of a saturated router to another one at once

A retry on a new connection reaches another router, which does not have the backlog of the saturated one. Where the load balancer has no other router, Retry-After stays the time in which the backlog drains.

--- a/features/saturated_routers.feature
+++ b/features/saturated_routers.feature
@@ -51,6 +51,18 @@
       | they came back, then rested  | 5 5 5 5 0 | yes   | no     | 480  |
       | they have gone for long      | 5 5 5 0 0 0 0 0 0 0 0 0 0 | no | yes | 180 |
 
+  Scenario Outline: a refused caller comes back to where there is room: <case>
+    Guards against callers that wait for the backlog of one router while another
+    one is idle, and against those that come back at once to the same router.
+
+    Then a caller refused behind <backlog> ms comes back after <back> ms at a router that is <place>
+
+    Examples:
+      | case                  | backlog | back | place      |
+      | another router        | 1100    | 0    | not alone  |
+      | no other router       | 1100    | 1100 | alone      |
+      | nothing left to drain | -5      | 0    | alone      |
+
   Scenario Outline: the rate of grants is that of a queue that waits: <case>
     Guards against refusals below the real capacity: few grants because few requests
     came do not show that a router is slow.
--- a/features/steps/saturated_routers_steps.py
+++ b/features/steps/saturated_routers_steps.py
@@ -359,3 +359,11 @@
 def never_left(context):
     events = [line["event"] for line in context.world.router.log()]
     assert not {"leader_left", "control_lost"} & set(events), events
+
+
+@behave.then(
+    "a caller refused behind {backlog:g} ms comes back after {back:d} ms at a "
+    "router that is {place}"
+)
+def comes_back(_, backlog, back, place):
+    assert local_waits.find_retry_ms(backlog, place == "alone") == back
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -245,8 +245,9 @@
             raise dispatch.RefusedError(
                 errors.ErrorKind.ROUTER_SATURATED,
                 reason=f"{wait_ms:.0f} ms to wait, target {target_ms} ms",
-                # The time until the backlog of this router has drained.
-                retry_after_ms=round(wait_ms - waited_ms),
+                retry_after_ms=self._host.find_local_retry_ms(
+                    wait_ms - waited_ms
+                ),
             )
 
     def _find_workspace(self, matched: result.Result) -> data.Workspace:
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -64,6 +64,9 @@
     def clock(self) -> int:
         """Returns the monotonic clock in milliseconds."""
 
+    def find_local_retry_ms(self, backlog_ms: float) -> int:
+        """Returns when a caller that was refused here should come back."""
+
     def find_local_wait(
         self, workspace: str, target_ms: int, waited_ms: float = 0.0
     ) -> float | None:
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -387,6 +387,14 @@
         )
         return wait_ms if is_too_long else None
 
+    def find_local_retry_ms(self, backlog_ms: float) -> int:
+        """Returns when a caller that was refused here should come back.
+
+        Args:
+          backlog_ms: Time until the backlog of this router has drained.
+        """
+        return local_waits.find_retry_ms(backlog_ms, self._shedding.is_alone)
+
     def can_answer_in_time(
         self, service: str, route: str, left_ms: int | None
     ) -> bool:
--- a/waxwingrack/operations/local_waits.py
+++ b/waxwingrack/operations/local_waits.py
@@ -105,3 +105,17 @@
     """
     share = MAX_TARGET_SHARE_ALONE if is_alone else MAX_TARGET_SHARE
     return wait_ms > share * (target_ms or DEFAULT_TARGET_MS)
+
+
+def find_retry_ms(backlog_ms: float, is_alone: bool) -> int:
+    """Returns when a refused caller should come back, in milliseconds.
+
+    Args:
+      backlog_ms: Time until the backlog of this router has drained.
+      is_alone: Whether the load balancer has no other router.
+
+    Returns:
+      The time; 0 for at once, as the caller then reaches another router, which
+      does not have this backlog.
+    """
+    return max(0, round(backlog_ms)) if is_alone else 0
