Decide how many servers a service needs in each data centre

Nothing ordered servers, although the provider takes orders. Documents may hold the limits (`scaling`); a `max` below `min` is refused.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -55,6 +55,12 @@
 # ---------------------------------------------------------------------------
 
 
+# Largest limit of the number of servers of a service in a data centre, and
+# longest start-up time in seconds; larger values are typing errors.
+MAX_SCALED_SERVERS = 10_000
+MAX_BOOT_S = 3_600.0
+
+
 class DataCentreState(enum.StrEnum):
     """Whether a data centre may receive new work."""
 
@@ -208,6 +214,21 @@
     requests_per_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaling:
+    """Limits of the number of servers of a service in each data centre.
+
+    Attributes:
+      min: Smallest number of servers.
+      max: Largest number of servers, at least `min`.
+      boot_s: Time after which an ordered server starts serving, in seconds.
+    """
+
+    min: int
+    max: int
+    boot_s: float = 10.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A pool of backend servers that run the same program.
@@ -233,6 +254,7 @@
       announces_cold: Whether every backend server announces for how long it is
         still slow after its start. Otherwise its latencies do not count in a
         rollout for some time.
+      scaling: Limits within which the leader orders servers; None orders none.
     """
 
     id: str
@@ -248,6 +270,7 @@
     ramp: bool = True
     isolate_suspects: bool = True
     announces_cold: bool = False
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -1674,6 +1697,25 @@
     run_ms: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceTraffic:
+    """Requests for a service from the routers of a data centre.
+
+    All counts begin with the present leader. Second copies of running requests
+    are not counted.
+
+    Attributes:
+      arrived: Number of requests, refused ones included.
+      tokens: Tokens of their prompts.
+      refused: Number of requests that were refused because no server could
+        serve them in time.
+    """
+
+    arrived: int = 0
+    tokens: int = 0
+    refused: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerPause:
     """Time for which a server wants no requests of one router.
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -19,6 +19,7 @@
 from waxwingrack.core import logs
 from waxwingrack.core import messages
 from waxwingrack.core import registry
+from waxwingrack.daemons import capacity_orders
 from waxwingrack.daemons import departure_log
 from waxwingrack.daemons import duties as duties_module
 from waxwingrack.daemons import engine_orders
@@ -158,6 +159,7 @@
             if services.duties
             else None
         )
+        self._capacity = capacity_orders.CapacityOrders(services, self.duties)
         # Router incarnations of the last checkpoint that were not lost since.
         self._former_routers = self.state.routers
         self._version_samples = rollouts.VersionSamples()
@@ -532,6 +534,7 @@
         self.orders.start_due_actions(self.tables, now_ms)
         if self.duties is not None:
             self.duties.run_periodic(now_ms)
+            self._capacity.run_periodic(self.tables, now_ms)
         if now_ms >= self._next_checkpoint_ms:
             self._next_checkpoint_ms = now_ms + CHECKPOINT_INTERVAL_MS
             if self._pending_checkpoint is None and self._needs_checkpoint():
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -26,6 +26,7 @@
     "$.services[*].orders.answer_timeout_s": (0.01, 600.0),
     "$.services[*].orders.load_timeout_s": (0.1, 86_400.0),
     "$.services[*].orders.max_order_delay_s": (0.1, 86_400.0),
+    "$.services[*].scaling.boot_s": (0.0, data.MAX_BOOT_S),
     "$.rollouts[*].deadline_s": (0.1, 172_800.0),
     "$.rollouts[*].watch_s": (0.01, 43_200.0),
     "$.key_retention_s": (1.0, 2_678_400.0),
@@ -46,6 +47,10 @@
 }
 LOADING_LIMITS = {"$.max_loading": (1, 10_000)}
 SHARE_LIMITS = {"$.services[*].orders.min_serving_share": (0.0, 1.0)}
+SCALING_LIMITS = {
+    "$.services[*].scaling.min": (0, data.MAX_SCALED_SERVERS),
+    "$.services[*].scaling.max": (0, data.MAX_SCALED_SERVERS),
+}
 # With a larger ratio of weights, the workspace with the smaller weight would
 # get no noticeable share.
 MAX_WEIGHT = 1_000_000.0
@@ -173,6 +178,21 @@
     yield from documents.check_ranges(document, SHARE_LIMITS, "of the slots")
 
 
+@RULES.register("scaling")
+def _check_scaling(document: Any) -> Faults:
+    yield from documents.check_ranges(document, SCALING_LIMITS, "servers")
+    for path, scaling in documents.select_values(
+        document, "$.services[*].scaling", dict
+    ):
+        low, high = scaling.get("min"), scaling.get("max")
+        if (
+            isinstance(low, documents.NUMBER_TYPES)
+            and isinstance(high, documents.NUMBER_TYPES)
+            and high < low
+        ):
+            yield f"{path}.max", "must not be below min"
+
+
 @RULES.register("watch_within_deadline")
 def _check_watch_within_deadline(document: Any) -> Faults:
     defaults = {
--- a/waxwingrack/operations/leader_queues.py
+++ b/waxwingrack/operations/leader_queues.py
@@ -13,6 +13,7 @@
 from waxwingrack.core import errors
 from waxwingrack.core import messages
 from waxwingrack.operations import crashes
+from waxwingrack.operations import service_traffic
 from waxwingrack.operations import tables as tables_module
 
 Transaction = tables_module.Transaction
@@ -75,6 +76,7 @@
     entry = data.QueueEntry(router, request, txn.next_arrival, txn.now_ms)
     txn.next_arrival += 1
     txn.new_arrivals.append((router, request.sequence))
+    service_traffic.record_arrival(txn, router, request)
     return _insert_entry(txn, entry)
 
 
@@ -230,7 +232,9 @@
     retry_after_ms: int = 0,
 ) -> None:
     """Refuses a queued request."""
-    if remove_request(txn, router, sequence) is not None:
+    entry = remove_request(txn, router, sequence)
+    if entry is not None:
+        service_traffic.record_refusal(txn, router, entry.request, kind)
         refusal = messages.Refusal(sequence, kind, retry_after_ms)
         txn.refusals.append((router, refusal, reason))
 
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -108,6 +108,8 @@
         refused, by digest; negative if none has.
       pauses: `data.ServerPause` by (router, server id).
       contention: `contention.ServiceLoad` by service.
+      traffic: `data.ServiceTraffic` by (service, data centre of the router),
+        for services that the leader scales.
       timers: Pairs of timer kind and key, by timer step.
       broken_connections: `data.BrokenConnections` by (server id, incarnation).
       evidence_ms: Time at which the former leader sent the evidence about
@@ -148,6 +150,7 @@
     crashing_digests: immutables.Map = immutables.Map()
     pauses: immutables.Map = immutables.Map()
     contention: immutables.Map = immutables.Map()
+    traffic: immutables.Map = immutables.Map()
     timers: immutables.Map = immutables.Map()
     broken_connections: immutables.Map = immutables.Map()
     evidence_ms: int = -1
@@ -207,6 +210,7 @@
         self.crashing_digests = tables.crashing_digests.mutate()
         self.pauses = tables.pauses.mutate()
         self.contention = tables.contention.mutate()
+        self.traffic = tables.traffic.mutate()
         self.timers = tables.timers.mutate()
         self.free_totals = tables.free_totals.mutate()
         self.term = tables.term
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -77,12 +77,30 @@
     linkMbps: _NonNegative = 0.0  # noqa: N815
 
 
+class _Scaling(pydantic.BaseModel):
+    min: Annotated[int, pydantic.Field(ge=0, le=data.MAX_SCALED_SERVERS)]
+    max: Annotated[int, pydantic.Field(ge=0, le=data.MAX_SCALED_SERVERS)]
+    bootS: Annotated[  # noqa: N815
+        float,
+        pydantic.Field(ge=0, le=data.MAX_BOOT_S, allow_inf_nan=False),
+    ] = 10.0
+
+    @pydantic.field_validator("max")
+    @classmethod
+    def _check_max(cls, value: int, info: pydantic.ValidationInfo) -> int:
+        if value < info.data.get("min", 0):
+            raise ValueError("max must not be below min")
+        return value
+
+
 class _Service(pydantic.BaseModel):
     name: _Name
     engine: _Engine | None = None
     # Requests per second that a cold server can take; 0 if servers of the
     # service are never cold.
     coldPerS: _NonNegative = 0.0  # noqa: N815
+    # Limits of the number of servers in each data centre.
+    scaling: _Scaling | None = None
 
 
 class _Tenant(pydantic.BaseModel):
@@ -256,6 +274,10 @@
         # connection is no evidence; see docs/platform.md.
         isolate_suspects=False,
         announces_cold=True,
+        scaling=service.scaling
+        and data.Scaling(
+            service.scaling.min, service.scaling.max, service.scaling.bootS
+        ),
     )
 
 
