--- a/waxwingrack/operations/capacity.py
+++ b/waxwingrack/operations/capacity.py
@@ -7,7 +7,8 @@
   use and queued requests, or by prompts to read, whichever is more. Refused
   work counts; refused callers that come back do not count twice.
 * Servers are ordered as soon as the demand of the last seconds would use more
-  than `HIGH_USE` of them, and so many that it uses `TARGET_USE`.
+  than `HIGH_USE` of those in all data centres, and so many that it uses
+  `TARGET_USE`. They are divided by where the requests arrive.
 * Servers are given up only if the peak of at least the last minute would use
   less than `LOW_USE`, and nothing was refused or queued lately.
 * A data centre that is drained, or has lost all its servers, keeps its order.
@@ -50,8 +51,9 @@
 # Part of the requests that is refused from which on servers count as fully
 # used, whatever else is measured.
 FULL_REFUSED_SHARE = 0.05
-# Part of the servers that is kept when servers are given up.
-KEPT_SHARE = 0.75
+# Part of the servers that is kept when servers are given up. A demand that is
+# wrongly seen as low is then noticed while half of them still serve.
+KEPT_SHARE = 0.5
 # Tolerance for sums of fractions before they are rounded up.
 _TOLERANCE = 1e-9
 
@@ -184,6 +186,10 @@
     seen: bool = False
 
 
+# A changed number of servers: the data centre, the number and the reason.
+Change = tuple[Subject, int, str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """An order and the reason for it."""
@@ -379,81 +385,95 @@
     subjects = [state.subjects[name] for name in state.active]
     if not subjects:
         return _start_first_servers(state, now_ms)
+    if not all(_is_known(state, subject, now_ms) for subject in subjects):
+        return []
     scaling = subjects[0].latest.scaling
     # One server is kept even without demand: the next caller would otherwise
     # wait for the start of a server.
-    low = min(scaling.max, max(1, scaling.min))
+    limits = min(scaling.max, max(1, scaling.min)), scaling.max
+    changes = _enforce_limits(subjects, limits)
+    changes = changes or _raise(state, subjects, limits, now_ms)
+    if not changes and _may_lower(state, subjects, now_ms):
+        changes = _lower(state, subjects, limits)
+    return [
+        Decision(Order(row.service, row.data_centre, count), reason)
+        for subject, count, reason in changes
+        for row in (subject.latest,)
+    ]
+
+
+def _divide(
+    demand: float, use: float, subjects: list[Subject], limits: tuple[int, int]
+) -> list[float]:
+    """Returns the servers of each data centre at which they have this use."""
     weights = [subject.demand.peak.value for subject in subjects]
+    return capacity_demand.spread(demand / use, weights, *limits)
 
-    def divide(demand: float, use: float) -> list[float]:
-        return capacity_demand.spread(demand / use, weights, low, scaling.max)
-
-    present, peak = state.demand.present, state.demand.peak.value
-    may_lower = _may_lower(state, scaling, now_ms)
-    rows = zip(
-        subjects,
-        divide(present, HIGH_USE),
-        divide(present, TARGET_USE),
-        divide(peak, LOW_USE),
-        divide(peak, TARGET_USE),
-        strict=True,
-    )
-    decisions = []
-    for subject, *wanted in rows:
-        if not _is_known(state, subject, now_ms):
-            continue
-        limits = low, scaling.max
-        found = _decide_subject(subject, wanted, limits, may_lower, now_ms)
-        if found is not None:
-            count, reason = found
-            order = Order(
-                subject.latest.service, subject.latest.data_centre, count
-            )
-            decisions.append(Decision(order, reason))
-    return decisions
-
-
-def _decide_subject(
-    subject: Subject,
-    wanted: list[float],
+
+def _enforce_limits(
+    subjects: list[Subject], limits: tuple[int, int]
+) -> list[Change]:
+    low, high = limits
+    return [
+        (subject, count, f"{subject.count} servers are outside the limits")
+        for subject in subjects
+        if (count := min(high, max(low, subject.count))) != subject.count
+    ]
+
+
+def _raise(
+    state: ServiceState,
+    subjects: list[Subject],
     limits: tuple[int, int],
-    may_lower: bool,
     now_ms: int,
-) -> tuple[int, str] | None:
-    """Decides on one data centre.
-
-    Args:
-      subject: The data centre.
-      wanted: Servers at which the present demand reaches the high and the
-        wanted use, and the peak of the demand the low and the wanted use.
-      limits: Fewest and most servers.
-      may_lower: Whether the service may give up servers.
-      now_ms: Present time.
+) -> list[Change]:
+    """Orders more servers if those of all data centres are too few.
 
-    Returns:
-      The new number of servers and the reason; None if it does not change.
+    A data centre may have too few as long as the others have enough for it, as
+    requests are placed in other data centres as well.
     """
-    low, high = limits
-    raise_above, raised, lower_below, lowered = wanted
-    count = subject.count
-    clamped = min(high, max(low, count))
-    if clamped != count:
-        return clamped, f"{count} are outside the limits"
+    demand = state.demand.present
+    missing = [_count_missing(subject, now_ms) for subject in subjects]
+    there = sum(subject.count for subject in subjects) - sum(missing)
+    if sum(_divide(demand, HIGH_USE, subjects, limits)) <= there + _TOLERANCE:
+        return []
+    wanted = _divide(demand, TARGET_USE, subjects, limits)
+    return [
+        (subject, count, f"demand needs {share:.2f}, {absent} are missing")
+        for subject, share, absent in zip(
+            subjects, wanted, missing, strict=True
+        )
+        if (count := min(limits[1], _round_up(share) + absent)) > subject.count
+    ]
+
+
+def _count_missing(subject: Subject, now_ms: int) -> int:
+    """Returns the ordered servers that should serve by now and do not."""
     arrival_ms = get_arrival_ms(subject.latest.scaling)
-    is_settled = now_ms - subject.changed_ms > arrival_ms
-    missing = 0
-    if subject.ordered is not None and is_settled:
-        missing = max(0, count - round(subject.present.value))
-    if raise_above > count - missing + _TOLERANCE:
-        target = min(high, _round_up(raised) + missing)
-        if target > count:
-            return target, f"demand needs {raised:.2f}, {missing} are missing"
-    if may_lower and is_settled and lower_below < count - _TOLERANCE:
-        kept = min(count - 1, _round_up(count * KEPT_SHARE))
-        target = max(low, _round_up(lowered), kept)
-        if target < count:
-            return target, f"the peak of the demand needs {lowered:.2f}"
-    return None
+    if subject.ordered is None or now_ms - subject.changed_ms <= arrival_ms:
+        return 0
+    return max(0, subject.ordered - round(subject.present.value))
+
+
+def _lower(
+    state: ServiceState, subjects: list[Subject], limits: tuple[int, int]
+) -> list[Change]:
+    """Gives up servers that the peak of the demand did not need."""
+    peak = state.demand.peak.value
+    total = sum(subject.count for subject in subjects)
+    if sum(_divide(peak, LOW_USE, subjects, limits)) >= total - _TOLERANCE:
+        return []
+    wanted = _divide(peak, TARGET_USE, subjects, limits)
+    surplus = total - _round_up(sum(wanted))
+    changes = []
+    for subject, share in zip(subjects, wanted, strict=True):
+        kept = max(_round_up(share), _round_up(subject.count * KEPT_SHARE))
+        given_up = min(surplus, subject.count - kept)
+        if given_up > 0:
+            surplus -= given_up
+            reason = f"the peak of the demand needs {share:.2f}"
+            changes.append((subject, subject.count - given_up, reason))
+    return changes
 
 
 def _start_first_servers(state: ServiceState, now_ms: int) -> list[Decision]:
@@ -491,13 +511,21 @@
     )
 
 
-def _may_lower(state: ServiceState, scaling: data.Scaling, now_ms: int) -> bool:
+def _may_lower(
+    state: ServiceState, subjects: list[Subject], now_ms: int
+) -> bool:
+    """Tells whether the demand has been seen for long and nothing waits."""
+    scaling = subjects[0].latest.scaling
     quiet_ms = max(MIN_QUIET_MS, scaling.boot_s * 1000)
     peak_ms = get_peak_ms(scaling)
     return (
         0 <= state.demand_ms <= now_ms - peak_ms
         and now_ms - state.active_ms >= peak_ms
         and (state.pressure_ms < 0 or now_ms - state.pressure_ms >= quiet_ms)
+        and all(
+            now_ms - subject.changed_ms > get_arrival_ms(scaling)
+            for subject in subjects
+        )
     )
 
 
