--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -80,6 +80,15 @@
       | an endless target      | routes.0.targetLatencyMs | 1e999           | refused  | targetLatencyMs |
       | a negative target      | routes.0.targetLatencyMs | -1              | refused  | targetLatencyMs |
       | an endless cold rate   | services.0.coldPerS | Infinity             | refused  | coldPerS |
+      | limits of servers      | services.0.scaling  | {"min": 13, "max": 30, "bootS": 8.0} | accepted | |
+      | one limit for both     | services.0.scaling  | {"min": 3, "max": 3} | accepted |       |
+      | no limits              | services.0.scaling  | null                 | accepted |        |
+      | max below min          | services.0.scaling  | {"min": 3, "max": 2} | refused  | services.0.scaling.max: |
+      | a negative min         | services.0.scaling  | {"min": -1, "max": 2} | refused | services.0.scaling.min: |
+      | a huge max             | services.0.scaling  | {"min": 1, "max": 1000000000} | refused | services.0.scaling.max: |
+      | an endless start       | services.0.scaling  | {"min": 1, "max": 2, "bootS": Infinity} | refused | services.0.scaling.bootS: |
+      | a start that is no number | services.0.scaling | {"min": 1, "max": 2, "bootS": NaN} | refused | services.0.scaling.bootS: |
+      | limits that are text   | services.0.scaling  | {"min": "1", "max": 2} | refused | services.0.scaling.min: |
       | an unknown kind        | routes.0.kind       | "odd"                | refused  | kind |
       | the same prefix twice  | routes.1.pathPrefix | "/a/"                | refused  | pathPrefix of a route occurs twice |
       | another host           | routes.1.host       | "other.example"      | accepted |        |
--- a/features/settings_environment.feature
+++ b/features/settings_environment.feature
@@ -43,6 +43,15 @@
       | $.rollouts[0].watch_s         | 600      | $.rollouts[0].watch_s         | shorter than deadline_s |
       | $.key_retention_s             | 86400000 | $.key_retention_s             | seconds                 |
 
+    Examples: limits of servers
+      | place                         | value    | path                          | rule                    |
+      | $.services[0].scaling         | {"min": 3, "max": 2} | $.services[0].scaling.max | must not be below min |
+      | $.services[0].scaling         | {"min": -1, "max": 2} | $.services[0].scaling.min | must be from 0    |
+      | $.services[0].scaling         | {"min": 1, "max": 1e9} | $.services[0].scaling.max | integer |
+      | $.services[0].scaling         | {"min": 1, "max": 100000} | $.services[0].scaling.max | must be from 0 |
+      | $.services[0].scaling         | {"min": 1, "max": 2, "boot_s": 8000} | $.services[0].scaling.boot_s | seconds |
+      | $.services[0].scaling         | {"max": 2} | $.services[0].scaling.min   | is required             |
+
     Examples: orders to model engines
       | place                         | value    | path                          | rule                    |
       | $.services[0].orders          | {"pace": 1} | $.services[0].orders.pace  | is not a known field    |
--- a/features/settings_pages.feature
+++ b/features/settings_pages.feature
@@ -18,6 +18,7 @@
       | Workspace   |
       | Service     |
       | OrderSettings |
+      | Scaling     |
       | Route       |
       | DataCentre  |
       | RolloutPlan |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -32,7 +32,7 @@
     r"|Length-Hint|Deadline-Ms|Kv-(From|Fetch|Backup)|Pin-Ms|Weight-Versions"
     r"|Expect-Version|coldRemainingMs|heartbeatUrl|pathPrefix|trafficSplit"
     r"|timeoutMs|targetLatencyMs|maxAttempts|streamResume|stickySessions"
-    r"|apiKeys|kvCapacityTokens|coldPerS|readinessAddr|internalPorts"
+    r"|apiKeys|kvCapacityTokens|coldPerS|bootS|readinessAddr|internalPorts"
     r"|countsAsLoss|faultTolerance|durationS|api/(instances|config|rollouts"
     r"|evacuations|ready|kv-|report|hold)"
     r"|Duty-Holder|Fence-Token|windowSeq|desiredCount|dutyPerS|leaseMs"
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -78,6 +78,8 @@
 
 
 class _Scaling(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
     min: Annotated[int, pydantic.Field(ge=0, le=data.MAX_SCALED_SERVERS)]
     max: Annotated[int, pydantic.Field(ge=0, le=data.MAX_SCALED_SERVERS)]
     bootS: Annotated[  # noqa: N815
