Reuse connections for the time that servers state

Routers reused idle connections for 4 s at most, so most requests of a large fleet opened a new one. The time now follows Keep-Alive less a margin, learns from early closes, and is limited by descriptors and by maxConnections. Servers that leave, restart, break connections or are drained lose idle connections.

--- /dev/null
+++ b/features/steps/connection_reuse_steps.py
@@ -0,0 +1,249 @@
+"""Steps for the reuse of connections to servers."""
+
+import collections
+import time
+
+import behave
+import immutables
+from returns import result
+from twisted.internet import task
+
+from features.steps import router_answers_steps as answers
+from features.support import scheduler_tables
+from waxwingrack.core import data
+from waxwingrack.daemons import forwarding
+from waxwingrack.operations import connection_reuse as reuse
+
+NOW_S = 1_000.0
+
+
+def _number(text):
+    return None if text in ("-", "none") else float(text)
+
+
+@behave.when(
+    "a server states {stated} s, closed after {closes} s {ago:d} s ago, and "
+    "{unrepeatable} s apply to the request"
+)
+def find_limit(context, stated, closes, ago, unrepeatable):
+    early = None
+    if closes != "-":
+        early = reuse.EarlyClose(float(closes), NOW_S - ago)
+    context.limit = reuse.find_limit_s(
+        _number(stated), early, NOW_S, _number(unrepeatable)
+    )
+
+
+@behave.then("a connection may be reused for {limit:g} s")
+def limit_is(context, limit):
+    assert context.limit == limit, context.limit
+
+
+@behave.when('a server sends "{value}" as Keep-Alive')
+def parse(context, value):
+    context.parsed = reuse.parse_timeout([value])
+
+
+@behave.then("the timeout is read as {stated}")
+def parsed_as(context, stated):
+    if stated == "invalid":
+        assert isinstance(context.parsed, result.Failure), context.parsed
+    else:
+        assert context.parsed == result.Success(_number(stated))
+
+
+@behave.when(
+    "a server that states {stated:g} s closes connections after {idle} s, "
+    "{times:d} times"
+)
+def learn(context, stated, idle, times):
+    early = None
+    for _ in range(times):
+        early = reuse.note_close(stated, early, float(idle), NOW_S)
+    context.expected = reuse.expect_close_s(stated, early, NOW_S)
+
+
+@behave.then("it is expected to close after {expected:g} s")
+def learned(context, expected):
+    assert context.expected == expected, context.expected
+
+
+@behave.then(
+    "of {limit:d} connections with {slots:d} slots each of {routers:d} routers "
+    "keeps {idle}"
+)
+def shared(context, limit, slots, routers, idle):
+    assert reuse.share_idle(limit, slots, routers) == _number(idle)
+
+
+@behave.when(
+    "router r had grants {ages} ms ago at servers that run {running} requests"
+)
+def choose(context, ages, running):
+    now_ms = 10_000
+    rows = [
+        data.ServerRow(
+            scheduler_tables.create_announcement(f"s{number}"),
+            now_ms,
+            data.SlotLimit(8, 8),
+            number,
+            orphans=int(used),
+            connected=immutables.Map()
+            if age == "-"
+            else immutables.Map({"r": now_ms - int(age)}),
+        )
+        for number, (age, used) in enumerate(
+            zip(ages.split(), running.split(), strict=True), 1
+        )
+    ]
+    context.row = reuse.prefer_connected(rows, "r", now_ms)
+
+
+@behave.then("its next request goes to server {number:d}")
+def chosen(context, number):
+    assert context.row.key == number, context.row.key
+
+
+@behave.when("{count:d} routers get grants for a server one after another")
+def remember(context, count):
+    context.connected = immutables.Map()
+    for number in range(count):
+        context.connected = reuse.note_grant(
+            context.connected, number, 1_000 + number
+        )
+    context.count = count
+
+
+@behave.then("the last {count:d} of them are remembered")
+def remembered(context, count):
+    expected = set(range(context.count - count, context.count))
+    assert set(context.connected) == expected
+
+
+class _FakeConnection:
+    state = "QUIESCENT"
+    stated_s = 10.0
+    epoch = 0
+    closed = False
+
+    def __init__(self):
+        self.transport = self
+
+    def idle_for_s(self, now_s):
+        return now_s - self.idle_since_s
+
+    def loseConnection(self):  # noqa: N802  name of twisted
+        self.closed = True
+
+
+@behave.when(
+    "a pool of at most {total:d} idle connections, {each:d} a server, gets "
+    "connections to {servers}"
+)
+def fill_pool(context, total, each, servers):
+    pool = forwarding._Pool(
+        task.Clock(), lambda *_: None, total, collections.Counter()
+    )
+    context.conns = []
+    for name in servers.split():
+        key = (data.Address(name, 1), "i1")
+        pool.limit_idle(key, each)
+        context.conns.append(_FakeConnection())
+        pool._putConnection(key, context.conns[-1])
+
+
+@behave.then("the connections {numbers} have been closed")
+@behave.then("the connections  have been closed")
+def pool_closed(context, numbers=""):
+    closed = [n for n, conn in enumerate(context.conns, 1) if conn.closed]
+    assert closed == [int(n) for n in numbers.split()], closed
+
+
+def _deposit(world, query):
+    return world.send(
+        "POST",
+        f"/sketch/deposit?{query}",
+        headers={"Idempotency-Key": answers.new_key()},
+        body=b"body",
+    )
+
+
+@behave.when("{count:d} deposits with do={act} are sent {gap:f} seconds apart")
+def deposits(context, count, act, gap):
+    context.replies = []
+    for number in range(count):
+        time.sleep(gap if number else 0)
+        context.replies.append(_deposit(context.world, f"do={act}"))
+
+
+@behave.then(
+    "all run once and are answered with 200 over {count:d} connections"
+)
+def all_answered(context, count):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses == [200] * len(statuses), statuses
+    server = context.world.backends[0]
+    assert list(server.runs.values()) == [1] * len(statuses), server.runs
+    assert server.connections == count, server.connections
+
+
+@behave.then("the router logs connection_closed_early")
+def logs_early_close(context):
+    world = context.world
+    world.wait_for(
+        lambda: any(
+            "connection_closed_early" in line.values()
+            for line in world.router.log()
+        ),
+        "the log line",
+    )
+
+
+@behave.given("a router with 3 idle connections to its server")
+def idle_connections(context):
+    world = answers.start_world(context, 1)
+    target = "/sketch?do=slow&pause=0.3"
+    joins = [world.send_later("GET", target) for _ in range(3)]
+    assert [join().status for join in joins] == [200] * 3
+    assert world.backends[0].open_connections == 3
+
+
+@behave.when("the server says that it leaves")
+def server_leaves(context):
+    assert context.world.send("GET", "/sketch?do=leaving").status == 200
+
+
+@behave.when("the leader drains a data centre")
+def leader_drains(context):
+    world = context.world
+    world.leader.drained = ("b",)
+    world.leader.number += 1
+
+
+@behave.when("a new incarnation gets a request")
+def new_incarnation(context):
+    context.world.leader.incarnation = "i2"
+    assert context.world.send("GET", "/sketch?do=ok").status == 200
+
+
+@behave.when("the server breaks a connection")
+def breaks(context):
+    world = context.world
+    world.backends[0].faults.append("drop")
+    _deposit(world, "do=ok")
+
+
+@behave.when("the leader allows {count:d} idle connection")
+def leader_allows(context, count):
+    context.world.leader.max_idle = count
+    assert context.world.send("GET", "/sketch?do=ok").status == 200
+
+
+@behave.then("{count:d} connections are open")
+def left_open(context, count):
+    server = context.world.backends[0]
+    context.world.wait_for(
+        lambda: server.open_connections == count,
+        f"{count} open connections",
+        2.0,
+    )
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -104,6 +104,10 @@
         self.key_ignored: collections.Counter = collections.Counter()
         # Whether the first server that is not avoided gets each grant.
         self.prefers_first = False
+        # Most idle connections that each grant allows.
+        self.max_idle: int | None = None
+        # Incarnation of all servers.
+        self.incarnation = "i1"
         self.servers: list[FakeBackend] = []
         self.environment: data.Environment | None = environment()
         self.number = 1
@@ -247,9 +251,10 @@
             self.term,
             want.sequence,
             server.id,
-            "i1",
+            self.incarnation,
             data.Address("127.0.0.1", server.port),
             "v1",
+            max_idle=self.max_idle,
         )
 
     def grant_all(self) -> None:
@@ -536,6 +541,16 @@
         writer.write(_response(b"leaving", extra="X-Server-Leaving: 1\r\n"))
         return True
 
+    async def _do_stating(self, writer, query, request_id, body, method):
+        """States a timeout; closes the connection after another time."""
+        extra = f"Keep-Alive: timeout={query['timeout']}\r\n"
+        writer.write(_response(b"stating", extra=extra))
+        if "close" in query:
+            asyncio.get_running_loop().call_later(
+                float(query["close"]), writer.close
+            )
+        return True
+
     async def _do_busy(self, writer, query, request_id, body, method):
         extra = f"Retry-After: {query['after']}\r\n"
         writer.write(_response(b"busy", "503 X", extra=extra))
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -577,6 +577,8 @@
         milliseconds; 0 if it is not announced. It orders incarnations.
       sequence: Number of the announcement within its incarnation, by which a
         late one is recognised; 0 if announcements are not numbered.
+      max_connections: Most connections that the server takes; 0 if it does not
+        announce it.
     """
 
     server_id: str
@@ -594,6 +596,7 @@
     cold_ms: int = 0
     born_ms: int = 0
     sequence: int = 0
+    max_connections: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -694,6 +697,8 @@
       fetch_from: Address of the model engine from which this one fetches the
         parts of the prompt that it does not have in its cache; None if it
         reads them itself.
+      max_idle: Most idle connections that the router may keep to the server;
+        None if the server announces no limit.
     """
 
     id: int
@@ -704,6 +709,7 @@
     address: Address
     version: str
     fetch_from: Address | None = None
+    max_idle: int | None = None
 
 
 class Outcome(enum.StrEnum):
@@ -1512,6 +1518,8 @@
       cold_credit_ms: Time at which `cold_credit` was computed.
       cold_limit_reached: Whether it gets no request until its credit has grown.
       rate_limit: Limit that it named in its answers; None if there is none.
+      connected: Time of the latest grant by router, kept if the server
+        announces a limit of connections.
     """
 
     announcement: Announcement
@@ -1540,6 +1548,7 @@
     cold_credit_ms: int = 0
     cold_limit_reached: bool = False
     rate_limit: "RateLimit | None" = None
+    connected: immutables.Map = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -472,6 +472,7 @@
             reuse_idle_s=forwarding.POOL_IDLE_TIMEOUT_S
             if admitted.route.idempotent and not keyed
             else host.settings.reuse_idle_s,
+            repeatable=admitted.route.idempotent and not keyed,
             answer_timeout_s=self._answer_timeout_s(admitted),
         )
         self._require_open_server(lease)
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -9,15 +9,18 @@
 # Methods that override those of Twisted keep its names.
 # ruff: noqa: N802, N815
 
+import collections
 from collections.abc import Callable
 from collections.abc import Hashable
 import dataclasses
 import functools
 import ipaddress
+import math
 import re
 import socket
 from typing import Any
 
+from returns import result
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
@@ -32,15 +35,17 @@
 from waxwingrack.core import logs
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import event_loop
+from waxwingrack.operations import connection_reuse
 from waxwingrack.operations import router_queues
 
 # Maximum time to connect to a backend server. It is shorter than the lifetime
 # of a grant, so that a retry can still get a place in the queue.
 CONNECT_TIMEOUT_S = 0.8
-# Idle connections are closed before backend servers usually close them (5 s):
-# a request sent on a connection that is just being closed is lost.
-POOL_IDLE_TIMEOUT_S = 4
-MAX_IDLE_PER_SERVER = 64
+# Longest idle time of a connection whose server stated no timeout.
+POOL_IDLE_TIMEOUT_S = connection_reuse.DEFAULT_IDLE_S
+# Number of server incarnations for which early closes and invalid timeouts are
+# remembered.
+MAX_KNOWN_SERVERS = 1024
 # Maximum number of bytes before the end of the head of an answer, those of
 # interim answers included.
 MAX_HEAD_BYTES = 64 * 1024
@@ -94,10 +99,11 @@
       headers: Headers to send.
       body: Complete body; None if the caller sent none.
       request_id: Id that the answer must repeat if it contains an id.
-      reuse_idle_s: Maximum idle time of a pooled connection to use, 0 for a new
-        connection. The server may close a pooled connection at any moment,
-        which loses the request.
+      reuse_idle_s: Maximum idle time of a pooled connection to use if its
+        server stated no timeout, 0 for a new connection in any case. The server
+        may close a pooled connection at any moment, which loses the request.
       answer_timeout_s: Maximum time until the head of the answer.
+      repeatable: Whether the request may be sent again if it is lost.
     """
 
     method: bytes
@@ -107,6 +113,7 @@
     request_id: str
     reuse_idle_s: float
     answer_timeout_s: float
+    repeatable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,13 +173,30 @@
       idle_since_s: Time on the reactor's clock at which it was pooled.
       answered: Whether an earlier answer was received on it.
       echoes_ids: Whether an earlier answer on it contained a request id.
+      stated_s: Timeout that the server stated in its last answer; None for
+        none.
+      paused_s: Time for which reading the last answer was paused. The server
+        may have sent the end of the answer that much earlier.
+      reused_idle_s: Idle time before the present request; None on a new
+        connection.
+      reused_s: Time at which it was taken for the present request.
+      note_lost: Called with the connection when it has ended.
+      epoch: Number of times that all connections were closed before it was
+        opened.
     """
 
     lost_reason: failure.Failure | None = None
     idle_since_s: float = 0.0
     answered: bool = False
     echoes_ids: bool = False
+    stated_s: float | None = None
+    paused_s: float = 0.0
+    reused_idle_s: float | None = None
+    reused_s: float = 0.0
+    note_lost: Callable[[Any], None] = staticmethod(lambda _: None)
+    epoch: int = 0
     _head_bytes: int = 0
+    _paused_since_s: float | None = None
 
     def __init__(
         self,
@@ -189,9 +213,30 @@
         super().__init__(quiescent_callback)
         self._count_received = count_received
 
+    def makeConnection(self, transport: Any) -> None:
+        """Begins the connection; measures pauses of its transport from now."""
+        pause, resume = transport.pauseProducing, transport.resumeProducing
+
+        def note_pause() -> None:
+            if self._paused_since_s is None:
+                self._paused_since_s = transport.reactor.seconds()
+            pause()
+
+        def note_resume() -> None:
+            if self._paused_since_s is not None:
+                now_s = transport.reactor.seconds()
+                self.paused_s += now_s - self._paused_since_s
+                self._paused_since_s = None
+            resume()
+
+        transport.pauseProducing = note_pause
+        transport.resumeProducing = note_resume
+        super().makeConnection(transport)
+
     def request(self, request: Any) -> defer.Deferred:
         """Sends a request."""
         self._head_bytes = 0
+        self.paused_s = 0.0
         answer = super().request(request)
         if self._parser is not None:
             refuse_invalid_status(self._parser)
@@ -204,6 +249,10 @@
         server in trouble may send without end.
         """
         self._count_received(self.transport, len(data))
+        if self._parser is None:
+            # Bytes without a request end the connection, and tell nothing about
+            # the time after which its server closes it.
+            self.stated_s = None
         super().dataReceived(data)
         parser = self._parser
         if parser is None or parser.state not in _HEAD_STATES:
@@ -216,6 +265,7 @@
     def connectionLost(self, reason: failure.Failure) -> None:
         """Keeps the reason, which tells how an answer without length ended."""
         self.lost_reason = reason
+        self.note_lost(self)
         super().connectionLost(reason)
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:
@@ -231,6 +281,16 @@
         # aborted raises an exception, and its body never ends.
         del rest
 
+    def idle_for_s(self, now_s: float) -> float:
+        """Returns for how long the server may hold the connection for idle."""
+        idle_s = now_s - self.idle_since_s
+        return idle_s if self.stated_s is None else idle_s + self.paused_s
+
+    @property
+    def head_begun(self) -> bool:
+        """Whether bytes of the answer to the present request arrived."""
+        return self._head_bytes > 0
+
     def is_closed_by_peer(self) -> bool:
         """Returns whether the idle connection was closed or received bytes.
 
@@ -238,9 +298,10 @@
         yet.
         """
         try:
-            self.transport.getHandle().recv(
+            if self.transport.getHandle().recv(
                 1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
+            ):
+                self.stated_s = None
         except BlockingIOError:
             return False
         except OSError:
@@ -266,41 +327,232 @@
     """Pool of idle connections that reuses the most recently used one first.
 
     Connections beyond the current need thus stay idle until they are closed.
+
+    Attributes:
+      counts: Number of connections by what became of them.
     """
 
-    maxPersistentPerHost = MAX_IDLE_PER_SERVER
-    cachedConnectionTimeout = POOL_IDLE_TIMEOUT_S
     retryAutomatically = False
 
     def __init__(
-        self, reactor: Any, count_received: Callable[[Any, int], None]
+        self,
+        reactor: Any,
+        count_received: Callable[[Any, int], None],
+        max_idle: float,
+        counts: collections.Counter,
     ):
         super().__init__(reactor)
         self._factory = functools.partial(_ConnectionFactory, count_received)
+        self._max_idle = max_idle
+        self.counts = counts
+        # Keys of idle connections, the least recently used first.
+        self._idle_keys: dict[BackendConnection, Hashable] = {}
+        self._early: dict[Hashable, connection_reuse.EarlyClose] = {}
+        self._max_idle_by_server: dict[Hashable, int] = {}
+        self._incarnations: dict[data.Address, str] = {}
+        self._epoch = 0
+
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return len(self._idle_keys)
 
     def acquire_connection(
-        self, key: Hashable, endpoint: Any, idle_limit_s: float
+        self,
+        key: tuple[data.Address, str],
+        endpoint: Any,
+        unrepeatable_s: float | None,
     ) -> defer.Deferred:
         """Returns a connection for one request.
 
         Args:
-          key: Identifies the server incarnation to connect to.
+          key: Address and incarnation of the server to connect to.
           endpoint: Where to connect if no idle connection can be used.
-          idle_limit_s: Maximum idle time of a connection to use.
+          unrepeatable_s: See `connection_reuse.find_limit_s`.
         """
-        idle = self._connections.get(key, [])
-        min_idle_since_s = self._reactor.seconds() - idle_limit_s
-        while idle and idle[-1].idle_since_s > min_idle_since_s:
-            conn = idle.pop()
-            self._timeouts.pop(conn).cancel()
+        self._note_incarnation(key)
+        now_s = self._reactor.seconds()
+        # The last one is the one that was used last; the others may have a
+        # longer limit only if their servers stated different timeouts.
+        for conn in reversed(self._connections.get(key, [])):
+            idle_s = conn.idle_for_s(now_s)
+            limit_s = connection_reuse.find_limit_s(
+                conn.stated_s, self._early.get(key), now_s, unrepeatable_s
+            )
+            if idle_s >= limit_s:
+                break
+            self._take_out(key, conn)
             if conn.state == "QUIESCENT" and not conn.is_closed_by_peer():
+                conn.reused_idle_s, conn.reused_s = idle_s, now_s
+                self.counts["reused"] += 1
                 return defer.succeed(conn)
+            self._note_closed(key, conn, idle_s)
             conn.transport.abortConnection()
         return self._newConnection(key, endpoint)
 
-    def _putConnection(self, key: Hashable, connection: Any) -> None:
-        connection.idle_since_s = self._reactor.seconds()
-        super()._putConnection(key, connection)
+    def note_lost_request(self, key: Hashable, conn: BackendConnection) -> None:
+        """Learns from a request that was lost without an answer.
+
+        A request that was lost late reached a server that ended later.
+        """
+        waited_s = self._reactor.seconds() - conn.reused_s
+        if (
+            conn.reused_idle_s is not None
+            and not conn.head_begun
+            and waited_s < connection_reuse.MARGIN_S
+        ):
+            self._note_closed(key, conn, conn.reused_idle_s)
+
+    def limit_idle(self, key: Hashable, max_idle: int | None) -> None:
+        """Sets the most idle connections to a server; None for no limit."""
+        self._max_idle_by_server.pop(key, None)
+        if max_idle is None:
+            return
+        _bound(self._max_idle_by_server)
+        self._max_idle_by_server[key] = max(0, max_idle)
+        idle = self._connections.get(key, ())
+        for conn in tuple(idle[: max(0, len(idle) - max_idle)]):
+            self._evict(conn)
+
+    def close_server(self, key: Hashable, reason: str) -> None:
+        """Closes the idle connections to a server."""
+        self._close(tuple(self._connections.get(key, ())), reason, server=key)
+
+    def close_all(self, reason: str) -> None:
+        """Closes all idle connections, those in use once they are idle."""
+        self._epoch += 1
+        self._close(tuple(self._idle_keys), reason)
+
+    def _newConnection(self, key: Hashable, endpoint: Any) -> defer.Deferred:
+        epoch = self._epoch
+
+        def note_opened(conn: BackendConnection) -> BackendConnection:
+            self.counts["opened"] += 1
+            conn.epoch = epoch
+            conn.note_lost = self._note_lost
+            return conn
+
+        return super()._newConnection(key, endpoint).addCallback(note_opened)
+
+    def _putConnection(
+        self, key: Hashable, connection: BackendConnection
+    ) -> None:
+        now_s = self._reactor.seconds()
+        connection.idle_since_s = now_s
+        kept_s = connection_reuse.find_limit_s(
+            connection.stated_s, self._early.get(key), now_s
+        ) - connection.idle_for_s(now_s)
+        limit = self._max_idle_by_server.get(
+            key, connection_reuse.MAX_IDLE_PER_SERVER
+        )
+        if kept_s <= 0 or limit <= 0 or connection.epoch != self._epoch:
+            connection.transport.loseConnection()
+            return
+        idle = self._connections.setdefault(key, [])
+        while len(idle) >= limit:
+            self._evict(idle[0])
+        while len(self._idle_keys) >= self._max_idle:
+            self._evict(next(iter(self._idle_keys)))
+        # The list may have been removed with its last connection.
+        idle = self._connections.setdefault(key, [])
+        idle.append(connection)
+        self._idle_keys[connection] = key
+        self._timeouts[connection] = self._reactor.callLater(
+            kept_s, self._removeConnection, key, connection
+        )
+
+    def _removeConnection(
+        self, key: Hashable, connection: BackendConnection
+    ) -> None:
+        self._take_out(key, connection)
+        connection.transport.loseConnection()
+
+    def _take_out(self, key: Hashable, conn: BackendConnection) -> None:
+        """Removes a connection from the pool and leaves it open."""
+        timeout = self._timeouts.pop(conn)
+        if timeout.active():
+            timeout.cancel()
+        del self._idle_keys[conn]
+        idle = self._connections[key]
+        idle.remove(conn)
+        if not idle:
+            del self._connections[key]
+
+    def _evict(self, conn: BackendConnection) -> None:
+        self.counts["evicted"] += 1
+        self._removeConnection(self._idle_keys[conn], conn)
+
+    def _close(
+        self, conns: tuple[BackendConnection, ...], reason: str, **fields: Any
+    ) -> None:
+        if not conns:
+            return
+        for conn in conns:
+            self._removeConnection(self._idle_keys[conn], conn)
+        self.counts["discarded"] += len(conns)
+        logs.event(
+            "idle_connections_closed",
+            reason=reason,
+            count=len(conns),
+            **{name: _name_server(key) for name, key in fields.items()},
+        )
+
+    def _note_lost(self, conn: BackendConnection) -> None:
+        """Notes the end of a connection; only the server ends an idle one."""
+        key = self._idle_keys.get(conn)
+        if key is None:
+            return
+        self._take_out(key, conn)
+        self._note_closed(key, conn, conn.idle_for_s(self._reactor.seconds()))
+
+    def _note_closed(
+        self, key: Hashable, conn: BackendConnection, idle_s: float
+    ) -> None:
+        self.counts["closed_by_server"] += 1
+        known = self._early.get(key)
+        learned = connection_reuse.note_close(
+            conn.stated_s, known, idle_s, self._reactor.seconds()
+        )
+        if learned is known:
+            return
+        self._early.pop(key, None)
+        _bound(self._early)
+        self._early[key] = learned
+        logs.event(
+            "connection_closed_early",
+            server=_name_server(key),
+            stated_s=conn.stated_s,
+            idle_s=round(idle_s, 3),
+            expected_s=round(learned.closes_after_s, 3),
+        )
+
+    def _note_incarnation(self, key: tuple[data.Address, str]) -> None:
+        """Closes the idle connections to a former incarnation."""
+        address, incarnation = key
+        former = self._incarnations.get(address)
+        if former == incarnation:
+            return
+        if former is None:
+            _bound(self._incarnations)
+        else:
+            self.close_server((address, former), "new_incarnation")
+        self._incarnations[address] = incarnation
+
+    def closeCachedConnections(self) -> defer.Deferred:
+        """Closes all idle connections."""
+        self._idle_keys.clear()
+        return super().closeCachedConnections()
+
+
+def _bound(known: dict) -> None:
+    """Drops the oldest entry of a full dictionary."""
+    if len(known) >= MAX_KNOWN_SERVERS:
+        del known[next(iter(known))]
+
+
+def _name_server(key: Hashable) -> str:
+    address, incarnation = key
+    return f"{address}/{incarnation}"
 
 
 @implementer(iweb.IBodyProducer)
@@ -335,6 +587,8 @@
         dialect: dialects.Dialect = dialects.OWN,
         count_received: Callable[[Any, int], None] = lambda _, size: None,
         make_producer: Callable[[bytes], Any] = lambda _: None,
+        max_descriptors: float = math.inf,
+        counts: collections.Counter | None = None,
     ):
         """Prepares the connections.
 
@@ -345,11 +599,19 @@
             it received.
           make_producer: Returns the producer of a body; None for one that
             writes it at once.
+          max_descriptors: Descriptors that the process may open.
+          counts: Counts connections by what became of them.
         """
         self._reactor = reactor
         self._make_producer = make_producer
         self._dialect = dialect
-        self._pool = _Pool(reactor, count_received)
+        self._pool = _Pool(
+            reactor,
+            count_received,
+            connection_reuse.find_idle_limit(max_descriptors),
+            collections.Counter() if counts is None else counts,
+        )
+        self._invalid_timeouts: dict[Hashable, None] = {}
         self._cached_endpoint = functools.lru_cache(MAX_CACHED_ENDPOINTS)(
             self._build_endpoint
         )
@@ -376,15 +638,18 @@
             not run the request.
           NoAnswerError: Bytes were written, but no usable answer began in time.
         """
+        key = (grant.address, grant.incarnation)
+        self._pool.limit_idle(key, grant.max_idle)
         try:
             conn = await self._pool.acquire_connection(
-                (grant.address, grant.incarnation),
+                key,
                 self._cached_endpoint(grant.address),
-                outgoing.reuse_idle_s,
+                None if outgoing.repeatable else outgoing.reuse_idle_s,
             )
         except (defer.CancelledError, error.ConnectingCancelledError) as exc:
             raise NotSentError(router_queues.Fault.GRANT_EXPIRED) from exc
         except Exception as exc:  # noqa: BLE001
+            self._pool.close_server(key, "connect_failed")
             raise NotSentError(router_queues.Fault.CONNECT_FAILED) from exc
         try:
             req = _newclient.Request._construct(
@@ -406,7 +671,7 @@
                 if is_idle
                 else router_queues.Fault.CONNECT_FAILED
             )
-        return await self._await_answer_head(conn, req, outgoing)
+        return await self._await_answer_head(conn, req, outgoing, key)
 
     def _build_producer(self, body: bytes | None) -> Any:
         if body is None:
@@ -414,7 +679,11 @@
         return self._make_producer(body) or BytesProducer(body)
 
     async def _await_answer_head(
-        self, conn: BackendConnection, req: Any, outgoing: OutgoingRequest
+        self,
+        conn: BackendConnection,
+        req: Any,
+        outgoing: OutgoingRequest,
+        key: Hashable,
     ) -> AnswerHead:
         response_deferred = conn.request(req)
         event_loop.flush_transport(conn.transport)
@@ -434,11 +703,12 @@
             raise NotSentError(router_queues.Fault.CONNECT_FAILED) from exc
         except Exception as exc:  # noqa: BLE001
             conn.transport.abortConnection()
-            raise NoAnswerError(
-                router_queues.Fault.TIMED_OUT
-                if timed_out
-                else router_queues.Fault.CONNECTION_LOST
-            ) from exc
+            if timed_out:
+                raise NoAnswerError(router_queues.Fault.TIMED_OUT) from exc
+            if conn.lost_reason is not None:
+                self._pool.note_lost_request(key, conn)
+                self._pool.close_server(key, "connection_lost")
+            raise NoAnswerError(router_queues.Fault.CONNECTION_LOST) from exc
         finally:
             if timer.active():
                 timer.cancel()
@@ -460,7 +730,12 @@
             raise NoAnswerError(router_queues.Fault.CONNECTION_LOST)
         conn.answered = True
         conn.echoes_ids = conn.echoes_ids or bool(echoed_ids)
+        self._note_timeout(conn, parser, key)
         notice = self._dialect.read_notice(response.code, response.headers)
+        if notice.leaving:
+            # No request may follow, as the server may end at any time.
+            conn.epoch = -1
+            self._pool.close_server(key, "server_leaving")
         if states_not_run:
             # The body of this short answer is not read: that would keep the
             # connection busy.
@@ -471,6 +746,36 @@
         )
         return dataclasses.replace(head, notice=notice)
 
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return self._pool.idle_count
+
+    def discard_idle(self, reason: str) -> None:
+        """Closes all connections that are idle, or as soon as they are."""
+        self._pool.close_all(reason)
+
+    def _note_timeout(
+        self, conn: BackendConnection, parser: Any, key: Hashable
+    ) -> None:
+        """Reads the timeout that the server states in an answer."""
+        values = parser.connHeaders.getRawHeaders(b"Keep-Alive") or []
+        match connection_reuse.parse_timeout(
+            value.decode("latin-1") for value in values
+        ):
+            case result.Success(stated_s):
+                conn.stated_s = stated_s
+            case result.Failure(text):
+                conn.stated_s = None
+                if key not in self._invalid_timeouts:
+                    _bound(self._invalid_timeouts)
+                    self._invalid_timeouts[key] = None
+                    logs.event(
+                        "keep_alive_invalid",
+                        server=_name_server(key),
+                        value=repr(text[:MAX_LOGGED_STATUS_BYTES]),
+                    )
+
     async def close(self) -> None:
         """Closes the idle connections."""
         await self._pool.closeCachedConnections()
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -189,6 +189,10 @@
             self.dialect,
             self._count_answer,
             self.pacer.make_producer,
+            router_resources.find_descriptor_limit(
+                self.settings.max_descriptors
+            ),
+            self.metrics.server_connections,
         )
         self._site = admission.CallersSite(
             callers_api.callers_resource(self), self
@@ -484,6 +488,10 @@
                     current=current,
                 )
             return
+        known_drained = self.tables.drained if self.tables else ()
+        if not set(push.drained) <= set(known_drained):
+            # Grants don't say in which data centre a server is.
+            self.forwarder.discard_idle("data_centre_drained")
         self.tables = routing.build_tables(
             push.number,
             push.environment,
@@ -672,6 +680,7 @@
                 "waiting_requests": len(self.dispatcher.queues.requests),
                 "grants_in_use": len(self.dispatcher.leases),
                 "caller_connections": len(self._site.channels),
+                "idle_server_connections": self.forwarder.idle_count,
                 "environment_number": tables.number if tables else 0,
                 "ready": 0 if self.not_ready_reason() else 1,
                 "unconfirmed_key_messages": self.link.unconfirmed_count,
--- a/waxwingrack/daemons/router_metrics.py
+++ b/waxwingrack/daemons/router_metrics.py
@@ -23,12 +23,14 @@
       failures: Unexpected exceptions.
       refusals: Number of refused requests by error kind.
       connections_shed: Connections closed because the router was saturated.
+      server_connections: Connections to servers by what became of them.
     """
 
     def __init__(self) -> None:
         self.counts = transport.TrafficCounts()
         self.failures = 0
         self.connections_shed = 0
+        self.server_connections: collections.Counter = collections.Counter()
         self.refusals: collections.Counter = collections.Counter()
         self._ends: collections.Counter = collections.Counter()
         self._retries: collections.Counter = collections.Counter()
@@ -68,6 +70,8 @@
             self._set_counter("retries_total", count, fault=fault)
         for result, count in self._hedges.items():
             self._set_counter("hedges_total", count, result=result)
+        for use, count in self.server_connections.items():
+            self._set_counter("server_connections_total", count, use=use)
         self._set_counter("failures_total", self.failures)
         self._set_counter("connections_shed_total", self.connections_shed)
         for name in transport.TrafficCounts.__slots__:
--- a/waxwingrack/operations/announcements.py
+++ b/waxwingrack/operations/announcements.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from waxwingrack.core import data
+from waxwingrack.operations import connection_reuse
 
 MAX_ID_CHARS = 128
 # Bounds of what a server may announce. The leader computes with these numbers,
@@ -67,6 +68,9 @@
     cold_ms: int = pydantic.Field(default=0, ge=0, le=MAX_COLD_MS)
     born_ms: BornMs = 0
     sequence: Sequence = 0
+    max_connections: int = pydantic.Field(
+        default=0, ge=0, le=connection_reuse.MAX_CONNECTIONS
+    )
     cache_events: list[_CacheEvent] = pydantic.Field(
         default=[], max_length=10_000
     )
--- a/waxwingrack/operations/engine_choice.py
+++ b/waxwingrack/operations/engine_choice.py
@@ -10,6 +10,7 @@
 import immutables
 
 from waxwingrack.core import data
+from waxwingrack.operations import connection_reuse
 from waxwingrack.operations import engine_load
 from waxwingrack.operations import forecast
 from waxwingrack.operations import servers
@@ -200,6 +201,7 @@
     best = _select_engine(ranked, request, waited_ms, engines.read_rate)
     if best is None:
         return None
+    best = _prefer_connected(txn, ranked, best, entry)
     rank, _, chosen, own_tokens = best
     prompt_plan = engine_load.plan_prompt(request, own_tokens, fetchable_tokens)
     return EngineChoice(
@@ -267,6 +269,30 @@
     )
 
 
+def _prefer_connected(
+    txn: Transaction,
+    ranked: list[_RankedEngine],
+    best: _RankedEngine,
+    entry: data.QueueEntry,
+) -> _RankedEngine:
+    """Prefers an engine of nearly the same rank that the router has used."""
+    max_rank = best[0] + connection_reuse.EQUAL_RANK_TOKENS
+    size = _count_memory_tokens(entry.request)
+    connected = [
+        ranked_engine
+        for ranked_engine in ranked
+        if ranked_engine[0] <= max_rank
+        and len(ranked_engine[2].server.connected)
+        and size <= ranked_engine[2].max_request_tokens
+        and connection_reuse.is_connected(
+            ranked_engine[2].server, entry.router, txn.now_ms
+        )
+    ]
+    # If the engine of the lowest rank has no room, only engines that run out of
+    # prompts may be taken instead.
+    return min(connected) if connected and best == min(ranked) else best
+
+
 # The functions below run for each waiting request in each tick. Their loops
 # over the engines are inlined, as one call for each engine would take most of
 # the leader's time.
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -17,6 +17,7 @@
 from waxwingrack.core import data
 from waxwingrack.core import errors
 from waxwingrack.operations import cold_servers
+from waxwingrack.operations import connection_reuse
 from waxwingrack.operations import crash_evidence
 from waxwingrack.operations import crashes
 from waxwingrack.operations import engine_choice
@@ -476,14 +477,16 @@
             and router_data_centre not in txn.drained
         ):
             least_loaded = _find_least_loaded(
-                txn, [near_group], avoided_servers
+                txn, [near_group], avoided_servers, entry.router
             )
         if not least_loaded:
             groups = _list_free_groups(txn, request.service, version)
             if not groups:
                 return None
             far_groups = [group for group in groups if group != near_group]
-            least_loaded = _find_least_loaded(txn, far_groups, avoided_servers)
+            least_loaded = _find_least_loaded(
+                txn, far_groups, avoided_servers, entry.router
+            )
         eligible_servers = [
             *_iter_free_prefix_holders(txn, request, version, avoided_servers),
             *least_loaded,
@@ -528,22 +531,28 @@
     txn: Transaction,
     groups: list[tuple[str, str, str]],
     avoided_servers: tuple[str, ...],
+    router: str,
 ) -> list[data.ServerRow]:
-    """Returns the least loaded free server of each group, if it has one."""
+    """Returns the least loaded free server of each group, if it has one.
+
+    Among equal ones, a server is preferred to which the router is connected.
+    """
     least_loaded = []
     for group in groups:
         for level in range(tables_module.LOAD_LEVELS):
             members = txn.free_servers.get((*group, level))
-            server_id = members and next(
-                (
-                    member
-                    for member in members.values()
-                    if member not in avoided_servers
-                ),
-                None,
+            rows = (
+                txn.servers[member]
+                for member in (members or _EMPTY).values()
+                if member not in avoided_servers
             )
-            if server_id:
-                least_loaded.append(txn.servers[server_id])
+            row = connection_reuse.prefer_connected(
+                itertools.islice(rows, connection_reuse.MAX_TIED_SERVERS),
+                router,
+                txn.now_ms,
+            )
+            if row:
+                least_loaded.append(row)
                 break
     return least_loaded
 
@@ -794,6 +803,11 @@
                 version=announcement.version,
                 fetch_from=assignment.prompt_source
                 and assignment.prompt_source.announcement.address,
+                max_idle=connection_reuse.share_idle(
+                    announcement.max_connections,
+                    announcement.slots,
+                    len(txn.routers),
+                ),
             ),
             reason,
         )
@@ -839,6 +853,13 @@
         grants=row.grants.set(key, None),
         isolated_grant=key if isolated else None,
     )
+    if row.announcement.max_connections:
+        row = data.evolve(
+            row,
+            connected=connection_reuse.note_grant(
+                row.connected, assignment.entry.router, txn.now_ms
+            ),
+        )
     if engine is not None:
         needs = assignment.needs or engine_load.plan_prompt(
             request, engine_load.count_cached_tokens(row.load.cache, request), 0
--- a/waxwingrack/platform/announcements.py
+++ b/waxwingrack/platform/announcements.py
@@ -1,12 +1,15 @@
 """Parses the heartbeats by which backend servers announce themselves."""
 
+from typing import Any
 from typing import Literal
 
 import pydantic
 from returns import result
 
 from waxwingrack.core import data
+from waxwingrack.core import logs
 from waxwingrack.operations import announcements
+from waxwingrack.operations import connection_reuse
 from waxwingrack.platform import settings
 
 
@@ -25,6 +28,9 @@
     sequence: announcements.Sequence
     # Start time of the server as Unix time in milliseconds.
     born: announcements.BornMs = 0
+    # Most connections that the server takes. It was not read at first, so an
+    # invalid one is ignored rather than the heartbeat refused.
+    maxConnections: Any = None  # noqa: N815
 
 
 class _Deregistration(pydantic.BaseModel):
@@ -66,10 +72,25 @@
             cold_ms=round(heartbeat.coldRemainingMs),
             born_ms=heartbeat.born,
             sequence=heartbeat.sequence,
+            max_connections=_read_max_connections(
+                server_id, heartbeat.maxConnections
+            ),
         )
     )
 
 
+def _read_max_connections(server_id: str, value: Any) -> int:
+    """Returns the announced number; 0 if there is none or an invalid one."""
+    if value is None:
+        return 0
+    if type(value) is int and 0 <= value <= connection_reuse.MAX_CONNECTIONS:
+        return value
+    logs.event(
+        "max_connections_invalid", server=server_id, value=repr(value)[:64]
+    )
+    return 0
+
+
 def parse_deregistration(body: bytes) -> str | None:
     """Returns the incarnation that a deregistration names.
 
