--- a/features/connection_reuse.feature
+++ b/features/connection_reuse.feature
@@ -90,6 +90,22 @@
       | connected but more busy  | - 3000 -    | 0 1 0   | 1      |
       | connected and less busy  | - - 3000    | 1 1 0   | 3      |
 
+  Scenario Outline: requests of two routers in turn: <case>
+    Guards against a preference that the leader does not apply, or applies where
+    no server announces a limit.
+
+    Given a leader with 4 idle <kind> that announce at most <limit> connections
+    When two routers send 12 requests in turn, <pause> ms apart
+    Then the requests of each router went to <servers> servers
+
+    Examples:
+      | case                 | kind    | limit | pause | servers |
+      | limited connections  | servers | 100   | 50    | one     |
+      | no limit             | servers | 0     | 50    | several |
+      | pairs used too rarely | servers | 100   | 8000  | several |
+      | engines              | engines | 100   | 50    | one     |
+      | engines, no limit    | engines | 0     | 50    | several |
+
   Scenario: routers that a server remembers are bounded
     Guards against memory that grows with each router that ever connected.
 
--- a/features/steps/connection_reuse_steps.py
+++ b/features/steps/connection_reuse_steps.py
@@ -104,6 +104,62 @@
     assert context.row.key == number, context.row.key
 
 
+@behave.given(
+    "a leader with {count:d} idle {kind} that announce at most {limit:d} "
+    "connections"
+)
+def leader_with_servers(context, count, kind, limit):
+    engine = data.Engine(100_000, 1, 1, 0.0) if kind == "engines" else None
+    scheduler_tables.create_scheduler(context, 100_000)
+    context.policy = data.Policy(
+        data.Environment(
+            "e",
+            (data.Workspace("w", 1.0, ()),),
+            (data.Service("s", (), "v1", engine=engine, ramp=False),),
+            (),
+        )
+    )
+    scheduler_tables.run_tick(context)
+    context.servers = [
+        scheduler_tables.create_announcement(
+            f"s{number}", max_connections=limit
+        )
+        for number in range(count)
+    ]
+
+
+@behave.when("two routers send {count:d} requests in turn, {pause:d} ms apart")
+def requests_in_turn(context, count, pause):
+    routers = [data.RouterRef(f"r{n}", "i", "a") for n in range(2)]
+    context.used = collections.defaultdict(set)
+    for router in routers:
+        scheduler_tables.send_report(context, router, first=True)
+    for number in range(count):
+        context.at_ms += pause
+        router = routers[number % 2]
+        want = scheduler_tables.create_request(number + 1, prompt_tokens=10)
+        for other in routers:
+            scheduler_tables.send_report(
+                context,
+                other,
+                announcements=tuple(context.servers),
+                wants=(want,) if other is router else (),
+            )
+        (decision,) = scheduler_tables.run_tick(context).grants
+        grant = decision.grant
+        context.used[router.node_id].add(grant.server_id)
+        finished = data.FinishedRequest(
+            grant.term, grant.id, data.Outcome.COMPLETED, 5.0, 10.0, 1.0
+        )
+        scheduler_tables.send_report(context, router, finished=(finished,))
+
+
+@behave.then("the requests of each router went to {servers} servers")
+def went_to(context, servers):
+    counts = [len(used) for used in context.used.values()]
+    assert all((count == 1) == (servers == "one") for count in counts), counts
+
+
 @behave.when("{count:d} routers get grants for a server one after another")
 def remember(context, count):
     context.connected = immutables.Map()
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -480,8 +480,8 @@
       control_silence_s: Time without a message of the leader after which a
         router looks for another leader.
       reuse_idle_s: Maximum idle time of a connection to a backend server that
-        is reused for a request that must not be repeated; 0 opens a new
-        connection for each such request.
+        is reused for a request that must not be repeated, if the server states
+        no timeout; 0 opens a new connection for each such request.
       max_exposure: Share of a service's requests that a new version may get
         before its rollout is done, if the rollout has no limit of its own; 1
         sets no limit. Controllers only.
