Tell routers which servers ended

A router learned of a departure only from the server's own answers, so idle connections to a departing or silent server stayed open for the reuse time.

--- a/features/connection_reuse.feature
+++ b/features/connection_reuse.feature
@@ -106,6 +106,20 @@
       | engines              | engines | 100   | 50    | one     |
       | engines, no limit    | engines | 0     | 50    | several |
 
+  Scenario Outline: incarnations that the leader reports as ended: <case>
+    Guards against connections that stay open to a server that departs or fails.
+
+    Given a leader with 2 idle servers that announce at most 0 connections
+    When the first of them <event>
+    Then <count> of its incarnations have ended
+
+    Examples:
+      | case        | event                  | count |
+      | goes on     | announces itself again | 0     |
+      | departs     | announces to depart    | 1     |
+      | is silent   | is silent for 6000 ms  | 1     |
+      | starts again | announces a new start | 1     |
+
   Scenario: routers that a server remembers are bounded
     Guards against memory that grows with each router that ever connected.
 
@@ -159,6 +173,7 @@
       | case                     | event                                  | left |
       | the server leaves        | the server says that it leaves         | 0    |
       | a data centre is drained | the leader drains a data centre        | 0    |
+      | the leader says it ended | the leader says that the server ended  | 0    |
       | the server restarted     | a new incarnation gets a request       | 1    |
       | a connection broke       | the server breaks a connection         | 0    |
       | the leader allows one    | the leader allows 1 idle connection    | 1    |
--- a/features/steps/connection_reuse_steps.py
+++ b/features/steps/connection_reuse_steps.py
@@ -1,6 +1,7 @@
 """Steps for the reuse of connections to servers."""
 
 import collections
+import dataclasses
 import time
 
 import behave
@@ -11,6 +12,7 @@
 from features.steps import router_answers_steps as answers
 from features.support import scheduler_tables
 from waxwingrack.core import data
+from waxwingrack.core import messages
 from waxwingrack.daemons import forwarding
 from waxwingrack.operations import connection_reuse as reuse
 
@@ -160,6 +162,39 @@
     assert all((count == 1) == (servers == "one") for count in counts), counts
 
 
+_NEXT_ANNOUNCEMENTS = {
+    "announces itself again": {},
+    "announces to depart": {"departing": True},
+    "is silent for 6000 ms": None,
+    "announces a new start": {"incarnation": "i2"},
+}
+
+
+@behave.when("the first of them {event}")
+def server_event(context, event):
+    first, second = context.servers
+    scheduler_tables.send_report(
+        context, first=True, announcements=(first, second)
+    )
+    assert not scheduler_tables.run_tick(context).ended_servers
+    changes = _NEXT_ANNOUNCEMENTS[event]
+    context.ended = ()
+    for _ in range(6):
+        context.at_ms += 1_000
+        changed = (
+            () if changes is None else (dataclasses.replace(first, **changes),)
+        )
+        scheduler_tables.send_report(context, announcements=(*changed, second))
+        context.ended += scheduler_tables.run_tick(context).ended_servers
+
+
+@behave.then("{count:d} of its incarnations have ended")
+def incarnations_ended(context, count):
+    first = context.servers[0]
+    ended = data.EndedServer(first.address, first.incarnation)
+    assert context.ended == (ended,) * count, context.ended
+
+
 @behave.when("{count:d} routers get grants for a server one after another")
 def remember(context, count):
     context.connected = immutables.Map()
@@ -257,11 +292,24 @@
 
 @behave.given("a router with 3 idle connections to its server")
 def idle_connections(context):
-    world = answers.start_world(context, 1)
-    target = "/sketch?do=slow&pause=0.3"
+    timeouts = {"answer_timeout_s": 5.0, "idle_timeout_s": 5.0}
+    world = answers.start_world(context, 1, {"timeouts": timeouts})
+    # Long enough that the requests overlap on a busy machine.
+    target = "/sketch?do=slow&pause=1.0"
     joins = [world.send_later("GET", target) for _ in range(3)]
     assert [join().status for join in joins] == [200] * 3
-    assert world.backends[0].open_connections == 3
+    found = world.backends[0].open_connections
+    assert found == 3, found
+
+
+@behave.when("the leader says that the server ended")
+def leader_ends_server(context):
+    leader, server = context.world.leader, context.world.backends[0]
+    ended = data.EndedServer(data.Address("127.0.0.1", server.port), "i1")
+    update = messages.ControllerUpdate(
+        leader._last_sent_ms, leader.term, ended=(ended,)
+    )
+    context.world.loop.loop.call_soon_threadsafe(leader.conns[0].send, update)
 
 
 @behave.when("the server says that it leaves")
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -599,6 +599,19 @@
     max_connections: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedServer:
+    """An incarnation of a backend server that gets no more requests.
+
+    Attributes:
+      address: Address of the server.
+      incarnation: Incarnation of the server.
+    """
+
+    address: Address
+    incarnation: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerNotice:
     """What a backend server told a router about itself in an answer.
--- a/waxwingrack/core/messages.py
+++ b/waxwingrack/core/messages.py
@@ -169,12 +169,15 @@
       term: Term of the leader.
       grants: New grants.
       refusals: Refused requests.
+      ended: Servers that depart, went stale or started again, to which idle
+        connections are closed.
     """
 
     echo_ms: int
     term: int
     grants: tuple[data.Grant, ...] = ()
     refusals: tuple[Refusal, ...] = ()
+    ended: tuple[data.EndedServer, ...] = ()
 
 
 @MESSAGES.register("environment")
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -751,6 +751,12 @@
         """Number of idle connections."""
         return self._pool.idle_count
 
+    def end_server(self, server: data.EndedServer) -> None:
+        """Keeps no connection to a server until a grant names it again."""
+        key = (server.address, server.incarnation)
+        self._pool.close_server(key, "server_ended")
+        self._pool.limit_idle(key, 0)
+
     def discard_idle(self, reason: str) -> None:
         """Closes all connections that are idle, or as soon as they are."""
         self._pool.close_all(reason)
--- a/waxwingrack/daemons/leader.py
+++ b/waxwingrack/daemons/leader.py
@@ -401,11 +401,23 @@
             refused = _group_by_key(
                 (router, refusal) for router, refusal, _ in decisions.refusals
             )
-        for node_id in {**self._unanswered_sessions, **granted, **refused}:
+        ended = decisions.ended_servers if decisions else ()
+        informed = [
+            session.ref.node_id
+            for session in (self.services.sessions if ended else ())
+            if session.has_reported
+        ]
+        for node_id in {
+            **self._unanswered_sessions,
+            **granted,
+            **refused,
+            **dict.fromkeys(informed),
+        }:
             self._answer(
                 node_id,
                 tuple(granted.get(node_id, ())),
                 tuple(refused.get(node_id, ())),
+                ended,
             )
         self._unanswered_sessions.clear()
         # Grants are sent before decisions are recorded, so that an exception
@@ -418,6 +430,7 @@
         node_id: str,
         grants: tuple[data.Grant, ...],
         refusals: tuple[messages.Refusal, ...],
+        ended: tuple[data.EndedServer, ...] = (),
     ) -> None:
         session = self.services.sessions.get(node_id)
         if session is None:
@@ -428,6 +441,7 @@
                 term=self.services.driver.replica.term,
                 grants=grants,
                 refusals=refusals,
+                ended=ended,
             )
         )
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -474,6 +474,8 @@
 
     def handle_update(self, update: messages.ControllerUpdate) -> None:
         """Passes the leader's grants to waiting requests."""
+        for server in update.ended:
+            self.forwarder.end_server(server)
         self.dispatcher.apply_update(update)
 
     def handle_environment(self, push: messages.EnvironmentPush) -> None:
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -69,6 +69,7 @@
         every `REFUSAL_REPEAT_MS` until the policy lists them.
       released_suspects: Prompt parts whose refusal ends.
       events: Other events to log.
+      ended_servers: Incarnations of servers that get no more requests.
     """
 
     grants: tuple[data.GrantDecision, ...] = ()
@@ -77,6 +78,7 @@
     crashed_digests: tuple[str, ...] = ()
     released_suspects: tuple[str, ...] = ()
     events: tuple[data.SchedulerEvent, ...] = ()
+    ended_servers: tuple[data.EndedServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -737,7 +739,9 @@
         crashed_digests=tuple(txn.digests_to_refuse),
         released_suspects=tuple(txn.suspects_to_release),
         events=tuple(txn.events),
+        ended_servers=tuple(txn.ended_servers),
     )
+    txn.ended_servers.clear()
     txn.samples.clear()
     txn.events.clear()
     txn.new_arrivals.clear()
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -119,6 +119,7 @@
         since the last tick.
       samples: Samples since the last tick.
       events: Events to log since the last tick.
+      ended_servers: Incarnations that stopped to be usable since the last tick.
     """
 
     term: int
@@ -157,6 +158,7 @@
     new_arrivals: tuple[tuple[str, int], ...] = ()
     samples: tuple[data.RequestSample, ...] = ()
     events: tuple[data.SchedulerEvent, ...] = ()
+    ended_servers: tuple[data.EndedServer, ...] = ()
 
 
 # Fields of `Tables` by how `Transaction` holds them: as a mutable map, as the
@@ -166,7 +168,7 @@
     for field in dataclasses.fields(Tables)
     if field.type is immutables.Map and field.name != "broken_connections"
 )
-_LIST_FIELDS = ("new_arrivals", "samples", "events")
+_LIST_FIELDS = ("new_arrivals", "samples", "events", "ended_servers")
 _VALUE_FIELDS = tuple(
     field.name
     for field in dataclasses.fields(Tables)
@@ -224,6 +226,7 @@
         self.new_arrivals = list(tables.new_arrivals)
         self.samples = list(tables.samples)
         self.events = list(tables.events)
+        self.ended_servers = list(tables.ended_servers)
         self.grant_decisions: list[data.GrantDecision] = []
         self.refusals: list[tuple[str, Any, str]] = []
         self.digests_to_refuse: list[str] = []
@@ -445,10 +448,24 @@
         _move_usable_server(
             txn, server_id, _usable_group(old_row), _usable_group(row)
         )
+        _note_end(txn, old_row, row)
     txn.servers[server_id] = row
     return row
 
 
+def _note_end(
+    txn: Transaction, old_row: data.ServerRow | None, row: data.ServerRow
+) -> None:
+    """Notes that an incarnation departs, went stale or was replaced."""
+    if old_row is None or not is_usable(old_row):
+        return
+    former = old_row.announcement
+    if not is_usable(row) or row.announcement.incarnation != former.incarnation:
+        txn.ended_servers.append(
+            data.EndedServer(former.address, former.incarnation)
+        )
+
+
 def _assign_index_key(txn: Transaction, row: data.ServerRow) -> data.ServerRow:
     """Returns a row with a new key for the index of free servers."""
     key = (txn.next_key * _SCATTER_MULTIPLIER) & _SCATTER_MASK
