--- a/features/connection_reuse.feature
+++ b/features/connection_reuse.feature
@@ -120,12 +120,6 @@
       | is silent   | is silent for 6000 ms  | 1     |
       | starts again | announces a new start | 1     |
 
-  Scenario: routers that a server remembers are bounded
-    Guards against memory that grows with each router that ever connected.
-
-    When 300 routers get grants for a server one after another
-    Then the last 256 of them are remembered
-
   Scenario Outline: the pool closes the least recently used connections: <case>
     Guards against more idle connections than the router has descriptors for or
     the server takes.
@@ -140,28 +134,6 @@
       | too many to one server  | 4     | 1    | a b a c | 1      |
       | none to a server        | 4     | 0    | a       | 1      |
 
-  Scenario Outline: a router and a server that states its timeout: <case>
-    Guards against today's times where the server states others, and against a
-    request that must not be repeated and is lost on a closed connection.
-
-    Given a router with one fake backend server and a reuse_idle_s of <limit>
-    When <count> deposits with do=<act> are sent <gap> seconds apart
-    Then all run once and are answered with 200 over <connections> connections
-
-    Examples:
-      | case                    | limit | count | act                           | gap | connections |
-      | longer than the setting | 0.3   | 2     | stating&timeout=4             | 1.0 | 1           |
-      | reuse is off            | 0.0   | 2     | stating&timeout=4             | 0.1 | 2           |
-      | shorter than the margin | 2.0   | 2     | stating&timeout=1             | 0.1 | 2           |
-      | unreadable              | 0.3   | 2     | stating&timeout=4.5           | 1.0 | 2           |
-      | closes sooner           | 2.0   | 5     | stating&timeout=10&close=0.05 | 0.1 | 5           |
-      | closes at once          | 2.0   | 5     | stating&timeout=10&close=0    | 0.1 | 5           |
-
-  Scenario: a server that closes sooner than stated gets a shorter time
-    Given a router with one fake backend server and a reuse_idle_s of 2.0
-    When 2 deposits with do=stating&timeout=10&close=0.05 are sent 0.2 seconds apart
-    Then the router logs connection_closed_early
-
   Scenario Outline: idle connections are closed at once: <case>
     Guards against connections to servers that get no more requests.
 
