--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -116,6 +116,26 @@
       | /c/  | s       | h.example | True       | False  | 10.0      | s:1.0        | 2         |
     And the document is read back byte for byte
 
+  Scenario Outline: a server announces the limit <value> of connections
+    Guards against a heartbeat that is refused, or a limit that is applied,
+    because of a malformed field that was ignored before.
+
+    Given the announcement of a backend server of the platform
+    When maxConnections is <value> there
+    Then the announced limit of connections is <limit>
+
+    Examples:
+      | value   | limit |
+      | null    | 0     |
+      | 256     | 256   |
+      | 0       | 0     |
+      | -1      | 0     |
+      | 2.5     | 0     |
+      | "256"   | 0     |
+      | true    | 0     |
+      | NaN     | 0     |
+      | 1000001 | 0     |
+
   Scenario Outline: an announcement is <verdict>, <case>
     Given the announcement of a backend server of the platform
     When <place> is <value> there
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -294,6 +294,13 @@
             assert verdict == "refused", reason
 
 
+@behave.then("the announced limit of connections is {limit:d}")
+def announced_limit(context, limit):
+    body = _encode(context.document)
+    found = announcements.parse_announcement("i-1", body).unwrap()
+    assert found.max_connections == limit, found
+
+
 @behave.then('the id "{server_id}" is refused')
 @behave.then('the id "" is refused')
 def refused_id(context, server_id=""):
--- a/waxwingrack/operations/connection_reuse.py
+++ b/waxwingrack/operations/connection_reuse.py
@@ -54,7 +54,7 @@
 # Servers of equal load that the leader compares for a request.
 MAX_TIED_SERVERS = 8
 # Difference between the ranks of two engines that counts as none, in tokens to
-# read. It is less than an engine reads in the 1 ms that a connection costs (40),
+# read. It is less than an engine reads in the 1 ms that a connection costs, 40,
 # and than a running request counts, so no busier engine is preferred.
 EQUAL_RANK_TOKENS = 16
 
