Let routers keep a connection where they outnumber the spare ones

With 88 routers and fewer spare connections than that, an equal share was 0, so no connection was reused at all.

--- a/features/connection_reuse.feature
+++ b/features/connection_reuse.feature
@@ -61,19 +61,22 @@
       | not a number            | 10     | nan  | 1     | 10       |
       | negative idle time      | 10     | -5   | 1     | 5        |
 
-  Scenario Outline: connections that a router keeps to a server with a limit: <limit>, <slots>, <routers>
+  Scenario Outline: connections that a router keeps to a server with a limit: <limit>, <slots>, <routers>, <holders>
     Guards against more open connections over all routers than the server takes.
 
-    Then of <limit> connections with <slots> slots each of <routers> routers keeps <idle>
+    When <holders> routers had grants <ago> ms ago at a server of <limit> connections and <slots> slots
+    Then one more of <routers> routers may keep <idle> connections
 
     Examples:
-      | limit | slots | routers | idle |
-      | 0     | 32    | 88      | none |
-      | 256   | 32    | 88      | 2    |
-      | 100   | 32    | 88      | 0    |
-      | 16    | 32    | 88      | 0    |
-      | 9999  | 32    | 1       | 64   |
-      | 64    | 32    | 0       | 32   |
+      | limit | slots | routers | holders | ago   | idle |
+      | 0     | 32    | 88      | 0       | 0     | none |
+      | 256   | 32    | 88      | 87      | 0     | 2    |
+      | 9999  | 32    | 1       | 0       | 0     | 64   |
+      | 64    | 32    | 0       | 0       | 0     | 32   |
+      | 100   | 32    | 88      | 67      | 0     | 1    |
+      | 100   | 32    | 88      | 68      | 0     | 0    |
+      | 100   | 32    | 88      | 68      | 60000 | 1    |
+      | 16    | 32    | 88      | 0       | 0     | 0    |
 
   Scenario Outline: the server of a request among several: <case>
     Guards against a preference that costs a wait, or that outlives the
--- a/waxwingrack/operations/connection_reuse.py
+++ b/waxwingrack/operations/connection_reuse.py
@@ -48,6 +48,9 @@
 # Time after a grant for which the leader takes the connection for kept, in
 # milliseconds: 10 s is the common timeout, less the larger margin.
 ASSUMED_KEPT_MS = 8_000
+# Time after a grant for which the leader counts a router as holder of a
+# connection, in milliseconds. It covers most requests and the idle time after.
+MAX_HELD_MS = 60_000
 # Routers that the leader remembers per server; more than a large deployment
 # has. The one with the oldest grant is dropped first.
 MAX_CONNECTED_ROUTERS = 256
@@ -191,37 +194,52 @@
     return max(1, int(max_descriptors * IDLE_DESCRIPTOR_SHARE))
 
 
-def share_idle(max_connections: int, slots: int, routers: int) -> int | None:
-    """Returns the most idle connections of one router to a server.
+def allow_idle(
+    row: data.ServerRow, router: str, routers: int, now_ms: int
+) -> int | None:
+    """Returns the most idle connections that a router may keep to a server.
 
     Running requests need at most as many connections as there are slots. The
     routers share the rest, so that all connections together stay within the
-    limit of the server.
+    limit of the server. If there are more routers than that, the first ones
+    that use the server keep one each.
 
     Args:
-      max_connections: Connections that the server takes; 0 if not announced.
-      slots: Slots of the server.
+      row: Row of the server.
+      router: Node id of the router, which gets a grant for the server.
       routers: Number of connected routers.
+      now_ms: Present time.
 
     Returns:
       The number; None if the server announced no limit.
     """
-    if max_connections <= 0:
+    limit = row.announcement.max_connections
+    if limit <= 0:
         return None
-    spare = max(0, max_connections - slots)
-    return min(MAX_IDLE_PER_SERVER, spare // max(1, routers))
+    spare = max(0, limit - row.announcement.slots)
+    if spare >= routers:
+        return min(MAX_IDLE_PER_SERVER, spare // max(1, routers))
+    holders = sum(
+        1
+        for other, granted_ms in row.connected.items()
+        if other != router and now_ms - granted_ms < MAX_HELD_MS
+    )
+    return 1 if holders < spare else 0
 
 
 def note_grant(
-    connected: immutables.Map, router: str, now_ms: int
+    connected: immutables.Map, router: str, max_idle: int | None, now_ms: int
 ) -> immutables.Map:
     """Records that a router gets a grant for a server.
 
     Args:
       connected: Time of the latest grant by router.
       router: Node id of the router.
+      max_idle: Most idle connections that it may keep to the server.
       now_ms: Present time.
     """
+    if not max_idle:
+        return connected.delete(router) if router in connected else connected
     if router not in connected and len(connected) >= MAX_CONNECTED_ROUTERS:
         connected = connected.delete(min(connected, key=connected.__getitem__))
     return connected.set(router, now_ms)
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -733,7 +733,13 @@
         queue_positions=router.queue_positions.delete(request.sequence),
         grants=router.grants.set(key, None),
     )
-    _record_grant(txn, assignment, key, isolated=share is None)
+    max_idle = connection_reuse.allow_idle(
+        assignment.server,
+        assignment.entry.router,
+        len(txn.routers),
+        txn.now_ms,
+    )
+    _record_grant(txn, assignment, key, share is None, max_idle)
     pool = txn.pools[request.service]
     candidate_share = share.share if share and share.candidate else 0.0
     if (
@@ -803,11 +809,7 @@
                 version=announcement.version,
                 fetch_from=assignment.prompt_source
                 and assignment.prompt_source.announcement.address,
-                max_idle=connection_reuse.share_idle(
-                    announcement.max_connections,
-                    announcement.slots,
-                    len(txn.routers),
-                ),
+                max_idle=max_idle,
             ),
             reason,
         )
@@ -843,6 +845,7 @@
     assignment: Assignment,
     key: tables_module.GrantKey,
     isolated: bool,
+    max_idle: int | None,
 ) -> None:
     """Records a grant in the row of its server."""
     request, row = assignment.entry.request, assignment.server
@@ -853,11 +856,11 @@
         grants=row.grants.set(key, None),
         isolated_grant=key if isolated else None,
     )
-    if row.announcement.max_connections:
+    if max_idle is not None:
         row = data.evolve(
             row,
             connected=connection_reuse.note_grant(
-                row.connected, assignment.entry.router, txn.now_ms
+                row.connected, assignment.entry.router, max_idle, txn.now_ms
             ),
         )
     if engine is not None:
