--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -503,8 +503,8 @@
       control_silence_s: Time without a message of the leader after which a
         router looks for another leader.
       reuse_idle_s: Maximum idle time of a connection to a backend server that
-        is reused for a request that must not be repeated; 0 opens a new
-        connection for each such request.
+        is reused for a request that must not be repeated, if the server states
+        no timeout; 0 opens a new connection for each such request.
       max_exposure: Share of a service's requests that a new version may get
         before its rollout is done, if the rollout has no limit of its own; 1
         sets no limit. Controllers only.
@@ -600,6 +600,8 @@
         milliseconds; 0 if it is not announced. It orders incarnations.
       sequence: Number of the announcement within its incarnation, by which a
         late one is recognised; 0 if announcements are not numbered.
+      max_connections: Most connections that the server takes; 0 if it does not
+        announce it.
     """
 
     server_id: str
@@ -617,6 +619,20 @@
     cold_ms: int = 0
     born_ms: int = 0
     sequence: int = 0
+    max_connections: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedServer:
+    """An incarnation of a backend server that gets no more requests.
+
+    Attributes:
+      address: Address of the server.
+      incarnation: Incarnation of the server.
+    """
+
+    address: Address
+    incarnation: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -744,6 +760,8 @@
       fetch_from: Address of the model engine from which this one fetches the
         parts of the prompt that it does not have in its cache; None if it
         reads them itself.
+      max_idle: Most idle connections that the router may keep to the server;
+        None if the server announces no limit.
     """
 
     id: int
@@ -754,6 +772,7 @@
     address: Address
     version: str
     fetch_from: Address | None = None
+    max_idle: int | None = None
 
 
 class Outcome(enum.StrEnum):
@@ -1609,6 +1628,8 @@
       cold_limit_reached: Whether it gets no request until its credit has grown.
       rate_limit: Limit that it named in its answers; None if there is none.
       speed: Its speed, as learned and as it said itself.
+      connected: Time of the latest grant by router, kept if the server
+        announces a limit of connections.
     """
 
     announcement: Announcement
@@ -1638,6 +1659,7 @@
     cold_limit_reached: bool = False
     rate_limit: "RateLimit | None" = None
     speed: ServerSpeed = ServerSpeed()
+    connected: immutables.Map = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
