Bound the work that one connection may cause in a turn

Cause: a read of 64 KiB held up to 11,000 chunks or 1,000 pipelined requests, all handled in one turn of the event loop. Change: chunked bodies are decoded in steps of 4 KiB; those in tiny chunks, and requests that were sent ahead of an answer, wait for a turn after all other work, within 0.4 of the time, and only once earlier answers are sent. More than max_pipelined_requests on a connection, and tiny chunks on many connections, are refused as not run. Routers and controllers use the same channel.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -460,6 +460,8 @@
       close_timeout_s: Maximum time for which the caller may read nothing of the
         last bytes of a connection that is closing.
       max_open_connections: Maximum number of open caller connections.
+      max_pipelined_requests: Maximum number of requests that wait on one
+        caller's connection for the answers to earlier ones.
       log_level: Lowest level to log.
       plaintext: Whether processes communicate without TLS and shared key, also
         beyond loopback.
@@ -515,6 +517,7 @@
     idle_connection_s: float = 75.0
     close_timeout_s: float = 15.0
     max_open_connections: int = 4_096
+    max_pipelined_requests: int = 256
     log_level: str = "INFO"
     plaintext: bool = False
     group_size: int = 0
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -22,6 +22,7 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import errors
+from waxwingrack.daemons import bounded_channels
 from waxwingrack.daemons import buffer_reservations
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import event_loop
@@ -98,7 +99,7 @@
         """Writes no access log; decisions are logged instead."""
 
 
-class CallersChannel(http.HTTPChannel):
+class CallersChannel(bounded_channels.BoundedChannel):
     """Connection of a caller.
 
     Attributes:
@@ -115,7 +116,6 @@
         self._request_begun = False
         self._headers_complete = False
         self._deadline: Any = None
-        self._refused = False
         self._last_unsent_bytes = 0
         self._header_bytes = 0
         self._has_had_request = False
@@ -161,13 +161,16 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Starts the time limit of a request that is received in part."""
+        if self._refused:
+            return
         host = self.site.host
         host.count_received(self.transport, len(data))
         if self.brings_new_work and not self._request_begun:
             self._read_delay_s = event_loop.find_read_delay_s(host.reactor)
         super().dataReceived(data)
+        # A paused connection waits for the router, not for its caller.
         incomplete = self._request_begun or (
-            self._buffer and not self._handlingRequest
+            self._buffer and not self._handlingRequest and not self.paused
         )
         if incomplete and self._deadline is None and not self._refused:
             # A request that stalls is refused rather than cut off by the idle
@@ -268,6 +271,19 @@
     def _respondToBadRequestAndDisconnect(self) -> None:
         self.refuse(errors.ErrorKind.BAD_REQUEST)
 
+    @property
+    def max_pipelined_requests(self) -> int:
+        """Maximum number of requests that may wait on the connection."""
+        return self.site.host.settings.max_pipelined_requests
+
+    def refuse_costly(self, kind: errors.ErrorKind) -> None:
+        """Refuses what has not been handled yet and closes the connection.
+
+        Args:
+          kind: Error kind.
+        """
+        self.refuse(kind)
+
     def refuse(self, kind: errors.ErrorKind) -> None:
         """Refuses a request that is being received and ends the connection.
 
@@ -277,6 +293,7 @@
         if self._refused:
             return
         self._refused = True
+        self.discard_received()
         self._cancel_deadline()
         self.setTimeout(None)
         self.persistent = False
@@ -322,15 +339,6 @@
                 self.site.host.settings.close_timeout_s, self.forceAbortClient
             )
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of answers that the caller has not taken yet."""
-        return 0 if self.transport is None else self._unsent_bytes()
-
-    def _unsent_bytes(self) -> int:
-        conn = self.transport
-        return len(conn.dataBuffer) - conn.offset + conn._tempDataLen
-
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is open or due on it.
 
--- a/waxwingrack/daemons/body_limits.py
+++ b/waxwingrack/daemons/body_limits.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from waxwingrack.core import logs
+from waxwingrack.daemons import bounded_channels
 
 MAX_BODY_BYTES = 1024 * 1024
 # A body over its limit is discarded up to here, so that a caller that sends all
@@ -61,6 +62,7 @@
       request_class: Class of its requests.
     """
     site = server.Site(root, requestFactory=request_class)
+    site.protocol = bounded_channels.BoundedChannel
     site.displayTracebacks = False
     site.log = lambda request: None
     return site
--- a/waxwingrack/daemons/event_loop.py
+++ b/waxwingrack/daemons/event_loop.py
@@ -31,6 +31,13 @@
 # Longest time for which a turn of the loop reads new work before it looks again
 # for events of the work that has begun. One read that takes longer ends it.
 NEW_WORK_SLICE_S = 0.01
+# Time of costly work after which the loop does none for a while. A turn begins
+# no costly step after it.
+COSTLY_WORK_SLICE_S = 0.001
+# Share of the time that costly work may take. Together with the cost of reading
+# it stays below the use at which a router counts as saturated, so that a caller
+# with costly work alone does not take a router out of the rotation.
+COSTLY_WORK_SHARE = 0.4
 
 
 @implementer(interfaces.IDelayedCall)
@@ -124,6 +131,12 @@
             collections.OrderedDict()
         )
         self._readable_since_s: float | None = None
+        # Next steps of costly work, by their owners.
+        self._costly_time_s = 0.0
+        self._costly_after_s = 0.0
+        self._costly_work: collections.OrderedDict[Any, Callable[[], None]] = (
+            collections.OrderedDict()
+        )
         # Descriptors that are not read before a time, with its timer.
         self._held_readers: dict[Any, asyncio.TimerHandle] = {}
         self._loop = loop
@@ -131,7 +144,7 @@
         selector = getattr(loop, "_selector", None)
         self._can_defer = isinstance(selector, TimingSelector)
         if self._can_defer:
-            selector.run_deferred = self._read_new_work
+            selector.run_deferred = self._run_deferred
 
     def callLater(
         self, delay: float, callable: Callable, *args: Any, **kwargs: Any
@@ -225,6 +238,66 @@
         self._readable_since_s = None
         return True
 
+    def _run_deferred(self) -> bool:
+        has_read = self._read_new_work()
+        return self._do_costly_work() or has_read
+
+    def do_costly(self, owner: Any, call: Callable[[], None]) -> bool:
+        """Schedules a step of costly work after new work.
+
+        Args:
+          owner: Whose work it is; it has one next step at most.
+          call: The step.
+
+        Returns:
+          False if the loop cannot defer work.
+        """
+        if self._can_defer:
+            self._costly_work.setdefault(owner, call)
+        return self._can_defer
+
+    def count_costly(self) -> int:
+        """Returns how many owners have costly work to do."""
+        return len(self._costly_work)
+
+    def _do_costly_work(self) -> bool:
+        """Does costly steps for a slice of time, but at least one.
+
+        Returns:
+          Whether any was done, so that the loop must not wait.
+        """
+        start_s = self._loop.time()
+        if not self._costly_work or start_s < self._costly_after_s:
+            return False
+        end_s = start_s + COSTLY_WORK_SLICE_S
+        for _ in range(len(self._costly_work)):
+            _, call = self._costly_work.popitem(last=False)
+            try:
+                call()
+            except Exception:  # noqa: BLE001
+                _LOG.failure("costly work failed")
+            if not self._costly_work or self._loop.time() >= end_s:
+                break
+        self._pause_costly_work(start_s)
+        return True
+
+    def _pause_costly_work(self, start_s: float) -> None:
+        """Leaves other work its share of the time after costly work.
+
+        Args:
+          start_s: Time at which the costly work began, in seconds.
+        """
+        now_s = self._loop.time()
+        self._costly_time_s += now_s - start_s
+        if self._costly_time_s < COSTLY_WORK_SLICE_S:
+            return
+        pause_s = self._costly_time_s * (1 / COSTLY_WORK_SHARE - 1)
+        self._costly_time_s = 0.0
+        self._costly_after_s = now_s + pause_s
+        # The loop looks for costly work before it waits for events, so it must
+        # not wait longer than this.
+        self._loop.call_at(self._costly_after_s, int)
+
     def awaits_reading(self, reader: Any) -> bool:
         """Returns whether a descriptor is readable and not read yet."""
         return reader in self._new_work
@@ -427,6 +500,29 @@
     return isinstance(reactor, _Reactor) and reactor.awaits_reading(transport)
 
 
+def do_costly(reactor: Any, owner: Any, call: Callable[[], None]) -> bool:
+    """Schedules a step of costly work; other work goes first.
+
+    Args:
+      reactor: Reactor that does it.
+      owner: Whose work it is; a second step before the first is ignored.
+      call: The step.
+
+    Returns:
+      False if the reactor is of another kind, or cannot defer work.
+    """
+    return isinstance(reactor, _Reactor) and reactor.do_costly(owner, call)
+
+
+def count_costly(reactor: Any) -> int:
+    """Returns how many owners have costly work to do.
+
+    Args:
+      reactor: Reactor that does it; 0 for one of another kind.
+    """
+    return reactor.count_costly() if isinstance(reactor, _Reactor) else 0
+
+
 def hold_reading(transport: Any, delay_s: float) -> None:
     """Does not read a connection for some time.
 
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -669,6 +669,7 @@
             {
                 "open_requests": len(self._exchanges),
                 "buffered_bytes": self.buffers.table.total,
+                "costly_connections": event_loop.count_costly(self.reactor),
                 "waiting_requests": len(self.dispatcher.queues.requests),
                 "grants_in_use": len(self.dispatcher.leases),
                 "caller_connections": len(self._site.channels),
--- a/waxwingrack/load/settings.py
+++ b/waxwingrack/load/settings.py
@@ -46,7 +46,10 @@
     "$.max_buffered_bytes": (1, 68_719_476_736),
     "$.max_header_bytes": (256, 1_048_576),
 }
-COUNT_LIMITS = {"$.max_open_connections": (1, 1_000_000)}
+COUNT_LIMITS = {
+    "$.max_open_connections": (1, 1_000_000),
+    "$.max_pipelined_requests": (1, 1_000_000),
+}
 # More voting controllers would only slow down each change.
 GROUP_SIZE_LIMITS = {"$.group_size": (0, 9)}
 RETRY_LIMITS = {
