--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -29,6 +29,7 @@
 from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import exchanges
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import link_pacer
