Test the budgets of connections and what a calm router serves

Cause: the crowd shows only that others are served, not that a single caller is still served in order, nor that unread answers hold up the next request.

--- a/features/steps/hostile_callers_steps.py
+++ b/features/steps/hostile_callers_steps.py
@@ -1,6 +1,8 @@
 """Steps for crowds of callers that misbehave, at a router process."""
 
+import json
 import pathlib
+import re
 import selectors
 import socket
 import time
@@ -10,6 +12,7 @@
 from features.steps import router_answers_steps as answers
 from features.steps import router_fakes
 from features.support import fleet
+from waxwingrack.core import errors
 
 MIB = 1024 * 1024
 # Time for which the crowd sends, in seconds.
@@ -165,3 +168,78 @@
     assert peak_mb <= size, peak_mb
     open_count = len(list((folder / "fd").iterdir()))
     assert open_count <= count, open_count
+
+
+_CLOSE = f"GET /nowhere HTTP/1.1\r\nConnection: close\r\n{_HEAD}\r\n"
+_SMALL = _tiny_chunks("/sketch/a")[: -len(_CHUNKS)] + "1\r\nx\r\n" * 700
+UNREAD = 20
+CALM = {
+    "tiny_chunks_whole": lambda: (
+        _tiny_chunks("/sketch/a").replace("Host", "Connection: close\r\nHost")
+        + "0\r\n\r\n"
+    ),
+    "tiny_chunks_queued": lambda: (_SMALL + "0\r\n\r\n") * 20 + _CLOSE,
+    "pipelined_within": lambda: (
+        f"GET /nowhere HTTP/1.1\r\n{_HEAD}\r\n" * 32 + _CLOSE
+    ),
+    "pipelined_beyond": lambda: (
+        f"GET /nowhere HTTP/1.1\r\n{_HEAD}\r\n" * 60 + _CLOSE
+    ),
+}
+
+
+@behave.given("a calm router process that lets 32 requests wait")
+def calm_router(context):
+    answers.start_world(context, max_pipelined_requests=32)
+
+
+@behave.when("one caller of the calm router sends {case}")
+def calm_sends(context, case):
+    port = context.world.router.port
+    with socket.create_connection(("127.0.0.1", port), timeout=30) as conn:
+        conn.sendall(CALM[case]().encode())
+        context.raw = conn.makefile("rb").read()
+
+
+@behave.then(
+    "it gets {count:d} answers in order, {refused:d} of them a refusal that "
+    "did not run"
+)
+def calm_answers(context, count, refused):
+    assert context.raw.count(b"HTTP/1.1 ") == count, context.raw[-500:]
+    limit = str(errors.ErrorKind.TOO_MANY_CONNECTIONS).encode()
+    assert context.raw.count(limit) == refused, context.raw[-500:]
+    if refused:
+        error = json.loads(context.raw.rpartition(b"\r\n\r\n")[2])["error"]
+        assert error["execution"] == "not_run", error
+    # Ids of the router's requests end in a number that counts up.
+    found = re.findall(rb"X-Request-Id: [0-9a-f]+-(\d+)", context.raw)
+    assert [*map(int, found)] == sorted(map(int, found)), found
+    assert len(found) == count, found
+
+
+@behave.when(
+    "a caller sends requests ahead and reads no answers for {seconds:d} s"
+)
+def send_unread(context, seconds):
+    port = context.world.router.port
+    conn = socket.socket()
+    context.add_cleanup(conn.close)
+    # A small buffer, so that the answers wait at the router.
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    conn.settimeout(10)
+    conn.connect(("127.0.0.1", port))
+    target = f"/sketch/a?do=large&bytes={MIB}"
+    request = f"GET {target} HTTP/1.1\r\n{_HEAD}\r\n"
+    conn.sendall((request * UNREAD + _CLOSE).encode())
+    time.sleep(seconds)
+    context.runs = context.world.runs()
+    context.raw = conn.makefile("rb").read()
+
+
+@behave.then("most of them run only once the answers are read")
+def unread_runs(context):
+    assert 0 < context.runs < UNREAD / 2, context.runs
+    assert context.world.runs() == UNREAD, context.world.runs()
+    assert context.raw.count(b"HTTP/1.1 200") == UNREAD
+    assert len(context.raw) > UNREAD * MIB
