--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -29,6 +29,7 @@
 from waxwingrack.daemons import control_link
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import dispatch
+from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import exchanges
 from waxwingrack.daemons import forwarding
 from waxwingrack.daemons import link_pacer
@@ -687,6 +688,7 @@
             {
                 "open_requests": len(self._exchanges),
                 "buffered_bytes": self.buffers.table.total,
+                "costly_connections": event_loop.count_costly(self.reactor),
                 "waiting_requests": len(self.dispatcher.queues.requests),
                 "grants_in_use": len(self.dispatcher.leases),
                 "caller_connections": len(self._site.channels),
