Bound the demand of all data centres together

The bound of four times the servers that are seen held for each data centre, so two of them could order eight times as many after a false count of tokens.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -45,7 +45,7 @@
     Examples: false reports
       | case                           | limits  | history | orders |
       | a count of tokens once         | 2 to 30 | servers 4 4, load 26 26, growth 1e30, wait 1, growth 0, wait 60 | |
-      | a count of tokens that grows   | 2 to 7  | servers 4 4, load 26 26, wait 20, growth 1e30, wait 60 | a=7@23 b=7@23 |
+      | a count of tokens that grows   | 2 to 99 | servers 4 4, load 26 26, wait 20, growth 1e30, wait 8 | a=25@23 b=25@23 |
       | servers without slots          | 2 to 30 | servers 4 4, load 26 26, wait 20, slots 0, wait 60 | |
       | a share of returns above 1     | 2 to 30 | servers 4 4, load 26 26, wait 20, returns 1e9, wait 60 | |
 
--- a/features/duties_fleet.feature
+++ b/features/duties_fleet.feature
@@ -20,3 +20,10 @@
       | the provider sends no JSON   |
       | the provider says 500        |
       | the provider says 429        |
+
+  Scenario: the leader orders servers
+    Guards against a decision that does not reach the provider.
+
+    Given a fleet with duties and a provider
+    When the booking desk gets limits of 2 to 4 servers
+    Then the provider gets one order, of 2 servers for it
--- a/features/steps/duties_fleet_steps.py
+++ b/features/steps/duties_fleet_steps.py
@@ -32,11 +32,15 @@
         self.token = 0
         self.holders = collections.defaultdict(set)
         self.reports = collections.defaultdict(set)
+        self.orders = []
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def execute(self, path, holder, token, body):
         with self.lock:
             self.holders[path, token].add(holder)
+            if path == "/scale":
+                self.orders.append(body)
+                return 200
             if token < self.token:
                 return 409
             self.token = token
@@ -176,6 +180,25 @@
     assert all(len(names) == 1 for names in holders.values()), holders
 
 
+@behave.when("the booking desk gets limits of {low:d} to {high:d} servers")
+def set_limits(context, low, high):
+    services = fleet_module.default_services()
+    limits = {"min": low, "max": high, "boot_s": 0.1}
+    services[1]["scaling"] = limits
+    context.fleet.apply(fleet_module.environment(services=services))
+
+
+@behave.then("the provider gets one order, of {count:d} servers for it")
+def check_order(context, count):
+    provider = context.provider
+    wait_until(lambda: provider.orders, WAIT_S, "an order")
+    time.sleep(FAULT_S)
+    found = [
+        (body["service"], body["desiredCount"]) for body in provider.orders
+    ]
+    assert found == [("booking", count)], provider.orders
+
+
 @behave.then("the status shows the holder and its token")
 def check_status(context):
     row = _duty(context)
--- a/waxwingrack/operations/capacity.py
+++ b/waxwingrack/operations/capacity.py
@@ -304,6 +304,9 @@
         needed = measure_demand(row, former and former.latest, usable)
         total += needed
         subjects[row.data_centre] = _add_observation(former, row, needed)
+    # Each data centre is bounded by all servers, as its routers may use those
+    # of the others; the sum needs the bound as well.
+    total = min(total, MAX_FACTOR * usable)
     pressure = any(
         _has_pressure(row, state.subjects.get(row.data_centre))
         for row in observations
