--- a/waxwingrack/daemons/capacity_orders.py
+++ b/waxwingrack/daemons/capacity_orders.py
@@ -4,6 +4,7 @@
 and exports what it has decided on.
 """
 
+import logging
 from typing import Any
 
 import immutables
@@ -53,6 +54,7 @@
             return
         observations = capacity_tables.list_observations(tables, now_ms)
         plan = capacity.decide(self._states, observations, now_ms)
+        self._log_bounded(plan.services)
         self._states = plan.services
         for decision in plan.decisions:
             self._submit(decision)
@@ -80,6 +82,18 @@
         )
         self._duties.submit_order(order.service, order.data_centre, order.count)
 
+    def _log_bounded(self, states: immutables.Map) -> None:
+        """Logs the services whose measured demand begins to be extreme."""
+        for service, state in states.items():
+            former = self._states.get(service)
+            if state.is_bounded and not (former and former.is_bounded):
+                logs.event(
+                    "capacity_demand_bounded",
+                    logging.WARNING,
+                    service=service,
+                    demand=round(state.demand.present, 3),
+                )
+
     def _export(self) -> None:
         for service, state in self._states.items():
             self._metrics.set(
--- a/waxwingrack/operations/capacity.py
+++ b/waxwingrack/operations/capacity.py
@@ -174,6 +174,8 @@
       active: Data centres that can serve.
       active_ms: Time since which these are the ones.
       seen: Whether a server of the service was ever seen.
+      is_bounded: Whether the latest sample is at its upper bound, or could not
+        be measured as servers announce no slots.
     """
 
     since_ms: int
@@ -184,6 +186,7 @@
     active: tuple[str, ...] = ()
     active_ms: int = 0
     seen: bool = False
+    is_bounded: bool = False
 
 
 # A changed number of servers: the data centre, the number and the reason.
@@ -306,6 +309,9 @@
         subjects[row.data_centre] = _add_observation(former, row, needed)
     # Each data centre is bounded by all servers, as its routers may use those
     # of the others; the sum needs the bound as well.
+    is_bounded = total >= MAX_FACTOR * usable > 0 or bool(
+        usable and observations[0].slots_per_server < 1
+    )
     total = min(total, MAX_FACTOR * usable)
     pressure = any(
         _has_pressure(row, state.subjects.get(row.data_centre))
@@ -335,6 +341,7 @@
         pressure_ms=now_ms if pressure else state.pressure_ms,
         active=active,
         active_ms=state.active_ms if active == state.active else now_ms,
+        is_bounded=is_bounded,
         seen=state.seen
         or any(row.servers != ServerCounts() for row in observations),
     )
