Read the limit of connections from the environment

The platform declares it in the document (maxConnections of a service), not in heartbeats, so on the platform idle connections were not shared out and no server was preferred for an open connection.

--- a/features/connection_reuse.feature
+++ b/features/connection_reuse.feature
@@ -93,6 +93,19 @@
       | connected but more busy  | - 3000 -    | 0 1 0   | 1      |
       | connected and less busy  | - - 3000    | 1 1 0   | 3      |
 
+  Scenario Outline: the limit that the environment declares counts: <case>
+    Guards against routers that share no limit out where only the environment
+    knows it.
+
+    When 0 routers had grants 0 ms ago at a server of <announced> connections and 64 slots
+    Then one more of 88 routers may keep <idle> connections if the environment declares <declared>
+
+    Examples:
+      | case                 | announced | declared | idle |
+      | declared             | 0         | 850      | 8    |
+      | announced goes first | 152       | 850      | 1    |
+      | neither              | 0         | 0        | none |
+
   Scenario Outline: requests of two routers in turn: <case>
     Guards against a preference that the leader does not apply, or applies where
     no server announces a limit.
--- a/features/steps/connection_reuse_steps.py
+++ b/features/steps/connection_reuse_steps.py
@@ -94,6 +94,15 @@
     assert found == _number(idle), found
 
 
+@behave.then(
+    "one more of {routers:d} routers may keep {idle} connections if the "
+    "environment declares {declared:d}"
+)
+def may_keep_declared(context, routers, idle, declared):
+    found = reuse.allow_idle(context.row, "new", routers, 100_000, declared)
+    assert found == _number(idle), found
+
+
 @behave.when(
     "router r had grants {ages} ms ago at servers that run {running} requests"
 )
--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -254,6 +254,8 @@
       announces_cold: Whether every backend server announces for how long it is
         still slow after its start. Otherwise its latencies do not count in a
         rollout for some time.
+      max_connections: Most connections that each of its backend servers takes
+        from all callers together; 0 if it is not known.
       scaling: Limits within which the leader orders servers; None orders none.
     """
 
@@ -270,6 +272,7 @@
     ramp: bool = True
     isolate_suspects: bool = True
     announces_cold: bool = False
+    max_connections: int = 0
     scaling: Scaling | None = None
 
 
--- a/waxwingrack/load/environment.py
+++ b/waxwingrack/load/environment.py
@@ -40,6 +40,7 @@
 COUNT_LIMITS = {
     "$.workspaces[*].max_queue": (1, 1_000_000),
     "$.workspaces[*].max_connections": (1, 1_000_000),
+    "$.services[*].max_connections": (0, 1_000_000),
 }
 EXPOSURE_LIMITS = {
     "$.rollouts[*].max_exposure": (0.001, 1.0),
--- a/waxwingrack/operations/connection_reuse.py
+++ b/waxwingrack/operations/connection_reuse.py
@@ -195,7 +195,11 @@
 
 
 def allow_idle(
-    row: data.ServerRow, router: str, routers: int, now_ms: int
+    row: data.ServerRow,
+    router: str,
+    routers: int,
+    now_ms: int,
+    declared: int = 0,
 ) -> int | None:
     """Returns the most idle connections that a router may keep to a server.
 
@@ -209,11 +213,14 @@
       router: Node id of the router, which gets a grant for the server.
       routers: Number of connected routers.
       now_ms: Present time.
+      declared: Most connections that each server of the service takes, as the
+        environment declares it; 0 if it does not. What the server announces
+        goes before it.
 
     Returns:
-      The number; None if the server announced no limit.
+      The number; None if no limit is known.
     """
-    limit = row.announcement.max_connections
+    limit = row.announcement.max_connections or declared
     if limit <= 0:
         return None
     spare = max(0, limit - row.announcement.slots)
--- a/waxwingrack/operations/granting.py
+++ b/waxwingrack/operations/granting.py
@@ -751,11 +751,13 @@
         queue_positions=router.queue_positions.delete(request.sequence),
         grants=router.grants.set(key, None),
     )
+    service = txn.environment_index.services.get(request.service)
     max_idle = connection_reuse.allow_idle(
         assignment.server,
         assignment.entry.router,
         len(txn.routers),
         txn.now_ms,
+        service.max_connections if service else 0,
     )
     _record_grant(txn, assignment, key, share is None, max_idle)
     pool = txn.pools[request.service]
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -98,6 +98,8 @@
 class _Service(pydantic.BaseModel):
     name: _Name
     engine: _Engine | None = None
+    # Most connections that a server takes from all callers; 0 for no limit.
+    maxConnections: _Count = 0  # noqa: N815
     # Requests per second that a cold server can take; 0 if servers of the
     # service are never cold.
     coldPerS: _NonNegative = 0.0  # noqa: N815
@@ -276,6 +278,7 @@
         # connection is no evidence; see docs/platform.md.
         isolate_suspects=False,
         announces_cold=True,
+        max_connections=service.maxConnections,
         scaling=service.scaling
         and data.Scaling(
             service.scaling.min, service.scaling.max, service.scaling.bootS
