Begin no request on a connection that is being closed

Cause: a connection that waited for its turn could begin its next request after the idle timeout had begun to close it, so that nobody would get the answer.

--- a/waxwingrack/daemons/bounded_channels.py
+++ b/waxwingrack/daemons/bounded_channels.py
@@ -173,7 +173,8 @@
     def _take_turn(self) -> None:
         """Handles the next step of what has been received."""
         self._unread_check = None
-        if not self.paused:
+        if not self.paused or self.transport.disconnecting:
+            # Refused, lost, or being closed; no further request may begin then.
             return
         event_loop.flush_transport(self.transport)
         if self.unsent_bytes and not self.requests:
