Make max-min shares and learned speeds an option of a service

Change: the environment asks for them by service; otherwise requests are refused by their own wait and engines count as fast as their mean, as before.

--- a/waxwingrack/core/data.py
+++ b/waxwingrack/core/data.py
@@ -254,6 +254,11 @@
       announces_cold: Whether every backend server announces for how long it is
         still slow after its start. Otherwise its latencies do not count in a
         rollout for some time.
+      max_min_shares: Whether a contended service is divided by max-min shares
+        and the returns of refused callers are scheduled. Otherwise requests are
+        refused by the forecast of their own wait alone.
+      learn_speeds: Whether the speed of each backend server is learned and its
+        stated slowness counts. Otherwise all count as fast as their mean.
       max_connections: Most connections that each of its backend servers takes
         from all callers together; 0 if it is not known.
       scaling: Limits within which the leader orders servers; None orders none.
@@ -272,6 +277,8 @@
     ramp: bool = True
     isolate_suspects: bool = True
     announces_cold: bool = False
+    max_min_shares: bool = False
+    learn_speeds: bool = False
     max_connections: int = 0
     scaling: Scaling | None = None
 
--- a/waxwingrack/core/errors.py
+++ b/waxwingrack/core/errors.py
@@ -212,9 +212,6 @@
 # Fraction of the mean by which `Retry-After` varies, so that callers that were
 # refused at the same time do not retry at the same time.
 RETRY_AFTER_JITTER = 0.5
-# Kinds whose known times are places in a schedule of the leader. They are
-# spread already, and room is kept for callers that come back at that time.
-SCHEDULED_KINDS = frozenset({ErrorKind.OVERLOADED})
 
 
 def compute_retry_after(
@@ -222,6 +219,7 @@
     rng: random.Random,
     fractional: bool = False,
     known_ms: int = 0,
+    is_scheduled: bool = False,
 ) -> str | None:
     """Computes the value of the `Retry-After` header.
 
@@ -231,6 +229,9 @@
       fractional: Whether callers understand a fraction of a second.
       known_ms: Time after which a retry may be accepted; 0 if it is not known,
         which uses the mean of the error kind.
+      is_scheduled: Whether the known time is a place in a schedule of the
+        leader. These are spread already, and room is kept for callers that come
+        back at that time.
 
     Returns:
       Seconds, whole and at least 1 unless `fractional`, or None if the header
@@ -239,7 +240,7 @@
     mean_s = known_ms / 1000 if known_ms else ANSWERS[kind].retry_after_s
     if mean_s is None:
         return None
-    if known_ms and kind in SCHEDULED_KINDS:
+    if known_ms and is_scheduled:
         return f"{mean_s:.2f}" if fractional else str(max(1, math.ceil(mean_s)))
     factor = rng.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
     if fractional:
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -65,6 +65,8 @@
         # Servers that the request was sent to without a whole answer.
         self._failed_servers: list[str] = []
         self._is_counted = False
+        # Whether the leader schedules the returns of refused callers.
+        self._schedules_returns = False
         self._key_claimed = False
         self._cancel_step: Any = None
         # Ends the wait for the head of an answer, also for a keyed request.
@@ -162,6 +164,7 @@
         )
         self._service = target.service.id
         self._route = target.route.id
+        self._schedules_returns = target.service.max_min_shares
         if not req.request_id_valid:
             raise dispatch.RefusedError(kinds.BAD_REQUEST, "request_id")
         key = _unwrap_or_refuse(
@@ -792,6 +795,8 @@
             execution,
             exc.reason,
             retry_after_ms=exc.retry_after_ms,
+            retry_is_scheduled=self._schedules_returns
+            and exc.kind is errors.ErrorKind.OVERLOADED,
             **self._log_fields(),
         )
 
--- a/waxwingrack/daemons/keyed_requests.py
+++ b/waxwingrack/daemons/keyed_requests.py
@@ -92,6 +92,7 @@
         execution: errors.Execution,
         reason: str,
         retry_after_ms: int = 0,
+        retry_is_scheduled: bool = False,
         **fields: Any,
     ) -> None:
         """Answers a request with a refusal and logs it."""
--- a/waxwingrack/daemons/router.py
+++ b/waxwingrack/daemons/router.py
@@ -616,6 +616,7 @@
         execution: errors.Execution,
         reason: str,
         retry_after_ms: int = 0,
+        retry_is_scheduled: bool = False,
         **fields: Any,
     ) -> None:
         """Answers a request with a refusal and logs it.
@@ -626,6 +627,7 @@
           execution: What the answer states about the execution.
           reason: Reason for the log.
           retry_after_ms: Time after which a retry may succeed; 0 if unknown.
+          retry_is_scheduled: Whether that time is a place in a schedule.
           **fields: Further fields of the log line.
         """
         if not req.request_id:
@@ -663,6 +665,7 @@
             self.rng,
             self.dialect.fractional_retry_after,
             retry_after_ms,
+            retry_is_scheduled,
         )
         if retry_after is not None:
             headers.setRawHeaders(b"Retry-After", [retry_after.encode()])
--- a/waxwingrack/operations/engine_choice.py
+++ b/waxwingrack/operations/engine_choice.py
@@ -112,7 +112,10 @@
         )
         # Tokens that stand for a running request, and relative reading time of
         # a token above which an engine fetches it.
-        self._request_tokens = engine_load.RUNNING_REQUEST_MS * self.read_rate
+        self._learns_speeds = txn.environment_index.learns_speeds(service)
+        self._request_tokens = engine_load.RUNNING_REQUEST_MS * self.scale_rate(
+            self.read_rate
+        )
         self._min_fetch_time = (
             math.inf if self.fetch_weight is None else self.fetch_weight
         )
@@ -122,6 +125,18 @@
         }
         self._reachable: dict[str, list[EngineState]] = {}
 
+    def scale_rate(self, rate: float) -> float:
+        """Returns the rate by which times stand for tokens.
+
+        Args:
+          rate: Tokens that an engine reads in a millisecond.
+
+        Returns:
+          The rate; the one at the start of learning if the speeds of the
+          service are not learned.
+        """
+        return rate if self._learns_speeds else forecast.DEFAULT_TOKENS_PER_MS
+
     def has_room(self) -> bool:
         """Tells whether any engine may get a further request."""
         return any(
@@ -174,7 +189,7 @@
             load.cache.uses,
             rate,
             relative_time - 1.0,
-            engine_load.MIN_FETCH_MS * rate
+            engine_load.MIN_FETCH_MS * self.scale_rate(rate)
             if relative_time > self._min_fetch_time
             else math.inf,
         )
@@ -230,7 +245,7 @@
         * engine_load.compute_patience(waited_ms, request),
         fetchable_tokens,
         fetch_weight or 0.0,
-        server_speeds.REMOTE_MS * engines.read_rate,
+        server_speeds.REMOTE_MS * engines.scale_rate(engines.read_rate),
     )
     best = _select_engine(ranked, request, waited_ms, engines.read_rate)
     if best is None:
@@ -241,7 +256,7 @@
         request,
         own_tokens,
         0 if math.isinf(chosen.min_fetch_tokens) else fetchable_tokens,
-        chosen.read_rate,
+        engines.scale_rate(chosen.read_rate),
     )
     return EngineChoice(
         chosen.server,
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -23,6 +23,7 @@
 import immutables
 
 from waxwingrack.core import data
+from waxwingrack.core import errors
 from waxwingrack.operations import contention
 from waxwingrack.operations import contention_tables
 from waxwingrack.operations import engine_load
@@ -54,9 +55,27 @@
 # Lowest capacity that is taken for granted, in work per millisecond.
 MIN_RATE = 1e-6
 
+# Fraction of the latency target that a forecast may use where its error is not
+# learned. The rest is reserved for unknown load, such as new requests of
+# workspaces without queued ones.
+MAX_TARGET_FRACTION = 0.85
+
 Transaction = tables_module.Transaction
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitForecast:
+    """Forecast for one queued request.
+
+    Attributes:
+      wait_ms: Time until its grant.
+      run_ms: Time from the grant to the first byte of its answer.
+    """
+
+    wait_ms: float
+    run_ms: float
+
+
 def record_unread_share(
     txn: Transaction,
     request: data.QueuedRequest,
@@ -117,6 +136,29 @@
     return speed
 
 
+def record_mean_rate(
+    txn: Transaction,
+    service: str,
+    reservation: data.EngineReservation,
+    first_byte_ms: float,
+) -> None:
+    """Updates the mean reading rate of a service whose speeds are not learned."""
+    pool = txn.pools.get(service)
+    if pool is None:
+        return
+    mean_rate = get_read_rate(txn, service)
+    if reservation.tokens_ahead < server_speeds.MIN_ALONE_MS * mean_rate:
+        return
+    rate = reservation.tokens_ahead / max(1.0, first_byte_ms)
+    rate = min(
+        server_speeds.MAX_TOKENS_PER_MS,
+        max(server_speeds.MIN_TOKENS_PER_MS, rate),
+    )
+    txn.pools[service] = data.evolve(
+        pool, read_rate=mean_rate + MEAN_STEP * (rate - mean_rate)
+    )
+
+
 def record_run_time(txn: Transaction, service: str, run_ms: float) -> None:
     """Updates the mean time for which a request takes a place of an engine.
 
@@ -188,6 +230,10 @@
     capacity = _compute_capacity(txn, service)
     if capacity is None:
         return
+    if not txn.environment_index.has_max_min_shares(service):
+        with_target = [entry for entry in arrivals if entry.request.target_ms]
+        _refuse_by_wait(txn, service, with_target, capacity)
+        return
     returning = contention_tables.record_arrivals(
         txn,
         service,
@@ -213,6 +259,90 @@
     )
 
 
+def _refuse_by_wait(
+    txn: Transaction,
+    service: str,
+    arrivals: list[data.QueueEntry],
+    capacity: "_Capacity",
+) -> None:
+    """Refuses new requests whose own forecast wait is too long."""
+    if txn.environment_index.engine(service) is not None:
+        _refuse_engine_arrivals_by_wait(txn, service, arrivals, capacity)
+        return
+    for entry in arrivals:
+        queued_cost = _sum_queued_cost(txn, service, entry.request.workspace)
+        ahead = _Ahead(queued_cost - _estimate_cost(txn, entry.request))
+        _refuse_if_late(
+            txn, entry, _forecast_wait(txn, entry.request, ahead, capacity)
+        )
+
+
+def _refuse_engine_arrivals_by_wait(
+    txn: Transaction,
+    service: str,
+    arrivals: list[data.QueueEntry],
+    capacity: "_Capacity",
+) -> None:
+    """Refuses new requests that would wait too long for a model engine.
+
+    One pass over all queued requests, the most urgent first, adds up the work
+    ahead of each new request.
+    """
+    new_arrivals = {entry.arrival_number for entry in arrivals}
+    counters = {
+        workspace: tables_module.get_account(txn, service, workspace).counter
+        for workspace in txn.backlog[service]
+    }
+    limit = min(counters.values()) + _compute_counter_lead(
+        txn, service, capacity
+    )
+    total = _Ahead()
+    own = dict.fromkeys(counters, total)
+    for entry in _sort_entries(
+        txn,
+        itertools.chain.from_iterable(
+            queue.entries.values()
+            for queue in leader_queues.list_workspace_queues(txn, service)
+        ),
+    ):
+        workspace = entry.request.workspace
+        if entry.arrival_number in new_arrivals:
+            ahead = own[workspace]
+            forecast = _forecast_wait(txn, entry.request, ahead, capacity)
+            if counters[workspace] + ahead.cost <= limit:
+                wait_ms = min(
+                    forecast.wait_ms, _compute_wait_ms(total, capacity, 1.0)
+                )
+                forecast = WaitForecast(wait_ms, forecast.run_ms)
+            if _refuse_if_late(txn, entry, forecast):
+                continue
+        cost = _estimate_cost(txn, entry.request)
+        total = total.add(cost)
+        own[workspace] = own[workspace].add(cost)
+
+
+def _refuse_if_late(
+    txn: Transaction, entry: data.QueueEntry, forecast: WaitForecast
+) -> bool:
+    """Refuses a request that would be served too late.
+
+    Returns:
+      Whether the request was refused.
+    """
+    slack_ms = MAX_TARGET_FRACTION * entry.request.target_ms - forecast.run_ms
+    if forecast.wait_ms <= max(slack_ms, FIRST_BYTE_OVERHEAD_MS):
+        return False
+    leader_queues.refuse_request(
+        txn,
+        entry.router,
+        entry.request.sequence,
+        errors.ErrorKind.OVERLOADED,
+        f"{forecast.wait_ms:.0f} ms to wait of {slack_ms:.0f} ms",
+        max(contention.MIN_RETRY_MS, round(forecast.wait_ms - slack_ms)),
+    )
+    return True
+
+
 def _refuse_late_entries(
     txn: Transaction,
     service: str,
@@ -329,6 +459,9 @@
     capacity = _compute_capacity(txn, service) if overdue else None
     if capacity is None:
         return
+    if not txn.environment_index.has_max_min_shares(service):
+        _refuse_overdue_by_wait(txn, service, overdue, capacity)
+        return
     entries = [
         (entry, _estimate_cost(txn, entry.request))
         for queue in leader_queues.list_workspace_queues(txn, service)
@@ -350,6 +483,27 @@
         )
 
 
+def _refuse_overdue_by_wait(
+    txn: Transaction,
+    service: str,
+    overdue: list[data.QueueEntry],
+    capacity: "_Capacity",
+) -> None:
+    for entry in overdue:
+        queued_cost = _sum_queued_cost(txn, service, entry.request.workspace)
+        wait_ms = _forecast_wait(
+            txn, entry.request, _Ahead(queued_cost), capacity
+        ).wait_ms
+        leader_queues.refuse_request(
+            txn,
+            entry.router,
+            entry.request.sequence,
+            errors.ErrorKind.OVERLOADED,
+            f"waited {txn.now_ms - entry.arrived_ms} ms",
+            max(contention.MIN_RETRY_MS, round(wait_ms)),
+        )
+
+
 def sort_by_urgency(txn: Transaction, service: str) -> list[data.QueueEntry]:
     """Returns the queued requests of a service, the one due first in front.
 
@@ -454,6 +608,10 @@
     cost: float = 0.0
     count: int = 0
 
+    def add(self, cost: float) -> "_Ahead":
+        """Returns the sum with one more request."""
+        return _Ahead(self.cost + cost, self.count + 1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Capacity:
@@ -514,6 +672,22 @@
     return max(read_ms, waiting_for_place / (capacity.freed_places * share))
 
 
+def _forecast_wait(
+    txn: Transaction,
+    request: data.QueuedRequest,
+    ahead: _Ahead,
+    capacity: _Capacity,
+) -> WaitForecast:
+    weight = txn.environment_index.weight(request.workspace)
+    share = weight / max(weight, _sum_weights(txn, request.service))
+    run_ms = (
+        FIRST_BYTE_OVERHEAD_MS
+        + capacity.queue_ms
+        + _estimate_run_ms(txn, request)
+    )
+    return WaitForecast(_compute_wait_ms(ahead, capacity, share), run_ms)
+
+
 def _estimate_first_byte_ms(
     txn: Transaction, request: data.QueuedRequest, capacity: _Capacity
 ) -> float:
--- a/waxwingrack/operations/scheduler.py
+++ b/waxwingrack/operations/scheduler.py
@@ -352,12 +352,8 @@
         reservation = row.load.reservations[key]
         load = engine_load.mark_answer_started(row.load, key, txn.now_ms)
         if not reservation.answer_started:
-            in_order = (
-                load.unread_tokens
-                == row.load.unread_tokens - reservation.unread_tokens
-            )
-            speed = forecast.record_read_rate(
-                txn, row, reservation, in_order, started.first_byte_ms
+            speed = _record_read_rate(
+                txn, row, load, reservation, started.first_byte_ms
             )
             row = data.evolve(row, load=load, speed=speed)
             txn.servers[grant.server_id] = row
@@ -365,6 +361,27 @@
             _add_sample(txn, grant, started.first_byte_ms)
 
 
+def _record_read_rate(
+    txn: Transaction,
+    row: data.ServerRow,
+    load: data.EngineLoad,
+    reservation: data.EngineReservation,
+    first_byte_ms: float,
+) -> data.ServerSpeed:
+    """Records a reading rate; returns the new speed of the engine."""
+    service = row.announcement.service
+    if not txn.environment_index.learns_speeds(service):
+        if not reservation.is_held_up:
+            forecast.record_mean_rate(txn, service, reservation, first_byte_ms)
+        return row.speed
+    in_order = (
+        load.unread_tokens == row.load.unread_tokens - reservation.unread_tokens
+    )
+    return forecast.record_read_rate(
+        txn, row, reservation, in_order, first_byte_ms
+    )
+
+
 def _enqueue_requests(
     txn: Transaction, router: str, requests: tuple[data.QueuedRequest, ...]
 ) -> None:
@@ -535,7 +552,7 @@
     if outcome is data.Outcome.COMPLETED:
         if txn.environment_index.engine(grant.service) is not None:
             forecast.record_run_time(txn, grant.service, finished.duration_ms)
-        else:
+        elif txn.environment_index.learns_speeds(grant.service):
             speed_records.record_request_time(txn, grant, finished.duration_ms)
         if not latency_known:
             streamed_ms = finished.duration_ms - finished.first_byte_ms
--- a/waxwingrack/operations/servers.py
+++ b/waxwingrack/operations/servers.py
@@ -105,7 +105,9 @@
         pauses.record(txn, router, notice)
     if notice.rate_limit is not None:
         rate_limits.record(txn, notice)
-    if notice.slowness is not None:
+    if notice.slowness is not None and txn.environment_index.learns_speeds(
+        row.announcement.service
+    ):
         speed_records.record_slowness(txn, notice)
 
 
--- a/waxwingrack/operations/tables.py
+++ b/waxwingrack/operations/tables.py
@@ -64,6 +64,16 @@
         declared = self.services.get(service)
         return declared is not None and declared.announces_cold
 
+    def has_max_min_shares(self, service: str) -> bool:
+        """Returns whether a service is divided by max-min shares."""
+        declared = self.services.get(service)
+        return declared is not None and declared.max_min_shares
+
+    def learns_speeds(self, service: str) -> bool:
+        """Returns whether the speeds of a service's servers are learned."""
+        declared = self.services.get(service)
+        return declared is not None and declared.learn_speeds
+
     def weight(self, workspace: str) -> float:
         """Returns the weight of a workspace."""
         return self.weights.get(workspace, 1.0)
