--- a/features/steps/server_speeds_steps.py
+++ b/features/steps/server_speeds_steps.py
@@ -82,6 +82,7 @@
         name: _Engine(speed)
         for name, speed in zip(context.engines, speeds, strict=True)
     }
+    driver.set_service_options(context, learn_speeds=True)
     context.slots = dict(
         zip(context.engines, map(int, slots.split()), strict=True)
     )
@@ -164,7 +165,7 @@
 )
 def start_servers(context, near, far):
     driver.create_scheduler(context, 100_000)
-    driver.run_tick(context)
+    driver.set_service_options(context, learn_speeds=True)
     places = {"near": driver.ROUTER.data_centre, "far": "elsewhere"}
     driver.send_report(
         context,
--- a/features/support/scheduler_tables.py
+++ b/features/support/scheduler_tables.py
@@ -4,6 +4,7 @@
 `at_ms`, such as behave's context.
 """
 
+import dataclasses
 import random
 
 from waxwingrack.core import data
@@ -34,6 +35,21 @@
     owner.sequence = 0
 
 
+def set_service_options(owner, **options):
+    """Changes fields of all services of the environment from now on."""
+    environment = owner.policy.environment
+    owner.policy = data.Policy(
+        dataclasses.replace(
+            environment,
+            services=tuple(
+                dataclasses.replace(service, **options)
+                for service in environment.services
+            ),
+        )
+    )
+    run_tick(owner)
+
+
 def send_report(owner, router=ROUTER, **fields):
     """Sends a router's report to the scheduler."""
     owner.tables = scheduler.on_report(
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -142,7 +142,7 @@
     reservation: data.EngineReservation,
     first_byte_ms: float,
 ) -> None:
-    """Updates the mean reading rate of a service whose speeds are not learned."""
+    """Updates the reading rate of a service whose speeds are not learned."""
     pool = txn.pools.get(service)
     if pool is None:
         return
