--- a/features/steps/contention_simulation.py
+++ b/features/steps/contention_simulation.py
@@ -65,9 +65,7 @@
             (),
         )
         engine_placement_steps._start(self, environment, self.speeds)
-        driver.set_service_options(
-            self, max_min_shares=True, learn_speeds=True
-        )
+        driver.set_service_options(self, max_min_shares=True, learn_speeds=True)
         self.free_ms = dict.fromkeys(self.speeds, 0.0)
         self.start_ms = self.at_ms
         self.callers, self.waiting, self.running = [], {}, {}
--- a/waxwingrack/operations/forecast.py
+++ b/waxwingrack/operations/forecast.py
@@ -10,10 +10,14 @@
 capacity of the servers: prompt tokens that engines read, or milliseconds of
 slots. At engines with few places the answers that are being made may hold a
 request up for longer than the prompts ahead of it, so the later of both times
-counts. Shares are max-min shares of the demands (`contention.py`). At model
-engines only more urgent requests count. A workspace whose counter is not ahead
-of the others waits at most for the more urgent requests of all workspaces, and
-one within its share at most for those of the others within theirs.
+counts. Workspaces with queued requests get shares in proportion to their
+weights. At model engines only more urgent requests count, and a workspace whose
+counter is not ahead of the others waits at most for the more urgent requests of
+all workspaces.
+
+Where the environment asks for max-min shares of a service, the shares are those
+of the demands (`contention.py`), and a workspace within its share waits at most
+for the more urgent requests of the others within theirs.
 """
 
 from collections.abc import Iterable
