--- a/review/common_2/memory.py
+++ b/review/common_2/memory.py
@@ -54,7 +54,7 @@
         )
 
     async def _watch(self, router: stages.Process, end_s: float) -> None:
-        while time.monotonic() < end_s:
+        while time.monotonic() < end_s and not self._stage.ended:
             await asyncio.sleep(SAMPLE_S)
             used_mb = read_memory_mb(router)
             self.peaks[router.name] = max(self.peaks[router.name], used_mb)
@@ -96,7 +96,7 @@
 
     async def stay() -> None:
         nonlocal numbers
-        while time.monotonic() < end_s:
+        while time.monotonic() < end_s and not router.stage.ended:
             try:
                 reader, writer = await asyncio.open_connection(
                     router.host, port
@@ -130,6 +130,7 @@
     pid = router.popen.pid
     while (
         time.monotonic() < end_s
+        and not router.stage.ended
         and router.popen.pid == pid
         and not writer.transport.is_closing()
     ):
@@ -171,6 +172,7 @@
                 f"{answer.error}; {read_memory_mb(router):.0f} MB"
             )
         await asyncio.sleep(0.5)
+    stage.ended = True
     for task in (*crowds, watch):
         task.cancel()
     await asyncio.gather(*crowds, watch, return_exceptions=True)
--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -27,7 +27,9 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # Time after which a whole case gives up, in seconds.
-MAX_CASE_S = 115.0
+MAX_CASE_S = 112.0
+# Time after which it ends even if its loop doesn't, in seconds.
+ALARM_S = 118
 HEARTBEAT_S = 1.2
 ZONES = {"zone-a": "region", "zone-b": "region", "zone-c": "region"}
 HOST = "front.example"
@@ -251,7 +253,7 @@
             self._server.close()
 
     async def _announce(self) -> None:
-        while True:
+        while not self._stage.ended:
             self._sequence += 1
             body = {
                 "service": self.service,
@@ -337,13 +339,17 @@
 
 
 class Process:
-    """A process of the system."""
+    """A process of the system.
+
+    Attributes:
+      stage: Its deployment.
+    """
 
     def __init__(self, stage: "Stage", name: str, role: dict, settings: dict):
         self.name = name
         self.host = settings["ip"]
         self.data_folder = settings["dataDir"]
-        self._stage = stage
+        self.stage = stage
         self._role = role
         self._path = stage.folder / f"{name}.yaml"
         self.log_path = stage.folder / f"{name}.log"
@@ -406,6 +412,8 @@
       folder: Temporary folder.
       controllers: Controllers.
       routers: Routers.
+      ended: Whether the case is over. `asyncio.wait_for` may swallow that it
+        is cancelled, so loops without a limit of time look at this.
     """
 
     def __init__(
@@ -416,6 +424,7 @@
         memory_mb: float = 300.0,
     ):
         self.record = record
+        self.ended = False
         self._memory_mb = memory_mb
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
@@ -737,11 +746,18 @@
         try:
             return await asyncio.wait_for(play(stage), MAX_CASE_S)
         finally:
+            stage.ended = True
             # Streams that are collected after the loop has ended would warn.
             gc.collect()
             await asyncio.sleep(0)
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    def give_up(*_: object) -> None:
+        stage.end()
+        os._exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(ALARM_S)
     try:
         verdict = asyncio.run(play_in_time())
     except (CannotRunError, TimeoutError, OSError) as exc:
