--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -252,6 +252,20 @@
         if self._server is not None:
             self._server.close()
 
+    async def restart(self, announces: bool) -> None:
+        """Starts again under the same id, at the same address.
+
+        Args:
+          announces: Whether its pings arrive.
+        """
+        self.born = int(time.time() * 1000)
+        self._sequence = 0
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self.port
+        )
+        if announces:
+            self._tasks.append(asyncio.ensure_future(self._announce()))
+
     async def _announce(self) -> None:
         while not self._stage.ended:
             self._sequence += 1
