Refuse answers with lines that HTTP does not allow

A client that takes a lone CR for the end of a line reads a field that no server sent. On an order that runs once, a 503 with Not-Executed beside a NUL was believed, and the order ran at a second server.

Cause: each check of a line stood where an earlier fault had been found. The beginning of the status line was checked, CR and LF were replaced in values, and nothing said which bytes a line may hold. Trailers were not looked at, and the log line about a bad status named neither the request nor the server.

Change: operations/http_syntax.py has the grammar of a line, and daemons/checked_parsing.py applies it to Twisted's parsers before anything is read from the line, for backend servers, engines and the provider, in interim answers and trailers too. An invalid head is refused as a whole, so no notice in it counts; an invalid trailer breaks the answer off. The connection is reset at once, as a regular close waits for a body that the server may not read.

Why it works: the check precedes the parser, so no part of an invalid line reaches a caller, a decision or a header of a later request.

--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import enum
 import hashlib
@@ -403,6 +404,77 @@
 }
 
 
+# Answers that HTTP does not allow because of one line, by the word in the
+# query.
+MALFORMED = {
+    "cr_in_phrase": _response(b"b", "200 OK\rX-Own: 1"),
+    "nul_in_phrase": _response(b"b", "200 O\0K"),
+    "bell_in_phrase": _response(b"b", "200 O\7K"),
+    "del_in_phrase": _response(b"b", "200 OK\x7f"),
+    "nul_in_value": _response(b"b", extra="X-Own: a\0b\r\n"),
+    "cr_in_value": _response(b"b", extra="X-Own: a\rX-Other: b\r\n"),
+    "cr_behind_value": _response(b"b", extra="X-Own: a\r\r\n"),
+    "escape_in_value": _response(b"b", extra="X-Own: \x1b[31m\r\n"),
+    "vertical_tab_in_value": _response(b"b", extra="X-Own: a\vb\r\n"),
+    "form_feed_before_value": _response(b"b", extra="X-Own:\fa\r\n"),
+    "del_in_value": _response(b"b", extra="X-Own: a\x7f\r\n"),
+    "nul_in_name": _response(b"b", extra="X-O\0wn: a\r\n"),
+    "cr_in_name": _response(b"b", extra="X-Own\rX-Other: a\r\n"),
+    "no_name": _response(b"b", extra=": a\r\n"),
+    "no_colon": _response(b"b", extra="X-Own\r\n"),
+    "nul_in_folded_line": _response(b"b", extra="X-Own: a\r\n b\0c\r\n"),
+    "folded_first_line": b"HTTP/1.1 200 OK\r\n X-Own: 1\r\n\r\n",
+    "nul_in_hop_by_hop": _response(b"b", extra="Keep-Alive: a\0\r\n"),
+    "nul_beside_not_run": _response(
+        b"b", "503 X", "Not-Executed: 1\r\nX-Own: \0\r\n"
+    ),
+    "nul_in_interim": (
+        b"HTTP/1.1 103 Early Hints\r\nLink: \0\r\n\r\n" + _response(b"b")
+    ),
+    "cr_in_interim_phrase": b"HTTP/1.1 103 A\rB\r\n\r\n" + _response(b"b"),
+}
+# Chunked answers that HTTP does not allow because of their trailer.
+MALFORMED_TRAILERS = {
+    f"{name}_in_trailer": _CHUNKS + b"0\r\n" + line + b"\r\n\r\n"
+    for name, line in (
+        ("nul", b"X-Own: a\0b"),
+        ("cr", b"X-Own: a\rX-Other: b"),
+        ("line_feed", b"X-Own: a\nX-Other: b"),
+        ("no_colon", b"X-Own"),
+        ("folded_first", b" X-Own: a"),
+    )
+}
+# Answers that HTTP allows although few servers send them.
+UNUSUAL = {
+    "empty_phrase": _response(b"usual", "200 "),
+    "no_phrase": _response(b"usual", "200"),
+    "tab_in_phrase": _response(b"usual", "200 A\tB"),
+    "high_byte_in_phrase": _response(b"usual", "200 @").replace(
+        b"@", b"\xe9\xff", 1
+    ),
+    "high_byte_in_value": _response(b"usual", extra="X-Own: @\r\n").replace(
+        b"@", b"\xe9\xff", 1
+    ),
+    "tab_in_value": _response(b"usual", extra="X-Own: a\tb\r\n"),
+    "empty_value": _response(b"usual", extra="X-Own:\r\n"),
+    "tabs_around_value": _response(b"usual", extra="X-Own:\t a \t\r\n"),
+    "space_before_colon": _response(b"usual", extra="X-Own \t: a\r\n"),
+    "folded_value": _response(b"usual", extra="X-Own: a \t\r\n\t b\r\n"),
+    "folded_empty_line": _response(b"usual", extra="X-Own: a\r\n \r\n"),
+    "line_feeds": _response(b"usual", extra="X-Own: a\r\n").replace(
+        b"\r\n", b"\n"
+    ),
+    "trailer": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5;a=\xe9\r\nusual\r\n0\r\nX-Own: \xe9\t\r\n\tb\r\n\r\n"
+    ),
+}
+FIXED |= {
+    name: (answer, After.KEEP)
+    for name, answer in (MALFORMED | MALFORMED_TRAILERS | UNUSUAL).items()
+}
+
+
 # Heads of answers, by the word in the query; a body of five bytes belongs to
 # each.
 HEADS = {
@@ -483,6 +555,12 @@
         if "do=reset_upload" in target:
             await self._reset_upload(headers, writer)
             return False
+        if "do=invalid_upload" in target:
+            writer.transport.pause_reading()
+            writer.write(MALFORMED["cr_in_phrase"])
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(60)
+            return False
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("x-request-id") or headers["request-id"]
         self.runs[request_id] += 1
--- a/waxwingrack/daemons/engine_calls.py
+++ b/waxwingrack/daemons/engine_calls.py
@@ -26,8 +26,11 @@
 from twisted.web import http_headers
 
 from waxwingrack.core import data
+from waxwingrack.core import logs
+from waxwingrack.daemons import checked_parsing
 from waxwingrack.daemons import event_loop
 from waxwingrack.daemons import forwarding
+from waxwingrack.operations import http_syntax
 
 # Limit on an answer with its head. A listed order takes about 40 bytes.
 MAX_ANSWER_BYTES = 256 * 1024
@@ -97,9 +100,17 @@
         """Sends a request."""
         answer = super().request(request)
         if self._parser is not None:
-            forwarding.refuse_invalid_status(self._parser)
+            checked_parsing.check_answer(self._parser, self._log_invalid_line)
         return answer
 
+    def _log_invalid_line(self, place: http_syntax.Place, line: str) -> None:
+        logs.event(
+            "answer_invalid",
+            peer=str(self.transport.getPeer()),
+            place=place,
+            line=line,
+        )
+
     def dataReceived(self, blob: bytes) -> None:
         """Receives bytes of the answer, head and framing included."""
         self._received_bytes += len(blob)
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -16,7 +16,6 @@
 import functools
 import ipaddress
 import math
-import re
 import socket
 from typing import Any
 
@@ -33,9 +32,11 @@
 
 from waxwingrack.core import data
 from waxwingrack.core import logs
+from waxwingrack.daemons import checked_parsing
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import event_loop
 from waxwingrack.operations import connection_reuse
+from waxwingrack.operations import http_syntax
 from waxwingrack.operations import router_queues
 
 # Maximum time to connect to a backend server. It is shorter than the lifetime
@@ -54,9 +55,8 @@
 
 
 _HEAD_STATES = (_newclient.STATUS, _newclient.HEADER)
-_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}(?: |\Z)")
-# Longest part of an invalid status line that is logged, in bytes.
-MAX_LOGGED_STATUS_BYTES = 64
+# Longest part of an invalid timeout that is logged, in characters.
+MAX_LOGGED_TIMEOUT_CHARS = 64
 
 
 class NotSentError(Exception):
@@ -142,29 +142,6 @@
     notice: dialects.AnswerNotice = dialects.AnswerNotice()
 
 
-def refuse_invalid_status(parser: Any) -> None:
-    """Makes a parser of an answer refuse status lines that HTTP does not have.
-
-    twisted converts the status like `int`, so it takes 000, 2000, -20 or +200
-    for numbers, and a caller would get them as the status of an answer.
-
-    Args:
-      parser: The parser, before it has received any bytes.
-    """
-    receive = parser.statusReceived
-
-    def check_status(line: bytes) -> None:
-        if not _STATUS_LINE.match(line):
-            logs.event(
-                "answer_status_invalid",
-                line=repr(line[:MAX_LOGGED_STATUS_BYTES]),
-            )
-            raise _newclient.ParseError("invalid status line", line)
-        receive(line)
-
-    parser.statusReceived = check_status
-
-
 class BackendConnection(_newclient.HTTP11ClientProtocol):
     """Connection to a backend server.
 
@@ -237,10 +214,7 @@
         """Sends a request."""
         self._head_bytes = 0
         self.paused_s = 0.0
-        answer = super().request(request)
-        if self._parser is not None:
-            refuse_invalid_status(self._parser)
-        return answer
+        return super().request(request)
 
     def dataReceived(self, data: bytes) -> None:
         """Handles bytes; ends the connection if a head exceeds its limit.
@@ -688,7 +662,22 @@
         response_deferred = conn.request(req)
         event_loop.flush_transport(conn.transport)
         parser = conn._parser
-        timed_out = []
+        timed_out, invalid = [], []
+
+        def note_invalid_line(place: http_syntax.Place, line: str) -> None:
+            invalid.append(place)
+            logs.event(
+                "answer_invalid",
+                request_id=outgoing.request_id,
+                server=_name_server(key),
+                place=place,
+                line=line,
+            )
+            # A body that is still being sent would delay a regular close.
+            conn.transport.abortConnection()
+
+        if parser is not None:
+            checked_parsing.check_answer(parser, note_invalid_line)
 
         def cancel_request() -> None:
             timed_out.append(True)
@@ -705,7 +694,7 @@
             conn.transport.abortConnection()
             if timed_out:
                 raise NoAnswerError(router_queues.Fault.TIMED_OUT) from exc
-            if conn.lost_reason is not None:
+            if conn.lost_reason is not None and not invalid:
                 self._pool.note_lost_request(key, conn)
                 self._pool.close_server(key, "connection_lost")
             raise NoAnswerError(router_queues.Fault.CONNECTION_LOST) from exc
@@ -779,7 +768,7 @@
                     logs.event(
                         "keep_alive_invalid",
                         server=_name_server(key),
-                        value=repr(text[:MAX_LOGGED_STATUS_BYTES]),
+                        value=repr(text[:MAX_LOGGED_TIMEOUT_CHARS]),
                     )
 
     async def close(self) -> None:
