Refuse requests with fields that HTTP does not allow

What was seen: a bell, an escape or a DEL in a field of a request reached the backend server, and a trailer of a chunked body could hold anything, at the callers' port and at those of operators.

Twisted refuses NUL, CR and LF in fields of requests, no other control character, and skips trailers.

Change: BoundedChannel, which serves all ports, checks each unfolded field and the trailers by the same grammar. Such a request is answered 400 and has not run.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -120,3 +120,50 @@
     When the router's caller uploads 16000000 bytes to /sketch/a?do=invalid_upload
     Then the router's caller is answered 502
     And it was answered within 8 seconds
+
+  Scenario Outline: a request with <case> is refused
+  Guards against control characters of a caller that reach backend servers.
+    Given a shared router with 2 fake backend servers
+    When a caller sends the router a request with <case>
+    Then it gets a refusal with 400
+    And the router's backend servers ran 0 request
+
+    Examples:
+      | case                 |
+      | nul_in_value         |
+      | bell_in_value        |
+      | escape_in_value      |
+      | del_in_value         |
+      | cr_in_value          |
+      | line_feed_in_value   |
+      | space_before_colon   |
+      | folded_first_line    |
+      | del_in_folded_line   |
+      | nul_in_trailer       |
+      | line_feed_in_trailer |
+      | no_colon_in_trailer  |
+
+  Scenario Outline: a request with <case> is passed on
+  Guards against a check that refuses what HTTP allows.
+    Given a shared router with 2 fake backend servers
+    When a caller sends the router a request with <case>
+    Then a backend server gets X-Own: <value>
+
+    Examples:
+      | case               | value        |
+      | high_byte_in_value | "\u00e9\u00ff" |
+      | tab_in_value       | "a\tb"       |
+      | empty_value        | ""           |
+      | folded_value       | "a b"        |
+      | trailer            | "a"          |
+
+  Scenario Outline: a call to the operators' port with <case> is refused
+  Guards against control characters in the calls of servers and operators.
+    Given a shared router with 2 fake backend servers
+    When a call to the operators' port has <case>
+    Then it gets a refusal with 400
+
+    Examples:
+      | case          |
+      | bell_in_value |
+      | del_in_value  |
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -1,10 +1,58 @@
 """Steps for lines of messages that HTTP does not allow."""
 
 import json
+import socket
 
 import behave
 
 from features.steps import router_answers_steps as answers
+from features.steps import router_fakes
+
+_HEAD = (
+    b"POST /sketch/a HTTP/1.1\r\nHost: x\r\n"
+    + f"Authorization: Bearer {router_fakes.TOKEN}\r\n".encode()
+)
+_WITH_BODY = _HEAD + b"Content-Length: 1\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n"
+_CHUNKS = b"\r\n1\r\nb\r\n0\r\n"
+
+
+def _with_field(line: bytes) -> bytes:
+    return _WITH_BODY + line + b"\r\n\r\nb"
+
+
+def _with_trailer(line: bytes) -> bytes:
+    return _CHUNKED + _CHUNKS + line + b"\r\n\r\n"
+
+
+REQUESTS = {
+    "nul_in_value": _with_field(b"X-Own: a\0b"),
+    "bell_in_value": _with_field(b"X-Own: a\7b"),
+    "escape_in_value": _with_field(b"X-Own: \x1b[31m"),
+    "del_in_value": _with_field(b"X-Own: a\x7f"),
+    "cr_in_value": _with_field(b"X-Own: a\rX-Other: b"),
+    "line_feed_in_value": _with_field(b"X-Own: a\nX-Other: b"),
+    "space_before_colon": _with_field(b"X-Own : a"),
+    "folded_first_line": _HEAD.replace(b"\r\n", b"\r\n X-Own: a\r\n", 1)
+    + b"\r\n",
+    "del_in_folded_line": _with_field(b"X-Own: a\r\n b\x7f"),
+    "nul_in_trailer": _with_trailer(b"X-Own: a\0b"),
+    "line_feed_in_trailer": _with_trailer(b"X-Own: a\nX-Other: b"),
+    "no_colon_in_trailer": _with_trailer(b"X-Own"),
+    "high_byte_in_value": _with_field(b"X-Own: \xe9\xff"),
+    "tab_in_value": _with_field(b"X-Own: a\tb"),
+    "empty_value": _with_field(b"X-Own:"),
+    "folded_value": _with_field(b"X-Own: a\r\n\t b"),
+    "trailer": _CHUNKED + b"X-Own: a\r\n" + _CHUNKS + b"X-End: \xe9\t\r\n\r\n",
+}
+
+
+def _exchange(port: int, request: bytes) -> bytes:
+    with socket.create_connection(
+        ("127.0.0.1", port), timeout=router_fakes.WAIT_S
+    ) as conn:
+        conn.sendall(request)
+        return conn.recv(65_536)
 
 
 @behave.then(
@@ -70,3 +118,27 @@
     sends_with_key(context)
     assert context.reply.status == 502, context.reply
     sends_with_key(context)
+
+
+@behave.when("a caller sends the router a request with {case}")
+def caller_sends_raw(context, case):
+    context.raw = _exchange(context.world.router.port, REQUESTS[case])
+
+
+@behave.when("a call to the operators' port has {case}")
+def operators_call(context, case):
+    context.raw = _exchange(context.world.router.operators_port, REQUESTS[case])
+
+
+@behave.then("it gets a refusal with {status:d}")
+def raw_refusal(context, status):
+    assert context.raw.startswith(b"HTTP/1.1 %d " % status), context.raw
+
+
+@behave.then("a backend server gets X-Own: {value}")
+def backend_got(context, value):
+    world = context.world
+    world.wait_for(lambda: world.runs() == 1, "the request")
+    ((_, _, headers, _),) = (s for b in world.backends for s in b.seen)
+    seen = headers.get("x-own") or headers.get("x-own:", "")
+    assert seen == json.loads(value), headers
--- a/waxwingrack/daemons/bounded_channels.py
+++ b/waxwingrack/daemons/bounded_channels.py
@@ -13,8 +13,10 @@
 
 from waxwingrack.core import errors
 from waxwingrack.core import logs
+from waxwingrack.daemons import checked_parsing
 from waxwingrack.daemons import event_loop
 from waxwingrack.operations import connection_budgets
+from waxwingrack.operations import http_syntax
 
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\n"
@@ -44,6 +46,22 @@
         """Maximum number of requests that may wait on the connection."""
         return connection_budgets.MAX_PIPELINED_REQUESTS
 
+    def headerReceived(self, line: bytes) -> bool:
+        """Refuses a field that HTTP does not allow."""
+        if not http_syntax.is_field_line(line):
+            self._respondToBadRequestAndDisconnect()
+            return False
+        return super().headerReceived(line)
+
+    def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:
+        chosen = super()._maybeChooseTransferDecoder(header, data)
+        decoder = self._transferDecoder
+        if type(decoder) is http._ChunkedTransferDecoder:
+            self._transferDecoder = checked_parsing.ChunkedBodyDecoder(
+                decoder.dataCallback, decoder.finishCallback
+            )
+        return chosen
+
     def dataReceived(self, data: bytes) -> None:
         """Handles received bytes, in a later turn if the work is costly."""
         if self._refused:
