Write no control characters in heads to callers

What callers saw: answers that an earlier version stored for resends under an idempotency key are replayed as they were stored, with a NUL or a DEL in a field.

Change: heads to callers are written with control characters replaced by spaces, as RFC 9110, section 5.5 allows. The request of a stored answer has run, so refusing it would withhold the only answer there is.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -121,6 +121,15 @@
     Then the router's caller is answered 502
     And it was answered within 8 seconds
 
+  Scenario: a stored answer of an earlier version is replayed without control characters
+  Guards against bytes that were stored before answers were checked. The request has
+  run, so its answer is cleaned rather than refused.
+    Given a shared router with 2 fake backend servers
+    And a stored answer for the next key with the field "X-Own: a\0b\x7fc"
+    When the router's caller sends a deposit with that key
+    Then the router's caller gets 200 with 6 bytes
+    And the value of X-Own is "a b c"
+
   Scenario Outline: a request with <case> is refused
   Guards against control characters of a caller that reach backend servers.
     Given a shared router with 2 fake backend servers
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -7,6 +7,7 @@
 
 from features.steps import router_answers_steps as answers
 from features.steps import router_fakes
+from waxwingrack.core import data
 
 _HEAD = (
     b"POST /sketch/a HTTP/1.1\r\nHost: x\r\n"
@@ -105,6 +106,37 @@
     assert context.reply.seconds < seconds, context.reply.seconds
 
 
+@behave.given('a stored answer for the next key with the field "{field}"')
+def stored_answer(context, field):
+    name, _, value = field.partition(": ")
+    value = value.replace("\\0", "\0").replace("\\x7f", "\x7f")
+    context.key = answers.new_key()
+    answer = data.StoredAnswer(200, ((name, value),), b"stored", False)
+
+    class Records(dict):
+        """Has the answer whatever the digest of the request is."""
+
+        def get(self, entry, default=None):
+            if entry[1] == context.key:
+                return context.digest, answer, ""
+            return super().get(entry, default)
+
+    leader = context.world.leader
+    apply = leader._apply
+
+    def apply_with_digest(message, entry, owner):
+        context.digest = getattr(message, "digest", "")
+        return apply(message, entry, owner)
+
+    former = leader.records
+    leader.records, leader._apply = Records(former), apply_with_digest
+
+    def restore():
+        leader.records, leader._apply = former, apply
+
+    context.add_cleanup(restore)
+
+
 @behave.when("the router's caller sends a deposit with that key")
 def sends_with_key(context):
     answers.send(
--- a/waxwingrack/daemons/admission.py
+++ b/waxwingrack/daemons/admission.py
@@ -26,6 +26,7 @@
 from waxwingrack.daemons import buffer_reservations
 from waxwingrack.daemons import dialects
 from waxwingrack.daemons import event_loop
+from waxwingrack.operations import http_syntax
 from waxwingrack.operations import routing
 
 # Time for which a connection stays open after a refusal and discards input.
@@ -246,12 +247,15 @@
         """Writes the head of an answer in one piece.
 
         The base class makes four writes for each header, and the transport
-        checks each of them.
+        checks each of them. Answers of servers were checked as they arrived;
+        those stored by an earlier version were not, and no longer can be
+        refused.
         """
         lines = [b" ".join((version, code, reason))]
         for name, values in headers.getAllRawHeaders():
             lines.extend([b"%b: %b" % (name, value) for value in values])
-        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        head = b"\r\n".join(map(http_syntax.replace_controls, lines))
+        self.transport.write(head + b"\r\n\r\n")
 
     def rawDataReceived(self, data: bytes) -> None:
         """Handles a part of the body."""
