Refuse announcements with unprintable names

What was seen: a backend server could announce a version or an incarnation with control characters. The version stands in a header of each of its answers, both stand in operators' tables.

Cause: only the id of a server was checked for characters, not the other names.

Change: names in announcements must be printable, on our own interface and on the platform. The digest of a cached prompt prefix, which is shown nowhere, keeps its rule.

The step that compares the faults of a refused announcement had the two faults of its one row written into it; each row now states its own.

--- a/features/router_limits.feature
+++ b/features/router_limits.feature
@@ -113,16 +113,22 @@
     Then the router's caller gets 503 not_ready with execution not_run
 
   Scenario Outline: announcements are checked and forwarded
+  Names with control characters would reach callers in headers and operators in
+  tables.
     Given a shared router with small limits
     When the router's backend server announces itself with <changes> and token <token>
     Then the router answers the announcement with <status> and forwards <count>
+    And it names the faults [<faults>]
 
     Examples:
-      | changes                    | token          | status | count |
-      | {}                         | announce-token | 204    | 1     |
-      | {"departing": true}        | announce-token | 204    | 1     |
-      | {"slots": 0, "colour": 1}  | announce-token | 400    | 0     |
-      | {}                         | planners-token | 401    | 0     |
+      | changes                    | token          | status | count | faults        |
+      | {}                         | announce-token | 204    | 1     |               |
+      | {"departing": true}        | announce-token | 204    | 1     |               |
+      | {"slots": 0, "colour": 1}  | announce-token | 400    | 0     | slots, colour |
+      | {"version": "v\u0000"}     | announce-token | 400    | 0     | version       |
+      | {"version": "v\u001b[2J"}  | announce-token | 400    | 0     | version       |
+      | {"incarnation": "i\n"}     | announce-token | 400    | 0     | incarnation   |
+      | {}                         | planners-token | 401    | 0     |               |
 
   Scenario Outline: <bodies> bodies of one workspace do not keep others out
   Bodies without a common limit would fill the memory of the router, and a
--- a/features/steps/router_limits_steps.py
+++ b/features/steps/router_limits_steps.py
@@ -333,6 +333,15 @@
     reports = context.world.leader.reports
     seen = [item for report in reports for item in report.announcements]
     assert len(seen) == count, seen
-    if status == 400:
-        paths = [f["path"] for f in json.loads(context.reply.body)["errors"]]
-        assert paths == ["slots", "colour"], paths
+
+
+@behave.then("it names the faults [{faults}]")
+@behave.then("it names the faults []")
+def announcement_faults(context, faults=""):
+    errors = (
+        json.loads(context.reply.body)["errors"]
+        if context.reply.status == 400
+        else []
+    )
+    paths = ", ".join(error["path"] for error in errors)
+    assert paths == faults, paths
--- a/waxwingrack/operations/announcements.py
+++ b/waxwingrack/operations/announcements.py
@@ -20,8 +20,18 @@
 # The year 2100, in Unix milliseconds. A later start would hide all true ones.
 MAX_BORN_MS = 4_102_444_800_000
 
+
+def _check_printable(text: str) -> str:
+    # Names stand in headers to callers and servers and in operators' tables.
+    if not text.isprintable():
+        raise ValueError("has unprintable characters")
+    return text
+
+
 Name = Annotated[
-    str, pydantic.StringConstraints(min_length=1, max_length=MAX_ID_CHARS)
+    str,
+    pydantic.StringConstraints(min_length=1, max_length=MAX_ID_CHARS),
+    pydantic.AfterValidator(_check_printable),
 ]
 Slots = Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
 ColdMs = Annotated[float, pydantic.Field(ge=0, le=MAX_COLD_MS)]
@@ -47,7 +57,9 @@
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
     sequence: Sequence
-    prefix: Name
+    prefix: Annotated[
+        str, pydantic.StringConstraints(min_length=1, max_length=MAX_ID_CHARS)
+    ]
     stored: bool
 
 
