Check the length in answers without a body

What callers saw: a HEAD request got `Content-Length: abc`, or two different lengths, as its server wrote them; a 304 got a word as its length.

Cause: Twisted reads the length only of answers with a body, and the router passed the field on.

Change: the length of every answer is read as RFC 9110, section 8.6 asks: one number, or the same one several times, is passed on as one number; anything else refuses the answer.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -176,3 +176,19 @@
       | case          |
       | bell_in_value |
       | del_in_value  |
+
+  Scenario Outline: the length in an answer without a body is checked: <act>
+  Guards against a length that no client can read, or that clients read differently.
+    Given a shared router with 2 fake backend servers
+    When the router's caller requests <method> /sketch/a?do=<act>
+    Then the router's caller is answered <status>
+    And the answer states the length <length>
+
+    Examples:
+      | method | act               | status | length |
+      | HEAD   | word_as_length    | 502    | none   |
+      | HEAD   | different_lengths | 502    | none   |
+      | HEAD   | equal_lengths     | 200    | 5      |
+      | HEAD   | leading_zeros     | 200    | 5      |
+      | GET    | word_in_304       | 502    | none   |
+      | GET    | lengths_in_304    | 304    | 5      |
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -174,3 +174,15 @@
     ((_, _, headers, _),) = (s for b in world.backends for s in b.seen)
     seen = headers.get("x-own") or headers.get("x-own:", "")
     assert seen == json.loads(value), headers
+
+
+@behave.then("the answer states the length {length}")
+def states_length(context, length):
+    # The length of a refusal is that of its body.
+    if context.reply.status != 502:
+        lengths = [
+            value
+            for name, value in context.reply.raw_headers
+            if name.lower() == "content-length"
+        ]
+        assert lengths == [length], context.reply.raw_headers
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -469,9 +469,27 @@
         b"5;a=\xe9\r\nusual\r\n0\r\nX-Own: \xe9\t\r\n\tb\r\n\r\n"
     ),
 }
+# Heads of answers without a body, with one or more lengths.
+LENGTHS = {
+    name: f"HTTP/1.1 {status} X\r\n{lengths}\r\n".encode()
+    for name, status, lengths in (
+        ("word_as_length", 200, "Content-Length: abc\r\n"),
+        (
+            "different_lengths",
+            200,
+            "Content-Length: 5\r\nContent-Length: 6\r\n",
+        ),
+        ("equal_lengths", 200, "Content-Length: 5, 5\r\n"),
+        ("leading_zeros", 200, "Content-Length: 005\r\n"),
+        ("word_in_304", 304, "Content-Length: abc\r\n"),
+        ("lengths_in_304", 304, "Content-Length: 5\r\nContent-Length: 5\r\n"),
+    )
+}
 FIXED |= {
     name: (answer, After.KEEP)
-    for name, answer in (MALFORMED | MALFORMED_TRAILERS | UNUSUAL).items()
+    for name, answer in (
+        MALFORMED | MALFORMED_TRAILERS | UNUSUAL | LENGTHS
+    ).items()
 }
 
 
--- a/waxwingrack/daemons/checked_parsing.py
+++ b/waxwingrack/daemons/checked_parsing.py
@@ -69,7 +69,7 @@
       parser: The parser, before it has received any bytes.
       report: Called with an invalid line.
     """
-    receive = parser.lineReceived
+    receive, end_head = parser.lineReceived, parser.allHeadersReceived
 
     def receive_checked(line: bytes) -> None:
         line = line.removesuffix(b"\r")
@@ -80,7 +80,21 @@
             raise _newclient.ParseError("invalid line", line)
         receive(normalised)
 
+    def end_checked_head() -> None:
+        # Twisted reads no length of an answer without a body.
+        is_head = parser.request.method == b"HEAD"
+        headers = parser.headers if is_head else parser.connHeaders
+        try:
+            length = _newclient._contentLength(headers)
+        except ValueError as exc:
+            report(http_syntax.Place.FIELD, str(exc)[:MAX_LOGGED_BYTES])
+            raise _newclient.ParseError("invalid length", b"") from exc
+        if length is not None:
+            headers.setRawHeaders(b"Content-Length", [b"%d" % length])
+        end_head()
+
     parser.lineReceived = receive_checked
+    parser.allHeadersReceived = end_checked_head
     parser._transferDecoders = {
         b"chunked": functools.partial(ChunkedBodyDecoder, report=report)
     }
