Log which chunk line of an answer is invalid

What was missing: an answer that Twisted's decoder breaks off at a chunk line was logged as a lost connection only, so on-call engineers could not tell it from a server that crashed.

Change: the decoder of chunks reports an invalid chunk line as it does an invalid trailer; the connection is reset at once.

Measured: four rows more in features/invalid_lines.feature, on chunk lines that were refused before, but not logged.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -52,6 +52,10 @@
       | line_feed_in_trailer    |
       | no_colon_in_trailer     |
       | folded_first_in_trailer |
+      | nul_in_chunk_line       |
+      | cr_in_chunk_line        |
+      | word_as_chunk_size      |
+      | bytes_behind_chunk      |
 
   Scenario Outline: an answer with <act> arrives whole
   Guards against a check that refuses what HTTP allows.
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -433,8 +433,14 @@
     ),
     "cr_in_interim_phrase": b"HTTP/1.1 103 A\rB\r\n\r\n" + _response(b"b"),
 }
-# Chunked answers that HTTP does not allow because of their trailer.
-MALFORMED_TRAILERS = {
+# Chunked answers that HTTP does not allow because of a line behind the first
+# chunk.
+MALFORMED_CHUNKS = {
+    "nul_in_chunk_line": _CHUNKS + b"4;a=\0\r\npart\r\n0\r\n\r\n",
+    "cr_in_chunk_line": _CHUNKS + b"4;a\rb\r\npart\r\n0\r\n\r\n",
+    "word_as_chunk_size": _CHUNKS + b"0x4\r\npart\r\n0\r\n\r\n",
+    "bytes_behind_chunk": _CHUNKS + b"4\r\npartial\r\n0\r\n\r\n",
+} | {
     f"{name}_in_trailer": _CHUNKS + b"0\r\n" + line + b"\r\n\r\n"
     for name, line in (
         ("nul", b"X-Own: a\0b"),
@@ -488,7 +494,7 @@
 FIXED |= {
     name: (answer, After.KEEP)
     for name, answer in (
-        MALFORMED | MALFORMED_TRAILERS | UNUSUAL | LENGTHS
+        MALFORMED | MALFORMED_CHUNKS | UNUSUAL | LENGTHS
     ).items()
 }
 
--- a/waxwingrack/daemons/checked_parsing.py
+++ b/waxwingrack/daemons/checked_parsing.py
@@ -22,6 +22,7 @@
 
 # Called with the place of an invalid line and its representation for the log.
 Report = Callable[[http_syntax.Place, str], None]
+_Place = http_syntax.Place
 
 
 def _ignore(place: http_syntax.Place, line: str) -> None:
@@ -32,7 +33,7 @@
     """Decoder of chunks that checks the trailer behind them.
 
     An invalid trailer raises `_MalformedChunkedDataError`, like an invalid line
-    before a chunk, so the body never counts as whole.
+    around a chunk, so the body never counts as whole.
     """
 
     def __init__(
@@ -46,18 +47,29 @@
         Args:
           data_callback: Called with each part of the body.
           finish_callback: Called with the bytes behind the message.
-          report: Called with an invalid line of the trailer.
+          report: Called with an invalid line.
         """
         super().__init__(data_callback, finish_callback)
         self._report = report
 
+    def dataReceived(self, data: bytes) -> None:
+        """Decodes a part of the message and reports a line that is invalid."""
+        try:
+            super().dataReceived(data)
+        except http._MalformedChunkedDataError:
+            if self.state == "TRAILER" and self._trailerHeaders:
+                place, line = _Place.TRAILER, self._trailerHeaders[-1]
+            else:
+                place, line = _Place.CHUNK_LINE, self._buffer
+            self._report(place, _shorten(line))
+            raise
+
     def _dataReceived_TRAILER(self) -> bool:
         known = len(self._trailerHeaders)
         more = super()._dataReceived_TRAILER()
         for number, line in enumerate(self._trailerHeaders[known:], known):
             continues = number > 0 and http_syntax.is_continuation(line)
             if not continues and not http_syntax.is_field_line(line):
-                self._report(http_syntax.Place.TRAILER, _shorten(line))
                 raise http._MalformedChunkedDataError("invalid trailer")
         return more
 
@@ -87,7 +99,7 @@
         try:
             length = _newclient._contentLength(headers)
         except ValueError as exc:
-            report(http_syntax.Place.FIELD, str(exc)[:MAX_LOGGED_BYTES])
+            report(_Place.FIELD, str(exc)[:MAX_LOGGED_BYTES])
             raise _newclient.ParseError("invalid length", b"") from exc
         if length is not None:
             headers.setRawHeaders(b"Content-Length", [b"%d" % length])
@@ -102,10 +114,8 @@
 
 def _find_place(parser: Any) -> http_syntax.Place:
     if parser.state == _newclient.STATUS:
-        return http_syntax.Place.STATUS_LINE
-    if parser._partialHeader is None:
-        return http_syntax.Place.FIRST_FIELD
-    return http_syntax.Place.FIELD
+        return _Place.STATUS_LINE
+    return _Place.FIRST_FIELD if parser._partialHeader is None else _Place.FIELD
 
 
 def _shorten(line: bytes | bytearray) -> str:
--- a/waxwingrack/operations/http_syntax.py
+++ b/waxwingrack/operations/http_syntax.py
@@ -35,6 +35,7 @@
     STATUS_LINE = "status_line"
     FIRST_FIELD = "first_field"
     FIELD = "field"
+    CHUNK_LINE = "chunk_line"
     TRAILER = "trailer"
 
 
