Do not suspect requests of crashing servers whose answers were refused

What was seen: a request whose answer had a line that HTTP does not allow was reported to the leader as one that may have crashed its server. If that server crashed within the next seconds, for whatever reason, the crash counted against a sound request and against the parts of its prompt.

Cause: an answer that the router breaks off ended like a lost connection.

Change: such an attempt has a fault of its own, ANSWER_INVALID, which is retried and answered as before, but is no evidence. The flag is kept with the connection, so that heads, held and relayed bodies are told apart alike.

Measured: of six new rows in features/invalid_lines.feature, four fail without the change; the two others show that connections which servers break are still reported.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -57,6 +57,23 @@
       | word_as_chunk_size      |
       | bytes_behind_chunk      |
 
+  Scenario Outline: an attempt that ends with <act> names <count> crash suspects
+  Guards against sound requests that are refused as ones that crash servers, because a
+  server that spoiled its answers crashed later.
+    Given a shared router with 2 fake backend servers
+    When the router's caller requests POST /sketch/deposit?do=<act>
+    Then the router reports the outcome connection_lost
+    And the router has named <count> crash suspects
+
+    Examples:
+      | act                | count |
+      | cr_in_phrase       | 0     |
+      | nul_in_value       | 0     |
+      | nul_in_trailer     | 0     |
+      | word_as_chunk_size | 0     |
+      | drop               | 1     |
+      | cut_chunk          | 1     |
+
   Scenario Outline: an answer with <act> arrives whole
   Guards against a check that refuses what HTTP allows.
     Given a shared router with 2 fake backend servers
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -75,6 +75,21 @@
         assert line["server"] and line["place"] and line["line"], line
 
 
+@behave.then("the router has named {count:d} crash suspects")
+def crash_suspects(context, count):
+    world = context.world
+    world.wait_for(
+        lambda: len(world.leader.finished()) == world.runs(),
+        "the end of each attempt",
+    )
+    seen = [
+        item
+        for report in world.leader.reports
+        for item in report.crash_suspects
+    ]
+    assert len(seen) == count, seen
+
+
 @behave.then("the value of X-Own is {value}")
 def own_value(context, value):
     expected = None if value == "none" else json.loads(value)
--- a/waxwingrack/daemons/answers.py
+++ b/waxwingrack/daemons/answers.py
@@ -321,7 +321,7 @@
         )
         fault = None
         if self._fault or not complete:
-            fault = self._fault or router_queues.Fault.CONNECTION_LOST
+            fault = self._fault or self._head.conn.find_loss()
         self.ended.callback(BodyEnd(fault))
 
     def _is_closed_cleanly(self) -> bool:
--- a/waxwingrack/daemons/exchanges.py
+++ b/waxwingrack/daemons/exchanges.py
@@ -34,6 +34,7 @@
 _OUTCOME_BY_FAULT = {
     router_queues.Fault.CONNECT_FAILED: data.Outcome.CONNECT_FAILED,
     router_queues.Fault.CONNECTION_LOST: data.Outcome.CONNECTION_LOST,
+    router_queues.Fault.ANSWER_INVALID: data.Outcome.CONNECTION_LOST,
     router_queues.Fault.TIMED_OUT: data.Outcome.TIMED_OUT,
     router_queues.Fault.GRANT_EXPIRED: data.Outcome.NOT_DISPATCHED,
     router_queues.Fault.CLAIM_LOST: data.Outcome.NOT_DISPATCHED,
@@ -572,13 +573,25 @@
             self._end_lease(lease, data.Outcome.CANCELLED)
             raise dispatch.CallerGoneError
         outcome = self._find_outcome(fault)
-        if outcome is data.Outcome.CONNECTION_LOST:
-            self._host.dispatcher.report_crash_suspect(lease)
+        self._report_crash_suspect(lease, outcome, fault)
         self._end_lease(lease, outcome)
         if admitted.key is not None:
             await self._wait_until_recorded(self._record_outcome(None))
         return fault
 
+    def _report_crash_suspect(
+        self,
+        lease: dispatch.Lease,
+        outcome: data.Outcome,
+        fault: router_queues.Fault | None,
+    ) -> None:
+        """Reports an attempt whose server may have crashed."""
+        if (
+            outcome is data.Outcome.CONNECTION_LOST
+            and fault is not router_queues.Fault.ANSWER_INVALID
+        ):
+            self._host.dispatcher.report_crash_suspect(lease)
+
     def _find_outcome(self, fault: router_queues.Fault) -> data.Outcome:
         """Returns how an attempt ended; one that a stop ended has no fault."""
         if self._terminated:
@@ -705,8 +718,7 @@
             outcome = data.Outcome.CANCELLED
         else:
             outcome = self._find_outcome(body_end.fault)
-        if outcome is data.Outcome.CONNECTION_LOST:
-            self._host.dispatcher.report_crash_suspect(lease)
+        self._report_crash_suspect(lease, outcome, body_end.fault)
         if outcome is data.Outcome.COMPLETED and admitted.route.idempotent:
             self._note_latency(lease, first_byte_ms)
         self._end_lease(lease, outcome, first_byte_ms, status=head.status)
--- a/waxwingrack/daemons/forwarding.py
+++ b/waxwingrack/daemons/forwarding.py
@@ -160,6 +160,8 @@
       note_lost: Called with the connection when it has ended.
       epoch: Number of times that all connections were closed before it was
         opened.
+      answer_invalid: Whether the answer to the present request had a line that
+        HTTP does not allow. No further request follows on the connection.
     """
 
     lost_reason: failure.Failure | None = None
@@ -172,6 +174,7 @@
     reused_s: float = 0.0
     note_lost: Callable[[Any], None] = staticmethod(lambda _: None)
     epoch: int = 0
+    answer_invalid: bool = False
     _head_bytes: int = 0
     _paused_since_s: float | None = None
 
@@ -260,6 +263,15 @@
         idle_s = now_s - self.idle_since_s
         return idle_s if self.stated_s is None else idle_s + self.paused_s
 
+    def find_loss(self) -> router_queues.Fault:
+        """Returns why the present answer ended early."""
+        faults = router_queues.Fault
+        return (
+            faults.ANSWER_INVALID
+            if self.answer_invalid
+            else faults.CONNECTION_LOST
+        )
+
     @property
     def head_begun(self) -> bool:
         """Whether bytes of the answer to the present request arrived."""
@@ -662,10 +674,10 @@
         response_deferred = conn.request(req)
         event_loop.flush_transport(conn.transport)
         parser = conn._parser
-        timed_out, invalid = [], []
+        timed_out = []
 
         def note_invalid_line(place: http_syntax.Place, line: str) -> None:
-            invalid.append(place)
+            conn.answer_invalid = True
             logs.event(
                 "answer_invalid",
                 request_id=outgoing.request_id,
@@ -694,10 +706,14 @@
             conn.transport.abortConnection()
             if timed_out:
                 raise NoAnswerError(router_queues.Fault.TIMED_OUT) from exc
-            if conn.lost_reason is not None and not invalid:
+            fault = conn.find_loss()
+            if (
+                conn.lost_reason is not None
+                and fault is router_queues.Fault.CONNECTION_LOST
+            ):
                 self._pool.note_lost_request(key, conn)
                 self._pool.close_server(key, "connection_lost")
-            raise NoAnswerError(router_queues.Fault.CONNECTION_LOST) from exc
+            raise NoAnswerError(fault) from exc
         finally:
             if timer.active():
                 timer.cancel()
--- a/waxwingrack/daemons/hedged_attempts.py
+++ b/waxwingrack/daemons/hedged_attempts.py
@@ -353,8 +353,8 @@
         if isinstance(exc, forwarding.NotSentError):
             self._host.dispatcher.note_server(lease.grant, exc.notice)
         outcome = self._find_copy_outcome(lease, exc, status)
-        if outcome is data.Outcome.CONNECTION_LOST:
-            self._host.dispatcher.report_crash_suspect(lease)
+        fault = getattr(exc, "fault", None)
+        self._report_crash_suspect(lease, outcome, fault)
         self._end_lease(lease, outcome, status=status)
 
     def _find_copy_outcome(
--- a/waxwingrack/daemons/held_bodies.py
+++ b/waxwingrack/daemons/held_bodies.py
@@ -117,7 +117,7 @@
             self._stop_timer()
             self._begun.callback(None)
         elif self._end is not None:
-            self._fail(router_queues.Fault.CONNECTION_LOST)
+            self._fail(self._head.conn.find_loss())
 
     def _time_out(self) -> None:
         self._head.conn.transport.abortConnection()
--- a/waxwingrack/operations/router_queues.py
+++ b/waxwingrack/operations/router_queues.py
@@ -277,10 +277,15 @@
 
 
 class Fault(enum.StrEnum):
-    """How an attempt ended without a complete answer."""
+    """How an attempt ended without a complete answer.
+
+    ANSWER_INVALID means that the router broke off an answer with a line that
+    HTTP does not allow. The server may be sound otherwise.
+    """
 
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
+    ANSWER_INVALID = "answer_invalid"
     TIMED_OUT = "timed_out"
     GRANT_EXPIRED = "grant_expired"
     CLAIM_LOST = "claim_lost"
@@ -307,6 +312,7 @@
 ERROR_KINDS = {
     Fault.CONNECT_FAILED: errors.ErrorKind.BACKEND_CONNECT_FAILED,
     Fault.CONNECTION_LOST: errors.ErrorKind.BACKEND_CONNECTION_LOST,
+    Fault.ANSWER_INVALID: errors.ErrorKind.BACKEND_CONNECTION_LOST,
     Fault.TIMED_OUT: errors.ErrorKind.BACKEND_TIMEOUT,
     Fault.GRANT_EXPIRED: errors.ErrorKind.QUEUE_TIMEOUT,
     Fault.CLAIM_LOST: errors.ErrorKind.CONTROL_UNAVAILABLE,
