Refuse documents with unprintable names on the platform

What was seen: a document with a NUL in the name of a tenant was accepted. The name stands in a header of each request of that tenant to a backend server.

Change: they must be printable, as names in announcements. The refusal names the field.

Measured: two rows more in features/platform_adapter.feature that fail on, and one for letters beyond ASCII, which are accepted as before.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -96,6 +96,9 @@
       | a shared key           | tenants.1.apiKeys   | ["k1"]               | refused  | an API key occurs twice |
       | a service twice        | services.1.name     | "s"                  | refused  | the name of a service occurs twice |
       | no attempts            | routes.0.maxAttempts | 0                   | refused  | maxAttempts |
+      | a NUL in a tenant      | tenants.0.name      | "a\u0000b"           | refused  | tenants.0.name |
+      | an escape in a service | services.1.name     | "\u001b[2J"          | refused  | services.1.name |
+      | a tenant beyond ASCII  | tenants.0.name      | "Tan\u010d\u00edrna"  | accepted |        |
       | limits that are text   | limits.maxBodyBytes | "4 MB"               | refused  | limits.maxBodyBytes |
       | a negative limit       | limits.idleTimeoutMs | -1                  | refused  | limits.idleTimeoutMs |
 
--- a/waxwingrack/operations/announcements.py
+++ b/waxwingrack/operations/announcements.py
@@ -21,8 +21,15 @@
 MAX_BORN_MS = 4_102_444_800_000
 
 
-def _check_printable(text: str) -> str:
-    # Names stand in headers to callers and servers and in operators' tables.
+def check_printable(text: str) -> str:
+    """Returns a name that may stand in headers and in operators' tables.
+
+    Args:
+      text: The name.
+
+    Raises:
+      ValueError: It has unprintable characters.
+    """
     if not text.isprintable():
         raise ValueError("has unprintable characters")
     return text
@@ -31,7 +38,7 @@
 Name = Annotated[
     str,
     pydantic.StringConstraints(min_length=1, max_length=MAX_ID_CHARS),
-    pydantic.AfterValidator(_check_printable),
+    pydantic.AfterValidator(check_printable),
 ]
 Slots = Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
 ColdMs = Annotated[float, pydantic.Field(ge=0, le=MAX_COLD_MS)]
--- a/waxwingrack/platform/configuration.py
+++ b/waxwingrack/platform/configuration.py
@@ -13,10 +13,15 @@
 from returns import result
 
 from waxwingrack.core import data
+from waxwingrack.operations import announcements
 
 _Count = Annotated[int, pydantic.Field(ge=0)]
 _NonNegative = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
-_Name = Annotated[str, pydantic.StringConstraints(min_length=1)]
+_Name = Annotated[
+    str,
+    pydantic.StringConstraints(min_length=1),
+    pydantic.AfterValidator(announcements.check_printable),
+]
 
 
 class _WeightedService(pydantic.BaseModel):
