Refuse request targets that HTTP does not allow at all ports

What was seen: the ports of operators and of announcements took a DEL or a byte beyond ASCII in the target of a request. A controller that does not lead repeats the target in the Location of its redirect.

Change: BoundedChannel, which serves all ports, refuses such a request with 400 once its head is complete. A refused request is not handled, though its body may have arrived with its head.

--- a/features/invalid_lines.feature
+++ b/features/invalid_lines.feature
@@ -172,6 +172,8 @@
       | nul_in_trailer       |
       | line_feed_in_trailer |
       | no_colon_in_trailer  |
+      | del_in_target        |
+      | high_byte_in_target  |
 
   Scenario Outline: a request with <case> is passed on
   Guards against a check that refuses what HTTP allows.
@@ -194,9 +196,11 @@
     Then it gets a refusal with 400
 
     Examples:
-      | case          |
-      | bell_in_value |
-      | del_in_value  |
+      | case                |
+      | bell_in_value       |
+      | del_in_value        |
+      | del_in_target       |
+      | high_byte_in_target |
 
   Scenario Outline: the length in an answer without a body is checked: <act>
   Guards against a length that no client can read, or that clients read differently.
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -37,6 +37,8 @@
     "folded_first_line": _HEAD.replace(b"\r\n", b"\r\n X-Own: a\r\n", 1)
     + b"\r\n",
     "del_in_folded_line": _with_field(b"X-Own: a\r\n b\x7f"),
+    "del_in_target": _WITH_BODY.replace(b"/a", b"/a\x7f") + b"\r\nb",
+    "high_byte_in_target": _WITH_BODY.replace(b"/a", b"/a\xa0") + b"\r\nb",
     "nul_in_trailer": _with_trailer(b"X-Own: a\0b"),
     "line_feed_in_trailer": _with_trailer(b"X-Own: a\nX-Other: b"),
     "no_colon_in_trailer": _with_trailer(b"X-Own"),
--- a/waxwingrack/daemons/bounded_channels.py
+++ b/waxwingrack/daemons/bounded_channels.py
@@ -53,6 +53,13 @@
             return False
         return super().headerReceived(line)
 
+    def allHeadersReceived(self) -> None:
+        """Refuses a target that HTTP does not allow."""
+        if http_syntax.is_request_target(self._path):
+            super().allHeadersReceived()
+        else:
+            self._respondToBadRequestAndDisconnect()
+
     def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:
         chosen = super()._maybeChooseTransferDecoder(header, data)
         decoder = self._transferDecoder
@@ -109,9 +116,15 @@
 
     def allContentReceived(self) -> None:
         """Passes a whole request on."""
+        if self._refused:
+            return
         self._body_use = connection_budgets.BodyUse()
         super().allContentReceived()
 
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self._refused = True
+        super()._respondToBadRequestAndDisconnect()
+
     def requestDone(self, request: Any) -> None:
         """Yields before the next request if it was sent ahead of the answer."""
         verdict = connection_budgets.Verdict.CONTINUE
--- a/waxwingrack/operations/http_syntax.py
+++ b/waxwingrack/operations/http_syntax.py
@@ -19,6 +19,7 @@
 _STATUS_LINE = re.compile(
     rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}(?: " + _TEXT + rb")?"
 )
+_REQUEST_TARGET = re.compile(rb"[\x21-\x7e]+")
 _FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT)
 _ANSWER_FIELD_LINE = re.compile(rb"(" + _TOKEN + rb")[ \t]*(:" + _TEXT + rb")")
 _CONTINUATION = re.compile(rb"[ \t]" + _TEXT)
@@ -39,6 +40,15 @@
     TRAILER = "trailer"
 
 
+def is_request_target(target: bytes) -> bool:
+    """Tells whether the target of a request has valid characters only.
+
+    Args:
+      target: Target from the request line, not decoded.
+    """
+    return _REQUEST_TARGET.fullmatch(target) is not None
+
+
 def is_field_line(line: bytes) -> bool:
     """Tells whether a line is a field of a request, or of a trailer.
 
