Let the test of answers reset during an upload reach a server

The three rows passed without testing anything: their body of 3,000,000 bytes is over the default limit of 1 MiB, so the router answered 413 and no server began the request. With the new step, that a backend server has begun the request, all three fail as they stood.

The router now takes bodies of 16 MiB, the body is larger than the buffers between router and server, and the server does not read it. The check of the answer is unchanged.

--- a/features/router_answers.feature
+++ b/features/router_answers.feature
@@ -23,9 +23,10 @@
   Scenario Outline: an answer that is reset during the upload to <path> is not whole
   A server that answers early without a length and then resets the connection has
   sent a part of its answer, even if the request was still being written.
-    Given a shared router with 2 fake backend servers
-    When the router's caller uploads 3000000 bytes to <path>?do=reset_upload
+    Given a router with 2 fake backend servers that takes bodies of 16 MiB
+    When the router's caller uploads 16000000 bytes to <path>?do=reset_upload
     Then the router's caller gets no answer that looks whole
+    And a backend server has begun the request
 
     Examples:
       | path            |
--- a/features/steps/invalid_lines_steps.py
+++ b/features/steps/invalid_lines_steps.py
@@ -112,6 +112,12 @@
     )
 
 
+@behave.then("a backend server has begun the request")
+def request_begun(context):
+    # A refusal of the router itself would look like a broken upload.
+    assert context.world.runs() > 0, context.reply
+
+
 @behave.when("a caller's order is answered with {act}")
 def order_answered(context, act):
     context.world.backends[0].faults.append(act)
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -837,6 +837,7 @@
     async def _reset_upload(self, headers, writer):
         """Resets an early answer without reading the body of its request."""
         self.runs[headers.get("x-request-id") or headers["request-id"]] += 1
+        writer.transport.pause_reading()
         writer.write(b"HTTP/1.1 200 OK\r\n\r\npart before reset")
         await writer.drain()
         await asyncio.sleep(0.05)
