--- a/waxwingrack/operations/http_syntax.py
+++ b/waxwingrack/operations/http_syntax.py
@@ -2,8 +2,8 @@
 
 Every line that a process reads from callers and backend servers is checked by
 this module, whatever its place in a message: status lines, fields of final and
-interim answers, fields of requests, and trailers. The grammar is that of
-RFC 9112, sections 2.2, 4 and 5, and of RFC 9110, section 5.5. Control
+interim answers, targets and fields of requests, and trailers. Their grammar is
+that of RFC 9112, sections 2.2 to 5, and of RFC 9110, section 5.5. Control
 characters other than the tab are never valid: a recipient that takes a lone CR,
 a NUL or a vertical tab for the end of a line would read a field that nobody
 sent.
