--- /dev/null
+++ b/review/common_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the cases of the third review share."""
