--- a/review/common_3/fleet.py
+++ b/review/common_3/fleet.py
@@ -130,7 +130,7 @@
             "limits": {
                 "cpuShare": 0.86 if is_core else 0.537,
                 "cores": 3 if is_core else 2,
-                "memoryMb": 296 if is_core else 150,
+                "memoryMb": 296 if is_core else self.owner.router_memory_mb,
                 "maxFds": 4096,
                 "linkMbps": 1000.0,
                 "diskMb": 128 if is_core else 0,
@@ -188,8 +188,15 @@
 class Fleet:
     """Controllers and routers of one small deployment."""
 
-    def __init__(self, record: Record, controllers: int = 5, routers: int = 2):
+    def __init__(
+        self,
+        record: Record,
+        controllers: int = 5,
+        routers: int = 2,
+        router_memory_mb: int = 150,
+    ):
         self.record = record
+        self.router_memory_mb = router_memory_mb
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             self.roles = tomllib.load(file)["roles"]
         self._temporary = tempfile.TemporaryDirectory(prefix="waxwingrack-")
--- a/review/common_3/workers.py
+++ b/review/common_3/workers.py
@@ -1,5 +1,6 @@
 """Workers that speak what the pages say, and record what they run."""
 
+import contextlib
 import itertools
 import json
 import random
@@ -75,6 +76,7 @@
         self.running = 0
         self.lock = threading.Lock()
         self._listener = None
+        self._socks: list[socket.socket] = []
         self._stopped = threading.Event()
         self._beats = threading.Event()
 
@@ -91,8 +93,21 @@
         """Closes the port and ends the announcements."""
         self._stopped.set()
         if self._listener is not None:
+            with contextlib.suppress(OSError):
+                # Wakes the thread that accepts, which holds the port open.
+                self._listener.shutdown(socket.SHUT_RDWR)
             self._listener.close()
 
+    def crash(self) -> None:
+        """Ends the worker as if its process had been killed."""
+        self.stop()
+        with self.lock:
+            socks, self._socks = self._socks, []
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.record.write(f"worker {self.id} at {self.ip} crashes")
+
     def _accept(self) -> None:
         while not self._stopped.is_set():
             try:
@@ -100,6 +115,8 @@
             except OSError:
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with self.lock:
+                self._socks.append(sock)
             threading.Thread(
                 target=self._serve_connection, args=(sock,), daemon=True
             ).start()
